Add the design, the module skeleton and the message schema

Cause: the repository was empty; the modules need one contract before they can be written side by side. Ruled out: a log claim for each start and for each call (append rate, no checkout during a store outage); a consensus group or a replicated store of our own (refused by the operators). Change: docs/design.md, eleven Maven modules with formatter and linter bound to the build, the Thrift schema with its generated code, the model and the error types of the core. Conclusion: the work on the modules can start.

--- /dev/null
+++ b/cli/src/main/java/org/fulmarreach/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Module cli; docs/design.md section 3 gives its role. */
+package org.fulmarreach.cli;
--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/model/TaskId.java
@@ -0,0 +1,20 @@
+package org.fulmarreach.core.model;
+
+/**
+ * Identifies one execution of a unit of work. Immutable.
+ *
+ * @param work name of the rule that asked for the work
+ * @param run number of the scheduled run; 0 for standing work
+ * @param epoch number of the assignment, from 1; each re-assignment of the same run has a higher epoch
+ */
+public record TaskId(String work, long run, long epoch) {
+    /** Returns the id of the same run under the given epoch. */
+    public TaskId withEpoch(long newEpoch) {
+        return new TaskId(work, run, newEpoch);
+    }
+
+    /** Returns the form used for task ids at the worker agent, {@code work.run.epoch}. */
+    public String toAgentId() {
+        return work + "." + run + "." + epoch;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/model/package-info.java
@@ -0,0 +1,2 @@
+/** The machines, zones, members and work that the decisions are about; immutable data only. */
+package org.fulmarreach.core.model;
--- /dev/null
+++ b/guard/src/main/java/org/fulmarreach/guard/package-info.java
@@ -0,0 +1,2 @@
+/** Module guard; docs/design.md section 3 gives its role. */
+package org.fulmarreach.guard;
--- /dev/null
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -0,0 +1,337 @@
+/**
+ * Messages between the processes of fulmarreach.
+ *
+ * A frame on the wire is a 4-byte big-endian length followed by one Frame in Thrift compact protocol. Times are
+ * milliseconds. Tick values are readings of the sender's own monotonic clock and are only ever compared on that clock.
+ */
+namespace java org.fulmarreach.protocol.thrift
+
+enum GuardState { READY = 1, LEAVING = 2 }
+enum Outcome { RUN = 1, NOT_RUN = 2, UNKNOWN = 3 }
+enum ResolveState { REFUSED = 1, RUNNING = 2, DONE = 3, UNKNOWN = 4 }
+enum TaskPhase { STARTING = 1, RUNNING = 2, STOPPING = 3, STOPPED = 4, SUCCEEDED = 5, FAILED = 6, REFUSED = 7 }
+enum StopMode { CHECKPOINT_AND_STOP = 1, STOP = 2 }
+
+/** Processors in thousandths of a core, memory in MiB. */
+struct Resources {
+  1: i32 milliCores,
+  2: i64 memoryMb,
+  3: i32 accelerators
+}
+
+/** One execution of a unit of work; work + run + epoch is unique for ever. */
+struct TaskId {
+  1: string work,
+  2: i64 run,
+  3: i64 epoch
+}
+
+struct Grant {
+  1: TaskId task,
+  2: i32 leaseMs
+}
+
+/** Sent as the first frame of a connection from a guard to an entry. */
+struct Hello {
+  1: string guardId,
+  2: string vm,
+  3: i64 incarnation,
+  4: string zone,
+  5: string region,
+  6: string rack,
+  7: string serviceName,
+  8: i32 slots,
+  9: i32 connections,
+  10: Resources capacity
+}
+
+struct TaskStatus {
+  1: TaskId task,
+  2: TaskPhase phase,
+  3: optional string checkpoint,
+  4: optional string reason,
+  5: i32 usedMilliCores,
+  6: i64 usedMemoryMb,
+  7: i32 usageLagMs,
+  8: double throttleShare,
+  9: i64 term,
+  10: string shard
+}
+
+/** guard to entry, every 500 ms. tick is the guard's monotonic clock; grants are counted from it. */
+struct Heartbeat {
+  1: i64 tickMs,
+  2: GuardState state,
+  3: i32 slotsInUse,
+  4: i32 connectionsInUse,
+  5: Resources free,
+  6: i64 rulesRevision,
+  7: list<TaskStatus> tasks,
+  8: i32 latencyP99Ms,
+  9: i64 incarnation,
+  10: i32 slots,
+  11: i32 connections,
+  12: optional string serviceName,
+  13: bool workerFailing
+}
+
+struct Welcome {
+  1: string entryId,
+  2: list<string> entries,
+  3: i64 rulesRevision
+}
+
+struct HeartbeatAck {
+  1: i64 tickMs,
+  2: i64 rulesRevision,
+  3: list<string> entries
+}
+
+struct Header { 1: string name, 2: string value }
+
+struct Call {
+  1: string requestId,
+  2: i64 guardIncarnation,
+  3: string member,
+  4: string serviceName,
+  5: string method,
+  6: string path,
+  7: list<Header> headers,
+  8: binary body,
+  9: i32 remainingMs,
+  10: bool idempotent,
+  11: i64 tickEchoMs
+}
+
+struct CallResult {
+  1: string requestId,
+  2: Outcome outcome,
+  3: i32 status,
+  4: list<Header> headers,
+  5: binary body,
+  6: optional string code,
+  7: optional string message,
+  8: i32 retryAfterMs,
+  9: bool repeated,
+  10: i32 serviceMs
+}
+
+struct CancelCall { 1: string requestId }
+
+/** Asks what became of a request. With refuseIfAbsent, an id the guard has not seen is refused for this incarnation. */
+struct Resolve {
+  1: string requestId,
+  2: i64 guardIncarnation,
+  3: bool refuseIfAbsent
+}
+
+struct ResolveResult {
+  1: string requestId,
+  2: ResolveState state,
+  3: optional CallResult result
+}
+
+/** Starts a task. tickEchoMs is the tick of the guard's last heartbeat that the leader saw; it bounds the message's age. */
+struct StartTask {
+  1: string shard,
+  2: i64 term,
+  3: TaskId task,
+  4: string command,
+  5: Resources size,
+  6: optional string checkpoint,
+  7: i64 tickEchoMs,
+  8: i32 leaseMs,
+  9: string member,
+  10: i64 guardIncarnation,
+  11: bool standing
+}
+
+struct RenewTasks {
+  1: string shard,
+  2: i64 term,
+  3: i64 tickEchoMs,
+  4: i32 leaseMs,
+  5: list<TaskId> tasks
+}
+
+/** Stops a task, or refuses its start for ever when the guard has not seen it. */
+struct StopTask {
+  1: string shard,
+  2: i64 term,
+  3: TaskId task,
+  4: StopMode mode
+}
+
+/** Tells the guard that the leader has recorded the final status of a task, which then leaves the heartbeat. */
+struct TaskReportAck { 1: string shard, 2: i64 term, 3: list<TaskId> tasks }
+
+/** Fences a shard: the guard refuses lower terms from now on. Tasks of the shard keep running. */
+struct Fence { 1: string shard, 2: i64 term }
+
+struct Drain { 1: string reason }
+
+struct PeerHello {
+  1: string entryId,
+  2: string zone,
+  3: string region,
+  4: string address,
+  5: i64 incarnation
+}
+
+struct ServiceSummary { 1: string serviceName, 2: i32 targets, 3: i32 slots, 4: i32 slotsInUse }
+
+struct PeerStatus {
+  1: string entryId,
+  2: i64 rulesRevision,
+  3: list<ServiceSummary> services,
+  4: i32 guards,
+  5: i64 lowestGuardRevision,
+  6: bool storeReachable,
+  7: bool leaving,
+  8: string zone,
+  9: string region
+}
+
+struct ForwardCall {
+  1: Call call,
+  2: optional string guardId
+}
+
+struct ReadLog {
+  1: string stream,
+  2: i64 fromOffset,
+  3: i32 maxRecords,
+  4: i32 waitMs
+}
+
+struct LogRecord { 1: i64 offset, 2: binary data }
+
+struct ReadLogResult {
+  1: i64 firstOffset,
+  2: i64 nextOffset,
+  3: list<LogRecord> records,
+  4: optional string error
+}
+
+struct PeerStateRequest { 1: i64 knownRevision }
+
+struct PeerState {
+  1: i64 revision,
+  2: list<string> lines
+}
+
+/** Leader to witness: asks the witness to confirm that it cannot reach the store either. */
+struct ConfirmOutage { 1: string shard, 2: i64 term }
+struct ConfirmOutageResult { 1: string shard, 2: i64 term, 3: bool confirmed }
+
+/** New leader to witness of its predecessor: the witness confirms no outage for lower terms from now on. */
+struct FenceLeader { 1: string shard, 2: i64 term }
+struct FenceLeaderResult { 1: string shard, 2: i64 term, 3: bool acknowledged }
+
+struct Failure { 1: string code, 2: string message }
+
+union Body {
+  1: Hello hello,
+  2: Heartbeat heartbeat,
+  3: Welcome welcome,
+  4: HeartbeatAck heartbeatAck,
+  5: Call call,
+  6: CallResult callResult,
+  7: CancelCall cancelCall,
+  8: Resolve resolve,
+  9: ResolveResult resolveResult,
+  10: StartTask startTask,
+  11: RenewTasks renewTasks,
+  12: StopTask stopTask,
+  13: TaskReportAck taskReportAck,
+  14: Fence fence,
+  15: Drain drain,
+  16: PeerHello peerHello,
+  17: PeerStatus peerStatus,
+  18: ForwardCall forwardCall,
+  19: ReadLog readLog,
+  20: ReadLogResult readLogResult,
+  21: PeerStateRequest peerStateRequest,
+  22: PeerState peerState,
+  23: Failure failure,
+  24: ConfirmOutage confirmOutage,
+  25: ConfirmOutageResult confirmOutageResult,
+  26: FenceLeader fenceLeader,
+  27: FenceLeaderResult fenceLeaderResult
+}
+
+/** The unit on the wire. An answer carries the correlation id of its request; one-way messages carry 0. */
+struct Frame {
+  1: i64 correlationId,
+  2: Body body
+}
+
+/** Records of the stream "rules". */
+struct RulesPublish {
+  1: string publishId,
+  2: i64 baseRevision,
+  3: list<string> removed,
+  4: list<string> added,
+  5: string operator
+}
+struct NameBinding { 1: string work, 2: string region }
+struct RulesSnapshot {
+  1: i64 revision,
+  2: list<string> lines,
+  3: list<NameBinding> bindings,
+  4: list<string> recentPublishIds
+}
+union RulesRecord { 1: RulesPublish publish, 2: RulesSnapshot snapshot }
+
+/** Records of the stream "budget". Amounts are in the budget's smallest unit. */
+struct BudgetReserve { 1: string id, 2: string owner, 3: i64 period, 4: i64 amount }
+struct BudgetReturn { 1: string id, 2: string owner, 3: i64 period, 4: i64 amount }
+struct PeriodTotal { 1: i64 period, 2: i64 granted }
+struct BudgetSnapshot { 1: list<PeriodTotal> totals, 2: list<string> recentIds, 3: i64 basedOnOffset }
+union BudgetRecord { 1: BudgetReserve reserve, 2: BudgetReturn giveBack, 3: BudgetSnapshot snapshot }
+
+/** Records of the streams "work-<region>-<n>". A batch is one append and is decided as a whole in order. */
+struct WorkClaim { 1: string leader, 2: i64 seenOffset, 3: list<string> witnesses }
+struct WorkRenew { 1: bool resign }
+struct WorkAssign {
+  1: TaskId task,
+  2: string vm,
+  3: i64 guardIncarnation,
+  4: optional string checkpoint
+}
+struct WorkStopped { 1: TaskId task, 2: optional string checkpoint, 3: optional string reason }
+struct WorkFinished { 1: TaskId task, 2: bool success, 3: optional string reason }
+struct WorkEvictIntent { 1: TaskId task }
+struct WorkCancelled { 1: string work, 2: i64 run }
+enum WorkPhase { PENDING = 1, ASSIGNED = 2, EVICTING = 3, DONE = 4, CANCELLED = 5, QUARANTINED = 6 }
+struct WorkEntry {
+  1: TaskId task,
+  2: WorkPhase phase,
+  3: optional string vm,
+  4: i64 guardIncarnation,
+  5: optional string checkpoint,
+  6: list<string> failedVms
+}
+struct WorkSnapshot {
+  1: i64 term,
+  2: string leader,
+  3: list<WorkEntry> entries,
+  4: i64 basedOnOffset,
+  5: list<string> witnesses,
+  6: bool resigned
+}
+union WorkDecision {
+  1: WorkClaim claim,
+  2: WorkRenew renew,
+  3: WorkAssign assign,
+  4: WorkStopped stopped,
+  5: WorkFinished finished,
+  6: WorkEvictIntent evictIntent,
+  7: WorkCancelled cancelled,
+  8: WorkSnapshot snapshot
+}
+struct WorkBatch {
+  1: string batchId,
+  2: i64 term,
+  3: list<WorkDecision> decisions
+}
--- /dev/null
+++ b/runtime/src/main/java/org/fulmarreach/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** Module runtime; docs/design.md section 3 gives its role. */
+package org.fulmarreach.runtime;
