--- /dev/null
+++ b/runtime/src/main/java/org/fulmarreach/runtime/cfg/Setting.java
@@ -0,0 +1,189 @@
+package org.fulmarreach.runtime.cfg;
+
+import java.util.Locale;
+
+/**
+ * A setting of the daemon. Each knows its roles, default, unit and range; docs/SETTINGS.md is written from these values
+ * and held against them by a test.
+ */
+public enum Setting {
+    /** Id. */
+    ID(Roles.BOTH, Kind.TEXT, null, "", 1, 63, "Unique id of this process, for example entry-sued-a-1."),
+    /** Region. */
+    REGION(Roles.BOTH, Kind.TEXT, null, "", 1, 63, "Region of this process."),
+    /** Availability zone. */
+    ZONE(Roles.BOTH, Kind.TEXT, null, "", 1, 63, "Availability zone of this process."),
+    /** Rack. */
+    RACK(Roles.GUARD, Kind.TEXT, "rack-0", "", 1, 63, "Rack of the VM."),
+    /** VM. */
+    VM(Roles.GUARD, Kind.TEXT, null, "", 1, 63, "Name of the VM."),
+    /** Log level. */
+    LOG_LEVEL(Roles.BOTH, Kind.TEXT, "info", "", 4, 7, "Lowest level written: fine, info, warning or severe."),
+    /** Drain bound. */
+    DRAIN_TIMEOUT_MS(Roles.BOTH, Kind.NUMBER, "20000", "ms", 100, 600_000, "Longest planned stop after SIGTERM."),
+    /** Heartbeats. */
+    HEARTBEAT_MS(Roles.BOTH, Kind.NUMBER, "500", "ms", 50, 5_000, "Interval of heartbeats on each connection."),
+    /** Silence. */
+    SILENCE_TIMEOUT_MS(
+            Roles.BOTH, Kind.NUMBER, "2000", "ms", 200, 60_000, "A connection without a frame this long is closed."),
+    /** Largest body. */
+    MAX_BODY_BYTES(Roles.BOTH, Kind.NUMBER, "1048576", "bytes", 1_024, 3_145_728, "Largest body of a call or answer."),
+    /** Frame listener. */
+    LISTEN(Roles.ENTRY, Kind.ADDRESS, "127.0.0.1:7400", "", 0, 0, "Address for guards and other entries."),
+    /** Advertised address. */
+    ADVERTISE(
+            Roles.ENTRY,
+            Kind.ADDRESS,
+            "",
+            "",
+            0,
+            0,
+            "Address that guards and entries dial; the listen address if it is empty."),
+    /** Caller listener. */
+    HTTP(Roles.ENTRY, Kind.ADDRESS, "127.0.0.1:7401", "", 0, 0, "Address for callers, HTTP."),
+    /** Operator listener. */
+    OPERATOR_HTTP(
+            Roles.ENTRY,
+            Kind.ADDRESS,
+            "127.0.0.1:7402",
+            "",
+            0,
+            0,
+            "Address for operators and metrics, HTTP. Must be a loopback address while no token is set."),
+    /** Token. */
+    TOKEN(Roles.ENTRY, Kind.SECRET, "", "", 0, 256, "Bearer token of operators."),
+    /** Store. */
+    STORE(Roles.ENTRY, Kind.URL, null, "", 0, 0, "Base URL of the log service."),
+    /** Store region. */
+    STORE_REGION(Roles.ENTRY, Kind.TEXT, null, "", 1, 63, "Region that holds the log service."),
+    /** Store timeout. */
+    STORE_TIMEOUT_MS(Roles.ENTRY, Kind.NUMBER, "2000", "ms", 100, 60_000, "Bound for one append or read."),
+    /** Retention. */
+    STORE_RETENTION_MS(
+            Roles.ENTRY,
+            Kind.NUMBER,
+            "86400000",
+            "ms",
+            10_000,
+            2_592_000_000L,
+            "Time for which the log service keeps records; a quarter of it is the snapshot interval."),
+    /** Peers. */
+    PEERS(Roles.ENTRY, Kind.ADDRESSES, "", "", 0, 256, "Addresses of other entries, of all regions, comma separated."),
+    /** Shards. */
+    SHARDS(Roles.ENTRY, Kind.NUMBER, "1", "", 1, 64, "Shards of batch and standing work per region; never change it."),
+    /** Queue. */
+    MAX_QUEUED_CALLS(Roles.ENTRY, Kind.NUMBER, "256", "calls", 0, 10_000, "Calls that may wait per service."),
+    /** Caller connections. */
+    MAX_HTTP_CONNECTIONS(Roles.ENTRY, Kind.NUMBER, "1024", "", 1, 65_536, "Open connections of callers."),
+    /** Entries. */
+    ENTRIES(Roles.GUARD, Kind.ADDRESSES, null, "", 1, 64, "Addresses of entries of the region, comma separated."),
+    /** Target. */
+    TARGET(Roles.GUARD, Kind.URL, null, "", 0, 0, "Base URL of the target beside this guard, on loopback."),
+    /** Worker agent. */
+    WORKER(Roles.GUARD, Kind.URL, "", "", 0, 0, "Base URL of the worker agent of this VM; empty for none."),
+    /** Answers kept. */
+    MAX_ANSWER_CACHE_BYTES(
+            Roles.GUARD,
+            Kind.NUMBER,
+            "2097152",
+            "bytes",
+            0,
+            268_435_456,
+            "Memory for answers kept for repeated calls."),
+    /** Worker lease. */
+    WORKER_LEASE_MS(Roles.GUARD, Kind.NUMBER, "5000", "ms", 500, 60_000, "Lease of a task at the worker agent.");
+
+    /** Roles that a setting belongs to. */
+    public enum Roles {
+        /** Entry only. */
+        ENTRY,
+        /** Guard only. */
+        GUARD,
+        /** Both roles. */
+        BOTH
+    }
+
+    /** Form of a value. */
+    public enum Kind {
+        /** Text; the range is its length. */
+        TEXT,
+        /** Text that is never shown. */
+        SECRET,
+        /** Whole number. */
+        NUMBER,
+        /** {@code ip:port}. */
+        ADDRESS,
+        /** Comma-separated {@code ip:port}; the range is their count. */
+        ADDRESSES,
+        /** {@code http://ip:port}. */
+        URL
+    }
+
+    private final Roles roles;
+    private final Kind kind;
+    private final String defaultValue;
+    private final String unit;
+    private final long min;
+    private final long max;
+    private final String description;
+
+    Setting(Roles roles, Kind kind, String defaultValue, String unit, long min, long max, String description) {
+        this.roles = roles;
+        this.kind = kind;
+        this.defaultValue = defaultValue;
+        this.unit = unit;
+        this.min = min;
+        this.max = max;
+        this.description = description;
+    }
+
+    /** Returns the flag without dashes, for example {@code store-region}. */
+    public String flag() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** Returns the environment variable, for example {@code FULMARREACH_STORE_REGION}. */
+    public String variable() {
+        return "FULMARREACH_" + name();
+    }
+
+    /** Tells whether the setting belongs to {@code role}. */
+    public boolean isFor(Role role) {
+        return roles == Roles.BOTH || roles.name().equals(role.name());
+    }
+
+    /** Returns the roles that use this setting. */
+    public Roles roles() {
+        return roles;
+    }
+
+    /** Returns the form of the value. */
+    public Kind kind() {
+        return kind;
+    }
+
+    /** Returns the default; null when a value is required. */
+    public String defaultValue() {
+        return defaultValue;
+    }
+
+    /** Returns the unit, empty when there is none. */
+    public String unit() {
+        return unit;
+    }
+
+    /** Returns the lowest value, length or count. */
+    public long min() {
+        return min;
+    }
+
+    /** Returns the highest value, length or count. */
+    public long max() {
+        return max;
+    }
+
+    /** Returns what the setting does, in a sentence. */
+    public String description() {
+        return description;
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/fulmarreach/runtime/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** Settings from flags and environment variables, checked together at start. */
+package org.fulmarreach.runtime.cfg;
--- /dev/null
+++ b/runtime/src/main/java/org/fulmarreach/runtime/log/EventLog.java
@@ -0,0 +1,65 @@
+package org.fulmarreach.runtime.log;
+
+import com.google.common.flogger.FluentLogger;
+
+/**
+ * Writes numbered events as {@code event=3204 name=BUDGET_EXHAUSTED key=value ...} through Flogger. Thread-safe.
+ */
+public final class EventLog {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final String process;
+
+    /**
+     * Constructs the log of one process.
+     *
+     * @param process id of the entry or guard, written with each event
+     */
+    public EventLog(String process) {
+        this.process = process;
+    }
+
+    /**
+     * Writes an event.
+     *
+     * @param event kind of event
+     * @param fields keys and values in turn; a value with spaces or quotes is quoted
+     */
+    public void emit(Event event, Object... fields) {
+        if (!LOGGER.at(event.level()).isEnabled()) {
+            return;
+        }
+        StringBuilder line = new StringBuilder(128);
+        line.append("event=").append(event.number()).append(" name=").append(event.name());
+        line.append(" process=").append(process);
+        for (int i = 0; i + 1 < fields.length; i += 2) {
+            line.append(' ').append(fields[i]).append('=');
+            appendValue(line, String.valueOf(fields[i + 1]));
+        }
+        LOGGER.at(event.level()).log("%s", line);
+    }
+
+    private static void appendValue(StringBuilder line, String value) {
+        boolean plain = !value.isEmpty();
+        for (int i = 0; i < value.length() && plain; i++) {
+            char c = value.charAt(i);
+            plain = c > ' ' && c != '"' && c != '=' && c != '\\';
+        }
+        if (plain) {
+            line.append(value);
+            return;
+        }
+        line.append('"');
+        for (int i = 0; i < value.length(); i++) {
+            char c = value.charAt(i);
+            switch (c) {
+                case '"' -> line.append("\\\"");
+                case '\\' -> line.append("\\\\");
+                case '\n' -> line.append("\\n");
+                case '\r' -> line.append("\\r");
+                default -> line.append(c);
+            }
+        }
+        line.append('"');
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/fulmarreach/runtime/log/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered, structured events over Flogger. */
+package org.fulmarreach.runtime.log;
--- /dev/null
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/package-info.java
@@ -0,0 +1,2 @@
+/** Framed Thrift connections over Pekko streams TCP. */
+package org.fulmarreach.runtime.net;
--- /dev/null
+++ b/runtime/src/main/java/org/fulmarreach/runtime/util/ActorSystems.java
@@ -0,0 +1,52 @@
+package org.fulmarreach.runtime.util;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Behavior;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+
+/** Constructs actor systems with a bounded number of threads. Stateless. */
+public final class ActorSystems {
+    private ActorSystems() {}
+
+    /**
+     * Constructs an actor system.
+     *
+     * @param root behavior of the guardian actor
+     * @param name name of the system
+     * @param threads threads of the default dispatcher; the blocking dispatcher gets one
+     * @param <T> messages of the guardian
+     */
+    public static <T> ActorSystem<T> construct(Behavior<T> root, String name, int threads) {
+        return ActorSystem.create(root, name, constructConfig(threads));
+    }
+
+    /** Returns Pekko's configuration for the given number of threads, without its own shutdown hook. */
+    public static Config constructConfig(int threads) {
+        String text = """
+                pekko {
+                  loglevel = "WARNING"
+                  stdout-loglevel = "WARNING"
+                  log-dead-letters = off
+                  log-dead-letters-during-shutdown = off
+                  jvm-shutdown-hooks = off
+                  coordinated-shutdown.run-by-jvm-shutdown-hook = off
+                  coordinated-shutdown.exit-jvm = off
+                  actor.default-dispatcher {
+                    executor = "fork-join-executor"
+                    fork-join-executor { parallelism-min = %1$d, parallelism-max = %1$d, parallelism-factor = 1.0 }
+                  }
+                  actor.internal-dispatcher {
+                    executor = "fork-join-executor"
+                    fork-join-executor { parallelism-min = 1, parallelism-max = 2, parallelism-factor = 1.0 }
+                  }
+                  actor.default-blocking-io-dispatcher.thread-pool-executor.fixed-pool-size = 1
+                  io.tcp.direct-buffer-size = 16 KiB
+                  io.tcp.direct-buffer-pool-limit = 16
+                  scheduler.tick-duration = 10ms
+                }
+                """.formatted(threads);
+        return ConfigFactory.parseString(text).withFallback(ConfigFactory.load());
+    }
+}
