--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/peers/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to the other entries. */
+package org.fulmarreach.entry.peers;
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/rules/package-info.java
@@ -0,0 +1,2 @@
+/** Rules in force at this entry. */
+package org.fulmarreach.entry.rules;
