--- /dev/null
+++ b/daemon/src/main/java/org/fulmarreach/daemon/RunningNode.java
@@ -0,0 +1,16 @@
+package org.fulmarreach.daemon;
+
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+
+/** A started role of the daemon. Implementations are thread-safe. */
+interface RunningNode {
+    /** Returns the bound addresses by name, for the ready line. */
+    Map<String, String> addresses();
+
+    /** Refuses new work and completes when running work is finished. */
+    CompletionStage<?> drain();
+
+    /** Stops at once. */
+    void close();
+}
--- /dev/null
+++ b/it/src/main/java/org/fulmarreach/it/package-info.java
@@ -0,0 +1,2 @@
+/** Runs deployments of real processes on one machine for the demo, the integration tests and the soak. */
+package org.fulmarreach.it;
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/FrameTransport.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/FrameTransport.java
@@ -167,7 +167,6 @@
                 return;
             }
             closed = true;
-            queue.complete();
             String reason = failure == null ? "closed by peer" : String.valueOf(failure.getMessage());
             if (opened) {
                 log.emit(RuntimeEvent.CONNECTION_CLOSED, "remote", address, "reason", reason);
--- a/runtime/src/test/java/org/fulmarreach/runtime/net/FrameTransportTest.java
+++ b/runtime/src/test/java/org/fulmarreach/runtime/net/FrameTransportTest.java
@@ -16,6 +16,7 @@
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.util.ActorSystems;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -62,7 +63,7 @@
         }
     }
 
-    @Test
+    @RepeatedTest(20)
     void malformedFrameClosesTheConnection() throws Exception {
         int port = bind();
         try (Socket bad = new Socket("127.0.0.1", port)) {
