--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/admission/package-info.java
@@ -0,0 +1,2 @@
+/** What one VM holds, and whether a call or a task fits. */
+package org.fulmarreach.core.admission;
--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/request/RequestId.java
@@ -0,0 +1,100 @@
+package org.fulmarreach.core.request;
+
+import org.fulmarreach.core.exc.ErrorCode;
+import org.fulmarreach.core.exc.Result;
+
+/**
+ * Id of one request, {@code guardId.incarnation.mintTick.random}. It is valid only at the guard and incarnation that it
+ * names. The guard id may hold dots: the last three parts never do, so the text is split from its end. Immutable.
+ *
+ * @param guardId id of the guard
+ * @param incarnation incarnation of the guard, not negative
+ * @param mintTickMs reading of the guard's own monotonic clock in its last heartbeat when the id was made
+ * @param random 1 to 32 characters of {@code [0-9A-Za-z_-]}; a leading {@code i} marks an id that an entry made for one
+ *     idempotent call
+ */
+public record RequestId(String guardId, long incarnation, long mintTickMs, String random) {
+    /** Longest text of an id. */
+    public static final int MAX_CHARACTERS = 160;
+
+    private static final char SHORT_LIVED_MARK = 'i';
+    private static final int MAX_RANDOM_CHARACTERS = 32;
+
+    /**
+     * Returns an id for a caller, which may repeat it for 15 minutes.
+     *
+     * @param high random bits
+     * @param low further random bits
+     */
+    public static RequestId mintForCaller(String guardId, long incarnation, long mintTickMs, long high, long low) {
+        return new RequestId(guardId, incarnation, mintTickMs, "c" + toHex(high) + toHex(low));
+    }
+
+    /** Returns an id for one idempotent call, which is accepted for a minute only; see {@link #isShortLived()}. */
+    public static RequestId mintForOneCall(String guardId, long incarnation, long mintTickMs, long high, long low) {
+        return new RequestId(guardId, incarnation, mintTickMs, SHORT_LIVED_MARK + toHex(high) + toHex(low));
+    }
+
+    /** Parses the text of an id. A malformed text has code {@code BAD_REQUEST}. */
+    public static Result<RequestId> parse(String text) {
+        if (text == null || text.length() > MAX_CHARACTERS) {
+            return malformed(text == null ? "none" : text.substring(0, MAX_CHARACTERS) + "...");
+        }
+        int third = text.lastIndexOf('.');
+        int second = third <= 0 ? -1 : text.lastIndexOf('.', third - 1);
+        int first = second <= 0 ? -1 : text.lastIndexOf('.', second - 1);
+        if (first <= 0 || !isRandomPart(text, third + 1)) {
+            return malformed(text);
+        }
+        try {
+            RequestId id = new RequestId(
+                    text.substring(0, first),
+                    Long.parseLong(text.substring(first + 1, second)),
+                    Long.parseLong(text.substring(second + 1, third)),
+                    text.substring(third + 1));
+            // A second spelling of the same id, such as a leading zero, would be a second key in the table.
+            return id.incarnation >= 0 && id.format().equals(text) ? Result.ok(id) : malformed(text);
+        } catch (NumberFormatException e) {
+            return malformed(text);
+        }
+    }
+
+    /** Returns the text of this id; {@link #parse} reads it back. */
+    public String format() {
+        return guardId + "." + incarnation + "." + mintTickMs + "." + random;
+    }
+
+    /**
+     * Tells whether the id was made for one idempotent call. Such ids come at the rate of all calls, so the guard keeps
+     * them for two minutes instead of thirty.
+     */
+    public boolean isShortLived() {
+        return random.charAt(0) == SHORT_LIVED_MARK;
+    }
+
+    private static String toHex(long value) {
+        return Long.toHexString(value);
+    }
+
+    private static boolean isRandomPart(String text, int from) {
+        int length = text.length() - from;
+        if (length < 1 || length > MAX_RANDOM_CHARACTERS + 1) {
+            return false;
+        }
+        for (int i = from; i < text.length(); i++) {
+            char c = text.charAt(i);
+            boolean allowed =
+                    c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_';
+            if (!allowed) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static Result<RequestId> malformed(String text) {
+        return Result.err(
+                ErrorCode.BAD_REQUEST,
+                "expected an id of the form guard.incarnation.tick.random, found '" + text + "'");
+    }
+}
