Add the guard's calls, connections and planned stop

The entries need a guard that answers calls. CallActor owns the execution table and the target's slots; a slot is held until the target is done, whatever the entry does. EntryLinksActor dials every known entry, says Hello and sends the heartbeats. GuardianActor takes a planned stop in order.

--- a/core/src/main/java/org/fulmarreach/core/admission/CallAdmission.java
+++ b/core/src/main/java/org/fulmarreach/core/admission/CallAdmission.java
@@ -68,6 +68,11 @@
         serviceMs += SERVICE_TIME_WEIGHT * (measuredMs - serviceMs);
     }
 
+    /** Gives a slot back whose call was not sent; its time is not measured. */
+    public void cancel() {
+        release(Math.round(serviceMs));
+    }
+
     /** Returns the time until a slot becomes free on average, in milliseconds: service time over slots. */
     public long estimateRetryMs() {
         return Math.max(1, Math.round(serviceMs / Math.max(1, Math.min(slots, connections))));
--- /dev/null
+++ b/guard/src/main/java/org/fulmarreach/guard/CallActor.java
@@ -0,0 +1,417 @@
+package org.fulmarreach.guard;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.fulmarreach.core.admission.CallAdmission;
+import org.fulmarreach.core.exc.ErrorCode;
+import org.fulmarreach.core.exc.Problem;
+import org.fulmarreach.core.exc.Result;
+import org.fulmarreach.core.model.Target;
+import org.fulmarreach.core.request.Execution;
+import org.fulmarreach.core.request.ExecutionTable;
+import org.fulmarreach.core.request.RequestId;
+import org.fulmarreach.core.request.TableLimits;
+import org.fulmarreach.platform.HttpField;
+import org.fulmarreach.platform.TargetReply;
+import org.fulmarreach.platform.TargetRequest;
+import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.Call;
+import org.fulmarreach.protocol.thrift.CallResult;
+import org.fulmarreach.protocol.thrift.Header;
+import org.fulmarreach.protocol.thrift.Outcome;
+import org.fulmarreach.protocol.thrift.Resolve;
+import org.fulmarreach.protocol.thrift.ResolveResult;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.FrameLink;
+import org.fulmarreach.runtime.util.MonotonicClock;
+
+import io.micrometer.core.instrument.MeterRegistry;
+
+/**
+ * Owns the execution table, the slots of the target and the calls that run. A call holds its slot until the target is
+ * done with it; its result goes to every connection that asked for it and is still interested.
+ */
+final class CallActor extends AbstractBehavior<CallCommand> {
+    /** A call that travelled longer than this is refused: its age counts from the echoed tick. */
+    static final long MAX_TICK_AGE_MS = 5_000;
+
+    /** Largest number of connections to the target; slots beyond it are not used. */
+    static final int MAX_CONNECTIONS = 256;
+
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(500);
+    private static final Duration WINDOW = Duration.ofMillis(2_000);
+    private static final int FAILED_POLLS_UNTIL_UNREADY = 3;
+    private static final int MAX_WAITERS = 16;
+    private static final String REQUEST_ID_HEADER = "Request-Id";
+
+    private final Parts parts;
+    private final ExecutionTable<KeptAnswer> table;
+    private final CallAdmission admission = new CallAdmission();
+    private final LatencyWindow window = new LatencyWindow();
+    private final Map<RequestId, RunningCall> running = new HashMap<>();
+    private Target target;
+    private int failedPolls;
+    private int lastP99Ms;
+    private boolean drained;
+
+    /**
+     * What the actor needs.
+     *
+     * @param guardId id of this guard
+     * @param incarnation number of this run
+     * @param heartbeatMs interval of heartbeats; a call up to two of them old counts as just sent
+     * @param maxBodyBytes largest body of a call
+     * @param limits limits of the execution table
+     * @param gateway the target
+     * @param clock clock of this guard
+     * @param log events
+     * @param meters metrics
+     * @param guardian is told about changes of state and the steps of a planned stop
+     * @param tasks gets the latency windows
+     */
+    record Parts(
+            String guardId,
+            long incarnation,
+            long heartbeatMs,
+            int maxBodyBytes,
+            TableLimits limits,
+            TargetGateway gateway,
+            MonotonicClock clock,
+            EventLog log,
+            MeterRegistry meters,
+            ActorRef<GuardCommand> guardian,
+            ActorRef<TaskCommand> tasks) {}
+
+    private record Waiter(FrameLink link, long correlationId, boolean repeated) {}
+
+    private record RunningCall(long startedMs, String member, List<Waiter> waiters) {}
+
+    private CallActor(ActorContext<CallCommand> context, Parts parts) {
+        super(context);
+        this.parts = parts;
+        this.table = new ExecutionTable<>(parts.guardId, parts.incarnation, parts.limits, KeptAnswer::sizeBytes);
+    }
+
+    static Behavior<CallCommand> create(Parts parts) {
+        return Behaviors.setup(context -> Behaviors.withTimers(timers -> {
+            timers.startTimerWithFixedDelay(CallCommand.Timer.POLL, Duration.ZERO, POLL_INTERVAL);
+            timers.startTimerAtFixedRate(CallCommand.Timer.WINDOW, WINDOW);
+            return new CallActor(context, parts);
+        }));
+    }
+
+    @Override
+    public Receive<CallCommand> createReceive() {
+        return newReceiveBuilder().onAnyMessage(this::apply).build();
+    }
+
+    private Behavior<CallCommand> apply(CallCommand command) {
+        switch (command) {
+            case CallCommand.Received received -> receiveCall(received);
+            case CallCommand.Asked asked -> answerResolve(asked);
+            case CallCommand.Cancelled cancelled -> dropInterest(cancelled);
+            case CallCommand.LinkClosed closed -> dropLink(closed.link());
+            case CallCommand.Answered answered -> finishCall(answered.id(), answered.reply());
+            case CallCommand.Polled polled -> applyPoll(polled.announcement());
+            case CallCommand.Report report ->
+                report.replyTo().tell(new LinksCommand.CallsReported(currentStatus(), false));
+            case CallCommand.Leave leave -> leave(leave.cause());
+            case CallCommand.Timer timer -> applyTimer(timer);
+        }
+        return this;
+    }
+
+    /*
+     * Calls
+     */
+
+    private void receiveCall(CallCommand.Received received) {
+        Call call = received.call();
+        switch (RequestId.parse(call.getRequestId())) {
+            case Result.Err<RequestId> malformed -> {
+                // Such a text is never accepted, so the call has not run and never will.
+                reply(
+                        new Waiter(received.link(), received.correlationId(), false),
+                        CallResults.withoutAnswer(call.getRequestId(), Outcome.NOT_RUN, malformed.problem()));
+            }
+            case Result.Ok<RequestId> ok -> decideCall(received, ok.value());
+        }
+    }
+
+    private void decideCall(CallCommand.Received received, RequestId id) {
+        long nowMs = parts.clock.nowMs();
+        Waiter first = new Waiter(received.link(), received.correlationId(), false);
+        Waiter again = new Waiter(received.link(), received.correlationId(), true);
+        switch (table.find(id, nowMs)) {
+            case Execution.Fresh<KeptAnswer> fresh -> startCall(received.call(), id, first, nowMs);
+            case Execution.Running<KeptAnswer> present -> addWaiter(running.get(id).waiters, again);
+            case Execution.Done<KeptAnswer> done -> reply(again, id, done);
+            case Execution.Refused<KeptAnswer> refused -> reply(again, id, refused);
+            case Execution.Unknown<KeptAnswer> unknown -> reply(again, id, unknown);
+        }
+    }
+
+    private void startCall(Call call, RequestId id, Waiter waiter, long nowMs) {
+        Problem obstacle = findObstacle(call, nowMs);
+        if (obstacle != null) {
+            reply(waiter, id, table.refuse(id, obstacle, nowMs));
+            return;
+        }
+        Execution<KeptAnswer> begun = table.begin(id, nowMs);
+        if (!(begun instanceof Execution.Running<KeptAnswer>)) {
+            admission.cancel();
+            reply(waiter, id, begun);
+            return;
+        }
+        List<Waiter> waiters = new ArrayList<>(1);
+        waiters.add(waiter);
+        running.put(id, new RunningCall(nowMs, call.getMember(), waiters));
+        getContext().pipeToSelf(parts.gateway.send(toRequest(call)), (reply, failure) -> {
+            // The gateway reports failures as replies; anything else leaves open whether the call ran.
+            TargetReply known = failure == null ? reply : new TargetReply.Broken(String.valueOf(failure));
+            return new CallCommand.Answered(id, known);
+        });
+    }
+
+    /** Returns why the call cannot run now, or null after taking a slot for it. */
+    private Problem findObstacle(Call call, long nowMs) {
+        if (call.getGuardIncarnation() != parts.incarnation) {
+            return Problem.of(ErrorCode.GUARD_RESTARTED, "The call names another incarnation than its id.");
+        }
+        if (isLeaving()) {
+            return Problem.of(ErrorCode.LEAVING, "The target or its guard is leaving.")
+                    .withRetryAfterMs(1);
+        }
+        if (call.bufferForBody() != null && call.bufferForBody().remaining() > parts.maxBodyBytes) {
+            return Problem.of(ErrorCode.TOO_LARGE, "The body is over " + parts.maxBodyBytes + " bytes.");
+        }
+        long ageMs = nowMs - call.getTickEchoMs();
+        long delayMs = Math.max(0, ageMs - 2 * parts.heartbeatMs);
+        if (ageMs < 0 || ageMs > MAX_TICK_AGE_MS || call.getRemainingMs() - delayMs <= 0) {
+            return Problem.of(
+                            ErrorCode.DEADLINE_EXCEEDED,
+                            "The call had " + call.getRemainingMs() + " ms left and echoes a heartbeat " + ageMs
+                                    + " ms old.")
+                    .withRetryAfterMs(1);
+        }
+        return switch (admission.acquire()) {
+            case Result.Ok<Integer> ok -> null;
+            case Result.Err<Integer> full -> full.problem();
+        };
+    }
+
+    private static TargetRequest toRequest(Call call) {
+        List<HttpField> headers = new ArrayList<>();
+        if (call.getHeaders() != null) {
+            for (Header header : call.getHeaders()) {
+                if (!REQUEST_ID_HEADER.equalsIgnoreCase(header.getName())) {
+                    headers.add(new HttpField(header.getName(), header.getValue()));
+                }
+            }
+        }
+        headers.add(new HttpField(REQUEST_ID_HEADER, call.getRequestId()));
+        byte[] body = call.getBody() == null ? new byte[0] : call.getBody();
+        return new TargetRequest(call.getMethod(), call.getPath(), headers, body);
+    }
+
+    private void finishCall(RequestId id, TargetReply reply) {
+        RunningCall call = running.remove(id);
+        int tookMs = (int) Math.min(Integer.MAX_VALUE, parts.clock.nowMs() - call.startedMs);
+        admission.release(tookMs);
+        window.add(tookMs);
+        recordReply(id, reply, tookMs);
+        meter(call.member, reply, tookMs);
+        Execution<KeptAnswer> known = table.find(id, parts.clock.nowMs());
+        if (reply instanceof TargetReply.Whole whole) {
+            // The table may already have dropped the answer or, after a very long call, the id.
+            known = new Execution.Done<>(new KeptAnswer(whole, tookMs));
+        }
+        for (Waiter waiter : call.waiters) {
+            reply(waiter, id, known);
+        }
+        reportIfIdle();
+    }
+
+    private void recordReply(RequestId id, TargetReply reply, int tookMs) {
+        switch (reply) {
+            case TargetReply.Whole whole -> table.complete(id, new KeptAnswer(whole, tookMs));
+            case TargetReply.NotSent notSent ->
+                table.completeNotRun(
+                        id,
+                        Problem.of(ErrorCode.NO_TARGET, "The target was not reached: " + notSent.reason())
+                                .withRetryAfterMs(admission.estimateRetryMs()));
+            case TargetReply.Broken broken -> {
+                parts.log.emit(GuardEvent.CALL_UNKNOWN, "request", id.format(), "reason", broken.reason());
+                table.completeUnknown(
+                        id, Problem.of(ErrorCode.TARGET_FAILED, "The target did not answer whole: " + broken.reason()));
+            }
+        }
+    }
+
+    private void meter(String member, TargetReply reply, int tookMs) {
+        String outcome = reply.getClass().getSimpleName();
+        parts.meters
+                .timer("fulmarreach.guard.calls", "member", String.valueOf(member), "outcome", outcome)
+                .record(Duration.ofMillis(tookMs));
+    }
+
+    private static void addWaiter(List<Waiter> waiters, Waiter waiter) {
+        if (waiters.size() == MAX_WAITERS) {
+            waiters.remove(0);
+        }
+        waiters.add(waiter);
+    }
+
+    private void dropInterest(CallCommand.Cancelled cancelled) {
+        if (RequestId.parse(cancelled.cancel().getRequestId()) instanceof Result.Ok<RequestId> ok
+                && running.get(ok.value()) instanceof RunningCall call) {
+            call.waiters.removeIf(waiter -> waiter.link == cancelled.link());
+        }
+    }
+
+    private void dropLink(FrameLink link) {
+        for (RunningCall call : running.values()) {
+            call.waiters.removeIf(waiter -> waiter.link == link);
+        }
+    }
+
+    private static void reply(Waiter waiter, RequestId id, Execution<KeptAnswer> known) {
+        reply(waiter, CallResults.toResult(id.format(), known, waiter.repeated));
+    }
+
+    private static void reply(Waiter waiter, CallResult result) {
+        waiter.link.send(waiter.correlationId, Body.callResult(result));
+    }
+
+    /*
+     * Resolve
+     */
+
+    private void answerResolve(CallCommand.Asked asked) {
+        Resolve resolve = asked.resolve();
+        String text = resolve.getRequestId();
+        Execution<KeptAnswer> known = switch (RequestId.parse(text)) {
+            case Result.Err<RequestId> malformed -> new Execution.Refused<>(malformed.problem());
+            case Result.Ok<RequestId> ok -> table.resolve(ok.value(), resolve.isRefuseIfAbsent(), parts.clock.nowMs());
+        };
+        ResolveResult result = new ResolveResult(text, CallResults.toState(known));
+        CallResult detail = CallResults.toResult(text, known, true);
+        if (detail != null) {
+            result.setResult(detail);
+        }
+        asked.link().send(asked.correlationId(), Body.resolveResult(result));
+    }
+
+    /*
+     * Target and planned stop
+     */
+
+    private void applyTimer(CallCommand.Timer timer) {
+        switch (timer) {
+            case POLL ->
+                getContext()
+                        .pipeToSelf(
+                                parts.gateway.poll(),
+                                (announcement, failure) -> new CallCommand.Polled(
+                                        failure == null
+                                                ? announcement
+                                                : Result.err(ErrorCode.TARGET_FAILED, String.valueOf(failure))));
+            default -> closeWindow();
+        }
+    }
+
+    private void applyPoll(Result<Target> announcement) {
+        switch (announcement) {
+            case Result.Ok<Target> ok -> applyTarget(ok.value());
+            case Result.Err<Target> failed -> {
+                failedPolls++;
+                if (failedPolls == FAILED_POLLS_UNTIL_UNREADY) {
+                    admission.markUnready();
+                    parts.log.emit(
+                            GuardEvent.TARGET_UNREADY,
+                            "reason",
+                            failed.problem().message());
+                }
+            }
+        }
+    }
+
+    private void applyTarget(Target announced) {
+        boolean wasLeaving = isLeaving();
+        if (target == null || failedPolls >= FAILED_POLLS_UNTIL_UNREADY) {
+            parts.log.emit(GuardEvent.TARGET_READY, "service", announced.service(), "slots", announced.slots());
+        }
+        failedPolls = 0;
+        target = announced;
+        admission.applyTarget(new Target(
+                announced.service(),
+                announced.slots(),
+                Math.min(MAX_CONNECTIONS, announced.connections()),
+                announced.leaving()));
+        if (!wasLeaving && announced.leaving()) {
+            startLeaving("target leaves");
+        }
+        if (wasLeaving && !isLeaving()) {
+            parts.log.emit(GuardEvent.RETURNED);
+            parts.guardian.tell(GuardCommand.Step.TARGET_RETURNED);
+            parts.guardian.tell(new GuardCommand.CallsChanged(currentStatus()));
+        }
+    }
+
+    private void leave(String cause) {
+        boolean wasLeaving = isLeaving();
+        drained = true;
+        if (wasLeaving) {
+            reportIfIdle();
+        } else {
+            startLeaving(cause);
+        }
+    }
+
+    private void startLeaving(String cause) {
+        parts.log.emit(GuardEvent.LEAVING, "cause", cause, "running", running.size());
+        parts.guardian.tell(new GuardCommand.CallsChanged(currentStatus()));
+        reportIfIdle();
+    }
+
+    private void reportIfIdle() {
+        if (isLeaving() && running.isEmpty()) {
+            parts.guardian.tell(GuardCommand.Step.CALLS_ENDED);
+        }
+    }
+
+    private boolean isLeaving() {
+        return drained || target != null && target.leaving();
+    }
+
+    private CallStatus currentStatus() {
+        Target shown = target == null
+                ? null
+                : new Target(target.service(), admission.slots(), admission.connections(), target.leaving());
+        return new CallStatus(shown, isLeaving(), admission.inUse(), lastP99Ms);
+    }
+
+    private void closeWindow() {
+        long nowMs = parts.clock.nowMs();
+        for (RunningCall call : running.values()) {
+            // Calls that outlast a window count with their age, or a stuck target would look idle.
+            if (nowMs - call.startedMs > WINDOW.toMillis()) {
+                window.add((int) Math.min(Integer.MAX_VALUE, nowMs - call.startedMs));
+            }
+        }
+        lastP99Ms = window.p99Ms();
+        String service = target == null ? "" : target.service();
+        parts.tasks.tell(new TaskCommand.WindowClosed(lastP99Ms, window.count(), admission.inUse(), service));
+        window.reset();
+    }
+}
--- /dev/null
+++ b/guard/src/main/java/org/fulmarreach/guard/CallResults.java
@@ -0,0 +1,67 @@
+package org.fulmarreach.guard;
+
+import java.util.List;
+
+import org.fulmarreach.core.exc.ErrorCode;
+import org.fulmarreach.core.exc.Problem;
+import org.fulmarreach.core.request.Execution;
+import org.fulmarreach.protocol.thrift.CallResult;
+import org.fulmarreach.protocol.thrift.Outcome;
+import org.fulmarreach.protocol.thrift.ResolveState;
+
+/** Maps what the execution table says to results on the wire. Stateless. */
+final class CallResults {
+    /** Status of a result whose call ran, but whose answer is no longer kept: 410 Gone. */
+    private static final int ANSWER_GONE_STATUS = 410;
+
+    private static final byte[] NO_BODY = new byte[0];
+
+    private CallResults() {}
+
+    /** Returns the result for a call that does not run now; null while it runs. */
+    static CallResult toResult(String requestId, Execution<KeptAnswer> known, boolean repeated) {
+        return switch (known) {
+            case Execution.Done<KeptAnswer> done
+            when done.answer() != null -> done.answer().toResult(requestId, repeated);
+            case Execution.Done<KeptAnswer> gone ->
+                withoutAnswer(
+                                requestId,
+                                Outcome.RUN,
+                                Problem.of(
+                                        ErrorCode.REQUEST_ID_EXPIRED,
+                                        "The call ran, but its answer is no longer kept."))
+                        .setStatus(ANSWER_GONE_STATUS)
+                        .setRepeated(true);
+            case Execution.Refused<KeptAnswer> refused ->
+                withoutAnswer(requestId, Outcome.NOT_RUN, refused.problem()).setRepeated(repeated);
+            case Execution.Unknown<KeptAnswer> unknown ->
+                withoutAnswer(requestId, Outcome.UNKNOWN, unknown.problem()).setRepeated(repeated);
+            case Execution.Running<KeptAnswer> running -> null;
+            case Execution.Fresh<KeptAnswer> fresh -> null;
+        };
+    }
+
+    static CallResult withoutAnswer(String requestId, Outcome outcome, Problem problem) {
+        return new CallResult()
+                .setRequestId(requestId)
+                .setOutcome(outcome)
+                .setStatus(0)
+                .setHeaders(List.of())
+                .setBody(NO_BODY)
+                .setCode(problem.code().name())
+                .setMessage(problem.message())
+                .setRetryAfterMs((int) Math.min(Integer.MAX_VALUE, problem.retryAfterMs()))
+                .setRepeated(false)
+                .setServiceMs(0);
+    }
+
+    static ResolveState toState(Execution<KeptAnswer> known) {
+        return switch (known) {
+            case Execution.Done<KeptAnswer> done -> ResolveState.DONE;
+            case Execution.Running<KeptAnswer> running -> ResolveState.RUNNING;
+            case Execution.Refused<KeptAnswer> refused -> ResolveState.REFUSED;
+            case Execution.Unknown<KeptAnswer> unknown -> ResolveState.UNKNOWN;
+            case Execution.Fresh<KeptAnswer> fresh -> ResolveState.UNKNOWN;
+        };
+    }
+}
--- /dev/null
+++ b/guard/src/main/java/org/fulmarreach/guard/EntryLinksActor.java
@@ -0,0 +1,344 @@
+package org.fulmarreach.guard;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.GuardState;
+import org.fulmarreach.protocol.thrift.Heartbeat;
+import org.fulmarreach.protocol.thrift.HeartbeatAck;
+import org.fulmarreach.protocol.thrift.Hello;
+import org.fulmarreach.protocol.thrift.Welcome;
+import org.fulmarreach.runtime.cfg.Address;
+import org.fulmarreach.runtime.net.FrameLink;
+import org.fulmarreach.runtime.net.LinkEvent;
+import org.fulmarreach.runtime.util.MonotonicClock;
+
+/**
+ * Owns the connections to the entries: dials every address that the settings or an entry names, announces the guard and
+ * sends the heartbeats. Frames for calls and tasks go to their actors directly.
+ */
+final class EntryLinksActor extends AbstractBehavior<LinksCommand> {
+    private static final long MIN_BACKOFF_MS = 50;
+    private static final long MAX_BACKOFF_MS = 1_000;
+    /** An entry with two addresses is dialled at the second one rarely, in case the first stops working. */
+    private static final long ALIAS_REDIAL_MS = 5_000;
+
+    private static final long FORGET_ADDRESS_MS = 60_000;
+    /** The first dial waits this long for the target's and the worker agent's answers, which the Hello carries. */
+    private static final long FIRST_DIAL_WAIT_MS = 3_000;
+
+    private final Parts parts;
+    private final TimerScheduler<LinksCommand> timers;
+    private final Map<Address, Peer> peers = new LinkedHashMap<>();
+    private final long startedMs;
+    private CallStatus calls = CallStatus.NONE;
+    private LinksCommand.TasksReported tasks =
+            new LinksCommand.TasksReported(List.of(), Resources.NONE, Resources.NONE, false);
+    private Resources announcedCapacity = Resources.NONE;
+    private boolean dialling;
+    private long rulesRevision;
+
+    /**
+     * What the actor needs.
+     *
+     * @param identity names of this guard for the Hello
+     * @param entries addresses from the settings
+     * @param heartbeatMs interval of heartbeats
+     * @param hasWorker whether the VM has a worker agent
+     * @param dialler opens a connection; the listener gets its events
+     * @param router takes frames for other actors
+     * @param clock clock of this guard
+     * @param random source of jitter
+     */
+    record Parts(
+            Identity identity,
+            List<Address> entries,
+            long heartbeatMs,
+            boolean hasWorker,
+            Dialler dialler,
+            Router router,
+            MonotonicClock clock,
+            RandomGenerator random) {}
+
+    /**
+     * Names of this guard.
+     *
+     * @param guardId id of the guard
+     * @param vm name of the VM
+     * @param incarnation number of this run
+     * @param zone availability zone
+     * @param region region
+     * @param rack rack
+     */
+    record Identity(String guardId, String vm, long incarnation, String zone, String region, String rack) {}
+
+    /** Opens connections; see {@link org.fulmarreach.runtime.net.FrameTransport#connect}. */
+    interface Dialler {
+        void connect(String host, int port, Consumer<LinkEvent> listener);
+    }
+
+    /** Hands frames and closed connections to the actors for calls and tasks; called on stream threads. */
+    interface Router {
+        /** Returns whether the event was for another actor only. */
+        boolean route(LinkEvent event);
+
+        /** Asks the other actors for their state. */
+        void requestReports(ActorRef<LinksCommand> replyTo);
+    }
+
+    private static final class Peer {
+        private final boolean fromSettings;
+        private FrameLink link;
+        private String entryId;
+        private boolean alias;
+        private long backoffMs;
+        private long lastNamedMs;
+
+        Peer(boolean fromSettings, long nowMs) {
+            this.fromSettings = fromSettings;
+            this.lastNamedMs = nowMs;
+        }
+    }
+
+    private EntryLinksActor(ActorContext<LinksCommand> context, TimerScheduler<LinksCommand> timers, Parts parts) {
+        super(context);
+        this.parts = parts;
+        this.timers = timers;
+        this.startedMs = parts.clock.nowMs();
+        for (Address address : parts.entries) {
+            peers.put(address, new Peer(true, startedMs));
+        }
+    }
+
+    static Behavior<LinksCommand> create(Parts parts) {
+        return Behaviors.setup(context -> Behaviors.withTimers(timers -> {
+            timers.startTimerAtFixedRate(LinksCommand.Timer.HEARTBEAT, Duration.ofMillis(parts.heartbeatMs));
+            parts.router.requestReports(context.getSelf());
+            return new EntryLinksActor(context, timers, parts);
+        }));
+    }
+
+    @Override
+    public Receive<LinksCommand> createReceive() {
+        return newReceiveBuilder().onAnyMessage(this::apply).build();
+    }
+
+    private Behavior<LinksCommand> apply(LinksCommand command) {
+        switch (command) {
+            case LinksCommand.LinkChanged changed -> applyLinkEvent(changed.address(), changed.event());
+            case LinksCommand.Redial redial -> dial(redial.address());
+            case LinksCommand.CallsReported reported -> {
+                calls = reported.status();
+                if (reported.urgent()) {
+                    sendHeartbeats();
+                }
+            }
+            case LinksCommand.TasksReported reported -> {
+                tasks = reported;
+                announceNewCapacity();
+            }
+            case LinksCommand.Timer timer -> beat();
+        }
+        return this;
+    }
+
+    /*
+     * Heartbeats
+     */
+
+    private void beat() {
+        startDialling();
+        sendHeartbeats();
+        parts.router.requestReports(getContext().getSelf());
+    }
+
+    private void startDialling() {
+        boolean known =
+                calls.target() != null && (!parts.hasWorker || !tasks.capacity().equals(Resources.NONE));
+        if (!dialling && (known || parts.clock.nowMs() - startedMs >= FIRST_DIAL_WAIT_MS)) {
+            dialling = true;
+            announcedCapacity = tasks.capacity();
+            List.copyOf(peers.keySet()).forEach(this::dial);
+        }
+    }
+
+    /** The capacity is in the Hello only, so a change needs new connections. */
+    private void announceNewCapacity() {
+        if (dialling && !tasks.capacity().equals(announcedCapacity)) {
+            announcedCapacity = tasks.capacity();
+            for (Peer peer : peers.values()) {
+                if (peer.link != null) {
+                    peer.link.close();
+                }
+            }
+        }
+    }
+
+    private void sendHeartbeats() {
+        if (!dialling) {
+            return;
+        }
+        Body heartbeat = Body.heartbeat(constructHeartbeat());
+        for (Peer peer : peers.values()) {
+            if (peer.link != null) {
+                peer.link.send(heartbeat);
+            }
+        }
+    }
+
+    private Heartbeat constructHeartbeat() {
+        Heartbeat heartbeat = new Heartbeat()
+                .setTickMs(parts.clock.nowMs())
+                .setState(calls.leaving() ? GuardState.LEAVING : GuardState.READY)
+                .setSlotsInUse(calls.slotsInUse())
+                .setConnectionsInUse(calls.slotsInUse())
+                .setFree(toThrift(tasks.free()))
+                .setRulesRevision(rulesRevision)
+                .setTasks(tasks.tasks())
+                .setLatencyP99Ms(calls.p99Ms())
+                .setIncarnation(parts.identity.incarnation)
+                .setSlots(calls.target() == null ? 0 : calls.target().slots())
+                .setConnections(calls.target() == null ? 0 : calls.target().connections())
+                .setWorkerFailing(tasks.workerFailing());
+        if (calls.target() != null) {
+            heartbeat.setServiceName(calls.target().service());
+        }
+        return heartbeat;
+    }
+
+    private Hello constructHello() {
+        Identity identity = parts.identity;
+        return new Hello()
+                .setGuardId(identity.guardId)
+                .setVm(identity.vm)
+                .setIncarnation(identity.incarnation)
+                .setZone(identity.zone)
+                .setRegion(identity.region)
+                .setRack(identity.rack)
+                .setServiceName(calls.target() == null ? "" : calls.target().service())
+                .setSlots(calls.target() == null ? 0 : calls.target().slots())
+                .setConnections(calls.target() == null ? 0 : calls.target().connections())
+                .setCapacity(toThrift(announcedCapacity));
+    }
+
+    static org.fulmarreach.protocol.thrift.Resources toThrift(Resources resources) {
+        return new org.fulmarreach.protocol.thrift.Resources(
+                resources.milliCores(), resources.memoryMb(), resources.accelerators());
+    }
+
+    /*
+     * Connections
+     */
+
+    private void dial(Address address) {
+        Peer peer = peers.get(address);
+        if (peer == null || peer.link != null) {
+            return;
+        }
+        ActorRef<LinksCommand> self = getContext().getSelf();
+        parts.dialler.connect(address.host(), address.port(), event -> {
+            if (!parts.router.route(event)) {
+                self.tell(new LinksCommand.LinkChanged(address, event));
+            }
+        });
+    }
+
+    private void applyLinkEvent(Address address, LinkEvent event) {
+        Peer peer = peers.get(address);
+        if (peer == null) {
+            return;
+        }
+        switch (event) {
+            case LinkEvent.Opened opened -> {
+                peer.link = opened.link();
+                peer.link.send(Body.hello(constructHello()));
+                peer.link.send(Body.heartbeat(constructHeartbeat()));
+            }
+            case LinkEvent.Received received ->
+                applyBody(address, peer, received.frame().getBody());
+            case LinkEvent.Closed closed -> scheduleRedial(address, peer);
+        }
+    }
+
+    private void applyBody(Address address, Peer peer, Body body) {
+        switch (body.getSetField()) {
+            case WELCOME -> applyWelcome(peer, body.getWelcome());
+            case HEARTBEAT_ACK -> {
+                HeartbeatAck ack = body.getHeartbeatAck();
+                rulesRevision = Math.max(rulesRevision, ack.getRulesRevision());
+                addEntries(ack.getEntries());
+            }
+            default -> {
+                // Other bodies are not for a guard; a newer entry may send them.
+            }
+        }
+        peer.lastNamedMs = parts.clock.nowMs();
+    }
+
+    private void applyWelcome(Peer peer, Welcome welcome) {
+        peer.entryId = welcome.getEntryId();
+        peer.backoffMs = 0;
+        peer.alias = false;
+        rulesRevision = Math.max(rulesRevision, welcome.getRulesRevision());
+        for (Peer other : peers.values()) {
+            if (other != peer && other.link != null && welcome.getEntryId().equals(other.entryId)) {
+                peer.alias = true;
+            }
+        }
+        if (peer.alias && peer.link != null) {
+            peer.link.close();
+        }
+        addEntries(welcome.getEntries());
+    }
+
+    private void addEntries(List<String> entries) {
+        if (entries == null) {
+            return;
+        }
+        long nowMs = parts.clock.nowMs();
+        for (String text : entries) {
+            Address address;
+            try {
+                address = Address.parse(text);
+            } catch (IllegalArgumentException e) {
+                continue;
+            }
+            Peer known = peers.get(address);
+            if (known == null) {
+                peers.put(address, new Peer(false, nowMs));
+                dial(address);
+            } else {
+                known.lastNamedMs = nowMs;
+            }
+        }
+    }
+
+    private void scheduleRedial(Address address, Peer peer) {
+        peer.link = null;
+        peer.entryId = null;
+        if (!peer.fromSettings && parts.clock.nowMs() - peer.lastNamedMs > FORGET_ADDRESS_MS) {
+            peers.remove(address);
+            return;
+        }
+        if (peer.alias) {
+            timers.startSingleTimer(address, new LinksCommand.Redial(address), Duration.ofMillis(ALIAS_REDIAL_MS));
+            return;
+        }
+        long delayMs = peer.backoffMs == 0 ? 0 : parts.random.nextLong(peer.backoffMs / 2, peer.backoffMs + 1);
+        peer.backoffMs = Math.clamp(peer.backoffMs * 2, MIN_BACKOFF_MS, MAX_BACKOFF_MS);
+        timers.startSingleTimer(address, new LinksCommand.Redial(address), Duration.ofMillis(delayMs));
+    }
+}
--- /dev/null
+++ b/guard/src/main/java/org/fulmarreach/guard/GuardNode.java
@@ -0,0 +1,173 @@
+package org.fulmarreach.guard;
+
+import java.net.URI;
+import java.security.SecureRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.fulmarreach.core.request.TableLimits;
+import org.fulmarreach.platform.TargetClient;
+import org.fulmarreach.platform.TargetClientSettings;
+import org.fulmarreach.runtime.cfg.Setting;
+import org.fulmarreach.runtime.cfg.Settings;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.FrameTransport;
+import org.fulmarreach.runtime.net.LinkSettings;
+import org.fulmarreach.runtime.util.ActorSystems;
+import org.fulmarreach.runtime.util.MonotonicClock;
+
+import io.micrometer.core.instrument.MeterRegistry;
+
+/**
+ * One running guard. Constructed by {@link #start}; a planned stop is {@link #drain} and then {@link #close}.
+ * Thread-safe.
+ */
+public final class GuardNode implements AutoCloseable {
+    private static final int THREADS = 2;
+    private static final int INCARNATION_RANDOM_BITS = 20;
+    private static final long CLOSE_TIMEOUT_S = 5;
+
+    private final ActorSystem<GuardCommand> system;
+    private final CompletableFuture<Void> drained;
+    private final long incarnation;
+
+    private GuardNode(ActorSystem<GuardCommand> system, CompletableFuture<Void> drained, long incarnation) {
+        this.system = system;
+        this.drained = drained;
+        this.incarnation = incarnation;
+    }
+
+    /*
+     * Life cycle
+     */
+
+    /**
+     * Starts a guard.
+     *
+     * @param settings checked settings of the guard role
+     * @param clock monotonic clock of this process
+     * @param log events
+     * @param meters metrics
+     * @return the running guard
+     */
+    public static GuardNode start(Settings settings, MonotonicClock clock, EventLog log, MeterRegistry meters) {
+        SecureRandom random = new SecureRandom();
+        long incarnation = constructIncarnation(System.currentTimeMillis(), random.nextInt());
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        ActorSystem<GuardCommand> system = ActorSystems.construct(
+                GuardianActor.create(
+                        settings.number(Setting.DRAIN_TIMEOUT_MS),
+                        log,
+                        drained,
+                        context -> spawn(context, settings, clock, log, meters, incarnation)),
+                "guard",
+                THREADS);
+        return new GuardNode(system, drained, incarnation);
+    }
+
+    /** Begins a planned stop; the stage completes when all has ended or the drain bound has passed. */
+    public CompletionStage<Void> drain() {
+        system.tell(new GuardCommand.Drain("planned stop"));
+        return drained.minimalCompletionStage();
+    }
+
+    /** Stops the guard at once; calls that run are cut off. */
+    @Override
+    public void close() {
+        system.terminate();
+        try {
+            system.getWhenTerminated().toCompletableFuture().get(CLOSE_TIMEOUT_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+            system.log().warn("The actor system did not stop within {} s.", CLOSE_TIMEOUT_S, e);
+        }
+    }
+
+    /*
+     * Public API
+     */
+
+    /** Returns the incarnation of this run. */
+    public long incarnation() {
+        return incarnation;
+    }
+
+    /** Completes when the guard has stopped, also after a violated invariant. */
+    public CompletionStage<Void> whenStopped() {
+        return system.getWhenTerminated().thenApply(done -> null);
+    }
+
+    /*
+     * Helpers
+     */
+
+    /**
+     * Returns the number of a run: wall-clock milliseconds in the high bits, random in the low 20 bits. A VM keeps no
+     * state, so the wall clock is the only source that grows over restarts; the random bits separate two starts within
+     * one millisecond. When the wall clock was set back by more than the restart took, the number is lower than before;
+     * ids stay safe, since they compare incarnations for equality only.
+     */
+    static long constructIncarnation(long wallClockMs, int randomBits) {
+        return (wallClockMs << INCARNATION_RANDOM_BITS) | (randomBits & ((1 << INCARNATION_RANDOM_BITS) - 1));
+    }
+
+    private static GuardianActor.Children spawn(
+            ActorContext<GuardCommand> context,
+            Settings settings,
+            MonotonicClock clock,
+            EventLog log,
+            MeterRegistry meters,
+            long incarnation) {
+        ActorRef<TaskCommand> tasks = context.spawn(TaskActor.create(context.getSelf()), "tasks");
+        ActorRef<CallCommand> calls = context.spawn(
+                CallActor.create(new CallActor.Parts(
+                        settings.text(Setting.ID),
+                        incarnation,
+                        settings.number(Setting.HEARTBEAT_MS),
+                        settings.intNumber(Setting.MAX_BODY_BYTES),
+                        TableLimits.DEFAULT.withMaxAnswerBytes(settings.number(Setting.MAX_ANSWER_CACHE_BYTES)),
+                        constructGateway(context, settings),
+                        clock,
+                        log,
+                        meters,
+                        context.getSelf(),
+                        tasks)),
+                "calls");
+        ActorRef<LinksCommand> links = context.spawn(
+                EntryLinksActor.create(new EntryLinksActor.Parts(
+                        new EntryLinksActor.Identity(
+                                settings.text(Setting.ID),
+                                settings.text(Setting.VM),
+                                incarnation,
+                                settings.text(Setting.ZONE),
+                                settings.text(Setting.REGION),
+                                settings.text(Setting.RACK)),
+                        settings.addresses(Setting.ENTRIES),
+                        settings.number(Setting.HEARTBEAT_MS),
+                        !settings.text(Setting.WORKER).isEmpty(),
+                        constructTransport(context, settings, log)::connect,
+                        new FrameRouter(calls, tasks, context.getSelf()),
+                        clock,
+                        new SecureRandom())),
+                "links");
+        return new GuardianActor.Children(calls, tasks, links);
+    }
+
+    private static TargetGateway constructGateway(ActorContext<?> context, Settings settings) {
+        URI target = URI.create(settings.text(Setting.TARGET));
+        TargetClientSettings clientSettings = TargetClientSettings.of(
+                        target.getHost(), target.getPort(), CallActor.MAX_CONNECTIONS)
+                .withMaxBodyBytes(settings.intNumber(Setting.MAX_BODY_BYTES));
+        return TargetGateway.to(new TargetClient(context.getSystem(), clientSettings));
+    }
+
+    private static FrameTransport constructTransport(ActorContext<?> context, Settings settings, EventLog log) {
+        LinkSettings links = LinkSettings.DEFAULT.withSilenceTimeoutMs(settings.intNumber(Setting.SILENCE_TIMEOUT_MS));
+        return new FrameTransport(context.getSystem(), links, log);
+    }
+}
--- /dev/null
+++ b/guard/src/main/java/org/fulmarreach/guard/TargetGateway.java
@@ -0,0 +1,33 @@
+package org.fulmarreach.guard;
+
+import java.util.concurrent.CompletionStage;
+
+import org.fulmarreach.core.exc.Result;
+import org.fulmarreach.core.model.Target;
+import org.fulmarreach.platform.TargetClient;
+import org.fulmarreach.platform.TargetReply;
+import org.fulmarreach.platform.TargetRequest;
+
+/** The target as the guard uses it. Implementations are thread-safe. */
+interface TargetGateway {
+    /** Sends one call at most once. The stage never fails; it completes when the target holds nothing for the call. */
+    CompletionStage<TargetReply> send(TargetRequest request);
+
+    /** Asks for the target's announcement. */
+    CompletionStage<Result<Target>> poll();
+
+    /** Returns a gateway to a real target. */
+    static TargetGateway to(TargetClient client) {
+        return new TargetGateway() {
+            @Override
+            public CompletionStage<TargetReply> send(TargetRequest request) {
+                return client.send(request);
+            }
+
+            @Override
+            public CompletionStage<Result<Target>> poll() {
+                return client.poll();
+            }
+        };
+    }
+}
