--- a/core/src/main/java/org/fulmarreach/core/model/TaskId.java
+++ b/core/src/main/java/org/fulmarreach/core/model/TaskId.java
@@ -1,5 +1,7 @@
 package org.fulmarreach.core.model;
 
+import java.util.Optional;
+
 /**
  * Identifies one execution of a unit of work. Immutable.
  *
@@ -17,4 +19,17 @@
     public String toAgentId() {
         return work + "." + run + "." + epoch;
     }
+
+    /** Parses the form used at the worker agent; empty for ids that this system did not give. */
+    public static Optional<TaskId> parseAgentId(String text) {
+        String[] parts = text.split("\\.", -1);
+        if (parts.length != 3 || parts[0].isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new TaskId(parts[0], Long.parseLong(parts[1]), Long.parseLong(parts[2])));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
 }
