--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/rules/RulesParser.java
@@ -0,0 +1,98 @@
+package org.fulmarreach.core.rules;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Parses the rules file. Blank lines and lines that hold only a comment are skipped. The parser throws no exception on
+ * any text; it reports all faults at once. Stateless.
+ */
+public final class RulesParser {
+    /** Longest line in bytes of UTF-8. */
+    public static final int MAX_LINE_BYTES = 4 * 1024;
+
+    /** Most lines of a text, blank ones and comments included. */
+    public static final int MAX_LINES = 100_000;
+
+    private RulesParser() {}
+
+    /** Parses all lines of a file. */
+    public static ParseResult parse(List<String> lines) {
+        List<RuleFault> faults = new ArrayList<>();
+        List<Rule> rules = new ArrayList<>();
+        if (lines.size() > MAX_LINES) {
+            faults.add(new RuleFault(
+                    MAX_LINES + 1,
+                    1,
+                    "at most " + MAX_LINES + " lines",
+                    lines.size() + " lines",
+                    "Remove lines; one deployment holds no more rules than that."));
+            return new ParseResult.Faulty(faults);
+        }
+        Map<String, Rule> byKey = new HashMap<>();
+        for (int i = 0; i < lines.size(); i++) {
+            Rule rule = parseLine(i + 1, lines.get(i), faults);
+            if (rule == null) {
+                continue;
+            }
+            Rule earlier = byKey.putIfAbsent(rule.uniqueKey(), rule);
+            if (earlier != null) {
+                faults.add(constructDuplicate(rule, "line " + earlier.line()));
+            }
+            rules.add(rule);
+        }
+        faults.sort(Comparator.comparingInt(RuleFault::line).thenComparingInt(RuleFault::column));
+        return faults.isEmpty() ? new ParseResult.Parsed(new Rules(rules)) : new ParseResult.Faulty(faults);
+    }
+
+    /** Returns the form of a line that counts: white space collapsed, nothing else changed. */
+    public static String toCanonical(String line) {
+        return LineText.toCanonical(line);
+    }
+
+    /** Constructs the fault of a rule that occurs already; {@code where} says where. */
+    static RuleFault constructDuplicate(Rule rule, String where) {
+        return new RuleFault(
+                rule.line(),
+                1,
+                "only one rule for \"" + rule.uniqueKey() + "\"",
+                "a second one, the first is in " + where,
+                "Remove one of the two, or give it another name.");
+    }
+
+    private static Rule parseLine(int number, String line, List<RuleFault> faults) {
+        if (line.length() > MAX_LINE_BYTES || line.getBytes(StandardCharsets.UTF_8).length > MAX_LINE_BYTES) {
+            faults.add(new RuleFault(
+                    number, 1, "at most " + MAX_LINE_BYTES + " bytes", "a longer line", "Shorten the comment."));
+            return null;
+        }
+        int column = findNonPrintable(line);
+        if (column > 0) {
+            String found = String.format("U+%04X", line.codePointAt(column - 1));
+            String remedy = "Remove the character; it may have come from a word processor.";
+            faults.add(new RuleFault(number, column, "printable characters", found, remedy));
+            return null;
+        }
+        String canonical = LineText.toCanonical(line);
+        if (canonical.isEmpty() || canonical.startsWith("#")) {
+            return null;
+        }
+        LineParser parser = new LineParser(number, line);
+        Rule rule = parser.parse();
+        faults.addAll(parser.faults());
+        return rule;
+    }
+
+    private static int findNonPrintable(String line) {
+        for (int i = 0; i < line.length(); i += Character.charCount(line.codePointAt(i))) {
+            if (!LineText.isPrintable(line.codePointAt(i))) {
+                return i + 1;
+            }
+        }
+        return 0;
+    }
+}
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/BudgetReserve.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/BudgetReserve.java
@@ -17,6 +17,8 @@
   private static final org.apache.thrift.protocol.TField OWNER_FIELD_DESC = new org.apache.thrift.protocol.TField("owner", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField PERIOD_FIELD_DESC = new org.apache.thrift.protocol.TField("period", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField AMOUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("amount", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField LIMIT_FIELD_DESC = new org.apache.thrift.protocol.TField("limit", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField RULES_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("rulesRevision", org.apache.thrift.protocol.TType.I64, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new BudgetReserveStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new BudgetReserveTupleSchemeFactory();
@@ -25,13 +27,23 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String owner; // required
   private long period; // required
   private long amount; // required
+  private long limit; // required
+  private long rulesRevision; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     ID((short)1, "id"),
     OWNER((short)2, "owner"),
+    /**
+     * Start of the period in UTC milliseconds.
+     */
     PERIOD((short)3, "period"),
-    AMOUNT((short)4, "amount");
+    AMOUNT((short)4, "amount"),
+    /**
+     * Amount of the budget rule known to the owner, and the revision of the rules that it is from.
+     */
+    LIMIT((short)5, "limit"),
+    RULES_REVISION((short)6, "rulesRevision");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,6 +67,10 @@
           return PERIOD;
         case 4: // AMOUNT
           return AMOUNT;
+        case 5: // LIMIT
+          return LIMIT;
+        case 6: // RULES_REVISION
+          return RULES_REVISION;
         default:
           return null;
       }
@@ -100,6 +116,8 @@
   // isset id assignments
   private static final int __PERIOD_ISSET_ID = 0;
   private static final int __AMOUNT_ISSET_ID = 1;
+  private static final int __LIMIT_ISSET_ID = 2;
+  private static final int __RULESREVISION_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -112,6 +130,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.AMOUNT, new org.apache.thrift.meta_data.FieldMetaData("amount", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LIMIT, new org.apache.thrift.meta_data.FieldMetaData("limit", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RULES_REVISION, new org.apache.thrift.meta_data.FieldMetaData("rulesRevision", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(BudgetReserve.class, metaDataMap);
   }
@@ -123,7 +145,9 @@
     java.lang.String id,
     java.lang.String owner,
     long period,
-    long amount)
+    long amount,
+    long limit,
+    long rulesRevision)
   {
     this();
     this.id = id;
@@ -132,6 +156,10 @@
     setPeriodIsSet(true);
     this.amount = amount;
     setAmountIsSet(true);
+    this.limit = limit;
+    setLimitIsSet(true);
+    this.rulesRevision = rulesRevision;
+    setRulesRevisionIsSet(true);
   }
 
   /**
@@ -147,6 +175,8 @@
     }
     this.period = other.period;
     this.amount = other.amount;
+    this.limit = other.limit;
+    this.rulesRevision = other.rulesRevision;
   }
 
   @Override
@@ -162,6 +192,10 @@
     this.period = 0;
     setAmountIsSet(false);
     this.amount = 0;
+    setLimitIsSet(false);
+    this.limit = 0;
+    setRulesRevisionIsSet(false);
+    this.rulesRevision = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -214,10 +248,16 @@
     }
   }
 
+  /**
+   * Start of the period in UTC milliseconds.
+   */
   public long getPeriod() {
     return this.period;
   }
 
+  /**
+   * Start of the period in UTC milliseconds.
+   */
   public BudgetReserve setPeriod(long period) {
     this.period = period;
     setPeriodIsSet(true);
@@ -260,6 +300,58 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AMOUNT_ISSET_ID, value);
   }
 
+  /**
+   * Amount of the budget rule known to the owner, and the revision of the rules that it is from.
+   */
+  public long getLimit() {
+    return this.limit;
+  }
+
+  /**
+   * Amount of the budget rule known to the owner, and the revision of the rules that it is from.
+   */
+  public BudgetReserve setLimit(long limit) {
+    this.limit = limit;
+    setLimitIsSet(true);
+    return this;
+  }
+
+  public void unsetLimit() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LIMIT_ISSET_ID);
+  }
+
+  /** Returns true if field limit is set (has been assigned a value) and false otherwise */
+  public boolean isSetLimit() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LIMIT_ISSET_ID);
+  }
+
+  public void setLimitIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LIMIT_ISSET_ID, value);
+  }
+
+  public long getRulesRevision() {
+    return this.rulesRevision;
+  }
+
+  public BudgetReserve setRulesRevision(long rulesRevision) {
+    this.rulesRevision = rulesRevision;
+    setRulesRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetRulesRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __RULESREVISION_ISSET_ID);
+  }
+
+  /** Returns true if field rulesRevision is set (has been assigned a value) and false otherwise */
+  public boolean isSetRulesRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __RULESREVISION_ISSET_ID);
+  }
+
+  public void setRulesRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RULESREVISION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -295,6 +387,22 @@
       }
       break;
 
+    case LIMIT:
+      if (value == null) {
+        unsetLimit();
+      } else {
+        setLimit((java.lang.Long)value);
+      }
+      break;
+
+    case RULES_REVISION:
+      if (value == null) {
+        unsetRulesRevision();
+      } else {
+        setRulesRevision((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -314,6 +422,12 @@
     case AMOUNT:
       return getAmount();
 
+    case LIMIT:
+      return getLimit();
+
+    case RULES_REVISION:
+      return getRulesRevision();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -334,6 +448,10 @@
       return isSetPeriod();
     case AMOUNT:
       return isSetAmount();
+    case LIMIT:
+      return isSetLimit();
+    case RULES_REVISION:
+      return isSetRulesRevision();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -387,6 +505,24 @@
         return false;
     }
 
+    boolean this_present_limit = true;
+    boolean that_present_limit = true;
+    if (this_present_limit || that_present_limit) {
+      if (!(this_present_limit && that_present_limit))
+        return false;
+      if (this.limit != that.limit)
+        return false;
+    }
+
+    boolean this_present_rulesRevision = true;
+    boolean that_present_rulesRevision = true;
+    if (this_present_rulesRevision || that_present_rulesRevision) {
+      if (!(this_present_rulesRevision && that_present_rulesRevision))
+        return false;
+      if (this.rulesRevision != that.rulesRevision)
+        return false;
+    }
+
     return true;
   }
 
@@ -406,6 +542,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(amount);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(limit);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(rulesRevision);
+
     return hashCode;
   }
 
@@ -457,6 +597,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLimit(), other.isSetLimit());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLimit()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.limit, other.limit);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetRulesRevision(), other.isSetRulesRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRulesRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rulesRevision, other.rulesRevision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -504,6 +664,14 @@
     sb.append("amount:");
     sb.append(this.amount);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("limit:");
+    sb.append(this.limit);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("rulesRevision:");
+    sb.append(this.rulesRevision);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -583,6 +751,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // LIMIT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.limit = iprot.readI64();
+              struct.setLimitIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 6: // RULES_REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.rulesRevision = iprot.readI64();
+              struct.setRulesRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -615,6 +799,12 @@
       oprot.writeFieldBegin(AMOUNT_FIELD_DESC);
       oprot.writeI64(struct.amount);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LIMIT_FIELD_DESC);
+      oprot.writeI64(struct.limit);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(RULES_REVISION_FIELD_DESC);
+      oprot.writeI64(struct.rulesRevision);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -646,7 +836,13 @@
       if (struct.isSetAmount()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetLimit()) {
+        optionals.set(4);
+      }
+      if (struct.isSetRulesRevision()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
       if (struct.isSetId()) {
         oprot.writeString(struct.id);
       }
@@ -659,12 +855,18 @@
       if (struct.isSetAmount()) {
         oprot.writeI64(struct.amount);
       }
+      if (struct.isSetLimit()) {
+        oprot.writeI64(struct.limit);
+      }
+      if (struct.isSetRulesRevision()) {
+        oprot.writeI64(struct.rulesRevision);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, BudgetReserve struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
         struct.id = iprot.readString();
         struct.setIdIsSet(true);
@@ -681,6 +883,14 @@
         struct.amount = iprot.readI64();
         struct.setAmountIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.limit = iprot.readI64();
+        struct.setLimitIsSet(true);
+      }
+      if (incoming.get(5)) {
+        struct.rulesRevision = iprot.readI64();
+        struct.setRulesRevisionIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/BudgetSnapshot.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/BudgetSnapshot.java
@@ -6,26 +6,35 @@
  */
 package org.fulmarreach.protocol.thrift;
 
+/**
+ * State of the stream after the record basedOnOffset; void unless it is the very next record of the stream.
+ */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class BudgetSnapshot implements org.apache.thrift.TBase<BudgetSnapshot, BudgetSnapshot._Fields>, java.io.Serializable, Cloneable, Comparable<BudgetSnapshot> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("BudgetSnapshot");
 
   private static final org.apache.thrift.protocol.TField TOTALS_FIELD_DESC = new org.apache.thrift.protocol.TField("totals", org.apache.thrift.protocol.TType.LIST, (short)1);
-  private static final org.apache.thrift.protocol.TField RECENT_IDS_FIELD_DESC = new org.apache.thrift.protocol.TField("recentIds", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField CLOSED_UP_TO_FIELD_DESC = new org.apache.thrift.protocol.TField("closedUpTo", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField BASED_ON_OFFSET_FIELD_DESC = new org.apache.thrift.protocol.TField("basedOnOffset", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField LIMIT_FIELD_DESC = new org.apache.thrift.protocol.TField("limit", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField LIMIT_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("limitRevision", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new BudgetSnapshotStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new BudgetSnapshotTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.util.List<PeriodTotal> totals; // required
-  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> recentIds; // required
+  private long closedUpTo; // required
   private long basedOnOffset; // required
+  private long limit; // required
+  private long limitRevision; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     TOTALS((short)1, "totals"),
-    RECENT_IDS((short)2, "recentIds"),
-    BASED_ON_OFFSET((short)3, "basedOnOffset");
+    CLOSED_UP_TO((short)2, "closedUpTo"),
+    BASED_ON_OFFSET((short)3, "basedOnOffset"),
+    LIMIT((short)4, "limit"),
+    LIMIT_REVISION((short)5, "limitRevision");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -43,10 +52,14 @@
       switch(fieldId) {
         case 1: // TOTALS
           return TOTALS;
-        case 2: // RECENT_IDS
-          return RECENT_IDS;
+        case 2: // CLOSED_UP_TO
+          return CLOSED_UP_TO;
         case 3: // BASED_ON_OFFSET
           return BASED_ON_OFFSET;
+        case 4: // LIMIT
+          return LIMIT;
+        case 5: // LIMIT_REVISION
+          return LIMIT_REVISION;
         default:
           return null;
       }
@@ -90,7 +103,10 @@
   }
 
   // isset id assignments
-  private static final int __BASEDONOFFSET_ISSET_ID = 0;
+  private static final int __CLOSEDUPTO_ISSET_ID = 0;
+  private static final int __BASEDONOFFSET_ISSET_ID = 1;
+  private static final int __LIMIT_ISSET_ID = 2;
+  private static final int __LIMITREVISION_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -98,11 +114,14 @@
     tmpMap.put(_Fields.TOTALS, new org.apache.thrift.meta_data.FieldMetaData("totals", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PeriodTotal.class))));
-    tmpMap.put(_Fields.RECENT_IDS, new org.apache.thrift.meta_data.FieldMetaData("recentIds", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.CLOSED_UP_TO, new org.apache.thrift.meta_data.FieldMetaData("closedUpTo", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.BASED_ON_OFFSET, new org.apache.thrift.meta_data.FieldMetaData("basedOnOffset", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LIMIT, new org.apache.thrift.meta_data.FieldMetaData("limit", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LIMIT_REVISION, new org.apache.thrift.meta_data.FieldMetaData("limitRevision", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(BudgetSnapshot.class, metaDataMap);
   }
@@ -112,14 +131,21 @@
 
   public BudgetSnapshot(
     java.util.List<PeriodTotal> totals,
-    java.util.List<java.lang.String> recentIds,
-    long basedOnOffset)
+    long closedUpTo,
+    long basedOnOffset,
+    long limit,
+    long limitRevision)
   {
     this();
     this.totals = totals;
-    this.recentIds = recentIds;
+    this.closedUpTo = closedUpTo;
+    setClosedUpToIsSet(true);
     this.basedOnOffset = basedOnOffset;
     setBasedOnOffsetIsSet(true);
+    this.limit = limit;
+    setLimitIsSet(true);
+    this.limitRevision = limitRevision;
+    setLimitRevisionIsSet(true);
   }
 
   /**
@@ -134,11 +160,10 @@
       }
       this.totals = __this__totals;
     }
-    if (other.isSetRecentIds()) {
-      java.util.List<java.lang.String> __this__recentIds = new java.util.ArrayList<java.lang.String>(other.recentIds);
-      this.recentIds = __this__recentIds;
-    }
+    this.closedUpTo = other.closedUpTo;
     this.basedOnOffset = other.basedOnOffset;
+    this.limit = other.limit;
+    this.limitRevision = other.limitRevision;
   }
 
   @Override
@@ -149,9 +174,14 @@
   @Override
   public void clear() {
     this.totals = null;
-    this.recentIds = null;
+    setClosedUpToIsSet(false);
+    this.closedUpTo = 0;
     setBasedOnOffsetIsSet(false);
     this.basedOnOffset = 0;
+    setLimitIsSet(false);
+    this.limit = 0;
+    setLimitRevisionIsSet(false);
+    this.limitRevision = 0;
   }
 
   public int getTotalsSize() {
@@ -195,45 +225,27 @@
     }
   }
 
-  public int getRecentIdsSize() {
-    return (this.recentIds == null) ? 0 : this.recentIds.size();
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<java.lang.String> getRecentIdsIterator() {
-    return (this.recentIds == null) ? null : this.recentIds.iterator();
-  }
-
-  public void addToRecentIds(java.lang.String elem) {
-    if (this.recentIds == null) {
-      this.recentIds = new java.util.ArrayList<java.lang.String>();
-    }
-    this.recentIds.add(elem);
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.util.List<java.lang.String> getRecentIds() {
-    return this.recentIds;
+  public long getClosedUpTo() {
+    return this.closedUpTo;
   }
 
-  public BudgetSnapshot setRecentIds(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> recentIds) {
-    this.recentIds = recentIds;
+  public BudgetSnapshot setClosedUpTo(long closedUpTo) {
+    this.closedUpTo = closedUpTo;
+    setClosedUpToIsSet(true);
     return this;
   }
 
-  public void unsetRecentIds() {
-    this.recentIds = null;
+  public void unsetClosedUpTo() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CLOSEDUPTO_ISSET_ID);
   }
 
-  /** Returns true if field recentIds is set (has been assigned a value) and false otherwise */
-  public boolean isSetRecentIds() {
-    return this.recentIds != null;
+  /** Returns true if field closedUpTo is set (has been assigned a value) and false otherwise */
+  public boolean isSetClosedUpTo() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CLOSEDUPTO_ISSET_ID);
   }
 
-  public void setRecentIdsIsSet(boolean value) {
-    if (!value) {
-      this.recentIds = null;
-    }
+  public void setClosedUpToIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CLOSEDUPTO_ISSET_ID, value);
   }
 
   public long getBasedOnOffset() {
@@ -259,6 +271,52 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BASEDONOFFSET_ISSET_ID, value);
   }
 
+  public long getLimit() {
+    return this.limit;
+  }
+
+  public BudgetSnapshot setLimit(long limit) {
+    this.limit = limit;
+    setLimitIsSet(true);
+    return this;
+  }
+
+  public void unsetLimit() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LIMIT_ISSET_ID);
+  }
+
+  /** Returns true if field limit is set (has been assigned a value) and false otherwise */
+  public boolean isSetLimit() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LIMIT_ISSET_ID);
+  }
+
+  public void setLimitIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LIMIT_ISSET_ID, value);
+  }
+
+  public long getLimitRevision() {
+    return this.limitRevision;
+  }
+
+  public BudgetSnapshot setLimitRevision(long limitRevision) {
+    this.limitRevision = limitRevision;
+    setLimitRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetLimitRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LIMITREVISION_ISSET_ID);
+  }
+
+  /** Returns true if field limitRevision is set (has been assigned a value) and false otherwise */
+  public boolean isSetLimitRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LIMITREVISION_ISSET_ID);
+  }
+
+  public void setLimitRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LIMITREVISION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -270,11 +328,11 @@
       }
       break;
 
-    case RECENT_IDS:
+    case CLOSED_UP_TO:
       if (value == null) {
-        unsetRecentIds();
+        unsetClosedUpTo();
       } else {
-        setRecentIds((java.util.List<java.lang.String>)value);
+        setClosedUpTo((java.lang.Long)value);
       }
       break;
 
@@ -286,6 +344,22 @@
       }
       break;
 
+    case LIMIT:
+      if (value == null) {
+        unsetLimit();
+      } else {
+        setLimit((java.lang.Long)value);
+      }
+      break;
+
+    case LIMIT_REVISION:
+      if (value == null) {
+        unsetLimitRevision();
+      } else {
+        setLimitRevision((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -296,12 +370,18 @@
     case TOTALS:
       return getTotals();
 
-    case RECENT_IDS:
-      return getRecentIds();
+    case CLOSED_UP_TO:
+      return getClosedUpTo();
 
     case BASED_ON_OFFSET:
       return getBasedOnOffset();
 
+    case LIMIT:
+      return getLimit();
+
+    case LIMIT_REVISION:
+      return getLimitRevision();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -316,10 +396,14 @@
     switch (field) {
     case TOTALS:
       return isSetTotals();
-    case RECENT_IDS:
-      return isSetRecentIds();
+    case CLOSED_UP_TO:
+      return isSetClosedUpTo();
     case BASED_ON_OFFSET:
       return isSetBasedOnOffset();
+    case LIMIT:
+      return isSetLimit();
+    case LIMIT_REVISION:
+      return isSetLimitRevision();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -346,12 +430,12 @@
         return false;
     }
 
-    boolean this_present_recentIds = true && this.isSetRecentIds();
-    boolean that_present_recentIds = true && that.isSetRecentIds();
-    if (this_present_recentIds || that_present_recentIds) {
-      if (!(this_present_recentIds && that_present_recentIds))
+    boolean this_present_closedUpTo = true;
+    boolean that_present_closedUpTo = true;
+    if (this_present_closedUpTo || that_present_closedUpTo) {
+      if (!(this_present_closedUpTo && that_present_closedUpTo))
         return false;
-      if (!this.recentIds.equals(that.recentIds))
+      if (this.closedUpTo != that.closedUpTo)
         return false;
     }
 
@@ -364,6 +448,24 @@
         return false;
     }
 
+    boolean this_present_limit = true;
+    boolean that_present_limit = true;
+    if (this_present_limit || that_present_limit) {
+      if (!(this_present_limit && that_present_limit))
+        return false;
+      if (this.limit != that.limit)
+        return false;
+    }
+
+    boolean this_present_limitRevision = true;
+    boolean that_present_limitRevision = true;
+    if (this_present_limitRevision || that_present_limitRevision) {
+      if (!(this_present_limitRevision && that_present_limitRevision))
+        return false;
+      if (this.limitRevision != that.limitRevision)
+        return false;
+    }
+
     return true;
   }
 
@@ -375,12 +477,14 @@
     if (isSetTotals())
       hashCode = hashCode * 8191 + totals.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetRecentIds()) ? 131071 : 524287);
-    if (isSetRecentIds())
-      hashCode = hashCode * 8191 + recentIds.hashCode();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(closedUpTo);
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(basedOnOffset);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(limit);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(limitRevision);
+
     return hashCode;
   }
 
@@ -402,12 +506,12 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetRecentIds(), other.isSetRecentIds());
+    lastComparison = java.lang.Boolean.compare(isSetClosedUpTo(), other.isSetClosedUpTo());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetRecentIds()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.recentIds, other.recentIds);
+    if (isSetClosedUpTo()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.closedUpTo, other.closedUpTo);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -422,6 +526,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLimit(), other.isSetLimit());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLimit()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.limit, other.limit);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLimitRevision(), other.isSetLimitRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLimitRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.limitRevision, other.limitRevision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -454,17 +578,21 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("recentIds:");
-    if (this.recentIds == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.recentIds);
-    }
+    sb.append("closedUpTo:");
+    sb.append(this.closedUpTo);
     first = false;
     if (!first) sb.append(", ");
     sb.append("basedOnOffset:");
     sb.append(this.basedOnOffset);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("limit:");
+    sb.append(this.limit);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("limitRevision:");
+    sb.append(this.limitRevision);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -515,14 +643,14 @@
           case 1: // TOTALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list120 = iprot.readListBegin();
-                struct.totals = new java.util.ArrayList<PeriodTotal>(_list120.size);
-                @org.apache.thrift.annotation.Nullable PeriodTotal _elem121;
-                for (int _i122 = 0; _i122 < _list120.size; ++_i122)
+                org.apache.thrift.protocol.TList _list128 = iprot.readListBegin();
+                struct.totals = new java.util.ArrayList<PeriodTotal>(_list128.size);
+                @org.apache.thrift.annotation.Nullable PeriodTotal _elem129;
+                for (int _i130 = 0; _i130 < _list128.size; ++_i130)
                 {
-                  _elem121 = new PeriodTotal();
-                  _elem121.read(iprot);
-                  struct.totals.add(_elem121);
+                  _elem129 = new PeriodTotal();
+                  _elem129.read(iprot);
+                  struct.totals.add(_elem129);
                 }
                 iprot.readListEnd();
               }
@@ -531,20 +659,10 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // RECENT_IDS
-            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
-              {
-                org.apache.thrift.protocol.TList _list123 = iprot.readListBegin();
-                struct.recentIds = new java.util.ArrayList<java.lang.String>(_list123.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem124;
-                for (int _i125 = 0; _i125 < _list123.size; ++_i125)
-                {
-                  _elem124 = iprot.readString();
-                  struct.recentIds.add(_elem124);
-                }
-                iprot.readListEnd();
-              }
-              struct.setRecentIdsIsSet(true);
+          case 2: // CLOSED_UP_TO
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.closedUpTo = iprot.readI64();
+              struct.setClosedUpToIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -557,6 +675,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // LIMIT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.limit = iprot.readI64();
+              struct.setLimitIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 5: // LIMIT_REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.limitRevision = iprot.readI64();
+              struct.setLimitRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -577,29 +711,26 @@
         oprot.writeFieldBegin(TOTALS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.totals.size()));
-          for (PeriodTotal _iter126 : struct.totals)
-          {
-            _iter126.write(oprot);
-          }
-          oprot.writeListEnd();
-        }
-        oprot.writeFieldEnd();
-      }
-      if (struct.recentIds != null) {
-        oprot.writeFieldBegin(RECENT_IDS_FIELD_DESC);
-        {
-          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.recentIds.size()));
-          for (java.lang.String _iter127 : struct.recentIds)
+          for (PeriodTotal _iter131 : struct.totals)
           {
-            oprot.writeString(_iter127);
+            _iter131.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(CLOSED_UP_TO_FIELD_DESC);
+      oprot.writeI64(struct.closedUpTo);
+      oprot.writeFieldEnd();
       oprot.writeFieldBegin(BASED_ON_OFFSET_FIELD_DESC);
       oprot.writeI64(struct.basedOnOffset);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LIMIT_FIELD_DESC);
+      oprot.writeI64(struct.limit);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LIMIT_REVISION_FIELD_DESC);
+      oprot.writeI64(struct.limitRevision);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -622,71 +753,76 @@
       if (struct.isSetTotals()) {
         optionals.set(0);
       }
-      if (struct.isSetRecentIds()) {
+      if (struct.isSetClosedUpTo()) {
         optionals.set(1);
       }
       if (struct.isSetBasedOnOffset()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetLimit()) {
+        optionals.set(3);
+      }
+      if (struct.isSetLimitRevision()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetTotals()) {
         {
           oprot.writeI32(struct.totals.size());
-          for (PeriodTotal _iter128 : struct.totals)
+          for (PeriodTotal _iter132 : struct.totals)
           {
-            _iter128.write(oprot);
+            _iter132.write(oprot);
           }
         }
       }
-      if (struct.isSetRecentIds()) {
-        {
-          oprot.writeI32(struct.recentIds.size());
-          for (java.lang.String _iter129 : struct.recentIds)
-          {
-            oprot.writeString(_iter129);
-          }
-        }
+      if (struct.isSetClosedUpTo()) {
+        oprot.writeI64(struct.closedUpTo);
       }
       if (struct.isSetBasedOnOffset()) {
         oprot.writeI64(struct.basedOnOffset);
       }
+      if (struct.isSetLimit()) {
+        oprot.writeI64(struct.limit);
+      }
+      if (struct.isSetLimitRevision()) {
+        oprot.writeI64(struct.limitRevision);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, BudgetSnapshot struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list130 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.totals = new java.util.ArrayList<PeriodTotal>(_list130.size);
-          @org.apache.thrift.annotation.Nullable PeriodTotal _elem131;
-          for (int _i132 = 0; _i132 < _list130.size; ++_i132)
+          org.apache.thrift.protocol.TList _list133 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.totals = new java.util.ArrayList<PeriodTotal>(_list133.size);
+          @org.apache.thrift.annotation.Nullable PeriodTotal _elem134;
+          for (int _i135 = 0; _i135 < _list133.size; ++_i135)
           {
-            _elem131 = new PeriodTotal();
-            _elem131.read(iprot);
-            struct.totals.add(_elem131);
+            _elem134 = new PeriodTotal();
+            _elem134.read(iprot);
+            struct.totals.add(_elem134);
           }
         }
         struct.setTotalsIsSet(true);
       }
       if (incoming.get(1)) {
-        {
-          org.apache.thrift.protocol.TList _list133 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.recentIds = new java.util.ArrayList<java.lang.String>(_list133.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem134;
-          for (int _i135 = 0; _i135 < _list133.size; ++_i135)
-          {
-            _elem134 = iprot.readString();
-            struct.recentIds.add(_elem134);
-          }
-        }
-        struct.setRecentIdsIsSet(true);
+        struct.closedUpTo = iprot.readI64();
+        struct.setClosedUpToIsSet(true);
       }
       if (incoming.get(2)) {
         struct.basedOnOffset = iprot.readI64();
         struct.setBasedOnOffsetIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.limit = iprot.readI64();
+        struct.setLimitIsSet(true);
+      }
+      if (incoming.get(4)) {
+        struct.limitRevision = iprot.readI64();
+        struct.setLimitRevisionIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/PeriodTotal.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/PeriodTotal.java
@@ -12,17 +12,20 @@
 
   private static final org.apache.thrift.protocol.TField PERIOD_FIELD_DESC = new org.apache.thrift.protocol.TField("period", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField GRANTED_FIELD_DESC = new org.apache.thrift.protocol.TField("granted", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField IDS_FIELD_DESC = new org.apache.thrift.protocol.TField("ids", org.apache.thrift.protocol.TType.LIST, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PeriodTotalStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PeriodTotalTupleSchemeFactory();
 
   private long period; // required
   private long granted; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> ids; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     PERIOD((short)1, "period"),
-    GRANTED((short)2, "granted");
+    GRANTED((short)2, "granted"),
+    IDS((short)3, "ids");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +45,8 @@
           return PERIOD;
         case 2: // GRANTED
           return GRANTED;
+        case 3: // IDS
+          return IDS;
         default:
           return null;
       }
@@ -95,6 +100,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.GRANTED, new org.apache.thrift.meta_data.FieldMetaData("granted", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.IDS, new org.apache.thrift.meta_data.FieldMetaData("ids", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PeriodTotal.class, metaDataMap);
   }
@@ -104,13 +112,15 @@
 
   public PeriodTotal(
     long period,
-    long granted)
+    long granted,
+    java.util.List<java.lang.String> ids)
   {
     this();
     this.period = period;
     setPeriodIsSet(true);
     this.granted = granted;
     setGrantedIsSet(true);
+    this.ids = ids;
   }
 
   /**
@@ -120,6 +130,10 @@
     __isset_bitfield = other.__isset_bitfield;
     this.period = other.period;
     this.granted = other.granted;
+    if (other.isSetIds()) {
+      java.util.List<java.lang.String> __this__ids = new java.util.ArrayList<java.lang.String>(other.ids);
+      this.ids = __this__ids;
+    }
   }
 
   @Override
@@ -133,6 +147,7 @@
     this.period = 0;
     setGrantedIsSet(false);
     this.granted = 0;
+    this.ids = null;
   }
 
   public long getPeriod() {
@@ -181,6 +196,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __GRANTED_ISSET_ID, value);
   }
 
+  public int getIdsSize() {
+    return (this.ids == null) ? 0 : this.ids.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getIdsIterator() {
+    return (this.ids == null) ? null : this.ids.iterator();
+  }
+
+  public void addToIds(java.lang.String elem) {
+    if (this.ids == null) {
+      this.ids = new java.util.ArrayList<java.lang.String>();
+    }
+    this.ids.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getIds() {
+    return this.ids;
+  }
+
+  public PeriodTotal setIds(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> ids) {
+    this.ids = ids;
+    return this;
+  }
+
+  public void unsetIds() {
+    this.ids = null;
+  }
+
+  /** Returns true if field ids is set (has been assigned a value) and false otherwise */
+  public boolean isSetIds() {
+    return this.ids != null;
+  }
+
+  public void setIdsIsSet(boolean value) {
+    if (!value) {
+      this.ids = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -200,6 +256,14 @@
       }
       break;
 
+    case IDS:
+      if (value == null) {
+        unsetIds();
+      } else {
+        setIds((java.util.List<java.lang.String>)value);
+      }
+      break;
+
     }
   }
 
@@ -213,6 +277,9 @@
     case GRANTED:
       return getGranted();
 
+    case IDS:
+      return getIds();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -229,6 +296,8 @@
       return isSetPeriod();
     case GRANTED:
       return isSetGranted();
+    case IDS:
+      return isSetIds();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -264,6 +333,15 @@
         return false;
     }
 
+    boolean this_present_ids = true && this.isSetIds();
+    boolean that_present_ids = true && that.isSetIds();
+    if (this_present_ids || that_present_ids) {
+      if (!(this_present_ids && that_present_ids))
+        return false;
+      if (!this.ids.equals(that.ids))
+        return false;
+    }
+
     return true;
   }
 
@@ -275,6 +353,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(granted);
 
+    hashCode = hashCode * 8191 + ((isSetIds()) ? 131071 : 524287);
+    if (isSetIds())
+      hashCode = hashCode * 8191 + ids.hashCode();
+
     return hashCode;
   }
 
@@ -306,6 +388,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetIds(), other.isSetIds());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIds()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ids, other.ids);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -337,6 +429,14 @@
     sb.append("granted:");
     sb.append(this.granted);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("ids:");
+    if (this.ids == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.ids);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -400,6 +500,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // IDS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list120 = iprot.readListBegin();
+                struct.ids = new java.util.ArrayList<java.lang.String>(_list120.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem121;
+                for (int _i122 = 0; _i122 < _list120.size; ++_i122)
+                {
+                  _elem121 = iprot.readString();
+                  struct.ids.add(_elem121);
+                }
+                iprot.readListEnd();
+              }
+              struct.setIdsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -422,6 +540,18 @@
       oprot.writeFieldBegin(GRANTED_FIELD_DESC);
       oprot.writeI64(struct.granted);
       oprot.writeFieldEnd();
+      if (struct.ids != null) {
+        oprot.writeFieldBegin(IDS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.ids.size()));
+          for (java.lang.String _iter123 : struct.ids)
+          {
+            oprot.writeString(_iter123);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -447,19 +577,31 @@
       if (struct.isSetGranted()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetIds()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetPeriod()) {
         oprot.writeI64(struct.period);
       }
       if (struct.isSetGranted()) {
         oprot.writeI64(struct.granted);
       }
+      if (struct.isSetIds()) {
+        {
+          oprot.writeI32(struct.ids.size());
+          for (java.lang.String _iter124 : struct.ids)
+          {
+            oprot.writeString(_iter124);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, PeriodTotal struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.period = iprot.readI64();
         struct.setPeriodIsSet(true);
@@ -468,6 +610,19 @@
         struct.granted = iprot.readI64();
         struct.setGrantedIsSet(true);
       }
+      if (incoming.get(2)) {
+        {
+          org.apache.thrift.protocol.TList _list125 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.ids = new java.util.ArrayList<java.lang.String>(_list125.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem126;
+          for (int _i127 = 0; _i127 < _list125.size; ++_i127)
+          {
+            _elem126 = iprot.readString();
+            struct.ids.add(_elem126);
+          }
+        }
+        struct.setIdsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/RulesSnapshot.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/RulesSnapshot.java
@@ -6,6 +6,9 @@
  */
 package org.fulmarreach.protocol.thrift;
 
+/**
+ * State of the stream after the record basedOnOffset; void unless it is the very next record of the stream.
+ */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class RulesSnapshot implements org.apache.thrift.TBase<RulesSnapshot, RulesSnapshot._Fields>, java.io.Serializable, Cloneable, Comparable<RulesSnapshot> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("RulesSnapshot");
@@ -13,7 +16,8 @@
   private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField LINES_FIELD_DESC = new org.apache.thrift.protocol.TField("lines", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField BINDINGS_FIELD_DESC = new org.apache.thrift.protocol.TField("bindings", org.apache.thrift.protocol.TType.LIST, (short)3);
-  private static final org.apache.thrift.protocol.TField RECENT_PUBLISH_IDS_FIELD_DESC = new org.apache.thrift.protocol.TField("recentPublishIds", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField RECENT_PUBLISHES_FIELD_DESC = new org.apache.thrift.protocol.TField("recentPublishes", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField BASED_ON_OFFSET_FIELD_DESC = new org.apache.thrift.protocol.TField("basedOnOffset", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RulesSnapshotStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RulesSnapshotTupleSchemeFactory();
@@ -21,14 +25,16 @@
   private long revision; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> lines; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<NameBinding> bindings; // required
-  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> recentPublishIds; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<PublishResult> recentPublishes; // required
+  private long basedOnOffset; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     REVISION((short)1, "revision"),
     LINES((short)2, "lines"),
     BINDINGS((short)3, "bindings"),
-    RECENT_PUBLISH_IDS((short)4, "recentPublishIds");
+    RECENT_PUBLISHES((short)4, "recentPublishes"),
+    BASED_ON_OFFSET((short)5, "basedOnOffset");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,8 +56,10 @@
           return LINES;
         case 3: // BINDINGS
           return BINDINGS;
-        case 4: // RECENT_PUBLISH_IDS
-          return RECENT_PUBLISH_IDS;
+        case 4: // RECENT_PUBLISHES
+          return RECENT_PUBLISHES;
+        case 5: // BASED_ON_OFFSET
+          return BASED_ON_OFFSET;
         default:
           return null;
       }
@@ -96,6 +104,7 @@
 
   // isset id assignments
   private static final int __REVISION_ISSET_ID = 0;
+  private static final int __BASEDONOFFSET_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -108,9 +117,11 @@
     tmpMap.put(_Fields.BINDINGS, new org.apache.thrift.meta_data.FieldMetaData("bindings", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, NameBinding.class))));
-    tmpMap.put(_Fields.RECENT_PUBLISH_IDS, new org.apache.thrift.meta_data.FieldMetaData("recentPublishIds", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.RECENT_PUBLISHES, new org.apache.thrift.meta_data.FieldMetaData("recentPublishes", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PublishResult.class))));
+    tmpMap.put(_Fields.BASED_ON_OFFSET, new org.apache.thrift.meta_data.FieldMetaData("basedOnOffset", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RulesSnapshot.class, metaDataMap);
   }
@@ -122,14 +133,17 @@
     long revision,
     java.util.List<java.lang.String> lines,
     java.util.List<NameBinding> bindings,
-    java.util.List<java.lang.String> recentPublishIds)
+    java.util.List<PublishResult> recentPublishes,
+    long basedOnOffset)
   {
     this();
     this.revision = revision;
     setRevisionIsSet(true);
     this.lines = lines;
     this.bindings = bindings;
-    this.recentPublishIds = recentPublishIds;
+    this.recentPublishes = recentPublishes;
+    this.basedOnOffset = basedOnOffset;
+    setBasedOnOffsetIsSet(true);
   }
 
   /**
@@ -149,10 +163,14 @@
       }
       this.bindings = __this__bindings;
     }
-    if (other.isSetRecentPublishIds()) {
-      java.util.List<java.lang.String> __this__recentPublishIds = new java.util.ArrayList<java.lang.String>(other.recentPublishIds);
-      this.recentPublishIds = __this__recentPublishIds;
+    if (other.isSetRecentPublishes()) {
+      java.util.List<PublishResult> __this__recentPublishes = new java.util.ArrayList<PublishResult>(other.recentPublishes.size());
+      for (PublishResult other_element : other.recentPublishes) {
+        __this__recentPublishes.add(new PublishResult(other_element));
+      }
+      this.recentPublishes = __this__recentPublishes;
     }
+    this.basedOnOffset = other.basedOnOffset;
   }
 
   @Override
@@ -166,7 +184,9 @@
     this.revision = 0;
     this.lines = null;
     this.bindings = null;
-    this.recentPublishIds = null;
+    this.recentPublishes = null;
+    setBasedOnOffsetIsSet(false);
+    this.basedOnOffset = 0;
   }
 
   public long getRevision() {
@@ -274,47 +294,70 @@
     }
   }
 
-  public int getRecentPublishIdsSize() {
-    return (this.recentPublishIds == null) ? 0 : this.recentPublishIds.size();
+  public int getRecentPublishesSize() {
+    return (this.recentPublishes == null) ? 0 : this.recentPublishes.size();
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<java.lang.String> getRecentPublishIdsIterator() {
-    return (this.recentPublishIds == null) ? null : this.recentPublishIds.iterator();
+  public java.util.Iterator<PublishResult> getRecentPublishesIterator() {
+    return (this.recentPublishes == null) ? null : this.recentPublishes.iterator();
   }
 
-  public void addToRecentPublishIds(java.lang.String elem) {
-    if (this.recentPublishIds == null) {
-      this.recentPublishIds = new java.util.ArrayList<java.lang.String>();
+  public void addToRecentPublishes(PublishResult elem) {
+    if (this.recentPublishes == null) {
+      this.recentPublishes = new java.util.ArrayList<PublishResult>();
     }
-    this.recentPublishIds.add(elem);
+    this.recentPublishes.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<java.lang.String> getRecentPublishIds() {
-    return this.recentPublishIds;
+  public java.util.List<PublishResult> getRecentPublishes() {
+    return this.recentPublishes;
   }
 
-  public RulesSnapshot setRecentPublishIds(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> recentPublishIds) {
-    this.recentPublishIds = recentPublishIds;
+  public RulesSnapshot setRecentPublishes(@org.apache.thrift.annotation.Nullable java.util.List<PublishResult> recentPublishes) {
+    this.recentPublishes = recentPublishes;
     return this;
   }
 
-  public void unsetRecentPublishIds() {
-    this.recentPublishIds = null;
+  public void unsetRecentPublishes() {
+    this.recentPublishes = null;
   }
 
-  /** Returns true if field recentPublishIds is set (has been assigned a value) and false otherwise */
-  public boolean isSetRecentPublishIds() {
-    return this.recentPublishIds != null;
+  /** Returns true if field recentPublishes is set (has been assigned a value) and false otherwise */
+  public boolean isSetRecentPublishes() {
+    return this.recentPublishes != null;
   }
 
-  public void setRecentPublishIdsIsSet(boolean value) {
+  public void setRecentPublishesIsSet(boolean value) {
     if (!value) {
-      this.recentPublishIds = null;
+      this.recentPublishes = null;
     }
   }
 
+  public long getBasedOnOffset() {
+    return this.basedOnOffset;
+  }
+
+  public RulesSnapshot setBasedOnOffset(long basedOnOffset) {
+    this.basedOnOffset = basedOnOffset;
+    setBasedOnOffsetIsSet(true);
+    return this;
+  }
+
+  public void unsetBasedOnOffset() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BASEDONOFFSET_ISSET_ID);
+  }
+
+  /** Returns true if field basedOnOffset is set (has been assigned a value) and false otherwise */
+  public boolean isSetBasedOnOffset() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BASEDONOFFSET_ISSET_ID);
+  }
+
+  public void setBasedOnOffsetIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BASEDONOFFSET_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -342,11 +385,19 @@
       }
       break;
 
-    case RECENT_PUBLISH_IDS:
+    case RECENT_PUBLISHES:
       if (value == null) {
-        unsetRecentPublishIds();
+        unsetRecentPublishes();
       } else {
-        setRecentPublishIds((java.util.List<java.lang.String>)value);
+        setRecentPublishes((java.util.List<PublishResult>)value);
+      }
+      break;
+
+    case BASED_ON_OFFSET:
+      if (value == null) {
+        unsetBasedOnOffset();
+      } else {
+        setBasedOnOffset((java.lang.Long)value);
       }
       break;
 
@@ -366,8 +417,11 @@
     case BINDINGS:
       return getBindings();
 
-    case RECENT_PUBLISH_IDS:
-      return getRecentPublishIds();
+    case RECENT_PUBLISHES:
+      return getRecentPublishes();
+
+    case BASED_ON_OFFSET:
+      return getBasedOnOffset();
 
     }
     throw new java.lang.IllegalStateException();
@@ -387,8 +441,10 @@
       return isSetLines();
     case BINDINGS:
       return isSetBindings();
-    case RECENT_PUBLISH_IDS:
-      return isSetRecentPublishIds();
+    case RECENT_PUBLISHES:
+      return isSetRecentPublishes();
+    case BASED_ON_OFFSET:
+      return isSetBasedOnOffset();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -433,12 +489,21 @@
         return false;
     }
 
-    boolean this_present_recentPublishIds = true && this.isSetRecentPublishIds();
-    boolean that_present_recentPublishIds = true && that.isSetRecentPublishIds();
-    if (this_present_recentPublishIds || that_present_recentPublishIds) {
-      if (!(this_present_recentPublishIds && that_present_recentPublishIds))
+    boolean this_present_recentPublishes = true && this.isSetRecentPublishes();
+    boolean that_present_recentPublishes = true && that.isSetRecentPublishes();
+    if (this_present_recentPublishes || that_present_recentPublishes) {
+      if (!(this_present_recentPublishes && that_present_recentPublishes))
         return false;
-      if (!this.recentPublishIds.equals(that.recentPublishIds))
+      if (!this.recentPublishes.equals(that.recentPublishes))
+        return false;
+    }
+
+    boolean this_present_basedOnOffset = true;
+    boolean that_present_basedOnOffset = true;
+    if (this_present_basedOnOffset || that_present_basedOnOffset) {
+      if (!(this_present_basedOnOffset && that_present_basedOnOffset))
+        return false;
+      if (this.basedOnOffset != that.basedOnOffset)
         return false;
     }
 
@@ -459,9 +524,11 @@
     if (isSetBindings())
       hashCode = hashCode * 8191 + bindings.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetRecentPublishIds()) ? 131071 : 524287);
-    if (isSetRecentPublishIds())
-      hashCode = hashCode * 8191 + recentPublishIds.hashCode();
+    hashCode = hashCode * 8191 + ((isSetRecentPublishes()) ? 131071 : 524287);
+    if (isSetRecentPublishes())
+      hashCode = hashCode * 8191 + recentPublishes.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(basedOnOffset);
 
     return hashCode;
   }
@@ -504,12 +571,22 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetRecentPublishIds(), other.isSetRecentPublishIds());
+    lastComparison = java.lang.Boolean.compare(isSetRecentPublishes(), other.isSetRecentPublishes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRecentPublishes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.recentPublishes, other.recentPublishes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetBasedOnOffset(), other.isSetBasedOnOffset());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetRecentPublishIds()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.recentPublishIds, other.recentPublishIds);
+    if (isSetBasedOnOffset()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.basedOnOffset, other.basedOnOffset);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -558,13 +635,17 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("recentPublishIds:");
-    if (this.recentPublishIds == null) {
+    sb.append("recentPublishes:");
+    if (this.recentPublishes == null) {
       sb.append("null");
     } else {
-      sb.append(this.recentPublishIds);
+      sb.append(this.recentPublishes);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("basedOnOffset:");
+    sb.append(this.basedOnOffset);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -657,20 +738,29 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // RECENT_PUBLISH_IDS
+          case 4: // RECENT_PUBLISHES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list102 = iprot.readListBegin();
-                struct.recentPublishIds = new java.util.ArrayList<java.lang.String>(_list102.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem103;
+                struct.recentPublishes = new java.util.ArrayList<PublishResult>(_list102.size);
+                @org.apache.thrift.annotation.Nullable PublishResult _elem103;
                 for (int _i104 = 0; _i104 < _list102.size; ++_i104)
                 {
-                  _elem103 = iprot.readString();
-                  struct.recentPublishIds.add(_elem103);
+                  _elem103 = new PublishResult();
+                  _elem103.read(iprot);
+                  struct.recentPublishes.add(_elem103);
                 }
                 iprot.readListEnd();
               }
-              struct.setRecentPublishIdsIsSet(true);
+              struct.setRecentPublishesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 5: // BASED_ON_OFFSET
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.basedOnOffset = iprot.readI64();
+              struct.setBasedOnOffsetIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -718,18 +808,21 @@
         }
         oprot.writeFieldEnd();
       }
-      if (struct.recentPublishIds != null) {
-        oprot.writeFieldBegin(RECENT_PUBLISH_IDS_FIELD_DESC);
+      if (struct.recentPublishes != null) {
+        oprot.writeFieldBegin(RECENT_PUBLISHES_FIELD_DESC);
         {
-          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.recentPublishIds.size()));
-          for (java.lang.String _iter107 : struct.recentPublishIds)
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.recentPublishes.size()));
+          for (PublishResult _iter107 : struct.recentPublishes)
           {
-            oprot.writeString(_iter107);
+            _iter107.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(BASED_ON_OFFSET_FIELD_DESC);
+      oprot.writeI64(struct.basedOnOffset);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -758,10 +851,13 @@
       if (struct.isSetBindings()) {
         optionals.set(2);
       }
-      if (struct.isSetRecentPublishIds()) {
+      if (struct.isSetRecentPublishes()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetBasedOnOffset()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetRevision()) {
         oprot.writeI64(struct.revision);
       }
@@ -783,21 +879,24 @@
           }
         }
       }
-      if (struct.isSetRecentPublishIds()) {
+      if (struct.isSetRecentPublishes()) {
         {
-          oprot.writeI32(struct.recentPublishIds.size());
-          for (java.lang.String _iter110 : struct.recentPublishIds)
+          oprot.writeI32(struct.recentPublishes.size());
+          for (PublishResult _iter110 : struct.recentPublishes)
           {
-            oprot.writeString(_iter110);
+            _iter110.write(oprot);
           }
         }
       }
+      if (struct.isSetBasedOnOffset()) {
+        oprot.writeI64(struct.basedOnOffset);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, RulesSnapshot struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.revision = iprot.readI64();
         struct.setRevisionIsSet(true);
@@ -831,16 +930,21 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list117 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.recentPublishIds = new java.util.ArrayList<java.lang.String>(_list117.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem118;
+          org.apache.thrift.protocol.TList _list117 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.recentPublishes = new java.util.ArrayList<PublishResult>(_list117.size);
+          @org.apache.thrift.annotation.Nullable PublishResult _elem118;
           for (int _i119 = 0; _i119 < _list117.size; ++_i119)
           {
-            _elem118 = iprot.readString();
-            struct.recentPublishIds.add(_elem118);
+            _elem118 = new PublishResult();
+            _elem118.read(iprot);
+            struct.recentPublishes.add(_elem118);
           }
         }
-        struct.setRecentPublishIdsIsSet(true);
+        struct.setRecentPublishesIsSet(true);
+      }
+      if (incoming.get(4)) {
+        struct.basedOnOffset = iprot.readI64();
+        struct.setBasedOnOffsetIsSet(true);
       }
     }
   }
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -275,19 +275,38 @@
   5: string operator
 }
 struct NameBinding { 1: string work, 2: string region }
+struct PublishResult { 1: string publishId, 2: i64 revision }
+/** State of the stream after the record basedOnOffset; void unless it is the very next record of the stream. */
 struct RulesSnapshot {
   1: i64 revision,
   2: list<string> lines,
   3: list<NameBinding> bindings,
-  4: list<string> recentPublishIds
+  4: list<PublishResult> recentPublishes,
+  5: i64 basedOnOffset
 }
 union RulesRecord { 1: RulesPublish publish, 2: RulesSnapshot snapshot }
 
 /** Records of the stream "budget". Amounts are in the budget's smallest unit. */
-struct BudgetReserve { 1: string id, 2: string owner, 3: i64 period, 4: i64 amount }
+struct BudgetReserve {
+  1: string id,
+  2: string owner,
+  /** Start of the period in UTC milliseconds. */
+  3: i64 period,
+  4: i64 amount,
+  /** Amount of the budget rule known to the owner, and the revision of the rules that it is from. */
+  5: i64 limit,
+  6: i64 rulesRevision
+}
 struct BudgetReturn { 1: string id, 2: string owner, 3: i64 period, 4: i64 amount }
-struct PeriodTotal { 1: i64 period, 2: i64 granted }
-struct BudgetSnapshot { 1: list<PeriodTotal> totals, 2: list<string> recentIds, 3: i64 basedOnOffset }
+struct PeriodTotal { 1: i64 period, 2: i64 granted, 3: list<string> ids }
+/** State of the stream after the record basedOnOffset; void unless it is the very next record of the stream. */
+struct BudgetSnapshot {
+  1: list<PeriodTotal> totals,
+  2: i64 closedUpTo,
+  3: i64 basedOnOffset,
+  4: i64 limit,
+  5: i64 limitRevision
+}
 union BudgetRecord { 1: BudgetReserve reserve, 2: BudgetReturn giveBack, 3: BudgetSnapshot snapshot }
 
 /** Records of the streams "work-<region>-<n>". A batch is one append and is decided as a whole in order. */
