--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/CallAnswer.java
@@ -0,0 +1,38 @@
+package org.fulmarreach.entry.calls;
+
+import org.fulmarreach.core.exc.Problem;
+import org.fulmarreach.protocol.thrift.CallResult;
+
+/** What became of a call. Immutable. */
+public sealed interface CallAnswer {
+    /**
+     * The target answered.
+     *
+     * @param requestId id under which it ran
+     * @param result the whole answer
+     */
+    record Answered(String requestId, CallResult result) implements CallAnswer {}
+
+    /**
+     * The call did not run and never will.
+     *
+     * @param requestId its id; empty if it never had one
+     * @param problem why
+     */
+    record NotRun(String requestId, Problem problem) implements CallAnswer {}
+
+    /**
+     * Whether the call ran is not known.
+     *
+     * @param requestId its id
+     * @param problem why
+     */
+    record Unknown(String requestId, Problem problem) implements CallAnswer {}
+
+    /**
+     * Nothing was sent, and the call belongs into another region: its guard is not known here, or there is no room here.
+     *
+     * @param problem why
+     */
+    record Elsewhere(Problem problem) implements CallAnswer {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/package-info.java
@@ -0,0 +1,2 @@
+/** Routing of calls to guards and their pending state. */
+package org.fulmarreach.entry.calls;
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/guards/GuardSession.java
@@ -0,0 +1,128 @@
+package org.fulmarreach.entry.guards;
+
+import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.GuardState;
+import org.fulmarreach.protocol.thrift.Heartbeat;
+import org.fulmarreach.protocol.thrift.Hello;
+import org.fulmarreach.runtime.net.FrameLink;
+
+/**
+ * One incarnation of a guard as this entry knows it, over all of its connections. Owned by the directory's actor.
+ */
+public final class GuardSession {
+    private final GuardView view;
+    private final int helloSlots;
+    private final int helloConnections;
+    private FrameLink link;
+    private long lastFrameMs;
+    private Heartbeat heartbeat;
+    private int outstanding;
+    private int foreignLoad;
+
+    /** Constructs the session of a guard that has said hello on {@code link}. */
+    public GuardSession(GuardView view, Hello hello, FrameLink link, long nowMs) {
+        this.view = view;
+        this.helloSlots = hello.getSlots();
+        this.helloConnections = hello.getConnections();
+        this.link = link;
+        this.lastFrameMs = nowMs;
+    }
+
+    /** Returns the guard as it announced itself. */
+    public GuardView view() {
+        return view;
+    }
+
+    /** Returns the present connection; null while there is none. */
+    public FrameLink link() {
+        return link;
+    }
+
+    /** Returns the last heartbeat; null before the first. */
+    public Heartbeat heartbeat() {
+        return heartbeat;
+    }
+
+    /** Returns when the last frame arrived, in milliseconds of the entry's clock. */
+    public long lastFrameMs() {
+        return lastFrameMs;
+    }
+
+    /** Takes over a new connection of the same incarnation. */
+    public void connect(FrameLink newLink, long nowMs) {
+        link = newLink;
+        lastFrameMs = nowMs;
+    }
+
+    /** Forgets the connection and the calls that were counted on it. */
+    public void disconnect() {
+        link = null;
+        outstanding = 0;
+    }
+
+    /** Notes that a frame arrived. */
+    public void touch(long nowMs) {
+        lastFrameMs = nowMs;
+    }
+
+    /** Takes in a heartbeat. */
+    public void update(Heartbeat newHeartbeat, long nowMs) {
+        heartbeat = newHeartbeat;
+        lastFrameMs = nowMs;
+        // What the guard reports includes this entry's own calls. Counting them twice would make a target look full
+        // until the next heartbeat, although its calls have ended meanwhile.
+        foreignLoad = Math.max(0, newHeartbeat.getSlotsInUse() - outstanding);
+    }
+
+    /** Returns the guard's own clock at its last heartbeat; every id and start refers to it. */
+    public long tickMs() {
+        return heartbeat == null ? 0 : heartbeat.getTickMs();
+    }
+
+    /** Tells whether a message can be sent to it now. */
+    public boolean isConnected() {
+        return link != null;
+    }
+
+    /** Tells whether new calls may be routed to it: connected, announced as ready and seen at least once. */
+    public boolean isReady() {
+        return link != null && heartbeat != null && heartbeat.getState() == GuardState.READY;
+    }
+
+    /** Returns its slots. */
+    public int slots() {
+        return heartbeat == null ? helloSlots : heartbeat.getSlots();
+    }
+
+    /** Returns its connections. */
+    public int connections() {
+        return heartbeat == null ? helloConnections : heartbeat.getConnections();
+    }
+
+    /** Returns the calls of this entry that it has not answered. */
+    public int outstanding() {
+        return outstanding;
+    }
+
+    /** Returns the estimated number of slots in use. */
+    public int load() {
+        return outstanding + foreignLoad;
+    }
+
+    /** Counts a call sent. */
+    public void addOutstanding() {
+        outstanding++;
+    }
+
+    /** Counts a call that has ended; nothing when the connection was lost meanwhile. */
+    public void removeOutstanding() {
+        outstanding = Math.max(0, outstanding - 1);
+    }
+
+    /** Sends a message; dropped while there is no connection. */
+    public void send(long correlationId, Body body) {
+        if (link != null) {
+            link.send(correlationId, body);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP for callers and operators. */
+package org.fulmarreach.entry.http;
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/store/package-info.java
@@ -0,0 +1,2 @@
+/** Reading the log service with one reader per region. */
+package org.fulmarreach.entry.store;
