Add the entry: routing of calls, rules, budget, peers and HTTP

The module held only the message types. One actor owns the guards and the pending calls; rules, purse and peers have an actor each.

--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
@@ -0,0 +1,196 @@
+package org.fulmarreach.entry;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.pekko.Done;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.AskPattern;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.fulmarreach.entry.budget.BudgetCommand;
+import org.fulmarreach.entry.calls.CallService;
+import org.fulmarreach.entry.http.EntryActors;
+import org.fulmarreach.entry.http.EntryHttp;
+import org.fulmarreach.entry.peers.PeersCommand;
+import org.fulmarreach.entry.work.WorkCommand;
+import org.fulmarreach.platform.HttpLogClient;
+import org.fulmarreach.platform.LogClient;
+import org.fulmarreach.platform.LogClientSettings;
+import org.fulmarreach.runtime.cfg.Address;
+import org.fulmarreach.runtime.cfg.Setting;
+import org.fulmarreach.runtime.cfg.Settings;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.FrameTransport;
+import org.fulmarreach.runtime.net.LinkSettings;
+import org.fulmarreach.runtime.util.ActorSystems;
+import org.fulmarreach.runtime.util.MonotonicClock;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/** A running entry: its actors, its listener for guards and entries, and its HTTP listeners. Thread-safe. */
+public final class EntryNode implements AutoCloseable {
+    private static final int THREADS = 4;
+    private static final long START_BOUND_MS = 15_000;
+    private static final long POLL_MS = 20;
+    private static final Duration RESIGN_BOUND = Duration.ofSeconds(3);
+
+    private final ActorSystem<Void> system;
+    private final EntryParts parts;
+    private final Tcp.ServerBinding frames;
+    private final EntryHttp http;
+    private final long drainTimeoutMs;
+    private final MonotonicClock clock;
+
+    private EntryNode(
+            ActorSystem<Void> system,
+            EntryParts parts,
+            Tcp.ServerBinding frames,
+            EntryHttp http,
+            long drainTimeoutMs,
+            MonotonicClock clock) {
+        this.system = system;
+        this.parts = parts;
+        this.frames = frames;
+        this.http = http;
+        this.drainTimeoutMs = drainTimeoutMs;
+        this.clock = clock;
+    }
+
+    /*
+     * Life cycle
+     */
+
+    /**
+     * Starts an entry that leads no shard.
+     *
+     * @param settings settings of the role ENTRY
+     * @param clock monotonic clock
+     * @param log events
+     * @param meters metrics, scraped at {@code /metrics}
+     * @return the entry, listening
+     * @throws java.util.concurrent.CompletionException if a listener cannot be bound
+     */
+    public static EntryNode start(
+            Settings settings, MonotonicClock clock, EventLog log, PrometheusMeterRegistry meters) {
+        return start(settings, clock, log, meters, WorkStarter.none());
+    }
+
+    /** Starts an entry whose shards are led by what {@code work} starts; otherwise as the other {@code start}. */
+    public static EntryNode start(
+            Settings settings, MonotonicClock clock, EventLog log, PrometheusMeterRegistry meters, WorkStarter work) {
+        CompletableFuture<EntryParts> ready = new CompletableFuture<>();
+        FrameTransport[] transport = new FrameTransport[1];
+        ActorSystem<Void> system = ActorSystems.construct(
+                Behaviors.setup(context -> {
+                    LinkSettings links =
+                            LinkSettings.DEFAULT.withSilenceTimeoutMs(settings.intNumber(Setting.SILENCE_TIMEOUT_MS));
+                    transport[0] = new FrameTransport(context.getSystem(), links, log);
+                    LogClient store = constructStore(context.getSystem(), settings);
+                    EntryParts.Environment environment = new EntryParts.Environment(
+                            settings, store, transport[0], clock, Clock.systemUTC(), new SecureRandom(), log, meters);
+                    ready.complete(EntryParts.start(context, environment, work));
+                    return Behaviors.empty();
+                }),
+                "entry",
+                THREADS);
+        try {
+            EntryParts parts =
+                    ready.orTimeout(START_BOUND_MS, TimeUnit.MILLISECONDS).join();
+            EntryActors actors = parts.actors();
+            Address listen = settings.address(Setting.LISTEN);
+            CompletionStage<Tcp.ServerBinding> frames = transport[0].bind(
+                    listen.host(), listen.port(), () -> new LinkAcceptor(actors.directory(), actors.peers(), log));
+            CompletionStage<EntryHttp> http = EntryHttp.start(system, settings, actors, parts.calls(), log, meters);
+            return frames.thenCombine(
+                            http,
+                            (bound, listeners) -> new EntryNode(
+                                    system, parts, bound, listeners, settings.number(Setting.DRAIN_TIMEOUT_MS), clock))
+                    .toCompletableFuture()
+                    .join();
+        } catch (RuntimeException e) {
+            system.terminate();
+            throw e;
+        }
+    }
+
+    /**
+     * Stops as planned: refuses new calls, finishes those that run, hands back shards and purse, then closes. Returns
+     * within the drain bound and a few seconds.
+     */
+    public void drain() {
+        CallService calls = parts.calls();
+        EntryActors actors = parts.actors();
+        calls.drain();
+        actors.peers().tell(new PeersCommand.Leave());
+        long untilMs = clock.nowMs() + drainTimeoutMs;
+        while (calls.countRunning() > 0 && clock.nowMs() < untilMs) {
+            sleep();
+        }
+        CompletableFuture<Done> returned = new CompletableFuture<>();
+        actors.budget().tell(new BudgetCommand.Close(returned));
+        CompletionStage<Done> resigned = AskPattern.<WorkCommand, Done>ask(
+                actors.work(), WorkCommand.Resign::new, RESIGN_BOUND, system.scheduler());
+        CompletableFuture.allOf(returned, resigned.toCompletableFuture())
+                .orTimeout(RESIGN_BOUND.toMillis(), TimeUnit.MILLISECONDS)
+                .exceptionally(failure -> null)
+                .join();
+        close();
+    }
+
+    @Override
+    public void close() {
+        frames.unbind();
+        http.close().toCompletableFuture().exceptionally(failure -> null).join();
+        system.terminate();
+        system.getWhenTerminated().toCompletableFuture().join();
+    }
+
+    /*
+     * Public API
+     */
+
+    /** Returns the address for guards and entries. */
+    public InetSocketAddress frameAddress() {
+        return frames.localAddress();
+    }
+
+    /** Returns the address for callers. */
+    public InetSocketAddress callerAddress() {
+        return http.callerAddress();
+    }
+
+    /** Returns the address for operators. */
+    public InetSocketAddress operatorAddress() {
+        return http.operatorAddress();
+    }
+
+    /*
+     * Helpers
+     */
+
+    private static LogClient constructStore(ActorSystem<?> system, Settings settings) {
+        URI store = URI.create(settings.text(Setting.STORE));
+        int timeoutMs = settings.intNumber(Setting.STORE_TIMEOUT_MS);
+        LogClientSettings defaults =
+                LogClientSettings.of(store.getHost(), store.getPort(), settings.text(Setting.REGION));
+        return new HttpLogClient(
+                system,
+                defaults.withTimeoutsMs(
+                        Math.min(timeoutMs, defaults.connectTimeoutMs()), timeoutMs, timeoutMs, defaults.maxWaitMs()));
+    }
+
+    private static void sleep() {
+        try {
+            Thread.sleep(POLL_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/entry/src/main/java/org/fulmarreach/entry/calls/CallAnswer.java
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/CallAnswer.java
@@ -10,8 +10,9 @@
      *
      * @param requestId id under which it ran
      * @param result the whole answer
+     * @param isRepetition whether it certainly ran before this call was sent, so that its cost is charged elsewhere
      */
-    record Answered(String requestId, CallResult result) implements CallAnswer {}
+    record Answered(String requestId, CallResult result, boolean isRepetition) implements CallAnswer {}
 
     /**
      * The call did not run and never will.
@@ -30,9 +31,16 @@
     record Unknown(String requestId, Problem problem) implements CallAnswer {}
 
     /**
-     * Nothing was sent, and the call belongs into another region: its guard is not known here, or there is no room here.
+     * Nothing was sent, and the call belongs into another region: its guard is not known here, or there is no room.
      *
      * @param problem why
      */
     record Elsewhere(Problem problem) implements CallAnswer {}
+
+    /**
+     * The entry did not take the call in, and says nothing about what became of its id before.
+     *
+     * @param problem why
+     */
+    record Rejected(Problem problem) implements CallAnswer {}
 }
--- a/entry/src/main/java/org/fulmarreach/entry/calls/RequestState.java
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/RequestState.java
@@ -1,6 +1,8 @@
 package org.fulmarreach.entry.calls;
 
+import org.fulmarreach.core.exc.ErrorCode;
 import org.fulmarreach.core.exc.Problem;
+import org.fulmarreach.protocol.thrift.ResolveResult;
 
 /**
  * State of a request id. Immutable.
@@ -14,4 +16,15 @@
     public static RequestState unknown(Problem problem) {
         return new RequestState("unknown", 0, problem);
     }
+
+    /** Returns the state that a guard has reported. */
+    static RequestState of(ResolveResult result) {
+        int status = result.getResult() == null ? 0 : result.getResult().getStatus();
+        return switch (result.getState()) {
+            case REFUSED -> new RequestState("refused", 0, null);
+            case RUNNING -> new RequestState("running", 0, null);
+            case DONE -> new RequestState("done", status, null);
+            case UNKNOWN -> unknown(Problem.of(ErrorCode.REQUEST_ID_EXPIRED, "the guard does not know the id"));
+        };
+    }
 }
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/ServiceState.java
@@ -0,0 +1,137 @@
+package org.fulmarreach.entry.calls;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.fulmarreach.core.exc.ErrorCode;
+import org.fulmarreach.core.exc.Problem;
+import org.fulmarreach.core.routing.CallQueue;
+import org.fulmarreach.core.routing.OutlierEjection;
+import org.fulmarreach.core.routing.RetryBudget;
+import org.fulmarreach.core.routing.ServiceTime;
+import org.fulmarreach.entry.EntryEvent;
+import org.fulmarreach.entry.guards.GuardDirectory;
+import org.fulmarreach.entry.guards.GuardSession;
+import org.fulmarreach.protocol.thrift.CallResult;
+import org.fulmarreach.protocol.thrift.Outcome;
+import org.fulmarreach.runtime.log.EventLog;
+
+/** What the router keeps for one service: its targets, their health, queues and service time. Owned by the router. */
+final class ServiceState {
+    private static final double INITIAL_SERVICE_MS = 20;
+    private static final int SERVER_ERROR = 500;
+
+    private final int maxQueued;
+    private final CallQueue<PendingCall> free;
+    private final Map<String, CallQueue<PendingCall>> boundByGuard = new HashMap<>();
+    private final OutlierEjection ejection = new OutlierEjection();
+    private final RetryBudget retries = new RetryBudget();
+    private final ServiceTime serviceTime = new ServiceTime(INITIAL_SERVICE_MS);
+    private Set<String> targets = Set.of();
+
+    ServiceState(int maxQueued) {
+        this.maxQueued = maxQueued;
+        this.free = new CallQueue<>(maxQueued);
+    }
+
+    RetryBudget retries() {
+        return retries;
+    }
+
+    Set<String> targets() {
+        return targets;
+    }
+
+    boolean isTarget(String guardId) {
+        return targets.contains(guardId);
+    }
+
+    void retainTargets(GuardDirectory directory, String service) {
+        Set<String> present = new LinkedHashSet<>();
+        for (GuardSession guard : directory.all()) {
+            if (guard.view().service().equals(service)) {
+                present.add(guard.view().guardId());
+            }
+        }
+        targets = present;
+        ejection.retain(present);
+        boundByGuard.entrySet().removeIf(each -> each.getValue().size() == 0 && !present.contains(each.getKey()));
+    }
+
+    int knownSlots(GuardDirectory directory) {
+        return targets.stream()
+                .map(directory::find)
+                .flatMap(Optional::stream)
+                .filter(GuardSession::isReady)
+                .mapToInt(GuardSession::slots)
+                .sum();
+    }
+
+    boolean isAvailable(String guardId, long nowMs) {
+        return ejection.isAvailable(guardId, nowMs);
+    }
+
+    void recordSend(String guardId, long nowMs) {
+        ejection.recordSend(guardId, nowMs);
+    }
+
+    void recordResult(String guardId, CallResult result, long nowMs, EventLog log) {
+        boolean ran = result.getOutcome() == Outcome.RUN;
+        if (ran && !result.isRepeated()) {
+            serviceTime.record(result.getServiceMs());
+        }
+        // A refusal for lack of room or because the target leaves says nothing about its health.
+        boolean isRefusal =
+                result.getOutcome() == Outcome.NOT_RUN && CallResults.toCode(result) != ErrorCode.TARGET_FAILED;
+        boolean success = ran && result.getStatus() < SERVER_ERROR;
+        if (!isRefusal && ejection.record(guardId, success, nowMs)) {
+            log.emit(EntryEvent.TARGET_EJECTED, "guard", guardId);
+        }
+    }
+
+    boolean offerFree(PendingCall call, int slots, long nowMs) {
+        return free.offer(call, call.request().deadlineMs(), slots, serviceTime.estimateMs(), nowMs);
+    }
+
+    boolean offerBound(GuardSession guard, PendingCall call, long nowMs) {
+        CallQueue<PendingCall> queue =
+                boundByGuard.computeIfAbsent(guard.view().guardId(), key -> new CallQueue<>(maxQueued));
+        return queue.offer(
+                call, call.request().deadlineMs(), Math.max(1, guard.slots()), serviceTime.estimateMs(), nowMs);
+    }
+
+    Optional<PendingCall> pollFree() {
+        return free.poll();
+    }
+
+    Optional<PendingCall> pollBound(String guardId) {
+        CallQueue<PendingCall> queue = boundByGuard.get(guardId);
+        return queue == null ? Optional.empty() : queue.poll();
+    }
+
+    List<PendingCall> drainBound(String guardId) {
+        CallQueue<PendingCall> queue = boundByGuard.get(guardId);
+        return queue == null ? List.of() : queue.drain();
+    }
+
+    List<PendingCall> expire(long nowMs) {
+        List<PendingCall> late = new ArrayList<>(free.expire(serviceTime.estimateMs(), nowMs));
+        for (CallQueue<PendingCall> queue : boundByGuard.values()) {
+            late.addAll(queue.expire(serviceTime.estimateMs(), nowMs));
+        }
+        return late;
+    }
+
+    Problem noCapacity(String guardId, int slots) {
+        CallQueue<PendingCall> queue = boundByGuard.getOrDefault(guardId, free);
+        return Problem.of(
+                        ErrorCode.NO_CAPACITY,
+                        queue.size() + " calls wait for " + slots + " slots; one more would be late")
+                .withRetryAfterMs(queue.computeRetryAfterMs(slots, serviceTime.estimateMs()));
+    }
+}
--- a/entry/src/main/java/org/fulmarreach/entry/guards/GuardSession.java
+++ b/entry/src/main/java/org/fulmarreach/entry/guards/GuardSession.java
@@ -10,7 +10,7 @@
  * One incarnation of a guard as this entry knows it, over all of its connections. Owned by the directory's actor.
  */
 public final class GuardSession {
-    private final GuardView view;
+    private GuardView view;
     private final int helloSlots;
     private final int helloConnections;
     private FrameLink link;
@@ -51,6 +51,7 @@
     /** Takes over a new connection of the same incarnation. */
     public void connect(FrameLink newLink, long nowMs) {
         link = newLink;
+        outstanding = 0;
         lastFrameMs = nowMs;
     }
 
@@ -68,6 +69,10 @@
     /** Takes in a heartbeat. */
     public void update(Heartbeat newHeartbeat, long nowMs) {
         heartbeat = newHeartbeat;
+        String service = newHeartbeat.getServiceName();
+        if (service != null && !service.equals(view.service())) {
+            view = new GuardView(view.guardId(), view.incarnation(), view.vm(), service);
+        }
         lastFrameMs = nowMs;
         // What the guard reports includes this entry's own calls. Counting them twice would make a target look full
         // until the next heartbeat, although its calls have ended meanwhile.
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/http/EntryHttp.java
@@ -0,0 +1,114 @@
+package org.fulmarreach.entry.http;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.apache.pekko.Done;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.fulmarreach.entry.calls.CallService;
+import org.fulmarreach.runtime.cfg.Setting;
+import org.fulmarreach.runtime.cfg.Settings;
+import org.fulmarreach.runtime.log.EventLog;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/** The two HTTP listeners of an entry: callers and operators. Thread-safe. */
+public final class EntryHttp {
+    private static final int MAX_OPERATOR_CONNECTIONS = 64;
+    private static final Duration CLOSE_BOUND = Duration.ofSeconds(2);
+
+    private final ServerBinding callers;
+    private final ServerBinding operators;
+
+    private EntryHttp(ServerBinding callers, ServerBinding operators) {
+        this.callers = callers;
+        this.operators = operators;
+    }
+
+    /*
+     * Life cycle
+     */
+
+    /**
+     * Binds both listeners.
+     *
+     * @param system runs the listeners
+     * @param settings addresses, token and limits
+     * @param actors actors of the entry
+     * @param calls service for calls
+     * @param log events
+     * @param meters scraped at {@code /metrics}
+     * @return the listeners once both listen
+     */
+    public static CompletionStage<EntryHttp> start(
+            ActorSystem<?> system,
+            Settings settings,
+            EntryActors actors,
+            CallService calls,
+            EventLog log,
+            PrometheusMeterRegistry meters) {
+        BodyReader bodies = new BodyReader(system, settings.intNumber(Setting.MAX_BODY_BYTES));
+        BodyReader operatorBodies = new BodyReader(system, settings.intNumber(Setting.MAX_BODY_BYTES));
+        CallEndpoint callEndpoint = new CallEndpoint(calls, actors.directory(), bodies);
+        OperatorEndpoint operatorEndpoint = new OperatorEndpoint(
+                system, actors, new RulesEndpoint(actors, calls), operatorBodies, meters, settings.text(Setting.TOKEN));
+        AtomicInteger running = new AtomicInteger();
+        int maxConnections = settings.intNumber(Setting.MAX_HTTP_CONNECTIONS);
+        registerGauges(meters, bodies, running, maxConnections);
+        CompletionStage<ServerBinding> callers = HttpListener.bind(
+                system,
+                settings.address(Setting.HTTP),
+                maxConnections,
+                log,
+                request -> count(running, callEndpoint, request));
+        CompletionStage<ServerBinding> operators = HttpListener.bind(
+                system,
+                settings.address(Setting.OPERATOR_HTTP),
+                MAX_OPERATOR_CONNECTIONS,
+                log,
+                operatorEndpoint::handle);
+        return callers.thenCombine(operators, EntryHttp::new);
+    }
+
+    /** Closes the listeners; requests that run are finished within 2 s. */
+    public CompletionStage<Done> close() {
+        return callers.terminate(CLOSE_BOUND)
+                .thenCombine(operators.terminate(CLOSE_BOUND), (first, second) -> Done.getInstance());
+    }
+
+    /*
+     * Public API
+     */
+
+    /** Returns the address for callers. */
+    public InetSocketAddress callerAddress() {
+        return callers.localAddress();
+    }
+
+    /** Returns the address for operators. */
+    public InetSocketAddress operatorAddress() {
+        return operators.localAddress();
+    }
+
+    private static CompletionStage<HttpResponse> count(
+            AtomicInteger running, CallEndpoint endpoint, HttpRequest request) {
+        running.incrementAndGet();
+        return endpoint.handle(request).whenComplete((response, failure) -> running.decrementAndGet());
+    }
+
+    private static void registerGauges(
+            PrometheusMeterRegistry meters, BodyReader bodies, AtomicInteger running, int maxConnections) {
+        Gauge.builder("fulmarreach.entry.http.requests", running::get).register(meters);
+        Gauge.builder("fulmarreach.entry.http.connections.limit", () -> maxConnections)
+                .register(meters);
+        Gauge.builder("fulmarreach.entry.http.body.bytes", bodies::heldBytes).register(meters);
+        Gauge.builder("fulmarreach.entry.http.body.bytes.limit", () -> BodyReader.MAX_HELD_BYTES)
+                .register(meters);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/http/HttpListener.java
@@ -0,0 +1,82 @@
+package org.fulmarreach.entry.http;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.settings.ServerSettings;
+import org.fulmarreach.core.exc.ErrorCode;
+import org.fulmarreach.core.exc.Problem;
+import org.fulmarreach.entry.EntryEvent;
+import org.fulmarreach.runtime.cfg.Address;
+import org.fulmarreach.runtime.log.EventLog;
+
+import com.typesafe.config.ConfigFactory;
+
+/** Binds one HTTP listener with its limits. */
+final class HttpListener {
+    /**
+     * Limits of the parser are above those of the endpoints, which answer with JSON; what is over these as well gets a
+     * plain answer of the library.
+     */
+    private static final String SETTINGS = """
+            pekko.http.server {
+              server-header = ""
+              max-connections = %d
+              idle-timeout = 60s
+              request-timeout = 70s
+              linger-timeout = 5s
+              backlog = 256
+              raw-request-uri-header = off
+              parsing {
+                max-uri-length = 8k
+                max-method-length = 16
+                max-header-name-length = 256
+                max-header-value-length = 32k
+                max-header-count = 128
+                max-chunk-ext-length = 256
+                max-content-length = infinite
+                illegal-header-warnings = off
+                uri-parsing-mode = strict
+              }
+            }
+            """;
+
+    private HttpListener() {}
+
+    static CompletionStage<ServerBinding> bind(
+            ActorSystem<?> system,
+            Address address,
+            int maxConnections,
+            EventLog log,
+            Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
+        ServerSettings settings = ServerSettings.create(ConfigFactory.parseString(SETTINGS.formatted(maxConnections))
+                .withFallback(system.settings().config()));
+        return Http.get(system)
+                .newServerAt(address.host(), address.port())
+                .withSettings(settings)
+                .bind(request -> answer(request, log, handler));
+    }
+
+    private static CompletionStage<HttpResponse> answer(
+            HttpRequest request, EventLog log, Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
+        CompletionStage<HttpResponse> response;
+        try {
+            response = handler.apply(request);
+        } catch (RuntimeException e) {
+            response = CompletableFuture.failedFuture(e);
+        }
+        return response.exceptionally(failure -> {
+            log.emit(EntryEvent.REQUEST_FAILED, "path", request.getUri().path(), "reason", failure);
+            return JsonBodies.toError(
+                    500,
+                    null,
+                    Problem.of(ErrorCode.INVARIANT_VIOLATED, "the entry failed to answer; its log names the cause"));
+        });
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/peers/Peer.java
@@ -0,0 +1,74 @@
+package org.fulmarreach.entry.peers;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fulmarreach.protocol.thrift.PeerHello;
+import org.fulmarreach.protocol.thrift.PeerStatus;
+import org.fulmarreach.protocol.thrift.ServiceSummary;
+import org.fulmarreach.runtime.net.FrameLink;
+
+/** One incarnation of another entry, with its open connections. Owned by the actor of peers. */
+final class Peer {
+    private final PeerHello hello;
+    private final List<FrameLink> links = new ArrayList<>();
+    private PeerStatus status = new PeerStatus();
+
+    Peer(PeerHello hello) {
+        this.hello = hello;
+    }
+
+    String id() {
+        return hello.getEntryId();
+    }
+
+    PeerHello hello() {
+        return hello;
+    }
+
+    /** Returns the open connections; two when both ends dialled at the same time. */
+    List<FrameLink> links() {
+        return links;
+    }
+
+    boolean isConnected() {
+        return !links.isEmpty();
+    }
+
+    /** Tells whether it takes work: connected and not shutting down. */
+    boolean isLive() {
+        return isConnected() && !status.isLeaving();
+    }
+
+    PeerStatus status() {
+        return status;
+    }
+
+    void setStatus(PeerStatus newStatus) {
+        status = newStatus;
+    }
+
+    int findFreeSlots(String service) {
+        if (status.getServices() == null) {
+            return 0;
+        }
+        for (ServiceSummary summary : status.getServices()) {
+            if (service.equals(summary.getServiceName())) {
+                return Math.max(0, summary.getSlots() - summary.getSlotsInUse());
+            }
+        }
+        return 0;
+    }
+
+    PeerView toView() {
+        return new PeerView(
+                hello.getEntryId(),
+                hello.getIncarnation(),
+                hello.getZone(),
+                hello.getRegion(),
+                hello.getAddress(),
+                status.getRulesRevision(),
+                status.isStoreReachable(),
+                status.isLeaving());
+    }
+}
