--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkBatch.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkBatch.java
@@ -513,14 +513,14 @@
           case 3: // DECISIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list168 = iprot.readListBegin();
-                struct.decisions = new java.util.ArrayList<WorkDecision>(_list168.size);
-                @org.apache.thrift.annotation.Nullable WorkDecision _elem169;
-                for (int _i170 = 0; _i170 < _list168.size; ++_i170)
+                org.apache.thrift.protocol.TList _list184 = iprot.readListBegin();
+                struct.decisions = new java.util.ArrayList<WorkDecision>(_list184.size);
+                @org.apache.thrift.annotation.Nullable WorkDecision _elem185;
+                for (int _i186 = 0; _i186 < _list184.size; ++_i186)
                 {
-                  _elem169 = new WorkDecision();
-                  _elem169.read(iprot);
-                  struct.decisions.add(_elem169);
+                  _elem185 = new WorkDecision();
+                  _elem185.read(iprot);
+                  struct.decisions.add(_elem185);
                 }
                 iprot.readListEnd();
               }
@@ -557,9 +557,9 @@
         oprot.writeFieldBegin(DECISIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.decisions.size()));
-          for (WorkDecision _iter171 : struct.decisions)
+          for (WorkDecision _iter187 : struct.decisions)
           {
-            _iter171.write(oprot);
+            _iter187.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -603,9 +603,9 @@
       if (struct.isSetDecisions()) {
         {
           oprot.writeI32(struct.decisions.size());
-          for (WorkDecision _iter172 : struct.decisions)
+          for (WorkDecision _iter188 : struct.decisions)
           {
-            _iter172.write(oprot);
+            _iter188.write(oprot);
           }
         }
       }
@@ -625,14 +625,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list173 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.decisions = new java.util.ArrayList<WorkDecision>(_list173.size);
-          @org.apache.thrift.annotation.Nullable WorkDecision _elem174;
-          for (int _i175 = 0; _i175 < _list173.size; ++_i175)
+          org.apache.thrift.protocol.TList _list189 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.decisions = new java.util.ArrayList<WorkDecision>(_list189.size);
+          @org.apache.thrift.annotation.Nullable WorkDecision _elem190;
+          for (int _i191 = 0; _i191 < _list189.size; ++_i191)
           {
-            _elem174 = new WorkDecision();
-            _elem174.read(iprot);
-            struct.decisions.add(_elem174);
+            _elem190 = new WorkDecision();
+            _elem190.read(iprot);
+            struct.decisions.add(_elem190);
           }
         }
         struct.setDecisionsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkCancelled.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkCancelled.java
@@ -6,23 +6,29 @@
  */
 package org.fulmarreach.protocol.thrift;
 
+/**
+ * rule is the text of a standing rule that is cancelled; the work may start again once its rule has another text.
+ */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WorkCancelled implements org.apache.thrift.TBase<WorkCancelled, WorkCancelled._Fields>, java.io.Serializable, Cloneable, Comparable<WorkCancelled> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("WorkCancelled");
 
   private static final org.apache.thrift.protocol.TField WORK_FIELD_DESC = new org.apache.thrift.protocol.TField("work", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField RUN_FIELD_DESC = new org.apache.thrift.protocol.TField("run", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField RULE_FIELD_DESC = new org.apache.thrift.protocol.TField("rule", org.apache.thrift.protocol.TType.STRING, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WorkCancelledStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WorkCancelledTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.lang.String work; // required
   private long run; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String rule; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     WORK((short)1, "work"),
-    RUN((short)2, "run");
+    RUN((short)2, "run"),
+    RULE((short)3, "rule");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +48,8 @@
           return WORK;
         case 2: // RUN
           return RUN;
+        case 3: // RULE
+          return RULE;
         default:
           return null;
       }
@@ -87,6 +95,7 @@
   // isset id assignments
   private static final int __RUN_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.RULE};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -94,6 +103,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.RUN, new org.apache.thrift.meta_data.FieldMetaData("run", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RULE, new org.apache.thrift.meta_data.FieldMetaData("rule", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WorkCancelled.class, metaDataMap);
   }
@@ -120,6 +131,9 @@
       this.work = other.work;
     }
     this.run = other.run;
+    if (other.isSetRule()) {
+      this.rule = other.rule;
+    }
   }
 
   @Override
@@ -132,6 +146,7 @@
     this.work = null;
     setRunIsSet(false);
     this.run = 0;
+    this.rule = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -182,6 +197,31 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RUN_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getRule() {
+    return this.rule;
+  }
+
+  public WorkCancelled setRule(@org.apache.thrift.annotation.Nullable java.lang.String rule) {
+    this.rule = rule;
+    return this;
+  }
+
+  public void unsetRule() {
+    this.rule = null;
+  }
+
+  /** Returns true if field rule is set (has been assigned a value) and false otherwise */
+  public boolean isSetRule() {
+    return this.rule != null;
+  }
+
+  public void setRuleIsSet(boolean value) {
+    if (!value) {
+      this.rule = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -201,6 +241,14 @@
       }
       break;
 
+    case RULE:
+      if (value == null) {
+        unsetRule();
+      } else {
+        setRule((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -214,6 +262,9 @@
     case RUN:
       return getRun();
 
+    case RULE:
+      return getRule();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -230,6 +281,8 @@
       return isSetWork();
     case RUN:
       return isSetRun();
+    case RULE:
+      return isSetRule();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -265,6 +318,15 @@
         return false;
     }
 
+    boolean this_present_rule = true && this.isSetRule();
+    boolean that_present_rule = true && that.isSetRule();
+    if (this_present_rule || that_present_rule) {
+      if (!(this_present_rule && that_present_rule))
+        return false;
+      if (!this.rule.equals(that.rule))
+        return false;
+    }
+
     return true;
   }
 
@@ -278,6 +340,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(run);
 
+    hashCode = hashCode * 8191 + ((isSetRule()) ? 131071 : 524287);
+    if (isSetRule())
+      hashCode = hashCode * 8191 + rule.hashCode();
+
     return hashCode;
   }
 
@@ -309,6 +375,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetRule(), other.isSetRule());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetRule()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.rule, other.rule);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -344,6 +420,16 @@
     sb.append("run:");
     sb.append(this.run);
     first = false;
+    if (isSetRule()) {
+      if (!first) sb.append(", ");
+      sb.append("rule:");
+      if (this.rule == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.rule);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -407,6 +493,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // RULE
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.rule = iprot.readString();
+              struct.setRuleIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -431,6 +525,13 @@
       oprot.writeFieldBegin(RUN_FIELD_DESC);
       oprot.writeI64(struct.run);
       oprot.writeFieldEnd();
+      if (struct.rule != null) {
+        if (struct.isSetRule()) {
+          oprot.writeFieldBegin(RULE_FIELD_DESC);
+          oprot.writeString(struct.rule);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -456,19 +557,25 @@
       if (struct.isSetRun()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetRule()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetWork()) {
         oprot.writeString(struct.work);
       }
       if (struct.isSetRun()) {
         oprot.writeI64(struct.run);
       }
+      if (struct.isSetRule()) {
+        oprot.writeString(struct.rule);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WorkCancelled struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.work = iprot.readString();
         struct.setWorkIsSet(true);
@@ -477,6 +584,10 @@
         struct.run = iprot.readI64();
         struct.setRunIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.rule = iprot.readString();
+        struct.setRuleIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkEntry.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkEntry.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField GUARD_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("guardIncarnation", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField CHECKPOINT_FIELD_DESC = new org.apache.thrift.protocol.TField("checkpoint", org.apache.thrift.protocol.TType.STRING, (short)5);
   private static final org.apache.thrift.protocol.TField FAILED_VMS_FIELD_DESC = new org.apache.thrift.protocol.TField("failedVms", org.apache.thrift.protocol.TType.LIST, (short)6);
+  private static final org.apache.thrift.protocol.TField CANCELLED_RULE_FIELD_DESC = new org.apache.thrift.protocol.TField("cancelledRule", org.apache.thrift.protocol.TType.STRING, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WorkEntryStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WorkEntryTupleSchemeFactory();
@@ -26,6 +27,7 @@
   private long guardIncarnation; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String checkpoint; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> failedVms; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String cancelledRule; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -38,7 +40,8 @@
     VM((short)3, "vm"),
     GUARD_INCARNATION((short)4, "guardIncarnation"),
     CHECKPOINT((short)5, "checkpoint"),
-    FAILED_VMS((short)6, "failedVms");
+    FAILED_VMS((short)6, "failedVms"),
+    CANCELLED_RULE((short)7, "cancelledRule");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -66,6 +69,8 @@
           return CHECKPOINT;
         case 6: // FAILED_VMS
           return FAILED_VMS;
+        case 7: // CANCELLED_RULE
+          return CANCELLED_RULE;
         default:
           return null;
       }
@@ -111,7 +116,7 @@
   // isset id assignments
   private static final int __GUARDINCARNATION_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.VM,_Fields.CHECKPOINT};
+  private static final _Fields optionals[] = {_Fields.VM,_Fields.CHECKPOINT,_Fields.CANCELLED_RULE};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -128,6 +133,8 @@
     tmpMap.put(_Fields.FAILED_VMS, new org.apache.thrift.meta_data.FieldMetaData("failedVms", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
+    tmpMap.put(_Fields.CANCELLED_RULE, new org.apache.thrift.meta_data.FieldMetaData("cancelledRule", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WorkEntry.class, metaDataMap);
   }
@@ -171,6 +178,9 @@
       java.util.List<java.lang.String> __this__failedVms = new java.util.ArrayList<java.lang.String>(other.failedVms);
       this.failedVms = __this__failedVms;
     }
+    if (other.isSetCancelledRule()) {
+      this.cancelledRule = other.cancelledRule;
+    }
   }
 
   @Override
@@ -187,6 +197,7 @@
     this.guardIncarnation = 0;
     this.checkpoint = null;
     this.failedVms = null;
+    this.cancelledRule = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -361,6 +372,31 @@
     }
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getCancelledRule() {
+    return this.cancelledRule;
+  }
+
+  public WorkEntry setCancelledRule(@org.apache.thrift.annotation.Nullable java.lang.String cancelledRule) {
+    this.cancelledRule = cancelledRule;
+    return this;
+  }
+
+  public void unsetCancelledRule() {
+    this.cancelledRule = null;
+  }
+
+  /** Returns true if field cancelledRule is set (has been assigned a value) and false otherwise */
+  public boolean isSetCancelledRule() {
+    return this.cancelledRule != null;
+  }
+
+  public void setCancelledRuleIsSet(boolean value) {
+    if (!value) {
+      this.cancelledRule = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -412,6 +448,14 @@
       }
       break;
 
+    case CANCELLED_RULE:
+      if (value == null) {
+        unsetCancelledRule();
+      } else {
+        setCancelledRule((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -437,6 +481,9 @@
     case FAILED_VMS:
       return getFailedVms();
 
+    case CANCELLED_RULE:
+      return getCancelledRule();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -461,6 +508,8 @@
       return isSetCheckpoint();
     case FAILED_VMS:
       return isSetFailedVms();
+    case CANCELLED_RULE:
+      return isSetCancelledRule();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -532,6 +581,15 @@
         return false;
     }
 
+    boolean this_present_cancelledRule = true && this.isSetCancelledRule();
+    boolean that_present_cancelledRule = true && that.isSetCancelledRule();
+    if (this_present_cancelledRule || that_present_cancelledRule) {
+      if (!(this_present_cancelledRule && that_present_cancelledRule))
+        return false;
+      if (!this.cancelledRule.equals(that.cancelledRule))
+        return false;
+    }
+
     return true;
   }
 
@@ -561,6 +619,10 @@
     if (isSetFailedVms())
       hashCode = hashCode * 8191 + failedVms.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetCancelledRule()) ? 131071 : 524287);
+    if (isSetCancelledRule())
+      hashCode = hashCode * 8191 + cancelledRule.hashCode();
+
     return hashCode;
   }
 
@@ -632,6 +694,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCancelledRule(), other.isSetCancelledRule());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCancelledRule()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.cancelledRule, other.cancelledRule);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -703,6 +775,16 @@
       sb.append(this.failedVms);
     }
     first = false;
+    if (isSetCancelledRule()) {
+      if (!first) sb.append(", ");
+      sb.append("cancelledRule:");
+      if (this.cancelledRule == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.cancelledRule);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -812,6 +894,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // CANCELLED_RULE
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.cancelledRule = iprot.readString();
+              struct.setCancelledRuleIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -867,6 +957,13 @@
         }
         oprot.writeFieldEnd();
       }
+      if (struct.cancelledRule != null) {
+        if (struct.isSetCancelledRule()) {
+          oprot.writeFieldBegin(CANCELLED_RULE_FIELD_DESC);
+          oprot.writeString(struct.cancelledRule);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -904,7 +1001,10 @@
       if (struct.isSetFailedVms()) {
         optionals.set(5);
       }
-      oprot.writeBitSet(optionals, 6);
+      if (struct.isSetCancelledRule()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetTask()) {
         struct.task.write(oprot);
       }
@@ -929,12 +1029,15 @@
           }
         }
       }
+      if (struct.isSetCancelledRule()) {
+        oprot.writeString(struct.cancelledRule);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WorkEntry struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(6);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.task = new TaskId();
         struct.task.read(iprot);
@@ -969,6 +1072,10 @@
         }
         struct.setFailedVmsIsSet(true);
       }
+      if (incoming.get(6)) {
+        struct.cancelledRule = iprot.readString();
+        struct.setCancelledRuleIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkRenew.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkRenew.java
@@ -6,20 +6,26 @@
  */
 package org.fulmarreach.protocol.thrift;
 
+/**
+ * With settled, no leader before this term can have a valid grant any more, and later leaders need not wait for them.
+ */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WorkRenew implements org.apache.thrift.TBase<WorkRenew, WorkRenew._Fields>, java.io.Serializable, Cloneable, Comparable<WorkRenew> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("WorkRenew");
 
   private static final org.apache.thrift.protocol.TField RESIGN_FIELD_DESC = new org.apache.thrift.protocol.TField("resign", org.apache.thrift.protocol.TType.BOOL, (short)1);
+  private static final org.apache.thrift.protocol.TField SETTLED_FIELD_DESC = new org.apache.thrift.protocol.TField("settled", org.apache.thrift.protocol.TType.BOOL, (short)2);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WorkRenewStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WorkRenewTupleSchemeFactory();
 
   private boolean resign; // required
+  private boolean settled; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    RESIGN((short)1, "resign");
+    RESIGN((short)1, "resign"),
+    SETTLED((short)2, "settled");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -37,6 +43,8 @@
       switch(fieldId) {
         case 1: // RESIGN
           return RESIGN;
+        case 2: // SETTLED
+          return SETTLED;
         default:
           return null;
       }
@@ -81,12 +89,15 @@
 
   // isset id assignments
   private static final int __RESIGN_ISSET_ID = 0;
+  private static final int __SETTLED_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.RESIGN, new org.apache.thrift.meta_data.FieldMetaData("resign", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.SETTLED, new org.apache.thrift.meta_data.FieldMetaData("settled", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WorkRenew.class, metaDataMap);
   }
@@ -95,11 +106,14 @@
   }
 
   public WorkRenew(
-    boolean resign)
+    boolean resign,
+    boolean settled)
   {
     this();
     this.resign = resign;
     setResignIsSet(true);
+    this.settled = settled;
+    setSettledIsSet(true);
   }
 
   /**
@@ -108,6 +122,7 @@
   public WorkRenew(WorkRenew other) {
     __isset_bitfield = other.__isset_bitfield;
     this.resign = other.resign;
+    this.settled = other.settled;
   }
 
   @Override
@@ -119,6 +134,8 @@
   public void clear() {
     setResignIsSet(false);
     this.resign = false;
+    setSettledIsSet(false);
+    this.settled = false;
   }
 
   public boolean isResign() {
@@ -144,6 +161,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RESIGN_ISSET_ID, value);
   }
 
+  public boolean isSettled() {
+    return this.settled;
+  }
+
+  public WorkRenew setSettled(boolean settled) {
+    this.settled = settled;
+    setSettledIsSet(true);
+    return this;
+  }
+
+  public void unsetSettled() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SETTLED_ISSET_ID);
+  }
+
+  /** Returns true if field settled is set (has been assigned a value) and false otherwise */
+  public boolean isSetSettled() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SETTLED_ISSET_ID);
+  }
+
+  public void setSettledIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SETTLED_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -155,6 +195,14 @@
       }
       break;
 
+    case SETTLED:
+      if (value == null) {
+        unsetSettled();
+      } else {
+        setSettled((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -165,6 +213,9 @@
     case RESIGN:
       return isResign();
 
+    case SETTLED:
+      return isSettled();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -179,6 +230,8 @@
     switch (field) {
     case RESIGN:
       return isSetResign();
+    case SETTLED:
+      return isSetSettled();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -205,6 +258,15 @@
         return false;
     }
 
+    boolean this_present_settled = true;
+    boolean that_present_settled = true;
+    if (this_present_settled || that_present_settled) {
+      if (!(this_present_settled && that_present_settled))
+        return false;
+      if (this.settled != that.settled)
+        return false;
+    }
+
     return true;
   }
 
@@ -214,6 +276,8 @@
 
     hashCode = hashCode * 8191 + ((resign) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((settled) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -235,6 +299,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSettled(), other.isSetSettled());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSettled()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.settled, other.settled);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -262,6 +336,10 @@
     sb.append("resign:");
     sb.append(this.resign);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("settled:");
+    sb.append(this.settled);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -317,6 +395,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 2: // SETTLED
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.settled = iprot.readBool();
+              struct.setSettledIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -336,6 +422,9 @@
       oprot.writeFieldBegin(RESIGN_FIELD_DESC);
       oprot.writeBool(struct.resign);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(SETTLED_FIELD_DESC);
+      oprot.writeBool(struct.settled);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -358,20 +447,30 @@
       if (struct.isSetResign()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetSettled()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetResign()) {
         oprot.writeBool(struct.resign);
       }
+      if (struct.isSetSettled()) {
+        oprot.writeBool(struct.settled);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WorkRenew struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         struct.resign = iprot.readBool();
         struct.setResignIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.settled = iprot.readBool();
+        struct.setSettledIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkSnapshot.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkSnapshot.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField BASED_ON_OFFSET_FIELD_DESC = new org.apache.thrift.protocol.TField("basedOnOffset", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField WITNESSES_FIELD_DESC = new org.apache.thrift.protocol.TField("witnesses", org.apache.thrift.protocol.TType.LIST, (short)5);
   private static final org.apache.thrift.protocol.TField RESIGNED_FIELD_DESC = new org.apache.thrift.protocol.TField("resigned", org.apache.thrift.protocol.TType.BOOL, (short)6);
+  private static final org.apache.thrift.protocol.TField PREDECESSORS_FIELD_DESC = new org.apache.thrift.protocol.TField("predecessors", org.apache.thrift.protocol.TType.LIST, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WorkSnapshotStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WorkSnapshotTupleSchemeFactory();
@@ -26,6 +27,7 @@
   private long basedOnOffset; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> witnesses; // required
   private boolean resigned; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<WorkPredecessor> predecessors; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,8 @@
     ENTRIES((short)3, "entries"),
     BASED_ON_OFFSET((short)4, "basedOnOffset"),
     WITNESSES((short)5, "witnesses"),
-    RESIGNED((short)6, "resigned");
+    RESIGNED((short)6, "resigned"),
+    PREDECESSORS((short)7, "predecessors");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -62,6 +65,8 @@
           return WITNESSES;
         case 6: // RESIGNED
           return RESIGNED;
+        case 7: // PREDECESSORS
+          return PREDECESSORS;
         default:
           return null;
       }
@@ -126,6 +131,9 @@
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     tmpMap.put(_Fields.RESIGNED, new org.apache.thrift.meta_data.FieldMetaData("resigned", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.PREDECESSORS, new org.apache.thrift.meta_data.FieldMetaData("predecessors", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WorkPredecessor.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WorkSnapshot.class, metaDataMap);
   }
@@ -139,7 +147,8 @@
     java.util.List<WorkEntry> entries,
     long basedOnOffset,
     java.util.List<java.lang.String> witnesses,
-    boolean resigned)
+    boolean resigned,
+    java.util.List<WorkPredecessor> predecessors)
   {
     this();
     this.term = term;
@@ -151,6 +160,7 @@
     this.witnesses = witnesses;
     this.resigned = resigned;
     setResignedIsSet(true);
+    this.predecessors = predecessors;
   }
 
   /**
@@ -175,6 +185,13 @@
       this.witnesses = __this__witnesses;
     }
     this.resigned = other.resigned;
+    if (other.isSetPredecessors()) {
+      java.util.List<WorkPredecessor> __this__predecessors = new java.util.ArrayList<WorkPredecessor>(other.predecessors.size());
+      for (WorkPredecessor other_element : other.predecessors) {
+        __this__predecessors.add(new WorkPredecessor(other_element));
+      }
+      this.predecessors = __this__predecessors;
+    }
   }
 
   @Override
@@ -193,6 +210,7 @@
     this.witnesses = null;
     setResignedIsSet(false);
     this.resigned = false;
+    this.predecessors = null;
   }
 
   public long getTerm() {
@@ -371,6 +389,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RESIGNED_ISSET_ID, value);
   }
 
+  public int getPredecessorsSize() {
+    return (this.predecessors == null) ? 0 : this.predecessors.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WorkPredecessor> getPredecessorsIterator() {
+    return (this.predecessors == null) ? null : this.predecessors.iterator();
+  }
+
+  public void addToPredecessors(WorkPredecessor elem) {
+    if (this.predecessors == null) {
+      this.predecessors = new java.util.ArrayList<WorkPredecessor>();
+    }
+    this.predecessors.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WorkPredecessor> getPredecessors() {
+    return this.predecessors;
+  }
+
+  public WorkSnapshot setPredecessors(@org.apache.thrift.annotation.Nullable java.util.List<WorkPredecessor> predecessors) {
+    this.predecessors = predecessors;
+    return this;
+  }
+
+  public void unsetPredecessors() {
+    this.predecessors = null;
+  }
+
+  /** Returns true if field predecessors is set (has been assigned a value) and false otherwise */
+  public boolean isSetPredecessors() {
+    return this.predecessors != null;
+  }
+
+  public void setPredecessorsIsSet(boolean value) {
+    if (!value) {
+      this.predecessors = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -422,6 +481,14 @@
       }
       break;
 
+    case PREDECESSORS:
+      if (value == null) {
+        unsetPredecessors();
+      } else {
+        setPredecessors((java.util.List<WorkPredecessor>)value);
+      }
+      break;
+
     }
   }
 
@@ -447,6 +514,9 @@
     case RESIGNED:
       return isResigned();
 
+    case PREDECESSORS:
+      return getPredecessors();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -471,6 +541,8 @@
       return isSetWitnesses();
     case RESIGNED:
       return isSetResigned();
+    case PREDECESSORS:
+      return isSetPredecessors();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -542,6 +614,15 @@
         return false;
     }
 
+    boolean this_present_predecessors = true && this.isSetPredecessors();
+    boolean that_present_predecessors = true && that.isSetPredecessors();
+    if (this_present_predecessors || that_present_predecessors) {
+      if (!(this_present_predecessors && that_present_predecessors))
+        return false;
+      if (!this.predecessors.equals(that.predecessors))
+        return false;
+    }
+
     return true;
   }
 
@@ -567,6 +648,10 @@
 
     hashCode = hashCode * 8191 + ((resigned) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetPredecessors()) ? 131071 : 524287);
+    if (isSetPredecessors())
+      hashCode = hashCode * 8191 + predecessors.hashCode();
+
     return hashCode;
   }
 
@@ -638,6 +723,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPredecessors(), other.isSetPredecessors());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPredecessors()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.predecessors, other.predecessors);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -697,6 +792,14 @@
     sb.append("resigned:");
     sb.append(this.resigned);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("predecessors:");
+    if (this.predecessors == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.predecessors);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -763,14 +866,14 @@
           case 3: // ENTRIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list152 = iprot.readListBegin();
-                struct.entries = new java.util.ArrayList<WorkEntry>(_list152.size);
-                @org.apache.thrift.annotation.Nullable WorkEntry _elem153;
-                for (int _i154 = 0; _i154 < _list152.size; ++_i154)
+                org.apache.thrift.protocol.TList _list160 = iprot.readListBegin();
+                struct.entries = new java.util.ArrayList<WorkEntry>(_list160.size);
+                @org.apache.thrift.annotation.Nullable WorkEntry _elem161;
+                for (int _i162 = 0; _i162 < _list160.size; ++_i162)
                 {
-                  _elem153 = new WorkEntry();
-                  _elem153.read(iprot);
-                  struct.entries.add(_elem153);
+                  _elem161 = new WorkEntry();
+                  _elem161.read(iprot);
+                  struct.entries.add(_elem161);
                 }
                 iprot.readListEnd();
               }
@@ -790,13 +893,13 @@
           case 5: // WITNESSES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list155 = iprot.readListBegin();
-                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list155.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem156;
-                for (int _i157 = 0; _i157 < _list155.size; ++_i157)
+                org.apache.thrift.protocol.TList _list163 = iprot.readListBegin();
+                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list163.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem164;
+                for (int _i165 = 0; _i165 < _list163.size; ++_i165)
                 {
-                  _elem156 = iprot.readString();
-                  struct.witnesses.add(_elem156);
+                  _elem164 = iprot.readString();
+                  struct.witnesses.add(_elem164);
                 }
                 iprot.readListEnd();
               }
@@ -813,6 +916,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // PREDECESSORS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list166 = iprot.readListBegin();
+                struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list166.size);
+                @org.apache.thrift.annotation.Nullable WorkPredecessor _elem167;
+                for (int _i168 = 0; _i168 < _list166.size; ++_i168)
+                {
+                  _elem167 = new WorkPredecessor();
+                  _elem167.read(iprot);
+                  struct.predecessors.add(_elem167);
+                }
+                iprot.readListEnd();
+              }
+              struct.setPredecessorsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -841,9 +963,9 @@
         oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.entries.size()));
-          for (WorkEntry _iter158 : struct.entries)
+          for (WorkEntry _iter169 : struct.entries)
           {
-            _iter158.write(oprot);
+            _iter169.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -856,9 +978,9 @@
         oprot.writeFieldBegin(WITNESSES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.witnesses.size()));
-          for (java.lang.String _iter159 : struct.witnesses)
+          for (java.lang.String _iter170 : struct.witnesses)
           {
-            oprot.writeString(_iter159);
+            oprot.writeString(_iter170);
           }
           oprot.writeListEnd();
         }
@@ -867,6 +989,18 @@
       oprot.writeFieldBegin(RESIGNED_FIELD_DESC);
       oprot.writeBool(struct.resigned);
       oprot.writeFieldEnd();
+      if (struct.predecessors != null) {
+        oprot.writeFieldBegin(PREDECESSORS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.predecessors.size()));
+          for (WorkPredecessor _iter171 : struct.predecessors)
+          {
+            _iter171.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -904,7 +1038,10 @@
       if (struct.isSetResigned()) {
         optionals.set(5);
       }
-      oprot.writeBitSet(optionals, 6);
+      if (struct.isSetPredecessors()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetTerm()) {
         oprot.writeI64(struct.term);
       }
@@ -914,9 +1051,9 @@
       if (struct.isSetEntries()) {
         {
           oprot.writeI32(struct.entries.size());
-          for (WorkEntry _iter160 : struct.entries)
+          for (WorkEntry _iter172 : struct.entries)
           {
-            _iter160.write(oprot);
+            _iter172.write(oprot);
           }
         }
       }
@@ -926,21 +1063,30 @@
       if (struct.isSetWitnesses()) {
         {
           oprot.writeI32(struct.witnesses.size());
-          for (java.lang.String _iter161 : struct.witnesses)
+          for (java.lang.String _iter173 : struct.witnesses)
           {
-            oprot.writeString(_iter161);
+            oprot.writeString(_iter173);
           }
         }
       }
       if (struct.isSetResigned()) {
         oprot.writeBool(struct.resigned);
       }
+      if (struct.isSetPredecessors()) {
+        {
+          oprot.writeI32(struct.predecessors.size());
+          for (WorkPredecessor _iter174 : struct.predecessors)
+          {
+            _iter174.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WorkSnapshot struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(6);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.term = iprot.readI64();
         struct.setTermIsSet(true);
@@ -951,14 +1097,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list162 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.entries = new java.util.ArrayList<WorkEntry>(_list162.size);
-          @org.apache.thrift.annotation.Nullable WorkEntry _elem163;
-          for (int _i164 = 0; _i164 < _list162.size; ++_i164)
+          org.apache.thrift.protocol.TList _list175 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.entries = new java.util.ArrayList<WorkEntry>(_list175.size);
+          @org.apache.thrift.annotation.Nullable WorkEntry _elem176;
+          for (int _i177 = 0; _i177 < _list175.size; ++_i177)
           {
-            _elem163 = new WorkEntry();
-            _elem163.read(iprot);
-            struct.entries.add(_elem163);
+            _elem176 = new WorkEntry();
+            _elem176.read(iprot);
+            struct.entries.add(_elem176);
           }
         }
         struct.setEntriesIsSet(true);
@@ -969,13 +1115,13 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list165 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list165.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem166;
-          for (int _i167 = 0; _i167 < _list165.size; ++_i167)
+          org.apache.thrift.protocol.TList _list178 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list178.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem179;
+          for (int _i180 = 0; _i180 < _list178.size; ++_i180)
           {
-            _elem166 = iprot.readString();
-            struct.witnesses.add(_elem166);
+            _elem179 = iprot.readString();
+            struct.witnesses.add(_elem179);
           }
         }
         struct.setWitnessesIsSet(true);
@@ -984,6 +1130,20 @@
         struct.resigned = iprot.readBool();
         struct.setResignedIsSet(true);
       }
+      if (incoming.get(6)) {
+        {
+          org.apache.thrift.protocol.TList _list181 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list181.size);
+          @org.apache.thrift.annotation.Nullable WorkPredecessor _elem182;
+          for (int _i183 = 0; _i183 < _list181.size; ++_i183)
+          {
+            _elem182 = new WorkPredecessor();
+            _elem182.read(iprot);
+            struct.predecessors.add(_elem182);
+          }
+        }
+        struct.setPredecessorsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -292,7 +292,8 @@
 
 /** Records of the streams "work-<region>-<n>". A batch is one append and is decided as a whole in order. */
 struct WorkClaim { 1: string leader, 2: i64 seenOffset, 3: list<string> witnesses }
-struct WorkRenew { 1: bool resign }
+/** With settled, no leader before this term can have a valid grant any more, and later leaders need not wait for them. */
+struct WorkRenew { 1: bool resign, 2: bool settled }
 struct WorkAssign {
   1: TaskId task,
   2: string vm,
@@ -302,7 +303,8 @@
 struct WorkStopped { 1: TaskId task, 2: optional string checkpoint, 3: optional string reason }
 struct WorkFinished { 1: TaskId task, 2: bool success, 3: optional string reason }
 struct WorkEvictIntent { 1: TaskId task }
-struct WorkCancelled { 1: string work, 2: i64 run }
+/** rule is the text of a standing rule that is cancelled; the work may start again once its rule has another text. */
+struct WorkCancelled { 1: string work, 2: i64 run, 3: optional string rule }
 enum WorkPhase { PENDING = 1, ASSIGNED = 2, EVICTING = 3, DONE = 4, CANCELLED = 5, QUARANTINED = 6 }
 struct WorkEntry {
   1: TaskId task,
@@ -310,15 +312,19 @@
   3: optional string vm,
   4: i64 guardIncarnation,
   5: optional string checkpoint,
-  6: list<string> failedVms
+  6: list<string> failedVms,
+  7: optional string cancelledRule
 }
+/** A leader whose last grants may still be valid. */
+struct WorkPredecessor { 1: i64 term, 2: list<string> witnesses, 3: bool resigned }
 struct WorkSnapshot {
   1: i64 term,
   2: string leader,
   3: list<WorkEntry> entries,
   4: i64 basedOnOffset,
   5: list<string> witnesses,
-  6: bool resigned
+  6: bool resigned,
+  7: list<WorkPredecessor> predecessors
 }
 union WorkDecision {
   1: WorkClaim claim,
