--- /dev/null
+++ b/standin/src/main/java/org/fulmarreach/standin/StandInServer.java
@@ -0,0 +1,153 @@
+package org.fulmarreach.standin;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntConsumer;
+
+import org.apache.pekko.Done;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.IncomingConnection;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.SystemMaterializer;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/** HTTP server of a stand-in on 127.0.0.1. It counts its open connections and can end one without an answer. */
+final class StandInServer {
+    static final String HOST = "127.0.0.1";
+
+    /** Answer that closes the connection without writing a byte. */
+    static final HttpResponse CLOSE = HttpResponse.create().withStatus(500);
+
+    static final ObjectMapper JSON = new ObjectMapper();
+
+    private static final int MAX_BODY_BYTES = 16 << 20;
+    private static final int BODY_TIMEOUT_MS = 30_000;
+
+    private final Materializer materializer;
+    private final Handler handler;
+    private final IntConsumer onConnections;
+    private final AtomicInteger connections = new AtomicInteger();
+    private final ServerBinding binding;
+
+    /**
+     * Binds a server; returns when it listens.
+     *
+     * @param port port, or 0 for a free one
+     * @param onConnections receives the number of open connections whenever one is added
+     */
+    StandInServer(ActorSystem system, int port, Handler handler, IntConsumer onConnections) {
+        this.materializer = SystemMaterializer.get(system).materializer();
+        this.handler = handler;
+        this.onConnections = onConnections;
+        this.binding = Http.get(system)
+                .newServerAt(HOST, port)
+                .connectionSource()
+                .to(Sink.foreach(this::accept))
+                .run(materializer)
+                .toCompletableFuture()
+                .join();
+    }
+
+    int port() {
+        InetSocketAddress address = binding.localAddress();
+        return address.getPort();
+    }
+
+    String address() {
+        return HOST + ":" + port();
+    }
+
+    /** Stops listening; open connections go on. */
+    void unbind() {
+        binding.unbind().toCompletableFuture().join();
+    }
+
+    // Helpers for handlers
+
+    static HttpResponse json(int status, Object body) {
+        try {
+            return HttpResponse.create()
+                    .withStatus(status)
+                    .withEntity(ContentTypes.APPLICATION_JSON, JSON.writeValueAsBytes(body));
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    static HttpResponse error(int status, String message) {
+        return json(status, Map.of("error", message));
+    }
+
+    /** Returns an answer that announces the whole length, and breaks the connection after half of the body. */
+    static HttpResponse truncated(byte[] body) {
+        Source<ByteString, NotUsed> half = Source.single(ByteString.fromArray(body, 0, body.length / 2));
+        Source<ByteString, NotUsed> broken =
+                half.concat(Source.failed(new IllegalStateException("truncated on demand")));
+        return HttpResponse.create()
+                .withStatus(200)
+                .withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, body.length, broken));
+    }
+
+    static JsonNode parse(byte[] body) {
+        try {
+            return body.length == 0 ? JSON.createObjectNode() : JSON.readTree(body);
+        } catch (java.io.IOException e) {
+            throw new IllegalArgumentException("the body is not JSON: " + e.getMessage());
+        }
+    }
+
+    static long queryLong(HttpRequest request, String name, long fallback) {
+        return request.getUri().query().get(name).map(Long::parseLong).orElse(fallback);
+    }
+
+    static String header(HttpRequest request, String name) {
+        return request.getHeader(name).map(h -> h.value()).orElse("");
+    }
+
+    // Helpers
+
+    private void accept(IncomingConnection connection) {
+        onConnections.accept(connections.incrementAndGet());
+        Flow<HttpRequest, HttpResponse, CompletionStage<Done>> flow = Flow.of(HttpRequest.class)
+                .mapAsync(1, this::answer)
+                .takeWhile(response -> response != CLOSE)
+                .watchTermination((unused, done) -> done);
+        connection.handleWith(flow, materializer).whenComplete((done, failure) -> connections.decrementAndGet());
+    }
+
+    private CompletionStage<HttpResponse> answer(HttpRequest request) {
+        return request.entity()
+                .toStrict(BODY_TIMEOUT_MS, MAX_BODY_BYTES, materializer)
+                .thenCompose(strict -> handle(request, strict.getData().toArray()));
+    }
+
+    private CompletionStage<HttpResponse> handle(HttpRequest request, byte[] body) {
+        try {
+            return handler.handle(request, body).exceptionally(failure -> error(500, String.valueOf(failure)));
+        } catch (IllegalArgumentException e) {
+            return CompletableFuture.completedFuture(error(400, String.valueOf(e.getMessage())));
+        }
+    }
+
+    /** Answers requests; the body is read whole before. */
+    interface Handler {
+        CompletionStage<HttpResponse> handle(HttpRequest request, byte[] body);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/fulmarreach/standin/WorkerAgent.java
@@ -0,0 +1,279 @@
+package org.fulmarreach.standin;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import org.fulmarreach.core.model.Resources;
+
+/**
+ * Tasks of one VM under leases on the agent's own monotonic clock. It performs no work: progress is time multiplied by
+ * the throttle share. Safe for use by several threads. {@link #tick()} must be called regularly.
+ */
+final class WorkerAgent {
+    private static final String CHECKPOINT_PREFIX = "progressMs:";
+
+    /** Ended tasks that stay in the list, so that a lost answer can be resolved. */
+    private static final int MAX_ENDED = 1_000;
+
+    private final LongSupplier clockMs;
+    private final Journal journal;
+    private final Resources capacity;
+    private final long usageLagMs;
+    private final long defaultRunMs;
+    private final Set<String> standingNames;
+    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private boolean failAll;
+    private long usagePausedAtMs = -1;
+
+    /**
+     * Constructs an agent without tasks.
+     *
+     * @param clockMs monotonic clock in milliseconds
+     * @param usageLagMs age of the usage figures in milliseconds
+     * @param defaultRunMs run time of a task whose text gives none, in milliseconds
+     * @param standingNames plain task names that run until they are stopped
+     */
+    WorkerAgent(
+            LongSupplier clockMs,
+            Journal journal,
+            Resources capacity,
+            long usageLagMs,
+            long defaultRunMs,
+            Set<String> standingNames) {
+        this.clockMs = clockMs;
+        this.journal = journal;
+        this.capacity = capacity;
+        this.usageLagMs = usageLagMs;
+        this.defaultRunMs = defaultRunMs;
+        this.standingNames = Set.copyOf(standingNames);
+    }
+
+    Resources capacity() {
+        return capacity;
+    }
+
+    synchronized void setFailAll(boolean newFailAll) {
+        failAll = newFailAll;
+    }
+
+    /** Freezes the usage figures, so that their lag grows, or lets them follow again. */
+    synchronized void setUsagePaused(boolean paused) {
+        usagePausedAtMs = paused ? clockMs.getAsLong() : -1;
+    }
+
+    /** Starts a task; returns null, or why the task does not run under this id. */
+    synchronized String start(String id, long leaseMs, Resources declared, String text, String checkpoint) {
+        tick();
+        Task known = tasks.get(id);
+        if (known != null) {
+            return known.state.equals("RUNNING") ? null : "the task " + id + " has ended as " + known.state;
+        }
+        TaskSpec spec = TaskSpec.parse(text, defaultRunMs);
+        if (standingNames.contains(spec.name())) {
+            spec = new TaskSpec(spec.name(), spec.milliCores(), spec.memoryMb(), TaskSpec.FOREVER, spec.failAtMs());
+        }
+        long nowMs = clockMs.getAsLong();
+        Task task = new Task(id, declared, spec, nowMs, parseCheckpoint(checkpoint));
+        task.leaseEndMs = nowMs + leaseMs;
+        tasks.put(id, task);
+        if (failAll || spec.neverStarts()) {
+            end(task, "FAILED", "FAIL_START", "the task cannot start");
+            return task.reason;
+        }
+        journal.add("START", "id", id, "fromMs", task.progressMs, "text", text);
+        checkCapacity();
+        return null;
+    }
+
+    /** Extends the lease; null when the id is unknown, false when the task has ended. */
+    synchronized Boolean renew(String id, long leaseMs) {
+        return update(id, task -> task.leaseEndMs = clockMs.getAsLong() + leaseMs);
+    }
+
+    synchronized Boolean throttle(String id, double share) {
+        if (!(share > 0 && share <= 1)) {
+            throw new IllegalArgumentException("share must be in (0, 1]");
+        }
+        return update(id, task -> {
+            task.share = share;
+            task.shares.add(new Share(clockMs.getAsLong(), share));
+            journal.add("THROTTLE", "id", id, "share", share);
+        });
+    }
+
+    /** Returns the checkpoint of a running task, or null. */
+    synchronized String checkpoint(String id) {
+        tick();
+        Task task = tasks.get(id);
+        if (task == null || !task.state.equals("RUNNING")) {
+            return null;
+        }
+        String checkpoint = CHECKPOINT_PREFIX + task.progressMs;
+        journal.add("CHECKPOINT", "id", id, "progressMs", task.progressMs);
+        return checkpoint;
+    }
+
+    /** Stops a task; false when the id is unknown. */
+    synchronized boolean stop(String id) {
+        tick();
+        Task task = tasks.get(id);
+        if (task != null && task.state.equals("RUNNING")) {
+            end(task, "STOPPED", "STOP", "stopped on demand");
+        }
+        return task != null;
+    }
+
+    /** Advances all tasks to the present time, and stops those whose lease has lapsed. */
+    synchronized void tick() {
+        long nowMs = clockMs.getAsLong();
+        for (Task task : List.copyOf(tasks.values())) {
+            if (task.state.equals("RUNNING")) {
+                advance(task, nowMs);
+            }
+        }
+    }
+
+    synchronized Map<String, Object> list() {
+        tick();
+        List<Map<String, Object>> list = new ArrayList<>();
+        long nowMs = clockMs.getAsLong();
+        long seenMs = (usagePausedAtMs >= 0 ? usagePausedAtMs : nowMs) - usageLagMs;
+        for (Task task : tasks.values()) {
+            Map<String, Object> entry = new LinkedHashMap<>();
+            double share = task.shareAt(seenMs);
+            entry.put("id", task.id);
+            entry.put("state", task.state);
+            entry.put("cores", task.realMilliCores() * share / 1000.0);
+            entry.put("memoryMb", share == 0 ? 0 : task.realMemoryMb());
+            entry.put("lagMs", nowMs - seenMs);
+            entry.put("reason", task.reason);
+            list.add(entry);
+        }
+        return Map.of("tasks", list);
+    }
+
+    /** Returns the processors that running tasks really use now, in thousandths of a core. */
+    synchronized double usedMilliCores() {
+        double sum = 0;
+        for (Task task : tasks.values()) {
+            if (task.state.equals("RUNNING")) {
+                sum += task.realMilliCores() * task.share;
+            }
+        }
+        return sum;
+    }
+
+    // Helpers
+
+    private Boolean update(String id, java.util.function.Consumer<Task> change) {
+        tick();
+        Task task = tasks.get(id);
+        if (task == null) {
+            return null;
+        }
+        if (!task.state.equals("RUNNING")) {
+            return false;
+        }
+        change.accept(task);
+        return true;
+    }
+
+    private void advance(Task task, long nowMs) {
+        // The task ends when its lease does, even when the tick comes later.
+        long untilMs = Math.min(nowMs, task.leaseEndMs);
+        task.progressMs += (long) ((untilMs - task.advancedMs) * task.share);
+        task.advancedMs = untilMs;
+        if (task.progressMs >= task.spec.failAtMs()) {
+            end(task, "FAILED", "FAIL", "the task failed");
+        } else if (task.progressMs >= task.spec.runMs()) {
+            end(task, "SUCCEEDED", "FINISH", "");
+        } else if (nowMs >= task.leaseEndMs) {
+            end(task, "STOPPED", "LEASE_LAPSED", "the lease lapsed");
+        }
+    }
+
+    private void end(Task task, String state, String event, String reason) {
+        task.state = state;
+        task.reason = reason;
+        task.shares.add(new Share(clockMs.getAsLong(), 0));
+        journal.add(event, "id", task.id, "progressMs", task.progressMs);
+        List<String> ended = new ArrayList<>();
+        tasks.values().stream().filter(t -> !t.state.equals("RUNNING")).forEach(t -> ended.add(t.id));
+        if (ended.size() > MAX_ENDED) {
+            tasks.remove(ended.getFirst());
+        }
+    }
+
+    private void checkCapacity() {
+        Resources sum = Resources.NONE;
+        for (Task task : tasks.values()) {
+            if (task.state.equals("RUNNING")) {
+                sum = sum.plus(task.declared);
+            }
+        }
+        if (!sum.fitsInto(capacity)) {
+            journal.add("OVERFULL", "declared", sum.toString(), "capacity", capacity.toString());
+        }
+    }
+
+    private static long parseCheckpoint(String checkpoint) {
+        if (checkpoint == null || checkpoint.isEmpty()) {
+            return 0;
+        }
+        if (!checkpoint.startsWith(CHECKPOINT_PREFIX)) {
+            throw new IllegalArgumentException("not a checkpoint of this agent: " + checkpoint);
+        }
+        return Long.parseLong(checkpoint.substring(CHECKPOINT_PREFIX.length()));
+    }
+
+    /** Throttle share from a time on; 0 after the end. */
+    private record Share(long fromMs, double share) {}
+
+    /** State of one task. */
+    private static final class Task {
+        private final String id;
+        private final Resources declared;
+        private final TaskSpec spec;
+        private final Deque<Share> shares = new ArrayDeque<>();
+        private String state = "RUNNING";
+        private String reason = "";
+        private long progressMs;
+        private long advancedMs;
+        private long leaseEndMs;
+        private double share = 1;
+
+        Task(String id, Resources declared, TaskSpec spec, long nowMs, long progressMs) {
+            this.id = id;
+            this.declared = declared;
+            this.spec = spec;
+            this.advancedMs = nowMs;
+            this.progressMs = progressMs;
+            shares.add(new Share(nowMs, 1));
+        }
+
+        int realMilliCores() {
+            return spec.milliCores() >= 0 ? spec.milliCores() : declared.milliCores();
+        }
+
+        long realMemoryMb() {
+            return spec.memoryMb() >= 0 ? spec.memoryMb() : declared.memoryMb();
+        }
+
+        /** Returns the share at {@code atMs}; 0 before the start and after the end. */
+        double shareAt(long atMs) {
+            double found = 0;
+            for (Share change : shares) {
+                if (change.fromMs() <= atMs) {
+                    found = change.share();
+                }
+            }
+            return found;
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/fulmarreach/standin/WorkerStandIn.java
@@ -0,0 +1,144 @@
+package org.fulmarreach.standin;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.fulmarreach.core.model.Resources;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** The worker agent of one VM: HTTP over a {@link WorkerAgent}. */
+final class WorkerStandIn {
+    private static final int TICK_MS = 20;
+
+    private final WorkerAgent agent;
+    private final Journal journal;
+    private final ScheduledExecutorService timer;
+    private final StandInServer server;
+    private volatile long delayMs;
+
+    WorkerStandIn(ActorSystem system, ScheduledExecutorService timer, int port, WorkerAgent agent, Journal journal) {
+        this.agent = agent;
+        this.journal = journal;
+        this.timer = timer;
+        this.server = new StandInServer(system, port, this::handle, connections -> {});
+        timer.scheduleWithFixedDelay(agent::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    StandInServer server() {
+        return server;
+    }
+
+    private CompletionStage<HttpResponse> handle(HttpRequest request, byte[] body) {
+        String path = request.getUri().path();
+        JsonNode json = StandInServer.parse(body);
+        if (path.equals("/control")) {
+            return CompletableFuture.completedFuture(control(json));
+        }
+        if (path.equals("/journal")) {
+            return CompletableFuture.completedFuture(StandInServer.json(200, journal.snapshot()));
+        }
+        if (delayMs == 0) {
+            return CompletableFuture.completedFuture(serve(request, path, json));
+        }
+        CompletableFuture<HttpResponse> later = new CompletableFuture<>();
+        timer.schedule(() -> later.complete(serveSafely(request, path, json)), delayMs, TimeUnit.MILLISECONDS);
+        return later;
+    }
+
+    private HttpResponse serveSafely(HttpRequest request, String path, JsonNode json) {
+        try {
+            return serve(request, path, json);
+        } catch (IllegalArgumentException e) {
+            return StandInServer.error(400, e.getMessage());
+        }
+    }
+
+    private HttpResponse serve(HttpRequest request, String path, JsonNode json) {
+        String[] parts = path.split("/");
+        String method = request.method().name();
+        String route = method + " " + (parts.length > 1 ? parts[1] : "") + (parts.length > 3 ? " " + parts[3] : "");
+        String id = parts.length > 2 ? parts[2] : "";
+        return switch (route) {
+            case "GET capacity" -> StandInServer.json(200, describe(agent.capacity()));
+            case "GET tasks" -> StandInServer.json(200, agent.list());
+            case "PUT tasks" -> start(id, json);
+            case "POST tasks renew" -> answer(agent.renew(id, requireLong(json, "leaseMs")));
+            case "POST tasks throttle" ->
+                answer(agent.throttle(id, json.path("share").asDouble()));
+            case "POST tasks checkpoint" -> checkpoint(id);
+            case "DELETE tasks" -> answer(agent.stop(id) ? Boolean.TRUE : null);
+            default -> StandInServer.error(404, "no such path");
+        };
+    }
+
+    private HttpResponse start(String id, JsonNode json) {
+        Resources declared = new Resources(
+                (int) Math.round(json.path("cores").asDouble() * 1000),
+                json.path("memoryMb").asLong(),
+                json.path("accelerators").asInt(0));
+        long leaseMs = requireLong(json, "leaseMs");
+        String refusal;
+        try {
+            refusal = agent.start(
+                    id,
+                    leaseMs,
+                    declared,
+                    json.path("task").asText(),
+                    json.path("checkpoint").asText(null));
+        } catch (IllegalArgumentException e) {
+            // A task text or checkpoint that cannot be read never runs, however often it is tried.
+            refusal = String.valueOf(e.getMessage());
+        }
+        return refusal == null
+                ? StandInServer.json(200, Map.of("state", "RUNNING"))
+                : StandInServer.error(422, refusal);
+    }
+
+    private HttpResponse checkpoint(String id) {
+        String checkpoint = agent.checkpoint(id);
+        return checkpoint == null
+                ? StandInServer.error(409, "the task does not run")
+                : StandInServer.json(200, Map.of("checkpoint", checkpoint));
+    }
+
+    private static HttpResponse answer(Boolean running) {
+        if (running == null) {
+            return StandInServer.error(404, "no such task");
+        }
+        return running ? StandInServer.json(200, Map.of()) : StandInServer.error(409, "the task has ended");
+    }
+
+    private HttpResponse control(JsonNode settings) {
+        delayMs = settings.path("delayMs").asLong(delayMs);
+        if (settings.has("failAll")) {
+            agent.setFailAll(settings.get("failAll").asBoolean());
+        }
+        if (settings.has("pausedUsage")) {
+            agent.setUsagePaused(settings.get("pausedUsage").asBoolean());
+        }
+        return StandInServer.json(200, Map.of("delayMs", delayMs));
+    }
+
+    private static Map<String, Object> describe(Resources resources) {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("cores", resources.milliCores() / 1000.0);
+        fields.put("memoryMb", resources.memoryMb());
+        fields.put("accelerators", resources.accelerators());
+        return fields;
+    }
+
+    private static long requireLong(JsonNode json, String name) {
+        if (!json.path(name).isNumber()) {
+            throw new IllegalArgumentException("expected a number in the field " + name);
+        }
+        return json.get(name).asLong();
+    }
+}
--- a/standin/src/main/java/org/fulmarreach/standin/package-info.java
+++ b/standin/src/main/java/org/fulmarreach/standin/package-info.java
@@ -1,2 +1,2 @@
-/** Module standin; docs/design.md section 3 gives its role. */
+/** Stand-ins for the platform, targets, a fault-injecting proxy and a load tool; docs/PLATFORM.md describes them. */
 package org.fulmarreach.standin;
