--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/work/RunViews.java
@@ -0,0 +1,86 @@
+package org.fulmarreach.core.work;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.fulmarreach.core.rules.BatchRule;
+import org.fulmarreach.core.rules.BatchRun;
+import org.fulmarreach.core.rules.Rule;
+import org.fulmarreach.core.rules.StandingRule;
+
+/** Describes runs for operators. Stateless. */
+final class RunViews {
+    private RunViews() {}
+
+    static List<RunView> list(
+            ShardState fold, Scheduler scheduler, Map<RunKey, String> waiting, boolean leading, long wallMs) {
+        List<RunView> views = new ArrayList<>();
+        for (WorkEntry entry : fold.entries()) {
+            Rule rule = scheduler.findRule(entry.task().work());
+            views.add(new RunView(
+                    entry.key(),
+                    rule == null ? "" : rule.member().name(),
+                    entry.phase(),
+                    entry.live() ? entry.vm() : "",
+                    entry.task().epoch(),
+                    findDeadlineMs(rule, entry.key()),
+                    explain(entry, rule, waiting, leading)));
+        }
+        for (Rule rule : scheduler.rules()) {
+            addNew(views, rule, fold, scheduler, waiting, leading, wallMs);
+        }
+        return views;
+    }
+
+    private static void addNew(
+            List<RunView> views,
+            Rule rule,
+            ShardState fold,
+            Scheduler scheduler,
+            Map<RunKey, String> waiting,
+            boolean leading,
+            long wallMs) {
+        if (rule instanceof StandingRule standing) {
+            RunKey key = new RunKey(standing.name(), RunKey.STANDING);
+            if (fold.find(key) == null) {
+                views.add(construct(key, rule, waiting.getOrDefault(key, explainNew(leading))));
+            }
+        } else if (rule instanceof BatchRule batch) {
+            for (BatchRun run : scheduler.findDueRuns(batch, fold, wallMs)) {
+                RunKey key = new RunKey(batch.name(), run.run());
+                views.add(construct(key, rule, waiting.getOrDefault(key, explainNew(leading))));
+            }
+            for (BatchRun run : batch.findRuns(wallMs + 1, wallMs + 1 + batch.everyMs())) {
+                RunKey key = new RunKey(batch.name(), run.run());
+                if (fold.find(key) == null) {
+                    views.add(construct(key, rule, "starts in " + (run.startMs() - wallMs) / 1000 + " s"));
+                }
+            }
+        }
+    }
+
+    private static RunView construct(RunKey key, Rule rule, String reason) {
+        return new RunView(key, rule.member().name(), WorkPhase.PENDING, "", 0, findDeadlineMs(rule, key), reason);
+    }
+
+    private static String explainNew(boolean leading) {
+        return leading ? "will be placed" : "waits for the leader of the shard";
+    }
+
+    private static String explain(WorkEntry entry, Rule rule, Map<RunKey, String> waiting, boolean leading) {
+        return switch (entry.phase()) {
+            case PENDING ->
+                rule == null ? "its rule was removed" : waiting.getOrDefault(entry.key(), explainNew(leading));
+            case ASSIGNED -> rule == null ? "its rule was removed; it is being stopped" : "runs on " + entry.vm();
+            case EVICTING -> "is evicted, since it slows the service on " + entry.vm();
+            case DONE -> "finished";
+            case CANCELLED -> entry.live() ? "cancelled; it is being stopped" : "cancelled";
+            case QUARANTINED -> "failed on " + String.join(", ", entry.failedVms()) + " and is not started again";
+        };
+    }
+
+    private static long findDeadlineMs(Rule rule, RunKey key) {
+        return rule instanceof BatchRule batch && !key.standing() ? Scheduler.findDeadlineMs(batch, key.run()) : 0;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/work/VmPool.java
@@ -0,0 +1,142 @@
+package org.fulmarreach.core.work;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToDoubleBiFunction;
+import java.util.random.RandomGenerator;
+
+import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.core.model.Vm;
+
+/**
+ * The VMs that work can be placed on in one planning step, with what is free on each. Not thread-safe; lives for one
+ * step.
+ */
+final class VmPool {
+    private static final double RISK_WEIGHT = 4;
+    private static final double HARM_WEIGHT = 2;
+
+    /** Small enough to decide only between equals; leaders of other shards then choose other VMs. */
+    private static final double NOISE = 0.05;
+
+    private static final class Room {
+        private final GuardReport report;
+        private Resources free;
+
+        Room(GuardReport report) {
+            this.report = report;
+            this.free = report.free();
+        }
+    }
+
+    private final Map<String, Room> rooms = new HashMap<>();
+    private final Map<String, Integer> tasksByRack = new HashMap<>();
+    private final Map<String, Integer> tasksByZone = new HashMap<>();
+    private final List<Vm> known = new ArrayList<>();
+    private final StartHealth health;
+    private final ToDoubleBiFunction<String, String> harm;
+    private final RandomGenerator random;
+    private int tasks;
+    private Resources totalFree = Resources.NONE;
+
+    VmPool(
+            Collection<GuardSlot> guards,
+            StartHealth health,
+            ToDoubleBiFunction<String, String> harm,
+            RandomGenerator random,
+            long nowMs) {
+        this.health = health;
+        this.harm = harm;
+        this.random = random;
+        int ejected = 0;
+        for (GuardSlot slot : guards) {
+            GuardReport report = slot.report();
+            if (!slot.isReachable(nowMs)) {
+                continue;
+            }
+            known.add(report.vm());
+            report.tasks().forEach(task -> {
+                if (!task.phase().isFinal()) {
+                    count(report.vm());
+                }
+            });
+            if (!report.ready()) {
+                continue;
+            }
+            boolean usable = health.isUsable(report.vm().id(), nowMs);
+            // With most VMs ejected the cause is hardly the VMs, so at most half of them are left out.
+            if (!usable && ++ejected * 2 <= guards.size()) {
+                continue;
+            }
+            rooms.put(report.vm().id(), new Room(report));
+            totalFree = totalFree.plus(report.free());
+        }
+    }
+
+    /** Takes room that the last heartbeat does not show as taken. */
+    void take(String vm, Resources size) {
+        Room room = rooms.get(vm);
+        if (room != null) {
+            room.free = room.free.minus(size);
+            totalFree = totalFree.minus(size);
+            count(room.report.vm());
+        }
+    }
+
+    Resources totalFree() {
+        return totalFree;
+    }
+
+    /** Tells whether no VM is reachable. */
+    boolean isEmpty() {
+        return known.isEmpty();
+    }
+
+    /** Tells whether any VM that is reachable could hold the size when empty. */
+    boolean hasCapacityFor(Resources size, List<String> excluded) {
+        return known.stream().anyMatch(vm -> !excluded.contains(vm.id()) && size.fitsInto(vm.capacity()));
+    }
+
+    /** Returns the VM to place a run on; null when there is none with room. */
+    GuardReport choose(String work, Resources size, List<String> excluded, long nowMs) {
+        Room best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (Room room : rooms.values()) {
+            String id = room.report.vm().id();
+            if (!size.fitsInto(room.free) || excluded.contains(id) || !health.isUsable(id, nowMs)) {
+                continue;
+            }
+            double score = score(room, work, size);
+            if (score < bestScore) {
+                best = room;
+                bestScore = score;
+            }
+        }
+        return best == null ? null : best.report;
+    }
+
+    // Helpers
+
+    private double score(Room room, String work, Resources size) {
+        Vm vm = room.report.vm();
+        double rackShare = tasksByRack.getOrDefault(vm.rack(), 0) / (double) Math.max(1, tasks);
+        double zoneShare = tasksByZone.getOrDefault(vm.zone().name(), 0) / (double) Math.max(1, tasks);
+        Resources left = room.free.minus(size);
+        double used = 1 - left.milliCores() / (double) Math.max(1, vm.capacity().milliCores());
+        return RISK_WEIGHT * health.findRisk(vm.id())
+                + HARM_WEIGHT * harm.applyAsDouble(room.report.service(), work)
+                + rackShare
+                + zoneShare
+                + used
+                + NOISE * random.nextDouble();
+    }
+
+    private void count(Vm vm) {
+        tasksByRack.merge(vm.rack(), 1, Integer::sum);
+        tasksByZone.merge(vm.zone().name(), 1, Integer::sum);
+        tasks++;
+    }
+}
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/ConfirmOutage.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/ConfirmOutage.java
@@ -15,17 +15,23 @@
 
   private static final org.apache.thrift.protocol.TField SHARD_FIELD_DESC = new org.apache.thrift.protocol.TField("shard", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField ASKED_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("askedMs", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ConfirmOutageStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ConfirmOutageTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.lang.String shard; // required
   private long term; // required
+  private long askedMs; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SHARD((short)1, "shard"),
-    TERM((short)2, "term");
+    TERM((short)2, "term"),
+    /**
+     * Clock of the leader when it asked; a confirmation counts from then on.
+     */
+    ASKED_MS((short)3, "askedMs");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +51,8 @@
           return SHARD;
         case 2: // TERM
           return TERM;
+        case 3: // ASKED_MS
+          return ASKED_MS;
         default:
           return null;
       }
@@ -89,6 +97,7 @@
 
   // isset id assignments
   private static final int __TERM_ISSET_ID = 0;
+  private static final int __ASKEDMS_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -97,6 +106,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.TERM, new org.apache.thrift.meta_data.FieldMetaData("term", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ASKED_MS, new org.apache.thrift.meta_data.FieldMetaData("askedMs", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ConfirmOutage.class, metaDataMap);
   }
@@ -106,12 +117,15 @@
 
   public ConfirmOutage(
     java.lang.String shard,
-    long term)
+    long term,
+    long askedMs)
   {
     this();
     this.shard = shard;
     this.term = term;
     setTermIsSet(true);
+    this.askedMs = askedMs;
+    setAskedMsIsSet(true);
   }
 
   /**
@@ -123,6 +137,7 @@
       this.shard = other.shard;
     }
     this.term = other.term;
+    this.askedMs = other.askedMs;
   }
 
   @Override
@@ -135,6 +150,8 @@
     this.shard = null;
     setTermIsSet(false);
     this.term = 0;
+    setAskedMsIsSet(false);
+    this.askedMs = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -185,6 +202,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
   }
 
+  /**
+   * Clock of the leader when it asked; a confirmation counts from then on.
+   */
+  public long getAskedMs() {
+    return this.askedMs;
+  }
+
+  /**
+   * Clock of the leader when it asked; a confirmation counts from then on.
+   */
+  public ConfirmOutage setAskedMs(long askedMs) {
+    this.askedMs = askedMs;
+    setAskedMsIsSet(true);
+    return this;
+  }
+
+  public void unsetAskedMs() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASKEDMS_ISSET_ID);
+  }
+
+  /** Returns true if field askedMs is set (has been assigned a value) and false otherwise */
+  public boolean isSetAskedMs() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASKEDMS_ISSET_ID);
+  }
+
+  public void setAskedMsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASKEDMS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -204,6 +250,14 @@
       }
       break;
 
+    case ASKED_MS:
+      if (value == null) {
+        unsetAskedMs();
+      } else {
+        setAskedMs((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -217,6 +271,9 @@
     case TERM:
       return getTerm();
 
+    case ASKED_MS:
+      return getAskedMs();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -233,6 +290,8 @@
       return isSetShard();
     case TERM:
       return isSetTerm();
+    case ASKED_MS:
+      return isSetAskedMs();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -268,6 +327,15 @@
         return false;
     }
 
+    boolean this_present_askedMs = true;
+    boolean that_present_askedMs = true;
+    if (this_present_askedMs || that_present_askedMs) {
+      if (!(this_present_askedMs && that_present_askedMs))
+        return false;
+      if (this.askedMs != that.askedMs)
+        return false;
+    }
+
     return true;
   }
 
@@ -281,6 +349,8 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(askedMs);
+
     return hashCode;
   }
 
@@ -312,6 +382,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAskedMs(), other.isSetAskedMs());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAskedMs()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.askedMs, other.askedMs);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -347,6 +427,10 @@
     sb.append("term:");
     sb.append(this.term);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("askedMs:");
+    sb.append(this.askedMs);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -410,6 +494,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // ASKED_MS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.askedMs = iprot.readI64();
+              struct.setAskedMsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -434,6 +526,9 @@
       oprot.writeFieldBegin(TERM_FIELD_DESC);
       oprot.writeI64(struct.term);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ASKED_MS_FIELD_DESC);
+      oprot.writeI64(struct.askedMs);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -459,19 +554,25 @@
       if (struct.isSetTerm()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetAskedMs()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetShard()) {
         oprot.writeString(struct.shard);
       }
       if (struct.isSetTerm()) {
         oprot.writeI64(struct.term);
       }
+      if (struct.isSetAskedMs()) {
+        oprot.writeI64(struct.askedMs);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ConfirmOutage struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.shard = iprot.readString();
         struct.setShardIsSet(true);
@@ -480,6 +581,10 @@
         struct.term = iprot.readI64();
         struct.setTermIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.askedMs = iprot.readI64();
+        struct.setAskedMsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/ConfirmOutageResult.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/ConfirmOutageResult.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField SHARD_FIELD_DESC = new org.apache.thrift.protocol.TField("shard", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField CONFIRMED_FIELD_DESC = new org.apache.thrift.protocol.TField("confirmed", org.apache.thrift.protocol.TType.BOOL, (short)3);
+  private static final org.apache.thrift.protocol.TField ASKED_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("askedMs", org.apache.thrift.protocol.TType.I64, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ConfirmOutageResultStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ConfirmOutageResultTupleSchemeFactory();
@@ -20,12 +21,17 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String shard; // required
   private long term; // required
   private boolean confirmed; // required
+  private long askedMs; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SHARD((short)1, "shard"),
     TERM((short)2, "term"),
-    CONFIRMED((short)3, "confirmed");
+    CONFIRMED((short)3, "confirmed"),
+    /**
+     * askedMs of the request.
+     */
+    ASKED_MS((short)4, "askedMs");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +53,8 @@
           return TERM;
         case 3: // CONFIRMED
           return CONFIRMED;
+        case 4: // ASKED_MS
+          return ASKED_MS;
         default:
           return null;
       }
@@ -92,6 +100,7 @@
   // isset id assignments
   private static final int __TERM_ISSET_ID = 0;
   private static final int __CONFIRMED_ISSET_ID = 1;
+  private static final int __ASKEDMS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -102,6 +111,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.CONFIRMED, new org.apache.thrift.meta_data.FieldMetaData("confirmed", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.ASKED_MS, new org.apache.thrift.meta_data.FieldMetaData("askedMs", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ConfirmOutageResult.class, metaDataMap);
   }
@@ -112,7 +123,8 @@
   public ConfirmOutageResult(
     java.lang.String shard,
     long term,
-    boolean confirmed)
+    boolean confirmed,
+    long askedMs)
   {
     this();
     this.shard = shard;
@@ -120,6 +132,8 @@
     setTermIsSet(true);
     this.confirmed = confirmed;
     setConfirmedIsSet(true);
+    this.askedMs = askedMs;
+    setAskedMsIsSet(true);
   }
 
   /**
@@ -132,6 +146,7 @@
     }
     this.term = other.term;
     this.confirmed = other.confirmed;
+    this.askedMs = other.askedMs;
   }
 
   @Override
@@ -146,6 +161,8 @@
     this.term = 0;
     setConfirmedIsSet(false);
     this.confirmed = false;
+    setAskedMsIsSet(false);
+    this.askedMs = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -219,6 +236,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CONFIRMED_ISSET_ID, value);
   }
 
+  /**
+   * askedMs of the request.
+   */
+  public long getAskedMs() {
+    return this.askedMs;
+  }
+
+  /**
+   * askedMs of the request.
+   */
+  public ConfirmOutageResult setAskedMs(long askedMs) {
+    this.askedMs = askedMs;
+    setAskedMsIsSet(true);
+    return this;
+  }
+
+  public void unsetAskedMs() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASKEDMS_ISSET_ID);
+  }
+
+  /** Returns true if field askedMs is set (has been assigned a value) and false otherwise */
+  public boolean isSetAskedMs() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASKEDMS_ISSET_ID);
+  }
+
+  public void setAskedMsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASKEDMS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -246,6 +292,14 @@
       }
       break;
 
+    case ASKED_MS:
+      if (value == null) {
+        unsetAskedMs();
+      } else {
+        setAskedMs((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -262,6 +316,9 @@
     case CONFIRMED:
       return isConfirmed();
 
+    case ASKED_MS:
+      return getAskedMs();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -280,6 +337,8 @@
       return isSetTerm();
     case CONFIRMED:
       return isSetConfirmed();
+    case ASKED_MS:
+      return isSetAskedMs();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -324,6 +383,15 @@
         return false;
     }
 
+    boolean this_present_askedMs = true;
+    boolean that_present_askedMs = true;
+    if (this_present_askedMs || that_present_askedMs) {
+      if (!(this_present_askedMs && that_present_askedMs))
+        return false;
+      if (this.askedMs != that.askedMs)
+        return false;
+    }
+
     return true;
   }
 
@@ -339,6 +407,8 @@
 
     hashCode = hashCode * 8191 + ((confirmed) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(askedMs);
+
     return hashCode;
   }
 
@@ -380,6 +450,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAskedMs(), other.isSetAskedMs());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAskedMs()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.askedMs, other.askedMs);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -419,6 +499,10 @@
     sb.append("confirmed:");
     sb.append(this.confirmed);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("askedMs:");
+    sb.append(this.askedMs);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -490,6 +574,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // ASKED_MS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.askedMs = iprot.readI64();
+              struct.setAskedMsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -517,6 +609,9 @@
       oprot.writeFieldBegin(CONFIRMED_FIELD_DESC);
       oprot.writeBool(struct.confirmed);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ASKED_MS_FIELD_DESC);
+      oprot.writeI64(struct.askedMs);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -545,7 +640,10 @@
       if (struct.isSetConfirmed()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetAskedMs()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetShard()) {
         oprot.writeString(struct.shard);
       }
@@ -555,12 +653,15 @@
       if (struct.isSetConfirmed()) {
         oprot.writeBool(struct.confirmed);
       }
+      if (struct.isSetAskedMs()) {
+        oprot.writeI64(struct.askedMs);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ConfirmOutageResult struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.shard = iprot.readString();
         struct.setShardIsSet(true);
@@ -573,6 +674,10 @@
         struct.confirmed = iprot.readBool();
         struct.setConfirmedIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.askedMs = iprot.readI64();
+        struct.setAskedMsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -221,8 +221,19 @@
 }
 
 /** Leader to witness: asks the witness to confirm that it cannot reach the store either. */
-struct ConfirmOutage { 1: string shard, 2: i64 term }
-struct ConfirmOutageResult { 1: string shard, 2: i64 term, 3: bool confirmed }
+struct ConfirmOutage {
+  1: string shard,
+  2: i64 term,
+  /** Clock of the leader when it asked; a confirmation counts from then on. */
+  3: i64 askedMs
+}
+struct ConfirmOutageResult {
+  1: string shard,
+  2: i64 term,
+  3: bool confirmed,
+  /** askedMs of the request. */
+  4: i64 askedMs
+}
 
 /** New leader to witness of its predecessor: the witness confirms no outage for lower terms from now on. */
 struct FenceLeader { 1: string shard, 2: i64 term }
