Add the actors of the shards at an entry

The decisions need reads, appends, heartbeats and messages. A read waits 1 s for records, and 250 ms once the leader is late, because a claim needs an empty read that began after the silence. This state has no actor test yet.

--- a/core/src/main/java/org/fulmarreach/core/work/ShardLeader.java
+++ b/core/src/main/java/org/fulmarreach/core/work/ShardLeader.java
@@ -236,6 +236,11 @@
         cancels.put(requestId, work);
     }
 
+    /** Gives up a request for cancellation; it may have taken effect. */
+    public void withdrawCancel(long requestId) {
+        cancels.remove(requestId);
+    }
+
     /** Resigns for a planned stop: grants nothing and claims nothing from now on. */
     public void resign() {
         resigning = true;
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/work/ShardActor.java
@@ -0,0 +1,313 @@
+package org.fulmarreach.entry.work;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.apache.pekko.Done;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.PostStop;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+import org.fulmarreach.core.exc.ErrorCode;
+import org.fulmarreach.core.exc.FrameException;
+import org.fulmarreach.core.exc.Problem;
+import org.fulmarreach.core.exc.Result;
+import org.fulmarreach.core.work.Action;
+import org.fulmarreach.core.work.GuardMessage;
+import org.fulmarreach.core.work.LoggedBatch;
+import org.fulmarreach.core.work.PeerMessage;
+import org.fulmarreach.core.work.RunView;
+import org.fulmarreach.core.work.ShardId;
+import org.fulmarreach.core.work.ShardLeader;
+import org.fulmarreach.core.work.WorkBatch;
+import org.fulmarreach.entry.guards.DirectoryCommand;
+import org.fulmarreach.entry.peers.PeerEvent;
+import org.fulmarreach.entry.peers.PeerView;
+import org.fulmarreach.entry.peers.PeersCommand;
+import org.fulmarreach.platform.LogBatch;
+import org.fulmarreach.platform.LogRead;
+import org.fulmarreach.protocol.io.WorkRecords;
+import org.fulmarreach.runtime.util.Invariants;
+
+/**
+ * Follows one shard and leads it when its claim is accepted. It feeds {@link ShardLeader} with reads, heartbeats and
+ * messages and performs its actions; it never blocks. A violated invariant stops it, and another entry takes over.
+ */
+final class ShardActor extends AbstractBehavior<ShardCommand> {
+    private static final Duration TICK = Duration.ofMillis(250);
+    private static final Duration READ_RETRY = Duration.ofMillis(500);
+    private static final int MAX_RECORDS = 256;
+
+    /** Longest wait of a read; shorter once the leader is late, so that a claim is not delayed by a waiting read. */
+    private static final int WAIT_MS = 1_000;
+
+    private static final int LATE_WAIT_MS = 250;
+    private static final long LATE_MS = 3_000;
+    private static final long CANCEL_BOUND_MS = 5_000;
+
+    private record PendingCancel(ActorRef<Result<Done>> replyTo, long untilMs) {}
+
+    private final ShardId shard;
+    private final WorkDependencies parts;
+    private final StoreProbe probe;
+    private final ShardLeader leader;
+    private final TimerScheduler<ShardCommand> timers;
+    private final Map<Long, PendingCancel> cancels = new HashMap<>();
+    private final List<ActorRef<Done>> resignations = new ArrayList<>();
+    private long lastCancelId;
+
+    private ShardActor(
+            ActorContext<ShardCommand> context,
+            TimerScheduler<ShardCommand> timers,
+            ShardId shard,
+            WorkSettings settings,
+            WorkDependencies parts,
+            StoreProbe probe) {
+        super(context);
+        this.shard = shard;
+        this.parts = parts;
+        this.probe = probe;
+        this.timers = timers;
+        Invariants invariants = new Invariants(parts.meters(), parts.events());
+        this.leader = new ShardLeader(
+                shard,
+                settings.zone(),
+                settings.times(),
+                new Random(parts.random().nextLong()),
+                invariants::check);
+        timers.startTimerWithFixedDelay(ShardCommand.Timer.TICK, TICK);
+        read();
+    }
+
+    /** Constructs the behavior of the actor of one shard. */
+    static Behavior<ShardCommand> construct(
+            ShardId shard, WorkSettings settings, WorkDependencies parts, StoreProbe probe) {
+        return Behaviors.setup(context ->
+                Behaviors.withTimers(timers -> new ShardActor(context, timers, shard, settings, parts, probe)));
+    }
+
+    @Override
+    public Receive<ShardCommand> createReceive() {
+        return newReceiveBuilder()
+                .onMessage(ShardCommand.class, this::receive)
+                .onSignal(PostStop.class, stop -> {
+                    parts.events().emit(WorkEvent.SHARD_STOPPED, "shard", shard.name());
+                    return this;
+                })
+                .build();
+    }
+
+    private Behavior<ShardCommand> receive(ShardCommand command) {
+        long nowMs = parts.clock().nowMs();
+        switch (command) {
+            case ShardCommand.RulesChanged changed -> leader.onRules(changed.rules());
+            case ShardCommand.GuardSeen seen -> leader.onHeartbeat(seen.report(), nowMs);
+            case ShardCommand.GuardLost lost -> leader.onGuardLost(lost.vm());
+            case ShardCommand.PeerChanged changed -> receivePeer(changed.event(), nowMs);
+            case ShardCommand.ReadDone done -> receiveRead(done, nowMs);
+            case ShardCommand.AppendDone done -> leader.onAppendResult(done.batchId(), done.success(), nowMs);
+            case ShardCommand.ProbeDone done -> leader.onProbeResult(done.success(), nowMs);
+            case ShardCommand.Describe describe -> describe.replyTo().tell(describe(nowMs));
+            case ShardCommand.Cancel cancel -> {
+                lastCancelId++;
+                cancels.put(lastCancelId, new PendingCancel(cancel.replyTo(), nowMs + CANCEL_BOUND_MS));
+                leader.cancel(lastCancelId, cancel.work());
+            }
+            case ShardCommand.Resign resign -> {
+                resignations.add(resign.replyTo());
+                leader.resign();
+            }
+            case ShardCommand.Timer timer -> {
+                if (timer == ShardCommand.Timer.READ) {
+                    read();
+                } else {
+                    leader.tick(nowMs, parts.wallClock().millis());
+                    expireCancels(nowMs);
+                }
+            }
+        }
+        leader.drain().forEach(this::perform);
+        return this;
+    }
+
+    // Inputs
+
+    private void receivePeer(PeerEvent event, long nowMs) {
+        switch (event) {
+            case PeerEvent.Seen seen -> {
+                PeerView peer = seen.peer();
+                if (peer.region().equals(shard.region())) {
+                    leader.onPeer(peer.entryId(), peer.zone(), peer.leaving());
+                }
+            }
+            case PeerEvent.Lost lost -> leader.onPeerLost(lost.peer().entryId());
+            case PeerEvent.LeadershipMessage message -> {
+                PeerMessage decoded = WorkBodies.fromBody(shard.name(), message.body());
+                if (decoded != null) {
+                    leader.onPeerMessage(message.entryId(), decoded, nowMs);
+                }
+            }
+        }
+    }
+
+    private void receiveRead(ShardCommand.ReadDone done, long nowMs) {
+        switch (done.read()) {
+            case null -> {
+                leader.onReadFailed(nowMs);
+                timers.startSingleTimer(ShardCommand.Timer.READ, READ_RETRY);
+                return;
+            }
+            case LogRead.Batch read -> {
+                List<LogBatch.Entry> records = read.batch().records();
+                List<LoggedBatch> batches = records.stream().map(this::decode).toList();
+                leader.onRead(done.issuedMs(), batches, records.size() < MAX_RECORDS, nowMs);
+            }
+            case LogRead.Truncated truncated -> leader.onTruncated(truncated.firstOffset(), nowMs);
+        }
+        read();
+    }
+
+    private LoggedBatch decode(LogBatch.Entry entry) {
+        try {
+            return new LoggedBatch(entry.offset(), WorkRecords.decode(entry.data()));
+        } catch (FrameException e) {
+            parts.events()
+                    .emit(
+                            WorkEvent.SHARD_RECORD_SKIPPED,
+                            "shard",
+                            shard.name(),
+                            "offset",
+                            entry.offset(),
+                            "reason",
+                            e.getMessage());
+            return new LoggedBatch(entry.offset(), null);
+        }
+    }
+
+    private void read() {
+        long issuedMs = parts.clock().nowMs();
+        int waitMs = leader.findAgeMs(issuedMs) > LATE_MS ? LATE_WAIT_MS : WAIT_MS;
+        ActorRef<ShardCommand> self = getContext().getSelf();
+        parts.log()
+                .read(shard.name(), leader.nextOffset(), MAX_RECORDS, waitMs)
+                .whenComplete((read, failure) ->
+                        self.tell(new ShardCommand.ReadDone(issuedMs, failure == null ? read : null)));
+    }
+
+    // Actions
+
+    private void perform(Action action) {
+        switch (action) {
+            case Action.Append append -> append(append.batch());
+            case Action.ToGuard message -> {
+                count(message.message());
+                parts.directory()
+                        .tell(new DirectoryCommand.SendToGuard(
+                                message.vm(), WorkBodies.toBody(shard.name(), message.message())));
+            }
+            case Action.ToPeer message ->
+                parts.peers()
+                        .tell(new PeersCommand.SendToPeer(
+                                message.entryId(), WorkBodies.toBody(shard.name(), message.message())));
+            case Action.ProbeStore store -> {
+                ActorRef<ShardCommand> self = getContext().getSelf();
+                probe.probe()
+                        .whenComplete((success, failure) ->
+                                self.tell(new ShardCommand.ProbeDone(failure == null && success)));
+            }
+            case Action.Notify notify -> {
+                WorkEvent event = WorkEvent.of(notify.notice());
+                parts.events().emit(event, "shard", shard.name(), "detail", notify.detail());
+                parts.meters()
+                        .counter("fulmarreach.work.events", "event", event.name())
+                        .increment();
+            }
+            case Action.CancelAnswer answer -> answerCancel(answer);
+            case Action.Resigned resigned -> {
+                resignations.forEach(replyTo -> replyTo.tell(Done.getInstance()));
+                resignations.clear();
+            }
+        }
+    }
+
+    private void append(WorkBatch batch) {
+        parts.meters().counter("fulmarreach.work.appends").increment();
+        ActorRef<ShardCommand> self = getContext().getSelf();
+        parts.log()
+                .append(shard.name(), WorkRecords.encode(batch))
+                .whenComplete(
+                        (offset, failure) -> self.tell(new ShardCommand.AppendDone(batch.batchId(), failure == null)));
+    }
+
+    private void count(GuardMessage message) {
+        if (message instanceof GuardMessage.Start) {
+            parts.meters().counter("fulmarreach.work.starts").increment();
+        }
+    }
+
+    private void answerCancel(Action.CancelAnswer answer) {
+        PendingCancel pending = cancels.remove(answer.requestId());
+        if (pending == null) {
+            return;
+        }
+        switch (answer.result()) {
+            case Result.Ok<String> ok -> pending.replyTo().tell(Result.ok(Done.getInstance()));
+            case Result.Err<String> err -> pending.replyTo().tell(Result.err(err.problem()));
+        }
+    }
+
+    private void expireCancels(long nowMs) {
+        cancels.entrySet().removeIf(request -> {
+            boolean expired = nowMs >= request.getValue().untilMs();
+            if (expired) {
+                leader.withdrawCancel(request.getKey());
+                Problem problem = Problem.of(
+                                ErrorCode.STORE_UNAVAILABLE,
+                                "The store did not confirm the cancellation; it may have taken effect.")
+                        .withRetryAfterMs(CANCEL_BOUND_MS);
+                request.getValue().replyTo().tell(Result.err(problem));
+            }
+            return expired;
+        });
+    }
+
+    // Views
+
+    private ShardCommand.ShardDescription describe(long nowMs) {
+        var state = leader.state();
+        String led = state.resigned() ? "" : state.leader();
+        int slash = led.lastIndexOf('/');
+        LeaseView lease = new LeaseView(
+                shard.name(),
+                slash < 0 ? led : led.substring(0, slash),
+                state.term(),
+                leader.findAgeMs(nowMs),
+                leader.isOutage());
+        List<WorkView> runs = leader.listRuns(parts.wallClock().millis()).stream()
+                .map(this::toView)
+                .toList();
+        return new ShardCommand.ShardDescription(lease, runs);
+    }
+
+    private WorkView toView(RunView run) {
+        return new WorkView(
+                run.key().work(),
+                run.key().run(),
+                run.key().standing() ? "standing" : "batch",
+                run.member(),
+                shard.name(),
+                run.phase().name(),
+                run.vm(),
+                run.epoch(),
+                run.deadlineMs(),
+                run.reason());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/work/WorkDependencies.java
@@ -0,0 +1,39 @@
+package org.fulmarreach.entry.work;
+
+import java.time.Clock;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import org.apache.pekko.actor.typed.ActorRef;
+import org.fulmarreach.core.rules.RulesInForce;
+import org.fulmarreach.entry.guards.DirectoryCommand;
+import org.fulmarreach.entry.peers.PeersCommand;
+import org.fulmarreach.platform.LogClient;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.util.MonotonicClock;
+
+import io.micrometer.core.instrument.MeterRegistry;
+
+/**
+ * What the shards of an entry are constructed from. Immutable.
+ *
+ * @param log client of the log service
+ * @param directory guards of the region
+ * @param peers other entries
+ * @param rules subscribes an actor to the rules in force
+ * @param clock clock of leases
+ * @param wallClock clock of batch runs
+ * @param random source of random numbers for placement
+ * @param events events
+ * @param meters metrics
+ */
+public record WorkDependencies(
+        LogClient log,
+        ActorRef<DirectoryCommand> directory,
+        ActorRef<PeersCommand> peers,
+        Consumer<ActorRef<RulesInForce>> rules,
+        MonotonicClock clock,
+        Clock wallClock,
+        RandomGenerator random,
+        EventLog events,
+        MeterRegistry meters) {}
