--- a/protocol/src/main/java/org/fulmarreach/protocol/io/package-info.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/package-info.java
@@ -1,2 +1,2 @@
-/** Reading and writing of frames and of the records of the log streams. */
+/** Frame codec and mapping between the Thrift structs and the types of the core. */
 package org.fulmarreach.protocol.io;
