--- a/core/src/main/java/org/fulmarreach/core/rules/LineParser.java
+++ b/core/src/main/java/org/fulmarreach/core/rules/LineParser.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +40,7 @@
     private final String canonical;
     private final List<RuleFault> faults = new ArrayList<>();
     private final Map<String, LineText.Word> values = new LinkedHashMap<>();
+    private final Set<String> malformed = new HashSet<>();
     private String kind;
     private int endColumn;
 
@@ -145,17 +147,12 @@
 
     private void checkOrder(String key, boolean holds, String expected, String other) {
         boolean comparable = values.containsKey(key) && values.containsKey(other);
-        if (comparable && !holds && !hasFaultAt(key) && !hasFaultAt(other)) {
+        if (comparable && !holds && !malformed.contains(key) && !malformed.contains(other)) {
             LineText.Word word = values.get(key);
             addFault(word.column(), expected, word.text(), "Shorten " + key + " or lengthen " + other + ".");
         }
     }
 
-    private boolean hasFaultAt(String key) {
-        int column = values.get(key).column();
-        return faults.stream().anyMatch(fault -> fault.column() == column);
-    }
-
     private Member readMember() {
         String comment = text.comment();
         int colon = comment == null ? -1 : comment.indexOf(':');
@@ -240,7 +237,7 @@
                 "a duration in d, h, m, s or ms, the larger units first, at most 3660d",
                 "Write it as in " + key + "=2s or " + key + "=7h30m.");
         LineText.Word word = values.get(key);
-        if (word != null && valueMs < minMs && !hasFaultAt(key)) {
+        if (word != null && valueMs < minMs && !malformed.contains(key)) {
             addFault(word.column(), "at least " + minMs + "ms", word.text(), "Write a longer duration.");
         }
         return valueMs;
@@ -265,6 +262,7 @@
         }
         OptionalLong value = parser.apply(word.text());
         if (value.isEmpty()) {
+            malformed.add(key);
             addFault(word.column(), expected, word.text().isEmpty() ? "nothing" : word.text(), remedy);
         }
         return value.orElse(fallback);
