Add the operators' tool fulmarctl

Operators had no way to check, publish or look at rules. The tool checks a file locally, publishes a difference against the revision that it read, and repeats a lost publish with the same id at the next entry; a repetition with a new id was ruled out because it would meet its own first attempt as a conflict. It exits with a distinct status for each kind of failure.

--- /dev/null
+++ b/cli/src/main/java/org/fulmarreach/cli/Answer.java
@@ -0,0 +1,28 @@
+package org.fulmarreach.cli;
+
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Result of a request to the entries. Immutable. */
+sealed interface Answer {
+    /**
+     * An entry answered.
+     *
+     * @param status HTTP status
+     * @param body body as JSON
+     */
+    record Reply(int status, JsonNode body) implements Answer {
+        /** Returns whether the status is one of success. */
+        boolean isSuccess() {
+            return status / 100 == 2;
+        }
+    }
+
+    /**
+     * No entry answered; whether one of them acted on the request is not known.
+     *
+     * @param causes one text per entry
+     */
+    record NoAnswer(List<String> causes) implements Answer {}
+}
--- /dev/null
+++ b/cli/src/main/java/org/fulmarreach/cli/Publisher.java
@@ -0,0 +1,194 @@
+package org.fulmarreach.cli;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.fulmarreach.core.rules.Rules;
+import org.fulmarreach.core.rules.RulesDiff;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** Publishes a checked rules file and waits for it to be in force. One use per command; owned by one thread. */
+final class Publisher {
+    private static final long POLL_MS = 250;
+    private static final long REPEAT_MS = 200;
+    private static final int CONFLICT = 409;
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAVAILABLE = 503;
+
+    private final EntryClient client;
+    private final Console console;
+    private final Ticker ticker;
+    private final Options options;
+    private final String publishId;
+    private final Map<String, Long> shownRevisions = new HashMap<>();
+
+    /** Constructs a publisher whose publish has the new unique id {@code publishId}. */
+    Publisher(EntryClient client, Console console, Ticker ticker, Options options, String publishId) {
+        this.client = client;
+        this.console = console;
+        this.ticker = ticker;
+        this.options = options;
+        this.publishId = publishId;
+    }
+
+    /** Makes {@code rules} the rules in force. */
+    ExitCode publish(Rules rules) {
+        return switch (client.get("/v1/rules")) {
+            case Answer.NoAnswer none -> console.reportUnreachable(none);
+            case Answer.Reply reply -> reply.isSuccess() ? publish(rules, reply.body()) : console.reportRefusal(reply);
+        };
+    }
+
+    /** Returns the lines of an answer. */
+    static List<String> readLines(JsonNode body) {
+        List<String> lines = new ArrayList<>();
+        body.path("lines").forEach(line -> lines.add(line.asText()));
+        return lines;
+    }
+
+    private ExitCode publish(Rules rules, JsonNode present) {
+        List<String> base = readLines(present);
+        long baseRevision = present.path("revision").asLong();
+        RulesDiff diff = RulesDiff.between(base, rules.lines());
+        if (diff.isEmpty()) {
+            console.report("Nothing to publish: the rules in force are those of the file.");
+            return finish(baseRevision, "unchanged");
+        }
+        Answer answer = send(createBody(diff, baseRevision));
+        return switch (answer) {
+            case Answer.NoAnswer none -> {
+                console.reportUnreachable(none);
+                console.report("Whether the publish took effect is not known. It is safe to run the command again.");
+                yield ExitCode.UNREACHABLE;
+            }
+            case Answer.Reply reply
+            when reply.isSuccess() -> finish(reply.body().path("revision").asLong(), "accepted");
+            case Answer.Reply reply when reply.status() == CONFLICT -> reportConflict(reply.body(), base, rules);
+            case Answer.Reply reply when reply.status() == BAD_REQUEST -> reportFaults(reply, diff);
+            case Answer.Reply reply -> console.reportRefusal(reply);
+        };
+    }
+
+    /** Sends the publish, and again with the same id while answers are lost or the log service does not answer. */
+    private Answer send(ObjectNode body) {
+        while (true) {
+            Answer answer = client.post("/v1/rules", body);
+            boolean open = !(answer instanceof Answer.Reply reply) || reply.status() == UNAVAILABLE;
+            if (!open) {
+                return answer;
+            }
+            ticker.sleepMs(REPEAT_MS);
+            if (client.isPastDeadline()) {
+                return answer;
+            }
+        }
+    }
+
+    private ObjectNode createBody(RulesDiff diff, long baseRevision) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put("publishId", publishId);
+        body.put("baseRevision", baseRevision);
+        ArrayNode removed = body.putArray("removed");
+        diff.removed().forEach(removed::add);
+        ArrayNode added = body.putArray("added");
+        diff.added().forEach(added::add);
+        body.put("operator", options.operator());
+        return body;
+    }
+
+    private ExitCode reportConflict(JsonNode body, List<String> base, Rules rules) {
+        List<String> present = readLines(body);
+        if (RulesDiff.between(present, rules.lines()).isEmpty()) {
+            console.report("The rules in force are already those of the file.");
+            return finish(body.path("revision").asLong(), "unchanged");
+        }
+        console.report("CONFLICT: another operator published revision "
+                + body.path("revision").asLong() + " first; nothing was published. Changed meanwhile:");
+        RulesDiff meanwhile = RulesDiff.between(base, present);
+        meanwhile.removed().forEach(line -> console.report("- " + line));
+        meanwhile.added().forEach(line -> console.report("+ " + line));
+        console.report("Remedy: take these lines into your file, look at fulmarctl diff, and publish again.");
+        return ExitCode.CONFLICT;
+    }
+
+    private ExitCode reportFaults(Answer.Reply reply, RulesDiff diff) {
+        console.reportRefusal(reply);
+        JsonNode faults = reply.body().path("faults");
+        for (JsonNode fault : faults) {
+            int index = fault.path("line").asInt() - 1;
+            boolean known = index >= 0 && index < diff.added().size();
+            console.report("  " + (known ? diff.added().get(index) : "line " + (index + 1)));
+            console.report("    expected " + fault.path("expected").asText() + ", found "
+                    + fault.path("found").asText() + ". Remedy: "
+                    + fault.path("remedy").asText());
+        }
+        return faults.isEmpty() ? ExitCode.REFUSED : ExitCode.BAD_RULES;
+    }
+
+    private ExitCode finish(long revision, String status) {
+        ExitCode code = options.waitForSites() ? waitForSites(revision) : ExitCode.OK;
+        if (options.json()) {
+            ObjectNode result = JsonNodeFactory.instance.objectNode();
+            result.put("status", status);
+            result.put("revision", revision);
+            if (options.waitForSites()) {
+                result.put("inForce", code == ExitCode.OK);
+            }
+            console.print(result);
+        } else {
+            console.print("Revision " + revision + " " + status + ".");
+        }
+        return code;
+    }
+
+    private ExitCode waitForSites(long revision) {
+        while (true) {
+            Answer answer = client.get("/v1/rules/sites");
+            if (answer instanceof Answer.Reply reply && reply.isSuccess()) {
+                List<String> behind = findBehind(reply.body().path("sites"), revision);
+                if (behind.isEmpty() && !reply.body().path("sites").isEmpty()) {
+                    console.report(
+                            "In force at all " + reply.body().path("sites").size() + " sites.");
+                    return ExitCode.OK;
+                }
+                if (client.isPastDeadline()) {
+                    return reportNotInForce(revision, behind);
+                }
+            } else if (client.isPastDeadline()) {
+                return reportNotInForce(revision, List.of("no entry told the state of the sites"));
+            }
+            ticker.sleepMs(POLL_MS);
+        }
+    }
+
+    private ExitCode reportNotInForce(long revision, List<String> behind) {
+        console.report("Revision " + revision + " is accepted but not in force in time:");
+        behind.forEach(site -> console.report("  " + site));
+        console.report("Remedy: look at fulmarctl sites; a site takes the rules when it is reachable again.");
+        return ExitCode.REFUSED;
+    }
+
+    private List<String> findBehind(JsonNode sites, long revision) {
+        List<String> behind = new ArrayList<>();
+        for (JsonNode site : sites) {
+            String name =
+                    site.path("kind").asText("site") + " " + site.path("site").asText();
+            long has = site.path("revision").asLong();
+            boolean reachable = site.path("reachable").asBoolean(true);
+            if (has >= revision) {
+                if (shownRevisions.put(name, has) == null) {
+                    console.report(name + ": revision " + has + " in force");
+                }
+            } else {
+                behind.add(name + ": revision " + has + (reachable ? "" : ", not reachable"));
+            }
+        }
+        return behind;
+    }
+}
--- a/core/src/main/java/org/fulmarreach/core/rules/RulesParser.java
+++ b/core/src/main/java/org/fulmarreach/core/rules/RulesParser.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * Parses the rules file. Blank lines and lines that hold only a comment are skipped. The parser throws no exception on
@@ -54,6 +55,11 @@
         return LineText.toCanonical(line);
     }
 
+    /** Reads a duration such as {@code 7h30m} into milliseconds; empty if it is malformed or above ten years. */
+    public static OptionalLong parseDurationMs(String text) {
+        return Units.parseDurationMs(text);
+    }
+
     /** Constructs the fault of a rule that occurs already; {@code where} says where. */
     static RuleFault constructDuplicate(Rule rule, String where) {
         return new RuleFault(
