--- a/cli/src/main/java/org/fulmarreach/cli/CommandLine.java
+++ b/cli/src/main/java/org/fulmarreach/cli/CommandLine.java
@@ -128,8 +128,8 @@
         Argument entry = target.addArgument("--entry")
                 .action(Arguments.append())
                 .metavar("URL")
-                .help("address of an entry, repeatable; the next one is tried when one does not answer (default: "
-                        + "FULMARREACH_ENTRY, comma separated, then " + DEFAULT_ENTRY + ")");
+                .help("address of an entry, repeatable; they are tried in order (default: FULMARREACH_ENTRY, comma "
+                        + "separated, else " + DEFAULT_ENTRY + ")");
         Argument token = target.addArgument("--token").help("operator token (default: FULMARREACH_TOKEN)");
         Argument json =
                 target.addArgument("--json").action(Arguments.storeTrue()).help("print JSON instead of tables");
--- a/cli/src/main/java/org/fulmarreach/cli/Publisher.java
+++ b/cli/src/main/java/org/fulmarreach/cli/Publisher.java
@@ -148,23 +148,19 @@
     }
 
     private ExitCode waitForSites(long revision) {
-        while (true) {
-            Answer answer = client.get("/v1/rules/sites");
-            if (answer instanceof Answer.Reply reply && reply.isSuccess()) {
-                List<String> behind = findBehind(reply.body().path("sites"), revision);
-                if (behind.isEmpty() && !reply.body().path("sites").isEmpty()) {
-                    console.report(
-                            "In force at all " + reply.body().path("sites").size() + " sites.");
+        List<String> behind = List.of("no entry told the state of the sites");
+        while (!client.isPastDeadline()) {
+            if (client.get("/v1/rules/sites") instanceof Answer.Reply reply && reply.isSuccess()) {
+                JsonNode sites = reply.body().path("sites");
+                behind = sites.isEmpty() ? List.of("the entry knows no site") : findBehind(sites, revision);
+                if (behind.isEmpty()) {
+                    console.report("In force at all " + sites.size() + " sites.");
                     return ExitCode.OK;
                 }
-                if (client.isPastDeadline()) {
-                    return reportNotInForce(revision, behind);
-                }
-            } else if (client.isPastDeadline()) {
-                return reportNotInForce(revision, List.of("no entry told the state of the sites"));
             }
             ticker.sleepMs(POLL_MS);
         }
+        return reportNotInForce(revision, behind);
     }
 
     private ExitCode reportNotInForce(long revision, List<String> behind) {
--- a/core/src/test/java/org/fulmarreach/core/budget/BudgetTest.java
+++ b/core/src/test/java/org/fulmarreach/core/budget/BudgetTest.java
@@ -20,6 +20,9 @@
 class BudgetTest {
     private static final int ENTRIES = 4;
     private static final int STEPS = 400;
+    /** Low enough that the limit binds within the steps of a period. */
+    private static final int MAX_LIMIT = 60;
+
     private static final long PERIOD_MS = 1_000;
 
     /** An entry with its own view of the stream; its appends may be lost, delayed or repeated. */
@@ -45,15 +48,15 @@
         log.clear();
         inFlight.clear();
         spentByPeriod.clear();
-        Purse.Limit limit = new Purse.Limit(1 + random.nextInt(300), 1);
+        Purse.Limit limit = new Purse.Limit(1 + random.nextInt(MAX_LIMIT), 1);
         long highest = limit.limit();
         List<Entry> entries = new ArrayList<>();
         for (int i = 0; i < ENTRIES; i++) {
             entries.add(new Entry("e" + i, limit));
         }
         for (int step = 0; step < STEPS; step++) {
-            if (random.nextInt(60) == 0) {
-                limit = new Purse.Limit(random.nextInt(300), limit.rulesRevision() + 1);
+            if (random.nextInt(150) == 0) {
+                limit = new Purse.Limit(random.nextInt(MAX_LIMIT), limit.rulesRevision() + 1);
                 highest = Math.max(highest, limit.limit());
             }
             int index = random.nextInt(ENTRIES);
@@ -200,6 +203,19 @@
         assertEquals(5, purse.balance());
     }
 
+    @Test
+    void grantOfAnEarlierPeriodIsNotSpentInTheNextOne() {
+        Purse purse = new Purse("e");
+        purse.enterPeriod(0);
+        BudgetLedger ledger = new BudgetLedger();
+        BudgetRecord late = purse.planReservation("a", ledger, new Purse.Limit(100, 1), 5, 3)
+                .orElseThrow();
+        purse.enterPeriod(PERIOD_MS);
+        purse.apply(ledger.apply(0, late));
+        assertEquals(0, purse.balance());
+        assertTrue(purse.spend(1).isEmpty());
+    }
+
     private static BudgetRecord reserve(String id, long amount, long limit, long revision) {
         return new BudgetRecord.Reserve(id, "e", 0, amount, limit, revision);
     }
--- a/core/src/test/java/org/fulmarreach/core/rules/RuleBookTest.java
+++ b/core/src/test/java/org/fulmarreach/core/rules/RuleBookTest.java
@@ -1,7 +1,9 @@
 package org.fulmarreach.core.rules;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 
 import org.fulmarreach.core.exc.ErrorCode;
@@ -96,15 +98,18 @@
         RuleBook reader = new RuleBook();
         int gapFrom = random.nextInt(log.size());
         int gapTo = gapFrom + random.nextInt(log.size() - gapFrom);
+        Map<Long, List<String>> linesByRevision = new HashMap<>(Map.of(0L, List.of()));
         long lastRevision = 0;
         for (int offset = 0; offset < log.size(); offset++) {
             whole.apply(offset, log.get(offset));
+            linesByRevision.put(whole.revision(), whole.lines());
             if (offset >= gapFrom && offset < gapTo) {
                 continue;
             }
             reader.apply(offset, log.get(offset));
             assertTrue(reader.inForce().revision() >= lastRevision);
             lastRevision = reader.inForce().revision();
+            assertEquals(linesByRevision.get(reader.revision()), reader.lines());
             if (reader.isSynchronized()) {
                 assertEquals(whole.lines(), reader.lines());
             }
