Guard publishes against files edited from an older revision

The tool made its difference against the revision in force at the time of the publish, so a file edited from an older one removed the lines that another operator had added since, without a conflict. Making the revision line of the file binding was ruled out, because each publish would then force a new download. The new test failed before the change, since the option did not exist.

--- a/cli/src/main/java/org/fulmarreach/cli/CommandLine.java
+++ b/cli/src/main/java/org/fulmarreach/cli/CommandLine.java
@@ -25,6 +25,7 @@
 final class CommandLine {
     private static final int WIDTH = 100;
     private static final String DEFAULT_ENTRY = "http://127.0.0.1:8080";
+    private static final long NO_BASE = -1;
     private static final String DEFAULT_TIMEOUT = "12s";
 
     private static final String EPILOG = """
@@ -66,6 +67,11 @@
         publish.addArgument("--wait")
                 .action(Arguments.storeTrue())
                 .help("wait until the rules are in force at all sites");
+        publish.addArgument("--base")
+                .metavar("REVISION")
+                .type(Long.class)
+                .setDefault(NO_BASE)
+                .help("revision that the file was edited from; another one in force is a conflict");
         publish.addArgument("--operator").help("who publishes (default: FULMARREACH_OPERATOR, then USER)");
         addCommand(commands, "rules", "print the rules in force", null);
         addCommand(commands, "targets", "list the targets", null);
@@ -105,6 +111,7 @@
                 values.getBoolean("json"),
                 timeoutMs.getAsLong(),
                 Boolean.TRUE.equals(values.getBoolean("wait")),
+                values.get("base") == null ? NO_BASE : values.getLong("base"),
                 findText(operator, environment.getOrDefault("FULMARREACH_OPERATOR", user)));
     }
 
--- a/cli/src/main/java/org/fulmarreach/cli/Options.java
+++ b/cli/src/main/java/org/fulmarreach/cli/Options.java
@@ -13,6 +13,7 @@
  * @param json whether output is JSON
  * @param timeoutMs time for the whole command in milliseconds
  * @param waitForSites whether to wait until the rules are in force at all sites
+ * @param baseRevision revision that the file was edited from; negative if it is not given
  * @param operator who publishes
  */
 record Options(
@@ -23,4 +24,5 @@
         boolean json,
         long timeoutMs,
         boolean waitForSites,
+        long baseRevision,
         String operator) {}
--- a/cli/src/main/java/org/fulmarreach/cli/Publisher.java
+++ b/cli/src/main/java/org/fulmarreach/cli/Publisher.java
@@ -60,6 +60,9 @@
             console.report("Nothing to publish: the rules in force are those of the file.");
             return finish(baseRevision, "unchanged");
         }
+        if (options.baseRevision() >= 0 && options.baseRevision() != baseRevision) {
+            return reportOtherBase(baseRevision, diff);
+        }
         Answer answer = send(createBody(diff, baseRevision));
         return switch (answer) {
             case Answer.NoAnswer none -> {
@@ -117,6 +120,15 @@
         return ExitCode.CONFLICT;
     }
 
+    private ExitCode reportOtherBase(long revision, RulesDiff diff) {
+        console.report("CONFLICT: revision " + revision + " is in force, not " + options.baseRevision()
+                + "; nothing was published. Publishing the file would change:");
+        diff.removed().forEach(line -> console.report("- " + line));
+        diff.added().forEach(line -> console.report("+ " + line));
+        console.report("Remedy: take over lines that are not yours, and publish again with --base " + revision + ".");
+        return ExitCode.CONFLICT;
+    }
+
     private ExitCode reportFaults(Answer.Reply reply, RulesDiff diff) {
         console.reportRefusal(reply);
         JsonNode faults = reply.body().path("faults");
--- a/cli/src/test/java/org/fulmarreach/cli/FulmarctlMainTest.java
+++ b/cli/src/test/java/org/fulmarreach/cli/FulmarctlMainTest.java
@@ -115,6 +115,15 @@
         Approvals.verify(text());
     }
 
+    @Test
+    void fileEditedFromAnOlderRevisionRemovesNothing() {
+        entry.answer("POST /v1/rules", 200, "{\"status\":\"accepted\",\"revision\":4}");
+        assertEquals(ExitCode.CONFLICT, run("publish", file, "--base", "2"));
+        assertTrue(text().contains("- " + OLD + "\n+ " + NEW), text());
+        assertEquals(1, entry.requests().size());
+        assertEquals(ExitCode.OK, run("publish", file, "--base", "3"));
+    }
+
     @Test
     void faultsOfTheEntryNameTheLine() {
         entry.answer(
