Keep refunds and refusals of the purse within their period and limit

A clock that is set back could enter a period twice; a refund of the first stay then exceeded what the second had spent and stopped the entry with a false invariant violation. A spend now carries the number of its stay. An entry with an outdated limit was refused and planned the next reservation at once, one append after the other; it now waits until the limit or the grants change. What is left of a period below a full chunk can be reserved.

--- a/core/src/main/java/org/fulmarreach/core/budget/BudgetLedger.java
+++ b/core/src/main/java/org/fulmarreach/core/budget/BudgetLedger.java
@@ -122,14 +122,14 @@
         learnLimit(reserve);
         Period period = findOpen(reserve.periodStartMs(), reserve.amount());
         if (period == null) {
-            return new BudgetOutcome.Refused(reserve, 0);
+            return new BudgetOutcome.Refused(reserve, 0, findGranted(reserve.periodStartMs()));
         }
         if (!period.ids.add(reserve.id())) {
             return new BudgetOutcome.Ignored(BudgetOutcome.Reason.DUPLICATE);
         }
         long left = limit - period.granted;
         if (reserve.amount() > left) {
-            return new BudgetOutcome.Refused(reserve, Math.max(0, left));
+            return new BudgetOutcome.Refused(reserve, Math.max(0, left), period.granted);
         }
         period.granted += reserve.amount();
         return new BudgetOutcome.Granted(reserve);
--- a/core/src/main/java/org/fulmarreach/core/budget/BudgetOutcome.java
+++ b/core/src/main/java/org/fulmarreach/core/budget/BudgetOutcome.java
@@ -14,8 +14,9 @@
      *
      * @param reserve the reservation
      * @param left what was left of the limit
+     * @param granted sum of the grants of the period at this record
      */
-    record Refused(BudgetRecord.Reserve reserve, long left) implements BudgetOutcome {}
+    record Refused(BudgetRecord.Reserve reserve, long left, long granted) implements BudgetOutcome {}
 
     /**
      * The return counts.
--- a/core/src/main/java/org/fulmarreach/core/budget/Purse.java
+++ b/core/src/main/java/org/fulmarreach/core/budget/Purse.java
@@ -15,9 +15,11 @@
 
     private final String owner;
     private long periodStartMs = Long.MIN_VALUE;
+    private long visit;
     private long balance;
     private long spent;
     private BudgetRecord.Reserve pending;
+    private BudgetOutcome.Refused refusal;
     private BudgetRecord.Return pendingReturn;
     private boolean closed;
 
@@ -26,8 +28,9 @@
      *
      * @param periodStartMs period that it was taken from
      * @param amount the cost
+     * @param visit number of the purse's stay in that period; a clock that is set back can enter a period twice
      */
-    public record Spend(long periodStartMs, long amount) {}
+    public record Spend(long periodStartMs, long amount, long visit) {}
 
     /**
      * The budget rule in force. Immutable.
@@ -53,9 +56,11 @@
             return;
         }
         periodStartMs = startMs;
+        visit++;
         balance = 0;
         spent = 0;
         pending = null;
+        refusal = null;
     }
 
     /** Takes out {@code cost}; empty if the purse has less or is closed. A cost of 0 is always met. */
@@ -68,12 +73,12 @@
         }
         balance -= cost;
         spent += cost;
-        return Optional.of(new Spend(periodStartMs, cost));
+        return Optional.of(new Spend(periodStartMs, cost, visit));
     }
 
     /** Puts back a cost whose call did not run. Each spend may be put back once; one of an earlier period is lost. */
     public void refund(Spend spend) {
-        if (spend.periodStartMs() != periodStartMs) {
+        if (spend.visit() != visit) {
             return;
         }
         if (spend.amount() > spent) {
@@ -112,10 +117,10 @@
         if (closed || pending != null || !ledger.isSynchronized()) {
             return Optional.empty();
         }
-        long left = limit.limit() - ledger.findGranted(periodStartMs);
-        long chunk = Math.max(left / (CHUNKS_PER_SHARE * Math.max(1, liveEntries)), cost);
+        long left = findLeft(ledger, limit);
+        long chunk = Math.min(Math.max(left / (CHUNKS_PER_SHARE * Math.max(1, liveEntries)), cost), left);
         boolean low = balance < Math.max(cost, (chunk + 1) / 2);
-        if (!low || chunk <= 0 || chunk > left) {
+        if (!low || chunk <= 0 || balance + chunk < cost) {
             return Optional.empty();
         }
         pending = new BudgetRecord.Reserve(id, owner, periodStartMs, chunk, limit.limit(), limit.rulesRevision());
@@ -139,6 +144,7 @@
             case BudgetOutcome.Refused refused -> {
                 if (refused.reserve().equals(pending)) {
                     pending = null;
+                    refusal = refused;
                 }
             }
             case BudgetOutcome.Returned returned -> {
@@ -154,6 +160,17 @@
         }
     }
 
+    /**
+     * Finds what is left of the budget. After a refusal it is at most what the ledger said, until the limit or the
+     * grants change: an entry with an outdated limit would otherwise append a reservation for each call.
+     */
+    private long findLeft(BudgetLedger ledger, Limit limit) {
+        long granted = ledger.findGranted(periodStartMs);
+        long left = limit.limit() - granted;
+        boolean sameLimit = refusal != null && refusal.reserve().rulesRevision() == limit.rulesRevision();
+        return sameLimit && refusal.granted() == granted ? Math.min(left, refusal.left()) : left;
+    }
+
     // Life cycle
 
     /**
--- a/core/src/test/java/org/fulmarreach/core/budget/BudgetTest.java
+++ b/core/src/test/java/org/fulmarreach/core/budget/BudgetTest.java
@@ -60,7 +60,7 @@
                 highest = Math.max(highest, limit.limit());
             }
             int index = random.nextInt(ENTRIES);
-            long periodMs = (step / 150) * PERIOD_MS;
+            long periodMs = (step / 150 - random.nextInt(20) / 19) * PERIOD_MS;
             Entry replaced = act(entries.get(index), limit, periodMs, random);
             entries.set(index, replaced);
             deliver(random);
@@ -216,6 +216,48 @@
         assertTrue(purse.spend(1).isEmpty());
     }
 
+    @Test
+    void refundAfterTheClockWasSetBackIsLost() {
+        Purse purse = new Purse("e");
+        purse.enterPeriod(0);
+        BudgetLedger ledger = new BudgetLedger();
+        purse.apply(ledger.apply(
+                0,
+                purse.planReservation("a", ledger, new Purse.Limit(100, 1), 5, 3)
+                        .orElseThrow()));
+        Purse.Spend spend = purse.spend(3).orElseThrow();
+        purse.enterPeriod(PERIOD_MS);
+        purse.enterPeriod(0);
+        purse.refund(spend);
+        assertEquals(0, purse.balance());
+    }
+
+    @Test
+    void refusedEntryWithAnOutdatedLimitDoesNotAskAgainForEachCall() {
+        BudgetLedger ledger = new BudgetLedger();
+        ledger.apply(0, reserve("a", 10, 10, 2));
+        Purse purse = new Purse("e2");
+        purse.enterPeriod(0);
+        Purse.Limit outdated = new Purse.Limit(100, 1);
+        purse.apply(ledger.apply(
+                1, purse.planReservation("b", ledger, outdated, 1, 3).orElseThrow()));
+        assertTrue(purse.planReservation("c", ledger, outdated, 1, 3).isEmpty());
+        assertTrue(
+                purse.planReservation("d", ledger, new Purse.Limit(50, 3), 1, 3).isPresent());
+    }
+
+    @Test
+    void lastOfTheBudgetCanBeSpent() {
+        BudgetLedger ledger = new BudgetLedger();
+        ledger.apply(0, reserve("a", 98, 100, 1));
+        Purse purse = new Purse("e2");
+        purse.enterPeriod(0);
+        Purse.Limit limit = new Purse.Limit(100, 1);
+        assertTrue(purse.planReservation("b", ledger, limit, 1, 3).isEmpty());
+        assertEquals(
+                2, purse.planReservation("c", ledger, limit, 1, 2).orElseThrow().amount());
+    }
+
     private static BudgetRecord reserve(String id, long amount, long limit, long revision) {
         return new BudgetRecord.Reserve(id, "e", 0, amount, limit, revision);
     }
