Let the stand-ins end a connection without an answer

Completing the handler's stream made Pekko HTTP answer 500 instead of closing, which was seen with curl. The server now wires the HTTP layer onto a TCP stream with a kill switch; the same call of curl then reports an empty reply (status 52).

--- a/standin/src/main/java/org/fulmarreach/standin/StandInRuntime.java
+++ b/standin/src/main/java/org/fulmarreach/standin/StandInRuntime.java
@@ -23,7 +23,7 @@
             pekko.daemonic = on
             pekko.jvm-exit-on-fatal-error = on
             pekko.coordinated-shutdown.run-by-jvm-shutdown-hook = off
-            pekko.http.server { request-timeout = infinite, idle-timeout = 30 min, max-connections = 4096 }
+            pekko.http.server { request-timeout = infinite, idle-timeout = infinite }
             pekko.http.server.parsing.max-content-length = 16m
             """;
 
--- a/standin/src/main/java/org/fulmarreach/standin/StandInServer.java
+++ b/standin/src/main/java/org/fulmarreach/standin/StandInServer.java
@@ -1,7 +1,9 @@
 package org.fulmarreach.standin;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -11,17 +13,25 @@
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.IncomingConnection;
-import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.settings.ServerSettings;
+import org.apache.pekko.io.TcpSO;
+import org.apache.pekko.stream.KillSwitches;
 import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.SharedKillSwitch;
 import org.apache.pekko.stream.SystemMaterializer;
+import org.apache.pekko.stream.TLSProtocol.SslTlsInbound;
+import org.apache.pekko.stream.TLSProtocol.SslTlsOutbound;
+import org.apache.pekko.stream.javadsl.BidiFlow;
 import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Keep;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.stream.javadsl.TLSPlacebo;
+import org.apache.pekko.stream.javadsl.Tcp;
 import org.apache.pekko.util.ByteString;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -37,14 +47,18 @@
 
     static final ObjectMapper JSON = new ObjectMapper();
 
+    private static final int BACKLOG = 512;
     private static final int MAX_BODY_BYTES = 16 << 20;
     private static final int BODY_TIMEOUT_MS = 30_000;
+    private static final int TRUNCATE_DELAY_MS = 20;
 
     private final Materializer materializer;
     private final Handler handler;
     private final IntConsumer onConnections;
     private final AtomicInteger connections = new AtomicInteger();
-    private final ServerBinding binding;
+    private final Http http;
+    private final ServerSettings settings;
+    private final Tcp.ServerBinding binding;
 
     /**
      * Binds a server; returns when it listens.
@@ -56,9 +70,10 @@
         this.materializer = SystemMaterializer.get(system).materializer();
         this.handler = handler;
         this.onConnections = onConnections;
-        this.binding = Http.get(system)
-                .newServerAt(HOST, port)
-                .connectionSource()
+        this.http = Http.get(system);
+        this.settings = ServerSettings.create(system);
+        this.binding = Tcp.get(system)
+                .bind(HOST, port, BACKLOG, List.of(TcpSO.tcpNoDelay(true)), false, Optional.empty())
                 .to(Sink.foreach(this::accept))
                 .run(materializer)
                 .toCompletableFuture()
@@ -74,11 +89,6 @@
         return HOST + ":" + port();
     }
 
-    /** Stops listening; open connections go on. */
-    void unbind() {
-        binding.unbind().toCompletableFuture().join();
-    }
-
     // Helpers for handlers
 
     static HttpResponse json(int status, Object body) {
@@ -123,19 +133,40 @@
 
     // Helpers
 
-    private void accept(IncomingConnection connection) {
+    /** Wires the HTTP layer by hand, because only the byte streams below it can end without an answer. */
+    private void accept(Tcp.IncomingConnection connection) {
         onConnections.accept(connections.incrementAndGet());
-        Flow<HttpRequest, HttpResponse, CompletionStage<Done>> flow = Flow.of(HttpRequest.class)
-                .mapAsync(1, this::answer)
-                .takeWhile(response -> response != CLOSE)
+        SharedKillSwitch killSwitch = KillSwitches.shared("connection");
+        Flow<ByteString, ByteString, CompletionStage<Done>> bytes = Flow.of(ByteString.class)
+                .via(killSwitch.flow())
+                .via(connection.flow())
+                .via(killSwitch.flow())
                 .watchTermination((unused, done) -> done);
-        connection.handleWith(flow, materializer).whenComplete((done, failure) -> connections.decrementAndGet());
+        Flow<HttpRequest, HttpResponse, NotUsed> handling =
+                Flow.of(HttpRequest.class).mapAsync(1, request -> answer(request, killSwitch));
+        @SuppressWarnings("unchecked")
+        BidiFlow<SslTlsOutbound, ByteString, ByteString, SslTlsInbound, NotUsed> plain =
+                (BidiFlow<SslTlsOutbound, ByteString, ByteString, SslTlsInbound, NotUsed>)
+                        (BidiFlow<SslTlsOutbound, ByteString, ByteString, ?, NotUsed>) TLSPlacebo.getInstance();
+        http.serverLayer(settings)
+                .atop(plain)
+                .join(bytes, Keep.right())
+                .join(handling)
+                .run(materializer)
+                .whenComplete((done, failure) -> connections.decrementAndGet());
     }
 
-    private CompletionStage<HttpResponse> answer(HttpRequest request) {
+    private CompletionStage<HttpResponse> answer(HttpRequest request, SharedKillSwitch killSwitch) {
         return request.entity()
                 .toStrict(BODY_TIMEOUT_MS, MAX_BODY_BYTES, materializer)
-                .thenCompose(strict -> handle(request, strict.getData().toArray()));
+                .thenCompose(strict -> handle(request, strict.getData().toArray()))
+                .thenCompose(response -> {
+                    if (response != CLOSE) {
+                        return CompletableFuture.completedFuture(response);
+                    }
+                    killSwitch.shutdown();
+                    return new CompletableFuture<>();
+                });
     }
 
     private CompletionStage<HttpResponse> handle(HttpRequest request, byte[] body) {
