--- a/standin/src/main/java/org/fulmarreach/standin/LoadOptions.java
+++ b/standin/src/main/java/org/fulmarreach/standin/LoadOptions.java
@@ -13,6 +13,7 @@
  * @param method HTTP method
  * @param rate calls a second; 0 for as fast as the concurrency allows
  * @param durationMs time during which calls become due, in milliseconds
+ * @param warmupMs first part of the duration, whose latencies are not counted, in milliseconds
  * @param concurrency largest number of calls at the same time
  * @param idempotent whether a call may run twice; if not, each call gets an id from the entry first
  * @param retryOtherEntry whether a call without an answer is sent again with the same id to the next entry
@@ -30,6 +31,7 @@
         String method,
         double rate,
         long durationMs,
+        long warmupMs,
         int concurrency,
         boolean idempotent,
         boolean retryOtherEntry,
@@ -47,6 +49,7 @@
                 arguments.getString("method"),
                 arguments.getDouble("rate"),
                 TaskSpec.parseMs(arguments.getString("duration")),
+                TaskSpec.parseMs(arguments.getString("warmup")),
                 arguments.getInt("concurrency"),
                 arguments.getBoolean("idempotent"),
                 arguments.getBoolean("retry_other_entry"),
--- a/standin/src/main/java/org/fulmarreach/standin/LoadTool.java
+++ b/standin/src/main/java/org/fulmarreach/standin/LoadTool.java
@@ -52,6 +52,7 @@
                 .setDefault(50.0)
                 .help("calls a second; 0 for as fast as possible");
         parser.addArgument("--duration").setDefault("10s");
+        parser.addArgument("--warmup").setDefault("0s").help("first part of the duration, left out of the latencies");
         parser.addArgument("--concurrency").type(Integer.class).setDefault(64);
         parser.addArgument("--idempotent").action(Arguments.storeTrue());
         parser.addArgument("--retry-other-entry").action(Arguments.storeTrue());
@@ -94,7 +95,8 @@
             if (System.nanoTime() - dueNanos > 10_000_000) {
                 sentLate.incrementAndGet();
             }
-            record(caller.call(ticket), (System.nanoTime() - dueNanos) / 1_000);
+            boolean warm = dueNanos - startNanos >= options.warmupMs() * 1_000_000;
+            record(caller.call(ticket), (System.nanoTime() - dueNanos) / 1_000, warm);
         }
     }
 
@@ -106,15 +108,17 @@
         }
     }
 
-    private synchronized void record(LoadCaller.Outcome outcome, long us) {
+    private synchronized void record(LoadCaller.Outcome outcome, long us, boolean warm) {
         long boundedUs = Math.min(MAX_LATENCY_US, Math.max(1, us));
         outcomes.merge(outcome.kind(), 1, Integer::sum);
         if (!outcome.code().isEmpty()) {
             codes.merge(outcome.code(), 1, Integer::sum);
         }
-        latencyUs.recordValue(boundedUs);
-        if (outcome.kind().equals("whole")) {
-            wholeLatencyUs.recordValue(boundedUs);
+        if (warm) {
+            latencyUs.recordValue(boundedUs);
+            if (outcome.kind().equals("whole")) {
+                wholeLatencyUs.recordValue(boundedUs);
+            }
         }
         if (options.printIds()) {
             Map<String, Object> line = new LinkedHashMap<>();
@@ -145,9 +149,9 @@
 
     private static Map<String, Object> percentiles(Histogram histogram) {
         Map<String, Object> fields = new LinkedHashMap<>();
-        for (double percentile : new double[] {50, 90, 99, 99.9}) {
-            String name = "p" + (percentile == Math.rint(percentile) ? (int) percentile : percentile);
-            fields.put(name, histogram.getValueAtPercentile(percentile) / 1000.0);
+        for (String percentile : List.of("50", "90", "99", "99.9")) {
+            double value = histogram.getValueAtPercentile(Double.parseDouble(percentile)) / 1000.0;
+            fields.put("p" + percentile, value);
         }
         fields.put("max", histogram.getMaxValue() / 1000.0);
         fields.put("mean", Math.round(histogram.getMean()) / 1000.0);
--- a/standin/src/main/java/org/fulmarreach/standin/StandInServer.java
+++ b/standin/src/main/java/org/fulmarreach/standin/StandInServer.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntConsumer;
 
@@ -13,8 +14,8 @@
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.model.AttributeKey;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
-import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
@@ -29,7 +30,6 @@
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Keep;
 import org.apache.pekko.stream.javadsl.Sink;
-import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.stream.javadsl.TLSPlacebo;
 import org.apache.pekko.stream.javadsl.Tcp;
 import org.apache.pekko.util.ByteString;
@@ -48,6 +48,7 @@
     static final ObjectMapper JSON = new ObjectMapper();
 
     private static final int BACKLOG = 512;
+    private static final AttributeKey<Integer> TRUNCATE = AttributeKey.create("truncate", Integer.class);
     private static final int MAX_BODY_BYTES = 16 << 20;
     private static final int BODY_TIMEOUT_MS = 30_000;
     private static final int TRUNCATE_DELAY_MS = 20;
@@ -105,14 +106,12 @@
         return json(status, Map.of("error", message));
     }
 
-    /** Returns an answer that announces the whole length, and breaks the connection after half of the body. */
+    /** Returns an answer that announces the whole length; the connection closes after half of the body. */
     static HttpResponse truncated(byte[] body) {
-        Source<ByteString, NotUsed> half = Source.single(ByteString.fromArray(body, 0, body.length / 2));
-        Source<ByteString, NotUsed> broken =
-                half.concat(Source.failed(new IllegalStateException("truncated on demand")));
         return HttpResponse.create()
                 .withStatus(200)
-                .withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, body.length, broken));
+                .withEntity(ContentTypes.APPLICATION_JSON, body)
+                .addAttribute(TRUNCATE, body.length - body.length / 2);
     }
 
     static JsonNode parse(byte[] body) {
@@ -136,14 +135,15 @@
     /** Wires the HTTP layer by hand, because only the byte streams below it can end without an answer. */
     private void accept(Tcp.IncomingConnection connection) {
         onConnections.accept(connections.incrementAndGet());
-        SharedKillSwitch killSwitch = KillSwitches.shared("connection");
+        Connection state = new Connection(KillSwitches.shared("connection"), new AtomicInteger());
         Flow<ByteString, ByteString, CompletionStage<Done>> bytes = Flow.of(ByteString.class)
-                .via(killSwitch.flow())
+                .map(state::cut)
+                .via(state.killSwitch().flow())
                 .via(connection.flow())
-                .via(killSwitch.flow())
+                .via(state.killSwitch().flow())
                 .watchTermination((unused, done) -> done);
         Flow<HttpRequest, HttpResponse, NotUsed> handling =
-                Flow.of(HttpRequest.class).mapAsync(1, request -> answer(request, killSwitch));
+                Flow.of(HttpRequest.class).mapAsync(1, request -> answer(request, state));
         @SuppressWarnings("unchecked")
         BidiFlow<SslTlsOutbound, ByteString, ByteString, SslTlsInbound, NotUsed> plain =
                 (BidiFlow<SslTlsOutbound, ByteString, ByteString, SslTlsInbound, NotUsed>)
@@ -156,16 +156,17 @@
                 .whenComplete((done, failure) -> connections.decrementAndGet());
     }
 
-    private CompletionStage<HttpResponse> answer(HttpRequest request, SharedKillSwitch killSwitch) {
+    private CompletionStage<HttpResponse> answer(HttpRequest request, Connection state) {
         return request.entity()
                 .toStrict(BODY_TIMEOUT_MS, MAX_BODY_BYTES, materializer)
                 .thenCompose(strict -> handle(request, strict.getData().toArray()))
                 .thenCompose(response -> {
-                    if (response != CLOSE) {
-                        return CompletableFuture.completedFuture(response);
+                    if (response == CLOSE) {
+                        state.killSwitch().shutdown();
+                        return new CompletableFuture<>();
                     }
-                    killSwitch.shutdown();
-                    return new CompletableFuture<>();
+                    state.bytesToCut().set(response.getAttribute(TRUNCATE).orElse(0));
+                    return CompletableFuture.completedFuture(response);
                 });
     }
 
@@ -177,6 +178,21 @@
         }
     }
 
+    /** Faults of one connection: its end, and the bytes to cut off the end of the present answer. */
+    private record Connection(SharedKillSwitch killSwitch, AtomicInteger bytesToCut) {
+        /** Shortens the rendered answer on demand; a strict answer is rendered in one piece. */
+        ByteString cut(ByteString rendered) {
+            int bytes = bytesToCut.getAndSet(0);
+            if (bytes == 0) {
+                return rendered;
+            }
+            // The delay lets the rest be sent before the connection closes.
+            CompletableFuture.delayedExecutor(TRUNCATE_DELAY_MS, TimeUnit.MILLISECONDS)
+                    .execute(killSwitch::shutdown);
+            return rendered.dropRight(bytes);
+        }
+    }
+
     /** Answers requests; the body is read whole before. */
     interface Handler {
         CompletionStage<HttpResponse> handle(HttpRequest request, byte[] body);
--- a/standin/src/main/java/org/fulmarreach/standin/WorkerAgent.java
+++ b/standin/src/main/java/org/fulmarreach/standin/WorkerAgent.java
@@ -187,7 +187,8 @@
     private void advance(Task task, long nowMs) {
         // The task ends when its lease does, even when the tick comes later.
         long untilMs = Math.min(nowMs, task.leaseEndMs);
-        task.progressMs += (long) ((untilMs - task.advancedMs) * task.share);
+        task.exactProgressMs += (untilMs - task.advancedMs) * task.share;
+        task.progressMs = (long) task.exactProgressMs;
         task.advancedMs = untilMs;
         if (task.progressMs >= task.spec.failAtMs()) {
             end(task, "FAILED", "FAIL", "the task failed");
@@ -243,6 +244,7 @@
         private final Deque<Share> shares = new ArrayDeque<>();
         private String state = "RUNNING";
         private String reason = "";
+        private double exactProgressMs;
         private long progressMs;
         private long advancedMs;
         private long leaseEndMs;
@@ -253,6 +255,7 @@
             this.declared = declared;
             this.spec = spec;
             this.advancedMs = nowMs;
+            this.exactProgressMs = progressMs;
             this.progressMs = progressMs;
             shares.add(new Share(nowMs, 1));
         }
--- /dev/null
+++ b/standin/src/test/java/org/fulmarreach/standin/ProxyPairTest.java
@@ -0,0 +1,129 @@
+package org.fulmarreach.standin;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against a proxy whose faults are milder than they say, which would let tests of silent links pass. */
+class ProxyPairTest {
+    private ServerSocket echo;
+    private ProxyPair pair;
+
+    @BeforeEach
+    void start() throws IOException {
+        echo = new ServerSocket(0);
+        Thread.ofVirtual().start(this::serveEcho);
+        pair = new ProxyPair(0, new InetSocketAddress(StandInServer.HOST, echo.getLocalPort()), 1);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        pair.setRefusing(true);
+        pair.resetAll();
+        echo.close();
+    }
+
+    @Test
+    void silentConnectionStaysOpenAndNewOnesWork() throws IOException {
+        try (Socket old = connect()) {
+            assertEquals('a', roundTrip(old, 'a'));
+            pair.silenceAll();
+            assertThrows(SocketTimeoutException.class, () -> roundTrip(old, 'b'));
+            try (Socket fresh = connect()) {
+                assertEquals('c', roundTrip(fresh, 'c'));
+            }
+            assertThrows(SocketTimeoutException.class, () -> roundTrip(old, 'd'));
+            assertTrue(pair.up().bytesSwallowed() > 0);
+        }
+    }
+
+    @Test
+    void oneWayCutSwallowsOneDirectionOnly() throws IOException {
+        try (Socket socket = connect()) {
+            assertEquals('a', roundTrip(socket, 'a'));
+            pair.down().configure(StandInServer.parse("{\"drop\":true}".getBytes()));
+            assertThrows(SocketTimeoutException.class, () -> roundTrip(socket, 'b'));
+            assertEquals(2, pair.up().bytesForwarded());
+            assertEquals(1, pair.down().bytesForwarded());
+        }
+    }
+
+    @Test
+    void delayAndBandwidthSlowAnswers() throws IOException {
+        pair.up().configure(StandInServer.parse("{\"delayMs\":100}".getBytes()));
+        pair.down().configure(StandInServer.parse("{\"bitsPerS\":80}".getBytes()));
+        try (Socket socket = connect()) {
+            long startNanos = System.nanoTime();
+            assertEquals('a', roundTrip(socket, 'a'));
+            // 100 ms delay and 8 bits at 80 bits a second.
+            assertTrue(System.nanoTime() - startNanos >= 200_000_000L);
+        }
+    }
+
+    @Test
+    void resetTruncationAndRefusalEndConnections() throws IOException {
+        try (Socket socket = connect()) {
+            assertEquals('a', roundTrip(socket, 'a'));
+            pair.resetAll();
+            assertThrows(SocketException.class, () -> {
+                roundTrip(socket, 'b');
+                roundTrip(socket, 'c');
+            });
+        }
+        pair.down().configure(StandInServer.parse("{\"truncateAfter\":1}".getBytes()));
+        try (Socket socket = connect()) {
+            assertEquals('a', roundTrip(socket, 'a'));
+            assertThrows(SocketException.class, () -> {
+                if (roundTrip(socket, 'b') == -1) {
+                    throw new SocketException("closed");
+                }
+            });
+        }
+        pair.setRefusing(true);
+        assertThrows(ConnectException.class, this::connect);
+        pair.setRefusing(false);
+        connect().close();
+    }
+
+    // Helpers
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(StandInServer.HOST, pair.port());
+        socket.setSoTimeout(400);
+        return socket;
+    }
+
+    private static int roundTrip(Socket socket, int letter) throws IOException {
+        socket.getOutputStream().write(letter);
+        return socket.getInputStream().read();
+    }
+
+    private void serveEcho() {
+        while (!echo.isClosed()) {
+            try {
+                Socket socket = echo.accept();
+                Thread.ofVirtual().start(() -> {
+                    try (socket) {
+                        socket.getInputStream().transferTo(socket.getOutputStream());
+                    } catch (IOException e) {
+                        // The test ends connections in rough ways.
+                    }
+                });
+            } catch (IOException e) {
+                // The test has closed the listener.
+            }
+        }
+    }
+}
