--- a/standin/src/main/java/org/fulmarreach/standin/ProxyPair.java
+++ b/standin/src/main/java/org/fulmarreach/standin/ProxyPair.java
@@ -220,6 +220,7 @@
                 }
             } catch (IOException e) {
                 reset();
+                drain(queue);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             } finally {
@@ -227,6 +228,18 @@
             }
         }
 
+        /** Lets the reading thread end, which could otherwise wait for room in the queue for ever. */
+        private void drain(BlockingQueue<Chunk> queue) {
+            try {
+                Chunk chunk = queue.take();
+                while (chunk.bytes() != END) {
+                    chunk = queue.take();
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
         private int forward(byte[] bytes, Socket into, ProxyFaults faults, long passed) throws IOException {
             if (isCut(faults)) {
                 faults.countSwallowed(bytes.length);
--- a/standin/src/main/java/org/fulmarreach/standin/StandInServer.java
+++ b/standin/src/main/java/org/fulmarreach/standin/StandInServer.java
@@ -4,9 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntConsumer;
 
@@ -38,7 +40,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
-/** HTTP server of a stand-in on 127.0.0.1. It counts its open connections and can end one without an answer. */
+/**
+ * HTTP server of a stand-in on 127.0.0.1. It counts its open connections, and can end one without
+ * an answer or in the middle of one.
+ */
 final class StandInServer {
     static final String HOST = "127.0.0.1";
 
@@ -47,6 +52,9 @@
 
     static final ObjectMapper JSON = new ObjectMapper();
 
+    /** Paths of the tests' own tools, whose connections are not counted. */
+    private static final Set<String> OWN_PATHS = Set.of("/control", "/journal");
+
     private static final int BACKLOG = 512;
     private static final AttributeKey<Integer> TRUNCATE = AttributeKey.create("truncate", Integer.class);
     private static final int MAX_BODY_BYTES = 16 << 20;
@@ -65,7 +73,8 @@
      * Binds a server; returns when it listens.
      *
      * @param port port, or 0 for a free one
-     * @param onConnections receives the number of open connections whenever one is added
+     * @param onConnections receives the number of open connections whenever one is added; a connection counts from its
+     *     first request
      */
     StandInServer(ActorSystem system, int port, Handler handler, IntConsumer onConnections) {
         this.materializer = SystemMaterializer.get(system).materializer();
@@ -134,8 +143,7 @@
 
     /** Wires the HTTP layer by hand, because only the byte streams below it can end without an answer. */
     private void accept(Tcp.IncomingConnection connection) {
-        onConnections.accept(connections.incrementAndGet());
-        Connection state = new Connection(KillSwitches.shared("connection"), new AtomicInteger());
+        Connection state = new Connection(KillSwitches.shared("connection"), new AtomicInteger(), new AtomicBoolean());
         Flow<ByteString, ByteString, CompletionStage<Done>> bytes = Flow.of(ByteString.class)
                 .map(state::cut)
                 .via(state.killSwitch().flow())
@@ -153,10 +161,17 @@
                 .join(bytes, Keep.right())
                 .join(handling)
                 .run(materializer)
-                .whenComplete((done, failure) -> connections.decrementAndGet());
+                .whenComplete((done, failure) -> {
+                    if (state.counted().get()) {
+                        connections.decrementAndGet();
+                    }
+                });
     }
 
     private CompletionStage<HttpResponse> answer(HttpRequest request, Connection state) {
+        if (!OWN_PATHS.contains(request.getUri().path()) && state.counted().compareAndSet(false, true)) {
+            onConnections.accept(connections.incrementAndGet());
+        }
         return request.entity()
                 .toStrict(BODY_TIMEOUT_MS, MAX_BODY_BYTES, materializer)
                 .thenCompose(strict -> handle(request, strict.getData().toArray()))
@@ -179,7 +194,7 @@
     }
 
     /** Faults of one connection: its end, and the bytes to cut off the end of the present answer. */
-    private record Connection(SharedKillSwitch killSwitch, AtomicInteger bytesToCut) {
+    private record Connection(SharedKillSwitch killSwitch, AtomicInteger bytesToCut, AtomicBoolean counted) {
         /** Shortens the rendered answer on demand; a strict answer is rendered in one piece. */
         ByteString cut(ByteString rendered) {
             int bytes = bytesToCut.getAndSet(0);
--- a/standin/src/main/java/org/fulmarreach/standin/WorkerAgent.java
+++ b/standin/src/main/java/org/fulmarreach/standin/WorkerAgent.java
@@ -28,6 +28,8 @@
     private final long defaultRunMs;
     private final Set<String> standingNames;
     private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final List<Task> running = new ArrayList<>();
+    private final Deque<String> ended = new ArrayDeque<>();
     private boolean failAll;
     private long usagePausedAtMs = -1;
 
@@ -82,6 +84,7 @@
         Task task = new Task(id, declared, spec, nowMs, parseCheckpoint(checkpoint));
         task.leaseEndMs = nowMs + leaseMs;
         tasks.put(id, task);
+        running.add(task);
         if (failAll || spec.neverStarts()) {
             end(task, "FAILED", "FAIL_START", "the task cannot start");
             return task.reason;
@@ -132,10 +135,8 @@
     /** Advances all tasks to the present time, and stops those whose lease has lapsed. */
     synchronized void tick() {
         long nowMs = clockMs.getAsLong();
-        for (Task task : List.copyOf(tasks.values())) {
-            if (task.state.equals("RUNNING")) {
-                advance(task, nowMs);
-            }
+        for (Task task : List.copyOf(running)) {
+            advance(task, nowMs);
         }
     }
 
@@ -161,10 +162,8 @@
     /** Returns the processors that running tasks really use now, in thousandths of a core. */
     synchronized double usedMilliCores() {
         double sum = 0;
-        for (Task task : tasks.values()) {
-            if (task.state.equals("RUNNING")) {
-                sum += task.realMilliCores() * task.share;
-            }
+        for (Task task : running) {
+            sum += task.realMilliCores() * task.share;
         }
         return sum;
     }
@@ -204,19 +203,17 @@
         task.reason = reason;
         task.shares.add(new Share(clockMs.getAsLong(), 0));
         journal.add(event, "id", task.id, "progressMs", task.progressMs);
-        List<String> ended = new ArrayList<>();
-        tasks.values().stream().filter(t -> !t.state.equals("RUNNING")).forEach(t -> ended.add(t.id));
+        running.remove(task);
+        ended.add(task.id);
         if (ended.size() > MAX_ENDED) {
-            tasks.remove(ended.getFirst());
+            tasks.remove(ended.remove());
         }
     }
 
     private void checkCapacity() {
         Resources sum = Resources.NONE;
-        for (Task task : tasks.values()) {
-            if (task.state.equals("RUNNING")) {
-                sum = sum.plus(task.declared);
-            }
+        for (Task task : running) {
+            sum = sum.plus(task.declared);
         }
         if (!sum.fitsInto(capacity)) {
             journal.add("OVERFULL", "declared", sum.toString(), "capacity", capacity.toString());
--- a/standin/src/test/java/org/fulmarreach/standin/TargetClientTest.java
+++ b/standin/src/test/java/org/fulmarreach/standin/TargetClientTest.java
@@ -1,9 +1,12 @@
 package org.fulmarreach.standin;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.UnaryOperator;
 
 import org.fulmarreach.core.exc.Result;
 import org.fulmarreach.core.model.Target;
@@ -70,6 +73,10 @@
         HttpLogClientTest.post(target.server().address(), "{\"loseAnswersShare\":1}");
         assertInstanceOf(TargetReply.Broken.class, send("/checkout"));
         assertEquals(1, countExecutions());
+        TargetRequest get = new TargetRequest("GET", "/stock", List.of(), new byte[0]);
+        assertInstanceOf(
+                TargetReply.Broken.class, client.send(get).toCompletableFuture().join());
+        assertEquals(2, countExecutions());
     }
 
     @Test
@@ -94,6 +101,30 @@
         assertInstanceOf(Result.Err.class, client.poll().toCompletableFuture().join());
     }
 
+    @Test
+    void pathIsSentAsGivenAndUnsafeCallsAreNotSent() {
+        for (String path : List.of("//x/%7Ea?q=%2F&r=a+b", "/a|b?c=[1]", "/")) {
+            TargetReply.Whole whole = assertInstanceOf(TargetReply.Whole.class, sendToRawServerAndEcho(path));
+            assertEquals("POST " + path + " HTTP/1.1", new String(whole.body(), StandardCharsets.US_ASCII));
+        }
+        for (String path : List.of("", "checkout", "/a b", "/a\r\nX: y")) {
+            assertInstanceOf(TargetReply.NotSent.class, send(path), path);
+        }
+        List<HttpField> headers = List.of(new HttpField("X-A", "a\r\nX-B: b"));
+        TargetRequest injected = new TargetRequest("GET", "/", headers, new byte[0]);
+        assertInstanceOf(
+                TargetReply.NotSent.class,
+                client.send(injected).toCompletableFuture().join());
+    }
+
+    @Test
+    void headHasNoBodyAndIsWhole() {
+        TargetRequest head = new TargetRequest("HEAD", "/checkout?bytes=500", List.of(), new byte[0]);
+        TargetReply.Whole whole = assertInstanceOf(
+                TargetReply.Whole.class, client.send(head).toCompletableFuture().join());
+        assertEquals(0, whole.body().length);
+    }
+
     @Test
     void pollReturnsTheAnnouncement() throws Exception {
         HttpLogClientTest.post(target.server().address(), "{\"leaving\":true}");
@@ -143,18 +174,32 @@
     }
 
     /** Sends a call to a server that writes {@code answer} and closes the connection. */
-    private TargetReply sendToRawServer(String answer) throws Exception {
+    private TargetReply sendToRawServer(String answer) {
+        return sendToRawServer("/checkout", requestLine -> answer);
+    }
+
+    /** Sends a call to a server that answers with the request line. */
+    private TargetReply sendToRawServerAndEcho(String path) {
+        return sendToRawServer(path, line -> "HTTP/1.1 200 OK\r\nContent-Length: " + line.length() + "\r\n\r\n" + line);
+    }
+
+    private TargetReply sendToRawServer(String path, UnaryOperator<String> answer) {
         try (ServerSocket server = new ServerSocket(0)) {
             Thread.ofVirtual().start(() -> {
                 try (Socket socket = server.accept()) {
-                    socket.getInputStream().read(new byte[4096]);
-                    socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
-                } catch (java.io.IOException e) {
-                    throw new java.io.UncheckedIOException(e);
+                    byte[] buffer = new byte[4096];
+                    int length = socket.getInputStream().read(buffer);
+                    String received = new String(buffer, 0, length, StandardCharsets.US_ASCII);
+                    String line = received.substring(0, received.indexOf('\r'));
+                    socket.getOutputStream().write(answer.apply(line).getBytes(StandardCharsets.US_ASCII));
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
                 }
             });
             client = createClient(server.getLocalPort());
-            return send("/checkout");
+            return send(path);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
     }
 }
