Let the proxy refuse connections at once and forget ended ones

A closed ServerSocket goes on accepting until the thread in accept has left the call, so a connect right after 'refuse' sometimes succeeded. The proxy now waits for that thread; the test switches 20 times. A trial with the load tool also left 150 connections in the list after truncation: the writer of the other direction failed in shutdownOutput and then waited for an end mark that it had already taken. A test covers it.

--- a/standin/src/main/java/org/fulmarreach/standin/ProxyPair.java
+++ b/standin/src/main/java/org/fulmarreach/standin/ProxyPair.java
@@ -31,6 +31,7 @@
     private final Set<Link> links = ConcurrentHashMap.newKeySet();
     private final int port;
     private ServerSocket listener;
+    private Thread acceptor;
     private long accepted;
 
     /** Listens on {@code listenPort} (0 for a free one) and forwards to {@code to}; up is towards {@code to}. */
@@ -59,12 +60,16 @@
         try {
             if (refusing && listener != null) {
                 listener.close();
+                // The kernel goes on accepting until the accepting thread has left its call.
+                acceptor.join();
                 listener = null;
             } else if (!refusing && listener == null) {
                 listener = listen(port);
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -98,7 +103,7 @@
         ServerSocket socket = new ServerSocket();
         socket.setReuseAddress(true);
         socket.bind(new InetSocketAddress(InetAddress.getByName(StandInServer.HOST), listenPort), 512);
-        Thread.ofVirtual().start(() -> acceptAll(socket));
+        acceptor = Thread.ofVirtual().start(() -> acceptAll(socket));
         return socket;
     }
 
@@ -216,7 +221,7 @@
                     chunk = queue.take();
                 }
                 if (!isCut(faults)) {
-                    into.shutdownOutput();
+                    endOutput(into);
                 }
             } catch (IOException e) {
                 reset();
@@ -228,6 +233,14 @@
             }
         }
 
+        private void endOutput(Socket into) {
+            try {
+                into.shutdownOutput();
+            } catch (IOException e) {
+                reset();
+            }
+        }
+
         /** Lets the reading thread end, which could otherwise wait for room in the queue for ever. */
         private void drain(BlockingQueue<Chunk> queue) {
             try {
--- a/standin/src/test/java/org/fulmarreach/standin/ProxyPairTest.java
+++ b/standin/src/test/java/org/fulmarreach/standin/ProxyPairTest.java
@@ -7,7 +7,9 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
+import java.time.Duration;
 
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -91,10 +93,26 @@
                 }
             });
         }
-        pair.setRefusing(true);
-        assertThrows(ConnectException.class, this::connect);
-        pair.setRefusing(false);
-        connect().close();
+        for (int i = 0; i < 20; i++) {
+            pair.setRefusing(true);
+            assertThrows(ConnectException.class, this::connect);
+            pair.setRefusing(false);
+            connect().close();
+        }
+    }
+
+    @Test
+    void endedConnectionsAreForgotten() throws IOException {
+        pair.down().configure(StandInServer.parse("{\"truncateAfter\":1}".getBytes()));
+        for (int i = 0; i < 5; i++) {
+            try (Socket socket = connect()) {
+                socket.getOutputStream().write("abc".getBytes());
+                socket.getInputStream().read();
+            }
+        }
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(5))
+                .until(() -> pair.describe().get("open").equals(0));
     }
 
     // Helpers
