--- a/standin/src/main/java/org/fulmarreach/standin/StandInServer.java
+++ b/standin/src/main/java/org/fulmarreach/standin/StandInServer.java
@@ -1,9 +1,14 @@
 package org.fulmarreach.standin;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntConsumer;
 
@@ -11,24 +16,34 @@
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.IncomingConnection;
-import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.AttributeKey;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
-import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.settings.ServerSettings;
+import org.apache.pekko.io.TcpSO;
+import org.apache.pekko.stream.KillSwitches;
 import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.SharedKillSwitch;
 import org.apache.pekko.stream.SystemMaterializer;
+import org.apache.pekko.stream.TLSProtocol.SslTlsInbound;
+import org.apache.pekko.stream.TLSProtocol.SslTlsOutbound;
+import org.apache.pekko.stream.javadsl.BidiFlow;
 import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Keep;
 import org.apache.pekko.stream.javadsl.Sink;
-import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.stream.javadsl.TLSPlacebo;
+import org.apache.pekko.stream.javadsl.Tcp;
 import org.apache.pekko.util.ByteString;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
-/** HTTP server of a stand-in on 127.0.0.1. It counts its open connections and can end one without an answer. */
+/**
+ * HTTP server of a stand-in on 127.0.0.1. It counts its open connections, and can end one without
+ * an answer or in the middle of one.
+ */
 final class StandInServer {
     static final String HOST = "127.0.0.1";
 
@@ -37,28 +52,38 @@
 
     static final ObjectMapper JSON = new ObjectMapper();
 
+    /** Paths of the tests' own tools, whose connections are not counted. */
+    private static final Set<String> OWN_PATHS = Set.of("/control", "/journal");
+
+    private static final int BACKLOG = 512;
+    private static final AttributeKey<Integer> TRUNCATE = AttributeKey.create("truncate", Integer.class);
     private static final int MAX_BODY_BYTES = 16 << 20;
     private static final int BODY_TIMEOUT_MS = 30_000;
+    private static final int TRUNCATE_DELAY_MS = 20;
 
     private final Materializer materializer;
     private final Handler handler;
     private final IntConsumer onConnections;
     private final AtomicInteger connections = new AtomicInteger();
-    private final ServerBinding binding;
+    private final Http http;
+    private final ServerSettings settings;
+    private final Tcp.ServerBinding binding;
 
     /**
      * Binds a server; returns when it listens.
      *
      * @param port port, or 0 for a free one
-     * @param onConnections receives the number of open connections whenever one is added
+     * @param onConnections receives the number of open connections whenever one is added; a connection counts from its
+     *     first request
      */
     StandInServer(ActorSystem system, int port, Handler handler, IntConsumer onConnections) {
         this.materializer = SystemMaterializer.get(system).materializer();
         this.handler = handler;
         this.onConnections = onConnections;
-        this.binding = Http.get(system)
-                .newServerAt(HOST, port)
-                .connectionSource()
+        this.http = Http.get(system);
+        this.settings = ServerSettings.create(system);
+        this.binding = Tcp.get(system)
+                .bind(HOST, port, BACKLOG, List.of(TcpSO.tcpNoDelay(true)), false, Optional.empty())
                 .to(Sink.foreach(this::accept))
                 .run(materializer)
                 .toCompletableFuture()
@@ -74,11 +99,6 @@
         return HOST + ":" + port();
     }
 
-    /** Stops listening; open connections go on. */
-    void unbind() {
-        binding.unbind().toCompletableFuture().join();
-    }
-
     // Helpers for handlers
 
     static HttpResponse json(int status, Object body) {
@@ -95,14 +115,12 @@
         return json(status, Map.of("error", message));
     }
 
-    /** Returns an answer that announces the whole length, and breaks the connection after half of the body. */
+    /** Returns an answer that announces the whole length; the connection closes after half of the body. */
     static HttpResponse truncated(byte[] body) {
-        Source<ByteString, NotUsed> half = Source.single(ByteString.fromArray(body, 0, body.length / 2));
-        Source<ByteString, NotUsed> broken =
-                half.concat(Source.failed(new IllegalStateException("truncated on demand")));
         return HttpResponse.create()
                 .withStatus(200)
-                .withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, body.length, broken));
+                .withEntity(ContentTypes.APPLICATION_JSON, body)
+                .addAttribute(TRUNCATE, body.length - body.length / 2);
     }
 
     static JsonNode parse(byte[] body) {
@@ -123,19 +141,48 @@
 
     // Helpers
 
-    private void accept(IncomingConnection connection) {
-        onConnections.accept(connections.incrementAndGet());
-        Flow<HttpRequest, HttpResponse, CompletionStage<Done>> flow = Flow.of(HttpRequest.class)
-                .mapAsync(1, this::answer)
-                .takeWhile(response -> response != CLOSE)
+    /** Wires the HTTP layer by hand, because only the byte streams below it can end without an answer. */
+    private void accept(Tcp.IncomingConnection connection) {
+        Connection state = new Connection(KillSwitches.shared("connection"), new AtomicInteger(), new AtomicBoolean());
+        Flow<ByteString, ByteString, CompletionStage<Done>> bytes = Flow.of(ByteString.class)
+                .map(state::cut)
+                .via(state.killSwitch().flow())
+                .via(connection.flow())
+                .via(state.killSwitch().flow())
                 .watchTermination((unused, done) -> done);
-        connection.handleWith(flow, materializer).whenComplete((done, failure) -> connections.decrementAndGet());
+        Flow<HttpRequest, HttpResponse, NotUsed> handling =
+                Flow.of(HttpRequest.class).mapAsync(1, request -> answer(request, state));
+        @SuppressWarnings("unchecked")
+        BidiFlow<SslTlsOutbound, ByteString, ByteString, SslTlsInbound, NotUsed> plain =
+                (BidiFlow<SslTlsOutbound, ByteString, ByteString, SslTlsInbound, NotUsed>)
+                        (BidiFlow<SslTlsOutbound, ByteString, ByteString, ?, NotUsed>) TLSPlacebo.getInstance();
+        http.serverLayer(settings)
+                .atop(plain)
+                .join(bytes, Keep.right())
+                .join(handling)
+                .run(materializer)
+                .whenComplete((done, failure) -> {
+                    if (state.counted().get()) {
+                        connections.decrementAndGet();
+                    }
+                });
     }
 
-    private CompletionStage<HttpResponse> answer(HttpRequest request) {
+    private CompletionStage<HttpResponse> answer(HttpRequest request, Connection state) {
+        if (!OWN_PATHS.contains(request.getUri().path()) && state.counted().compareAndSet(false, true)) {
+            onConnections.accept(connections.incrementAndGet());
+        }
         return request.entity()
                 .toStrict(BODY_TIMEOUT_MS, MAX_BODY_BYTES, materializer)
-                .thenCompose(strict -> handle(request, strict.getData().toArray()));
+                .thenCompose(strict -> handle(request, strict.getData().toArray()))
+                .thenCompose(response -> {
+                    if (response == CLOSE) {
+                        state.killSwitch().shutdown();
+                        return new CompletableFuture<>();
+                    }
+                    state.bytesToCut().set(response.getAttribute(TRUNCATE).orElse(0));
+                    return CompletableFuture.completedFuture(response);
+                });
     }
 
     private CompletionStage<HttpResponse> handle(HttpRequest request, byte[] body) {
@@ -146,6 +193,21 @@
         }
     }
 
+    /** Faults of one connection: its end, and the bytes to cut off the end of the present answer. */
+    private record Connection(SharedKillSwitch killSwitch, AtomicInteger bytesToCut, AtomicBoolean counted) {
+        /** Shortens the rendered answer on demand; a strict answer is rendered in one piece. */
+        ByteString cut(ByteString rendered) {
+            int bytes = bytesToCut.getAndSet(0);
+            if (bytes == 0) {
+                return rendered;
+            }
+            // The delay lets the rest be sent before the connection closes.
+            CompletableFuture.delayedExecutor(TRUNCATE_DELAY_MS, TimeUnit.MILLISECONDS)
+                    .execute(killSwitch::shutdown);
+            return rendered.dropRight(bytes);
+        }
+    }
+
     /** Answers requests; the body is read whole before. */
     interface Handler {
         CompletionStage<HttpResponse> handle(HttpRequest request, byte[] body);
