Run the whole path on separate processes

Cause: entry, guard, rules and stand-ins were built apart; a request and a rule had not yet crossed all of them. Change: the daemon starts the shard leaders with the entry; task= of a rule takes the worker's own syntax; the tool's default entry is the operators' default address.

--- a/cli/src/main/java/org/fulmarreach/cli/CommandLine.java
+++ b/cli/src/main/java/org/fulmarreach/cli/CommandLine.java
@@ -24,7 +24,7 @@
 /** The options and commands of {@code fulmarctl}. Stateless after construction. */
 final class CommandLine {
     private static final int WIDTH = 100;
-    private static final String DEFAULT_ENTRY = "http://127.0.0.1:8080";
+    private static final String DEFAULT_ENTRY = "http://127.0.0.1:7402";
     private static final long NO_BASE = -1;
     private static final String DEFAULT_TIMEOUT = "12s";
 
@@ -40,11 +40,11 @@
 
             examples:
               fulmarctl check association.rules
-              fulmarctl diff association.rules --entry http://10.0.0.5:8080
+              fulmarctl diff association.rules --entry http://10.0.0.5:7402
               fulmarctl publish association.rules --wait --timeout 12s
               fulmarctl why farbplan
               fulmarctl drain vm-17 --token "$TOKEN"
-              FULMARREACH_ENTRY=http://10.0.0.5:8080,http://10.0.1.5:8080 fulmarctl targets --json
+              FULMARREACH_ENTRY=http://10.0.0.5:7402,http://10.0.1.5:7402 fulmarctl targets --json
             """;
 
     private final Map<String, String> environment;
--- a/core/src/main/java/org/fulmarreach/core/rules/LineParser.java
+++ b/core/src/main/java/org/fulmarreach/core/rules/LineParser.java
@@ -18,6 +18,8 @@
 final class LineParser {
     private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
     private static final Pattern SEGMENT = Pattern.compile("(?!\\.\\.?$)[A-Za-z0-9._~-]+");
+    private static final Pattern TASK = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:,=/+-]{0,255}");
+    private static final String TASK_FORM = "1 to 256 letters, digits and ._:,=/+-, starting with a letter or digit";
     private static final String NAME_FORM = "a name of 1 to 63 characters a-z, 0-9 and -, not starting with -";
     private static final long DEFAULT_DEADLINE_MS = 2_000;
     private static final long MIN_EVERY_MS = 1_000;
@@ -85,7 +87,7 @@
                         checkWorkName(name),
                         readNameValue("region", ""),
                         readResources(),
-                        readNameValue("task", name == null ? "" : name.text()),
+                        readTask(name == null ? "" : name.text()),
                         member,
                         canonical,
                         line);
@@ -139,7 +141,7 @@
                 runtimeMs,
                 readResources(),
                 readWhole("cost", 0),
-                readNameValue("task", name),
+                readTask(name),
                 member,
                 canonical,
                 line);
@@ -243,6 +245,17 @@
         return valueMs;
     }
 
+    private String readTask(String fallback) {
+        LineText.Word word = values.get("task");
+        if (word == null) {
+            return fallback;
+        }
+        if (!TASK.matcher(word.text()).matches()) {
+            addFault(word.column(), TASK_FORM, word.text(), "Correct the value of task.");
+        }
+        return word.text();
+    }
+
     private String readNameValue(String key, String fallback) {
         LineText.Word word = values.get(key);
         if (word == null) {
--- a/daemon/src/main/java/org/fulmarreach/daemon/FulmardMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/FulmardMain.java
@@ -1,19 +1,16 @@
 package org.fulmarreach.daemon;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.logging.Level;
-import net.sourceforge.argparse4j.inf.ArgumentParserException;
+
 import org.fulmarreach.core.exc.FulmarreachException;
 import org.fulmarreach.core.exc.Result;
 import org.fulmarreach.entry.EntryNode;
@@ -27,6 +24,14 @@
 import org.fulmarreach.runtime.log.RuntimeEvent;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+
 /**
  * Main class of {@code fulmard}. Reads the settings, starts the role, prints one JSON line with its addresses on
  * standard output when it is ready, and drains on SIGTERM. Exit codes: 0 after a planned stop, 2 for wrong settings, 1
@@ -118,14 +123,14 @@
             @Override
             public Map<String, String> addresses() {
                 return Map.of(
-                        "listen", String.valueOf(node.listenAddress()),
-                        "http", String.valueOf(node.httpAddress()),
-                        "operatorHttp", String.valueOf(node.operatorAddress()));
+                        "listen", format(node.frameAddress()),
+                        "http", format(node.callerAddress()),
+                        "operatorHttp", format(node.operatorAddress()));
             }
 
             @Override
             public CompletionStage<?> drain() {
-                return node.drain();
+                return CompletableFuture.runAsync(node::drain);
             }
 
             @Override
@@ -135,6 +140,10 @@
         };
     }
 
+    private static String format(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     private static RunningNode startGuard(Settings settings, EventLog log) {
         GuardNode node = GuardNode.start(settings, MonotonicClock.system(), log, new SimpleMeterRegistry());
         return new RunningNode() {
--- a/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
@@ -68,7 +68,7 @@
      */
 
     /**
-     * Starts an entry that leads no shard.
+     * Starts an entry that takes part in leading the shards of its region.
      *
      * @param settings settings of the role ENTRY
      * @param clock monotonic clock
@@ -79,7 +79,7 @@
      */
     public static EntryNode start(
             Settings settings, MonotonicClock clock, EventLog log, PrometheusMeterRegistry meters) {
-        return start(settings, clock, log, meters, WorkStarter.none());
+        return start(settings, clock, log, meters, WorkStarter.shards());
     }
 
     /** Starts an entry whose shards are led by what {@code work} starts; otherwise as the other {@code start}. */
--- a/entry/src/main/java/org/fulmarreach/entry/WorkStarter.java
+++ b/entry/src/main/java/org/fulmarreach/entry/WorkStarter.java
@@ -1,5 +1,7 @@
 package org.fulmarreach.entry;
 
+import java.security.SecureRandom;
+import java.time.Clock;
 import java.util.List;
 
 import org.apache.pekko.Done;
@@ -12,6 +14,9 @@
 import org.fulmarreach.entry.peers.PeersCommand;
 import org.fulmarreach.entry.rules.RulesCommand;
 import org.fulmarreach.entry.work.WorkCommand;
+import org.fulmarreach.entry.work.WorkDependencies;
+import org.fulmarreach.entry.work.WorkNode;
+import org.fulmarreach.entry.work.WorkSettings;
 import org.fulmarreach.platform.LogClient;
 import org.fulmarreach.runtime.cfg.Settings;
 import org.fulmarreach.runtime.log.EventLog;
@@ -49,6 +54,25 @@
     /** Starts the part; called once on the thread of the context's actor. */
     ActorRef<WorkCommand> start(Parts parts);
 
+    /** Returns a starter that takes part in leading the shards of the entry's region. */
+    static WorkStarter shards() {
+        return parts -> {
+            // Wall-clock milliseconds order the runs of an entry without memory; leases do not depend on them.
+            long incarnation = Clock.systemUTC().millis();
+            WorkDependencies dependencies = new WorkDependencies(
+                    parts.log(),
+                    parts.directory(),
+                    parts.peers(),
+                    subscriber -> parts.rules().tell(new RulesCommand.Subscribe(subscriber)),
+                    parts.clock(),
+                    Clock.systemUTC(),
+                    new SecureRandom(),
+                    parts.events(),
+                    parts.meters());
+            return WorkNode.start(parts.context(), WorkSettings.of(parts.settings(), incarnation), dependencies);
+        };
+    }
+
     /** Returns a starter of an entry that leads no shard. */
     static WorkStarter none() {
         return parts -> parts.context()
