--- a/core/src/main/java/org/fulmarreach/core/exc/ErrorCode.java
+++ b/core/src/main/java/org/fulmarreach/core/exc/ErrorCode.java
@@ -37,7 +37,7 @@
     /** The operator's token is missing or wrong. */
     UNAUTHORIZED("Set the operator token with --token or FULMARREACH_TOKEN."),
     /** Nothing has the given name. */
-    NOT_FOUND("Check the name with fulmarctl list."),
+    NOT_FOUND("Check the name with fulmarctl work or fulmarctl targets."),
     /** A size or count is over its limit. */
     TOO_LARGE("Send less, or raise the limit in the settings."),
     /** The process is shutting down. */
