--- a/standin/src/main/java/org/fulmarreach/standin/WorkerStandIn.java
+++ b/standin/src/main/java/org/fulmarreach/standin/WorkerStandIn.java
@@ -1,6 +1,8 @@
 package org.fulmarreach.standin;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -46,26 +48,27 @@
             return CompletableFuture.completedFuture(StandInServer.json(200, journal.snapshot()));
         }
         if (delayMs == 0) {
-            return CompletableFuture.completedFuture(serve(request, path, json));
+            return CompletableFuture.completedFuture(serve(request, json));
         }
         CompletableFuture<HttpResponse> later = new CompletableFuture<>();
-        timer.schedule(() -> later.complete(serveSafely(request, path, json)), delayMs, TimeUnit.MILLISECONDS);
+        timer.schedule(() -> later.complete(serveSafely(request, json)), delayMs, TimeUnit.MILLISECONDS);
         return later;
     }
 
-    private HttpResponse serveSafely(HttpRequest request, String path, JsonNode json) {
+    private HttpResponse serveSafely(HttpRequest request, JsonNode json) {
         try {
-            return serve(request, path, json);
+            return serve(request, json);
         } catch (IllegalArgumentException e) {
             return StandInServer.error(400, e.getMessage());
         }
     }
 
-    private HttpResponse serve(HttpRequest request, String path, JsonNode json) {
-        String[] parts = path.split("/");
+    private HttpResponse serve(HttpRequest request, JsonNode json) {
+        List<String> parts = new ArrayList<>();
+        request.getUri().pathSegments().forEach(parts::add);
         String method = request.method().name();
-        String route = method + " " + (parts.length > 1 ? parts[1] : "") + (parts.length > 3 ? " " + parts[3] : "");
-        String id = parts.length > 2 ? parts[2] : "";
+        String route = method + " " + parts.getFirst() + (parts.size() > 2 ? " " + parts.get(2) : "");
+        String id = parts.size() > 1 ? parts.get(1) : "";
         return switch (route) {
             case "GET capacity" -> StandInServer.json(200, describe(agent.capacity()));
             case "GET tasks" -> StandInServer.json(200, agent.list());
--- a/standin/src/test/java/org/fulmarreach/standin/WorkerAgentTest.java
+++ b/standin/src/test/java/org/fulmarreach/standin/WorkerAgentTest.java
@@ -120,6 +120,9 @@
             join(client.stop("unknown.0.1"));
             assertFalse(join(client.renew("t.0.1", 60_000)));
             assertEquals(new WorkerStart.Started(), join(client.start("t.0.2", 60_000, SIZE, "cpu:2500", checkpoint)));
+            String oddId = "gruß/a b?c.0.1";
+            assertEquals(new WorkerStart.Started(), join(client.start(oddId, 60_000, SIZE, "run:60s", null)));
+            assertEquals("RUNNING", field(oddId, "state"));
             assertInstanceOf(WorkerStart.Failed.class, join(client.start("n.0.1", 5_000, SIZE, "never-1", null)));
             assertInstanceOf(WorkerStart.Failed.class, join(client.start("x.0.1", 5_000, SIZE, "bad:1", null)));
         }
