Make the test of unsafe calls use the running target

A mutation without the check of header values passed: the test had replaced its client with one for a closed port, so every call was reported as not sent.

The worker stand-in lists the last 100 ended tasks instead of 1,000, since a guard reads the list every second.

--- a/standin/src/main/java/org/fulmarreach/standin/WorkerAgent.java
+++ b/standin/src/main/java/org/fulmarreach/standin/WorkerAgent.java
@@ -19,7 +19,7 @@
     private static final String CHECKPOINT_PREFIX = "progressMs:";
 
     /** Ended tasks that stay in the list, so that a lost answer can be resolved. */
-    private static final int MAX_ENDED = 1_000;
+    private static final int MAX_ENDED = 100;
 
     private final LongSupplier clockMs;
     private final Journal journal;
--- a/standin/src/test/java/org/fulmarreach/standin/TargetClientTest.java
+++ b/standin/src/test/java/org/fulmarreach/standin/TargetClientTest.java
@@ -197,8 +197,8 @@
                     throw new UncheckedIOException(e);
                 }
             });
-            client = createClient(server.getLocalPort(), WorkerAgentTest.PATIENT_MS);
-            return send(path);
+            TargetClient toServer = createClient(server.getLocalPort(), WorkerAgentTest.PATIENT_MS);
+            return toServer.send(request(path)).toCompletableFuture().join();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
