Add the guard's tasks: grants, worker agent and throttling

GuardTasks decides under leader terms and grants what to start, renew and stop; TaskActor carries it to the worker agent and drives the throttle controller. A stop sent while a start is under way proves nothing and is repeated after it; a list from the agent proves an absence only for tasks whose start was answered before it was asked for. The property test found that a start refused before the first list could name a task of the earlier incarnation that runs; such orders now wait for the list.

--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/work/HeldTask.java
@@ -0,0 +1,53 @@
+package org.fulmarreach.core.work;
+
+import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.core.model.TaskId;
+
+/** Present state of one task at the guard; changed by {@link GuardTasks} only. */
+final class HeldTask {
+    /** End of the grant of a task that no leader of this incarnation has granted. */
+    static final long NO_GRANT = Long.MIN_VALUE;
+    /** Time of what has not happened; half of the lowest value, so that differences do not overflow. */
+    static final long NEVER = Long.MIN_VALUE / 2;
+
+    final TaskId task;
+    String shard;
+    long term;
+    GuardTaskPhase phase;
+    long grantEndMs = NO_GRANT;
+    String checkpoint;
+    String reason;
+    Resources used = Resources.NONE;
+    int usageLagMs;
+    long startSentMs = NEVER;
+    long runningSinceMs = NEVER;
+    long renewSentMs = NEVER;
+    long dropAtMs = Long.MAX_VALUE;
+    boolean startPending;
+    boolean startUnclear;
+    boolean stopPending;
+    boolean stopWithCheckpoint;
+    long stopSentMs = NEVER;
+
+    HeldTask(TaskId task, String shard, long term, GuardTaskPhase phase) {
+        this.task = task;
+        this.shard = shard;
+        this.term = term;
+        this.phase = phase;
+    }
+
+    boolean isLive() {
+        return phase == GuardTaskPhase.RUNNING || phase == GuardTaskPhase.STARTING;
+    }
+
+    void finish(GuardTaskPhase finalPhase, String why) {
+        phase = finalPhase;
+        reason = why == null || why.isEmpty() ? reason : why;
+        startPending = false;
+        stopPending = false;
+    }
+
+    GuardTaskView view() {
+        return new GuardTaskView(task, shard, term, phase, checkpoint, reason, used, usageLagMs);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/work/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions on batch and standing work. */
+package org.fulmarreach.core.work;
--- a/guard/src/main/java/org/fulmarreach/guard/CallActor.java
+++ b/guard/src/main/java/org/fulmarreach/guard/CallActor.java
@@ -411,7 +411,8 @@
         }
         lastP99Ms = window.p99Ms();
         String service = target == null ? "" : target.service();
-        parts.tasks.tell(new TaskCommand.WindowClosed(lastP99Ms, window.count(), admission.inUse(), service));
+        parts.tasks.tell(
+                new TaskCommand.WindowClosed(lastP99Ms, window.count(), admission.inUse(), admission.slots(), service));
         window.reset();
     }
 }
--- a/guard/src/main/java/org/fulmarreach/guard/GuardNode.java
+++ b/guard/src/main/java/org/fulmarreach/guard/GuardNode.java
@@ -10,14 +10,17 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.fulmarreach.core.request.TableLimits;
+import org.fulmarreach.platform.HttpWorkerClient;
 import org.fulmarreach.platform.TargetClient;
 import org.fulmarreach.platform.TargetClientSettings;
+import org.fulmarreach.platform.WorkerClient;
 import org.fulmarreach.runtime.cfg.Setting;
 import org.fulmarreach.runtime.cfg.Settings;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameTransport;
 import org.fulmarreach.runtime.net.LinkSettings;
 import org.fulmarreach.runtime.util.ActorSystems;
+import org.fulmarreach.runtime.util.Invariants;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
 import io.micrometer.core.instrument.MeterRegistry;
@@ -29,6 +32,9 @@
 public final class GuardNode implements AutoCloseable {
     private static final int THREADS = 2;
     private static final int INCARNATION_RANDOM_BITS = 20;
+    /** Starts, checkpoints and stops at the worker agent must be over well within its lease of 5 s. */
+    private static final int WORKER_TIMEOUT_MS = 2_000;
+
     private static final long CLOSE_TIMEOUT_S = 5;
 
     private final ActorSystem<GuardCommand> system;
@@ -123,7 +129,16 @@
             EventLog log,
             MeterRegistry meters,
             long incarnation) {
-        ActorRef<TaskCommand> tasks = context.spawn(TaskActor.create(context.getSelf()), "tasks");
+        ActorRef<TaskCommand> tasks = context.spawn(
+                TaskActor.create(new TaskActor.Parts(
+                        incarnation,
+                        settings.intNumber(Setting.WORKER_LEASE_MS),
+                        constructWorker(context, settings),
+                        clock,
+                        log,
+                        new Invariants(meters, log),
+                        context.getSelf())),
+                "tasks");
         ActorRef<CallCommand> calls = context.spawn(
                 CallActor.create(new CallActor.Parts(
                         settings.text(Setting.ID),
@@ -166,6 +181,15 @@
         return TargetGateway.to(new TargetClient(context.getSystem(), clientSettings));
     }
 
+    /** Returns the client of the worker agent; null when the VM has none. */
+    private static WorkerClient constructWorker(ActorContext<?> context, Settings settings) {
+        if (settings.text(Setting.WORKER).isEmpty()) {
+            return null;
+        }
+        URI worker = URI.create(settings.text(Setting.WORKER));
+        return new HttpWorkerClient(context.getSystem(), worker.getHost(), worker.getPort(), WORKER_TIMEOUT_MS);
+    }
+
     private static FrameTransport constructTransport(ActorContext<?> context, Settings settings, EventLog log) {
         LinkSettings links = LinkSettings.DEFAULT.withSilenceTimeoutMs(settings.intNumber(Setting.SILENCE_TIMEOUT_MS));
         return new FrameTransport(context.getSystem(), links, log);
--- a/guard/src/main/java/org/fulmarreach/guard/TaskActor.java
+++ b/guard/src/main/java/org/fulmarreach/guard/TaskActor.java
@@ -1,28 +1,390 @@
 package org.fulmarreach.guard;
 
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.fulmarreach.core.admission.TaskAdmission;
+import org.fulmarreach.core.exc.InvariantViolationException;
+import org.fulmarreach.core.interference.RunningTask;
+import org.fulmarreach.core.interference.ThrottleController;
+import org.fulmarreach.core.interference.ThrottleDecision;
+import org.fulmarreach.core.interference.ThrottleSettings;
+import org.fulmarreach.core.interference.WindowStats;
 import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.core.model.TaskId;
+import org.fulmarreach.core.work.GuardTaskPhase;
+import org.fulmarreach.core.work.GuardTaskView;
+import org.fulmarreach.core.work.GuardTasks;
+import org.fulmarreach.core.work.TaskAction;
+import org.fulmarreach.platform.WorkerClient;
+import org.fulmarreach.platform.WorkerStart;
+import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.Fence;
+import org.fulmarreach.protocol.thrift.RenewTasks;
+import org.fulmarreach.protocol.thrift.StopMode;
+import org.fulmarreach.protocol.thrift.StopTask;
+import org.fulmarreach.protocol.thrift.TaskReportAck;
+import org.fulmarreach.protocol.thrift.TaskStatus;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.util.Invariants;
+import org.fulmarreach.runtime.util.MonotonicClock;
 
-/** Owns the tasks of the VM. */
-final class TaskActor {
-    private TaskActor() {}
-
-    static Behavior<TaskCommand> create(ActorRef<GuardCommand> guardian) {
-        return Behaviors.receiveMessage(command -> {
-            switch (command) {
-                case TaskCommand.Report report ->
-                    report.replyTo()
-                            .tell(new LinksCommand.TasksReported(List.of(), Resources.NONE, Resources.NONE, false));
-                case TaskCommand.SetLeaving leaving -> guardian.tell(GuardCommand.Step.TASKS_ENDED);
-                default -> {
-                    // No tasks yet.
+/**
+ * Owns the tasks of the VM: carries the decisions of {@link GuardTasks} and {@link ThrottleController} to the worker
+ * agent. It stops when an invariant is violated; the tasks then lapse at the agent.
+ */
+final class TaskActor extends AbstractBehavior<TaskCommand> {
+    private static final Duration TICK = Duration.ofMillis(250);
+    private static final Duration LIST_INTERVAL = Duration.ofMillis(1_000);
+    private static final int FAILED_LISTS_UNTIL_FAILING = 3;
+
+    private final Parts parts;
+    private final TaskAdmission admission = new TaskAdmission();
+    private final GuardTasks tasks;
+    private final ThrottleController controller = new ThrottleController(ThrottleSettings.DEFAULT);
+    private final Map<TaskId, Double> appliedShares = new HashMap<>();
+    private final Map<TaskId, GuardTaskPhase> loggedPhases = new HashMap<>();
+    private final Map<TaskId, String> evictions = new HashMap<>();
+    private boolean listUnderWay;
+    private int failedLists;
+    private boolean leaving;
+    private boolean wasFailing;
+
+    /**
+     * What the actor needs.
+     *
+     * @param incarnation number of this run of the guard
+     * @param workerLeaseMs lease of tasks at the agent, in milliseconds
+     * @param worker the agent; null when the VM has none
+     * @param clock clock of this guard
+     * @param log events
+     * @param invariants checks with events and counters
+     * @param guardian is told when all tasks have ended on a planned stop
+     */
+    record Parts(
+            long incarnation,
+            int workerLeaseMs,
+            WorkerClient worker,
+            MonotonicClock clock,
+            EventLog log,
+            Invariants invariants,
+            ActorRef<GuardCommand> guardian) {}
+
+    private TaskActor(ActorContext<TaskCommand> context, Parts parts) {
+        super(context);
+        this.parts = parts;
+        this.tasks = new GuardTasks(parts.incarnation, parts.workerLeaseMs, admission);
+    }
+
+    static Behavior<TaskCommand> create(Parts parts) {
+        return Behaviors.setup(context -> Behaviors.withTimers(timers -> {
+            if (parts.worker != null) {
+                timers.startTimerAtFixedRate(TaskCommand.Timer.TICK, TICK);
+                timers.startTimerWithFixedDelay(TaskCommand.Timer.LIST, Duration.ZERO, LIST_INTERVAL);
+            }
+            return new TaskActor(context, parts);
+        }));
+    }
+
+    @Override
+    public Receive<TaskCommand> createReceive() {
+        return newReceiveBuilder().onAnyMessage(this::apply).build();
+    }
+
+    private Behavior<TaskCommand> apply(TaskCommand command) {
+        try {
+            applyCommand(command, parts.clock.nowMs());
+        } catch (InvariantViolationException e) {
+            try {
+                parts.invariants.check(false, "I2", e.getMessage());
+            } catch (InvariantViolationException logged) {
+                return Behaviors.stopped();
+            }
+        }
+        return this;
+    }
+
+    private void applyCommand(TaskCommand command, long nowMs) {
+        if (parts.worker != null) {
+            // Lapsed tasks are stopped before the message is looked at; the process may have been paused.
+            tasks.tick(nowMs);
+        }
+        switch (command) {
+            case TaskCommand.Received received -> applyBody(received.body(), nowMs);
+            case TaskCommand.WindowClosed window -> applyWindow(window, nowMs);
+            case TaskCommand.SetLeaving change -> {
+                leaving = change.leaving();
+                tasks.setLeaving(leaving, nowMs);
+            }
+            case TaskCommand.Report report -> report.replyTo().tell(constructReport());
+            case TaskCommand.StartAnswered answered -> applyStart(answered, nowMs);
+            case TaskCommand.StopAnswered answered -> applyStop(answered, nowMs);
+            case TaskCommand.ThrottleAnswered answered -> {
+                if (answered.applied()) {
+                    appliedShares.put(answered.task(), answered.share());
+                }
+            }
+            case TaskCommand.Listed listed -> {
+                listUnderWay = false;
+                failedLists = 0;
+                tasks.applyList(TaskMapping.toAgentTasks(listed.tasks()), listed.askedMs(), nowMs);
+            }
+            case TaskCommand.ListFailed failed -> applyListFailure(failed.reason());
+            case TaskCommand.CapacityAnswered answered -> {
+                if (answered.capacity() != null) {
+                    admission.setCapacity(answered.capacity());
+                }
+            }
+            case TaskCommand.Timer timer -> {
+                if (timer == TaskCommand.Timer.LIST) {
+                    list(nowMs);
+                }
+            }
+        }
+        tasks.takeActions().forEach(this::send);
+        logChanges();
+        if (leaving && tasks.isDrained()) {
+            parts.guardian.tell(GuardCommand.Step.TASKS_ENDED);
+        }
+    }
+
+    /*
+     * Messages of the leaders
+     */
+
+    private void applyBody(Body body, long nowMs) {
+        boolean accepted = switch (body.getSetField()) {
+            case START_TASK -> tasks.start(TaskMapping.toOrder(body.getStartTask()), nowMs);
+            case RENEW_TASKS -> {
+                RenewTasks renew = body.getRenewTasks();
+                yield tasks.renew(
+                        renew.getShard(),
+                        renew.getTerm(),
+                        renew.getTickEchoMs(),
+                        renew.getLeaseMs(),
+                        TaskMapping.toTaskIds(renew.getTasks()),
+                        nowMs);
+            }
+            case STOP_TASK -> {
+                StopTask stop = body.getStopTask();
+                boolean checkpoint = stop.getMode() == StopMode.CHECKPOINT_AND_STOP;
+                TaskId task = TaskMapping.toTaskId(stop.getTask());
+                yield tasks.stop(stop.getShard(), stop.getTerm(), task, checkpoint, nowMs);
+            }
+            case TASK_REPORT_ACK -> {
+                TaskReportAck ack = body.getTaskReportAck();
+                List<TaskId> ids = TaskMapping.toTaskIds(ack.getTasks());
+                yield tasks.acknowledge(ack.getShard(), ack.getTerm(), ids, nowMs);
+            }
+            case FENCE -> {
+                Fence fence = body.getFence();
+                yield tasks.fence(fence.getShard(), fence.getTerm(), nowMs);
+            }
+            default -> true;
+        };
+        if (!accepted) {
+            parts.log.emit(GuardEvent.TERM_REFUSED, "message", body.getSetField());
+        }
+    }
+
+    /*
+     * Worker agent
+     */
+
+    private void send(TaskAction action) {
+        switch (action) {
+            case TaskAction.Start start ->
+                getContext()
+                        .pipeToSelf(
+                                parts.worker.start(
+                                        start.task().toAgentId(),
+                                        start.leaseMs(),
+                                        start.size(),
+                                        start.command(),
+                                        start.checkpoint()),
+                                (outcome, failure) -> new TaskCommand.StartAnswered(start.task(), outcome, failure));
+            // A renewal that fails shows in the next list, or the lease lapses.
+            case TaskAction.Renew renew -> parts.worker.renew(renew.task().toAgentId(), renew.leaseMs());
+            case TaskAction.Stop stop ->
+                getContext()
+                        .pipeToSelf(
+                                stopAtAgent(stop),
+                                (checkpoint, failure) -> new TaskCommand.StopAnswered(stop, checkpoint, failure));
+        }
+    }
+
+    /** Completes with the checkpoint, or with null when none is wanted or none could be taken. */
+    private CompletionStage<String> stopAtAgent(TaskAction.Stop stop) {
+        String id = stop.task().toAgentId();
+        CompletionStage<String> checkpoint = stop.checkpoint()
+                ? parts.worker.checkpoint(id).exceptionally(failure -> null)
+                : CompletableFuture.completedStage(null);
+        return checkpoint.thenCompose(text -> parts.worker.stop(id).thenApply(done -> text));
+    }
+
+    private void applyStart(TaskCommand.StartAnswered answered, long nowMs) {
+        switch (answered.outcome()) {
+            case null -> tasks.noteStartUnclear(answered.task(), nowMs);
+            case WorkerStart.Started started -> tasks.noteStarted(answered.task(), nowMs);
+            case WorkerStart.Failed failed -> tasks.noteStartFailed(answered.task(), failed.reason(), nowMs);
+        }
+    }
+
+    private void applyStop(TaskCommand.StopAnswered answered, long nowMs) {
+        TaskAction.Stop stop = answered.stop();
+        if (!stop.proves()) {
+            return;
+        }
+        if (answered.failure() == null) {
+            tasks.noteStopped(stop.task(), answered.checkpoint(), nowMs);
+        } else {
+            tasks.noteStopFailed(stop.task(), nowMs);
+        }
+    }
+
+    private void list(long nowMs) {
+        if (admission.capacity().equals(Resources.NONE)) {
+            getContext()
+                    .pipeToSelf(
+                            parts.worker.capacity(),
+                            (capacity, failure) -> new TaskCommand.CapacityAnswered(failure == null ? capacity : null));
+        }
+        if (listUnderWay) {
+            return;
+        }
+        listUnderWay = true;
+        getContext()
+                .pipeToSelf(
+                        parts.worker.list(),
+                        (listed, failure) -> failure == null
+                                ? new TaskCommand.Listed(listed, nowMs)
+                                : new TaskCommand.ListFailed(String.valueOf(failure.getMessage())));
+    }
+
+    private void applyListFailure(String reason) {
+        listUnderWay = false;
+        failedLists++;
+        if (failedLists == FAILED_LISTS_UNTIL_FAILING) {
+            parts.log.emit(GuardEvent.WORKER_UNREACHABLE, "reason", reason);
+        }
+    }
+
+    /*
+     * Throttling
+     */
+
+    private void applyWindow(TaskCommand.WindowClosed window, long nowMs) {
+        admission.observeService(window.busySlots(), window.slots(), nowMs);
+        List<RunningTask> running = new ArrayList<>();
+        for (GuardTaskView view : tasks.views()) {
+            if (view.phase() == GuardTaskPhase.RUNNING) {
+                running.add(new RunningTask(view.task(), view.used().milliCores(), view.usageLagMs()));
+            }
+        }
+        TaskAdmission.Overload overload = admission.overload();
+        WindowStats stats = new WindowStats(window.service(), window.p99Ms(), window.calls(), overload.cores());
+        ThrottleDecision decision = controller.onWindow(nowMs, stats, running);
+        evictions.keySet().removeIf(task -> controller.share(task) > ThrottleSettings.DEFAULT.lowestShare() + 1e-9);
+        decision.evict().ifPresent(task -> needEviction(task, "the lowest share brought no relief"));
+        if (overload.memory() > 1) {
+            findLargestMemory().ifPresent(task -> needEviction(task, "the tasks use more memory than the VM holds"));
+        }
+        running.forEach(task -> applyShare(task.task()));
+        appliedShares
+                .keySet()
+                .removeIf(task -> running.stream().noneMatch(r -> r.task().equals(task)));
+    }
+
+    /** Sends the wanted share until the agent has applied it. */
+    private void applyShare(TaskId task) {
+        double share = controller.share(task);
+        if (Math.abs(appliedShares.getOrDefault(task, 1.0) - share) < 1e-9) {
+            return;
+        }
+        parts.log.emit(GuardEvent.TASK_THROTTLED, "task", task.toAgentId(), "share", share);
+        getContext()
+                .pipeToSelf(
+                        parts.worker.throttle(task.toAgentId(), share),
+                        (applied, failure) -> new TaskCommand.ThrottleAnswered(
+                                task, share, failure == null && Boolean.TRUE.equals(applied)));
+    }
+
+    private java.util.Optional<TaskId> findLargestMemory() {
+        return tasks.views().stream()
+                .filter(view -> view.phase() == GuardTaskPhase.RUNNING)
+                .max(java.util.Comparator.comparingLong(view -> view.used().memoryMb()))
+                .map(GuardTaskView::task);
+    }
+
+    private void needEviction(TaskId task, String why) {
+        if (evictions.put(task, "EVICTION_NEEDED: " + why) == null) {
+            parts.log.emit(GuardEvent.EVICTION_NEEDED, "task", task.toAgentId(), "reason", why);
+        }
+    }
+
+    /*
+     * Reports
+     */
+
+    private LinksCommand.TasksReported constructReport() {
+        List<TaskStatus> statuses = new ArrayList<>();
+        for (GuardTaskView view : tasks.views()) {
+            statuses.add(TaskMapping.toStatus(view, controller.share(view.task()), evictions.get(view.task())));
+        }
+        Resources free = admission.free();
+        Resources shownFree = new Resources(
+                Math.max(0, free.milliCores()), Math.max(0, free.memoryMb()), Math.max(0, free.accelerators()));
+        return new LinksCommand.TasksReported(statuses, admission.capacity(), shownFree, isFailing());
+    }
+
+    private boolean isFailing() {
+        return parts.worker != null && (tasks.isWorkerFailing() || failedLists >= FAILED_LISTS_UNTIL_FAILING);
+    }
+
+    private void logChanges() {
+        Map<TaskId, GuardTaskPhase> present = new HashMap<>();
+        for (GuardTaskView view : tasks.views()) {
+            present.put(view.task(), view.phase());
+            if (loggedPhases.get(view.task()) != view.phase()) {
+                logPhase(view);
+            }
+        }
+        loggedPhases.clear();
+        loggedPhases.putAll(present);
+        evictions.keySet().retainAll(present.keySet());
+        if (isFailing() && !wasFailing) {
+            parts.log.emit(GuardEvent.WORKER_FAILING);
+        }
+        wasFailing = isFailing();
+    }
+
+    private void logPhase(GuardTaskView view) {
+        String id = view.task().toAgentId();
+        switch (view.phase()) {
+            case RUNNING ->
+                parts.log.emit(view.shard().isEmpty() ? GuardEvent.TASK_ADOPTED : GuardEvent.TASK_STARTED, "task", id);
+            case STOPPING -> {
+                if ("GRANT_LAPSED".equals(view.reason())) {
+                    parts.log.emit(GuardEvent.GRANT_LAPSED, "task", id, "shard", view.shard());
                 }
             }
-            return Behaviors.same();
-        });
+            case STOPPED, SUCCEEDED, FAILED ->
+                parts.log.emit(GuardEvent.TASK_ENDED, "task", id, "phase", view.phase(), "reason", view.reason());
+            case REFUSED -> parts.log.emit(GuardEvent.TASK_REFUSED, "task", id, "reason", view.reason());
+            default -> {
+                // A start is logged with its outcome.
+            }
+        }
     }
 }
