--- a/core/src/main/java/org/fulmarreach/core/request/ExecutionTable.java
+++ b/core/src/main/java/org/fulmarreach/core/request/ExecutionTable.java
@@ -23,7 +23,7 @@
  * @param <A> type of the kept answers
  */
 public final class ExecutionTable<A> {
-    private static final long EXPIRY_STEP_MS = 10_000;
+    private static final long EXPIRY_STEP_MS = 2_000;
 
     private final String guardId;
     private final long incarnation;
@@ -172,7 +172,9 @@
      * Helpers
      */
 
-    private Execution<A> put(RequestId id, Execution<A> execution) {
+    private Execution<A> put(RequestId parsed, Execution<A> execution) {
+        // Each parsed id holds a guard id of its own; the table keeps one for all.
+        RequestId id = new RequestId(guardId, incarnation, parsed.mintTickMs(), parsed.random());
         executions.put(id, execution);
         scheduleExpiry(id, id.mintTickMs() + limits.retainMs(id));
         return execution;
--- a/core/src/main/java/org/fulmarreach/core/request/RequestId.java
+++ b/core/src/main/java/org/fulmarreach/core/request/RequestId.java
@@ -30,7 +30,7 @@
         return new RequestId(guardId, incarnation, mintTickMs, "c" + toHex(high) + toHex(low));
     }
 
-    /** Returns an id for one idempotent call, which is accepted for a minute only; see {@link #isShortLived()}. */
+    /** Returns an id for one idempotent call, which is accepted for 10 s only; see {@link #isShortLived()}. */
     public static RequestId mintForOneCall(String guardId, long incarnation, long mintTickMs, long high, long low) {
         return new RequestId(guardId, incarnation, mintTickMs, SHORT_LIVED_MARK + toHex(high) + toHex(low));
     }
@@ -66,7 +66,7 @@
 
     /**
      * Tells whether the id was made for one idempotent call. Such ids come at the rate of all calls, so the guard keeps
-     * them for two minutes instead of thirty.
+     * them for 20 seconds instead of 30 minutes.
      */
     public boolean isShortLived() {
         return random.charAt(0) == SHORT_LIVED_MARK;
--- a/core/src/main/java/org/fulmarreach/core/request/TableLimits.java
+++ b/core/src/main/java/org/fulmarreach/core/request/TableLimits.java
@@ -12,9 +12,9 @@
  */
 public record TableLimits(
         long acceptMs, long retainMs, long shortAcceptMs, long shortRetainMs, int maxEntries, long maxAnswerBytes) {
-    /** 15 and 30 minutes, 1 and 2 minutes, 50,000 ids (about 12 MB at worst) and 2 MiB of answers. */
+    /** 15 and 30 minutes, 10 and 20 seconds, 50,000 ids and 2 MiB of answers. */
     public static final TableLimits DEFAULT =
-            new TableLimits(900_000, 1_800_000, 60_000, 120_000, 50_000, 2 * 1024 * 1024);
+            new TableLimits(900_000, 1_800_000, 10_000, 20_000, 50_000, 2 * 1024 * 1024);
 
     /** Constructs limits; an id must be kept for as long as it could be accepted. */
     public TableLimits {
--- a/core/src/main/java/org/fulmarreach/core/work/GuardTasks.java
+++ b/core/src/main/java/org/fulmarreach/core/work/GuardTasks.java
@@ -436,7 +436,10 @@
         }
         held.used = agentTask.used();
         held.usageLagMs = agentTask.lagMs();
-        admission.observe(held.task, agentTask.used(), nowMs);
+        if (nowMs - held.runningSinceMs >= agentTask.lagMs()) {
+            // Before, the lagging figures are those of a time at which the task did not run.
+            admission.observe(held.task, agentTask.used(), nowMs);
+        }
         if (held.startUnclear) {
             held.startUnclear = false;
             noteStarted(held.task, nowMs);
--- a/guard/src/main/java/org/fulmarreach/guard/CallActor.java
+++ b/guard/src/main/java/org/fulmarreach/guard/CallActor.java
@@ -14,6 +14,7 @@
 import org.apache.pekko.actor.typed.javadsl.Receive;
 import org.fulmarreach.core.admission.CallAdmission;
 import org.fulmarreach.core.exc.ErrorCode;
+import org.fulmarreach.core.exc.InvariantViolationException;
 import org.fulmarreach.core.exc.Problem;
 import org.fulmarreach.core.exc.Result;
 import org.fulmarreach.core.model.Target;
@@ -33,6 +34,7 @@
 import org.fulmarreach.protocol.thrift.ResolveResult;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameLink;
+import org.fulmarreach.runtime.util.Invariants;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
 import io.micrometer.core.instrument.MeterRegistry;
@@ -116,6 +118,16 @@
     }
 
     private Behavior<CallCommand> apply(CallCommand command) {
+        try {
+            applyCommand(command);
+            return this;
+        } catch (InvariantViolationException e) {
+            InvariantReports.report(new Invariants(parts.meters, parts.log), e);
+            return Behaviors.stopped();
+        }
+    }
+
+    private void applyCommand(CallCommand command) {
         switch (command) {
             case CallCommand.Received received -> receiveCall(received);
             case CallCommand.Asked asked -> answerResolve(asked);
@@ -128,7 +140,6 @@
             case CallCommand.Leave leave -> leave(leave.cause());
             case CallCommand.Timer timer -> applyTimer(timer);
         }
-        return this;
     }
 
     /*
--- a/guard/src/main/java/org/fulmarreach/guard/EntryLinksActor.java
+++ b/guard/src/main/java/org/fulmarreach/guard/EntryLinksActor.java
@@ -150,6 +150,8 @@
                 tasks = reported;
                 announceNewCapacity();
             }
+            case LinksCommand.TasksLost lost ->
+                tasks = new LinksCommand.TasksReported(List.of(), tasks.capacity(), Resources.NONE, true);
             case LinksCommand.Timer timer -> beat();
         }
         return this;
--- a/guard/src/main/java/org/fulmarreach/guard/GuardianActor.java
+++ b/guard/src/main/java/org/fulmarreach/guard/GuardianActor.java
@@ -30,6 +30,7 @@
     private final Children children;
     private boolean draining;
     private boolean tasksLeaving;
+    private boolean tasksStopped;
 
     /**
      * The actors of a guard.
@@ -117,6 +118,9 @@
             tasksLeaving = leaving;
             children.tasks.tell(new TaskCommand.SetLeaving(leaving));
         }
+        if (leaving && tasksStopped) {
+            finishDrain(GuardEvent.DRAINED);
+        }
     }
 
     private void finishDrain(org.fulmarreach.runtime.log.Event event) {
@@ -132,6 +136,8 @@
      */
     private Behavior<GuardCommand> stopPart(Terminated signal) {
         if (signal.getRef().equals(children.tasks)) {
+            tasksStopped = true;
+            children.links.tell(new LinksCommand.TasksLost());
             return this;
         }
         drained.complete(null);
--- a/guard/src/main/java/org/fulmarreach/guard/LinksCommand.java
+++ b/guard/src/main/java/org/fulmarreach/guard/LinksCommand.java
@@ -43,6 +43,9 @@
     record TasksReported(List<TaskStatus> tasks, Resources capacity, Resources free, boolean workerFailing)
             implements LinksCommand {}
 
+    /** The owner of the tasks has stopped; no task is renewed any more and none can be started. */
+    record TasksLost() implements LinksCommand {}
+
     /** Periodic work. */
     enum Timer implements LinksCommand {
         /** Sends heartbeats. */
--- a/guard/src/main/java/org/fulmarreach/guard/TaskActor.java
+++ b/guard/src/main/java/org/fulmarreach/guard/TaskActor.java
@@ -106,11 +106,8 @@
         try {
             applyCommand(command, parts.clock.nowMs());
         } catch (InvariantViolationException e) {
-            try {
-                parts.invariants.check(false, "I2", e.getMessage());
-            } catch (InvariantViolationException logged) {
-                return Behaviors.stopped();
-            }
+            InvariantReports.report(parts.invariants, e);
+            return Behaviors.stopped();
         }
         return this;
     }
