--- a/core/src/main/java/org/fulmarreach/core/work/ShardLeader.java
+++ b/core/src/main/java/org/fulmarreach/core/work/ShardLeader.java
@@ -519,7 +519,7 @@
     // Helpers
 
     private void notify(WorkNotice notice, String detail) {
-        act(new Action.Notify(notice, "shard=" + shard.name() + " " + detail));
+        act(new Action.Notify(notice, detail));
     }
 
     private void act(Action action) {
--- /dev/null
+++ b/entry/src/test/java/org/fulmarreach/entry/work/FakeStore.java
@@ -0,0 +1,52 @@
+package org.fulmarreach.entry.work;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import org.fulmarreach.core.exc.StoreException;
+import org.fulmarreach.platform.LogBatch;
+import org.fulmarreach.platform.LogClient;
+import org.fulmarreach.platform.LogRead;
+
+/** The log service in memory; a read without records answers after its wait. */
+final class FakeStore implements LogClient {
+    private final Map<String, List<byte[]>> streams = new HashMap<>();
+    volatile boolean down;
+
+    @Override
+    public synchronized CompletionStage<Long> append(String stream, byte[] data) {
+        if (down) {
+            return CompletableFuture.failedFuture(new StoreException("down"));
+        }
+        List<byte[]> records = streams.computeIfAbsent(stream, name -> new ArrayList<>());
+        records.add(data);
+        return CompletableFuture.completedFuture(records.size() - 1L);
+    }
+
+    @Override
+    public CompletionStage<LogRead> read(String stream, long fromOffset, int maxRecords, int waitMs) {
+        LogRead now = find(stream, fromOffset);
+        if (now instanceof LogRead.Batch batch && batch.batch().records().isEmpty() && !down) {
+            return CompletableFuture.supplyAsync(
+                    () -> find(stream, fromOffset),
+                    CompletableFuture.delayedExecutor(Math.min(waitMs, 50), TimeUnit.MILLISECONDS));
+        }
+        return down
+                ? CompletableFuture.failedFuture(new StoreException("down"))
+                : CompletableFuture.completedFuture(now);
+    }
+
+    private synchronized LogRead find(String stream, long fromOffset) {
+        List<byte[]> records = streams.getOrDefault(stream, List.of());
+        List<LogBatch.Entry> found = new ArrayList<>();
+        for (int i = (int) fromOffset; i < records.size(); i++) {
+            found.add(new LogBatch.Entry(i, records.get(i)));
+        }
+        return new LogRead.Batch(new LogBatch(0, records.size(), found));
+    }
+}
