Test the entry over HTTP against a guard that speaks frames

Nine tests run a started entry with a log service in memory. They showed that the library's path() is not decoded, so that an encoded backslash passed the check for dot segments; the check now reads the decoded segments.

--- a/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -85,6 +86,17 @@
     /** Starts an entry whose shards are led by what {@code work} starts; otherwise as the other {@code start}. */
     public static EntryNode start(
             Settings settings, MonotonicClock clock, EventLog log, PrometheusMeterRegistry meters, WorkStarter work) {
+        return start(settings, clock, log, meters, work, system -> constructStore(system, settings));
+    }
+
+    /** Starts an entry on another client of the log service. */
+    static EntryNode start(
+            Settings settings,
+            MonotonicClock clock,
+            EventLog log,
+            PrometheusMeterRegistry meters,
+            WorkStarter work,
+            Function<ActorSystem<?>, LogClient> stores) {
         CompletableFuture<EntryParts> ready = new CompletableFuture<>();
         FrameTransport[] transport = new FrameTransport[1];
         ActorSystem<Void> system = ActorSystems.construct(
@@ -92,7 +104,7 @@
                     LinkSettings links =
                             LinkSettings.DEFAULT.withSilenceTimeoutMs(settings.intNumber(Setting.SILENCE_TIMEOUT_MS));
                     transport[0] = new FrameTransport(context.getSystem(), links, log);
-                    LogClient store = constructStore(context.getSystem(), settings);
+                    LogClient store = stores.apply(context.getSystem());
                     EntryParts.Environment environment = new EntryParts.Environment(
                             settings, store, transport[0], clock, Clock.systemUTC(), new SecureRandom(), log, meters);
                     ready.complete(EntryParts.start(context, environment, work));
--- a/entry/src/main/java/org/fulmarreach/entry/budget/BudgetActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/budget/BudgetActor.java
@@ -35,8 +35,8 @@
 
 /**
  * Owns this entry's purse: follows the stream "budget", reserves chunks and gives back what is left. A cost is taken
- * out before its call is sent. The wall clock only chooses the period of a reservation; the ledger's limit holds per period
- * whatever the clock says.
+ * out before its call is sent. The wall clock only chooses the period of a reservation; the ledger's limit holds per
+ * period whatever the clock says.
  */
 public final class BudgetActor {
     /** Name of the stream. */
--- a/entry/src/main/java/org/fulmarreach/entry/http/CallEndpoint.java
+++ b/entry/src/main/java/org/fulmarreach/entry/http/CallEndpoint.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -38,6 +37,9 @@
     private static final String REQUEST_ID = "Request-Id";
     private static final String DEADLINE = "Deadline-Ms";
     private static final String SERVICES = "/v1/services/";
+    /** Segments before the path of the target: v1, services and the service. */
+    private static final int NAMED_FROM = 3;
+
     private static final String REQUESTS = "/v1/requests/";
 
     /** Headers of one connection, or between caller and entry; they are not for the target. */
@@ -131,37 +133,38 @@
         if (deadline instanceof Result.Err<Long> err) {
             return Result.err(err.problem());
         }
-        String decoded = request.getUri().path().substring(SERVICES.length());
-        int slash = decoded.indexOf('/');
-        String service = slash < 0 ? decoded : decoded.substring(0, slash);
-        String rulePath = slash < 0 ? "" : decoded.substring(slash + 1);
+        List<String> segments = new ArrayList<>();
+        request.getUri().pathSegments().forEach(segments::add);
         String raw = request.getUri().asScala().path().toString().substring(SERVICES.length());
-        int rawSlash = raw.indexOf('/');
-        String rawPath = rawSlash < 0 ? "/" : raw.substring(rawSlash);
-        if (!isPlain(rulePath) || rawPath.toLowerCase(Locale.ROOT).contains("%2f")) {
+        if (segments.size() < NAMED_FROM || !isPlain(raw, segments)) {
             return Result.err(
-                    ErrorCode.BAD_REQUEST, "the path has empty or dot segments or an encoded slash: " + rawPath);
+                    ErrorCode.BAD_REQUEST,
+                    "expected " + SERVICES + "SERVICE/PATH without empty or dot segments and"
+                            + " without encoded slashes, found " + raw);
         }
+        int slash = raw.indexOf('/');
+        String targetPath = slash < 0 ? "/" : raw.substring(slash);
+        String rulePath = String.join("/", segments.subList(NAMED_FROM, segments.size()));
         String query = request.getUri().rawQueryString().map(text -> "?" + text).orElse("");
         return Result.ok(new CallInput(
                 requestId,
-                service,
+                segments.get(NAMED_FROM - 1),
                 rulePath,
                 request.method().value(),
-                rawPath + query,
+                targetPath + query,
                 toHeaders(request),
                 body,
                 ((Result.Ok<Long>) deadline).value()));
     }
 
     /** A target may resolve such segments, and then run another path than the one whose rule was applied. */
-    private static boolean isPlain(String path) {
-        String withoutEnd = path.endsWith("/") ? path.substring(0, path.length() - 1) : path;
-        if (withoutEnd.isEmpty()) {
-            return path.isEmpty();
+    private static boolean isPlain(String raw, List<String> decodedSegments) {
+        if (raw.contains("//") || raw.startsWith("/")) {
+            return false;
         }
-        for (String segment : withoutEnd.split("/", -1)) {
-            if (segment.isEmpty() || segment.equals(".") || segment.equals("..") || segment.contains("\\")) {
+        for (String segment : decodedSegments) {
+            boolean isDots = segment.equals(".") || segment.equals("..");
+            if (isDots || segment.contains("/") || segment.contains("\\")) {
                 return false;
             }
         }
--- a/entry/src/main/java/org/fulmarreach/entry/http/HttpListener.java
+++ b/entry/src/main/java/org/fulmarreach/entry/http/HttpListener.java
@@ -57,10 +57,12 @@
             Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
         ServerSettings settings = ServerSettings.create(ConfigFactory.parseString(SETTINGS.formatted(maxConnections))
                 .withFallback(system.settings().config()));
+        org.apache.pekko.japi.function.Function<HttpRequest, CompletionStage<HttpResponse>> answering =
+                request -> answer(request, log, handler);
         return Http.get(system)
                 .newServerAt(address.host(), address.port())
                 .withSettings(settings)
-                .bind(request -> answer(request, log, handler));
+                .bind(answering);
     }
 
     private static CompletionStage<HttpResponse> answer(
