Start the shard leaders with the entry

EntryNode.start now starts WorkNode; WorkStarter keeps a form without shards for tests of the other parts. The nine tests over HTTP pass with the shard actors running.

--- a/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
@@ -21,6 +21,7 @@
 import org.fulmarreach.entry.http.EntryHttp;
 import org.fulmarreach.entry.peers.PeersCommand;
 import org.fulmarreach.entry.work.WorkCommand;
+import org.fulmarreach.entry.work.WorkNode;
 import org.fulmarreach.platform.HttpLogClient;
 import org.fulmarreach.platform.LogClient;
 import org.fulmarreach.platform.LogClientSettings;
@@ -69,7 +70,7 @@
      */
 
     /**
-     * Starts an entry that leads no shard.
+     * Starts an entry.
      *
      * @param settings settings of the role ENTRY
      * @param clock monotonic clock
@@ -80,7 +81,7 @@
      */
     public static EntryNode start(
             Settings settings, MonotonicClock clock, EventLog log, PrometheusMeterRegistry meters) {
-        return start(settings, clock, log, meters, WorkStarter.none());
+        return start(settings, clock, log, meters, WorkNode::start);
     }
 
     /** Starts an entry whose shards are led by what {@code work} starts; otherwise as the other {@code start}. */
@@ -106,7 +107,15 @@
                     transport[0] = new FrameTransport(context.getSystem(), links, log);
                     LogClient store = stores.apply(context.getSystem());
                     EntryParts.Environment environment = new EntryParts.Environment(
-                            settings, store, transport[0], clock, Clock.systemUTC(), new SecureRandom(), log, meters);
+                            settings,
+                            store,
+                            transport[0],
+                            clock,
+                            Clock.systemUTC(),
+                            System.currentTimeMillis(),
+                            new SecureRandom(),
+                            log,
+                            meters);
                     ready.complete(EntryParts.start(context, environment, work));
                     return Behaviors.empty();
                 }),
--- a/entry/src/main/java/org/fulmarreach/entry/EntryParts.java
+++ b/entry/src/main/java/org/fulmarreach/entry/EntryParts.java
@@ -8,6 +8,7 @@
 import java.util.random.RandomGenerator;
 
 import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.fulmarreach.core.rules.RulesInForce;
@@ -33,6 +34,8 @@
 import org.fulmarreach.entry.rules.RulesCommand;
 import org.fulmarreach.entry.store.RegionLogClient;
 import org.fulmarreach.entry.work.WorkCommand;
+import org.fulmarreach.entry.work.WorkDependencies;
+import org.fulmarreach.entry.work.WorkSettings;
 import org.fulmarreach.platform.LogClient;
 import org.fulmarreach.runtime.cfg.Address;
 import org.fulmarreach.runtime.cfg.Setting;
@@ -57,7 +60,8 @@
      * @param store direct client of the log service
      * @param transport opens connections
      * @param clock monotonic clock
-     * @param wallClock chooses budget periods and the incarnation
+     * @param wallClock chooses budget periods and runs of batch work
+     * @param incarnation number of this run of the entry, higher after a restart
      * @param random source of ids and draws
      * @param log events
      * @param meters metrics
@@ -68,6 +72,7 @@
             FrameTransport transport,
             MonotonicClock clock,
             Clock wallClock,
+            long incarnation,
             RandomGenerator random,
             EventLog log,
             MeterRegistry meters) {}
@@ -118,8 +123,18 @@
                 }),
                 "rules-fan-out");
         rules.tell(new RulesCommand.Subscribe(fanOut));
-        ActorRef<WorkCommand> work = workStarter.start(new WorkStarter.Parts(
-                context, settings, store, directory, peers, rules, env.clock(), env.log(), env.meters()));
+        WorkDependencies workParts = new WorkDependencies(
+                store,
+                directory,
+                peers,
+                subscriber -> rules.tell(new RulesCommand.Subscribe(subscriber)),
+                env.clock(),
+                env.wallClock(),
+                env.random(),
+                env.log(),
+                env.meters());
+        ActorRef<WorkCommand> work =
+                workStarter.start(context, WorkSettings.of(settings, env.incarnation()), workParts);
         return new EntryParts(new EntryActors(directory, rules, budget, peers, work), calls);
     }
 
@@ -137,7 +152,7 @@
         }
     }
 
-    private static org.apache.pekko.actor.typed.Behavior<DirectoryCommand> constructDirectory(Environment env) {
+    private static Behavior<DirectoryCommand> constructDirectory(Environment env) {
         Settings settings = env.settings();
         GuardDirectory guards = new GuardDirectory();
         int maxQueued = settings.intNumber(Setting.MAX_QUEUED_CALLS);
@@ -162,7 +177,7 @@
                 settings.text(Setting.ZONE),
                 settings.text(Setting.REGION),
                 findAddress(settings),
-                env.wallClock().millis(),
+                env.incarnation(),
                 addresses,
                 settings.intNumber(Setting.HEARTBEAT_MS));
     }
--- a/entry/src/test/java/org/fulmarreach/entry/EntryNodeTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/EntryNodeTest.java
@@ -17,6 +17,7 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.fulmarreach.core.exc.Result;
+import org.fulmarreach.entry.work.WorkNode;
 import org.fulmarreach.protocol.thrift.Call;
 import org.fulmarreach.protocol.thrift.CallResult;
 import org.fulmarreach.runtime.cfg.Settings;
@@ -262,7 +263,7 @@
                         MonotonicClock.system(),
                         new EventLog(id),
                         new PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
-                        WorkStarter.none(),
+                        WorkNode::start,
                         any -> store);
             case Result.Err<Settings> err ->
                 throw new IllegalStateException(err.problem().message());
