--- a/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -20,6 +21,7 @@
 import org.fulmarreach.entry.http.EntryHttp;
 import org.fulmarreach.entry.peers.PeersCommand;
 import org.fulmarreach.entry.work.WorkCommand;
+import org.fulmarreach.entry.work.WorkNode;
 import org.fulmarreach.platform.HttpLogClient;
 import org.fulmarreach.platform.LogClient;
 import org.fulmarreach.platform.LogClientSettings;
@@ -68,7 +70,7 @@
      */
 
     /**
-     * Starts an entry that takes part in leading the shards of its region.
+     * Starts an entry.
      *
      * @param settings settings of the role ENTRY
      * @param clock monotonic clock
@@ -79,12 +81,23 @@
      */
     public static EntryNode start(
             Settings settings, MonotonicClock clock, EventLog log, PrometheusMeterRegistry meters) {
-        return start(settings, clock, log, meters, WorkStarter.shards());
+        return start(settings, clock, log, meters, WorkNode::start);
     }
 
     /** Starts an entry whose shards are led by what {@code work} starts; otherwise as the other {@code start}. */
     public static EntryNode start(
             Settings settings, MonotonicClock clock, EventLog log, PrometheusMeterRegistry meters, WorkStarter work) {
+        return start(settings, clock, log, meters, work, system -> constructStore(system, settings));
+    }
+
+    /** Starts an entry on another client of the log service. */
+    static EntryNode start(
+            Settings settings,
+            MonotonicClock clock,
+            EventLog log,
+            PrometheusMeterRegistry meters,
+            WorkStarter work,
+            Function<ActorSystem<?>, LogClient> stores) {
         CompletableFuture<EntryParts> ready = new CompletableFuture<>();
         FrameTransport[] transport = new FrameTransport[1];
         ActorSystem<Void> system = ActorSystems.construct(
@@ -92,9 +105,17 @@
                     LinkSettings links =
                             LinkSettings.DEFAULT.withSilenceTimeoutMs(settings.intNumber(Setting.SILENCE_TIMEOUT_MS));
                     transport[0] = new FrameTransport(context.getSystem(), links, log);
-                    LogClient store = constructStore(context.getSystem(), settings);
+                    LogClient store = stores.apply(context.getSystem());
                     EntryParts.Environment environment = new EntryParts.Environment(
-                            settings, store, transport[0], clock, Clock.systemUTC(), new SecureRandom(), log, meters);
+                            settings,
+                            store,
+                            transport[0],
+                            clock,
+                            Clock.systemUTC(),
+                            System.currentTimeMillis(),
+                            new SecureRandom(),
+                            log,
+                            meters);
                     ready.complete(EntryParts.start(context, environment, work));
                     return Behaviors.empty();
                 }),
