Add the policy bench under virtual time

A cluster simulator was ruled out; small fakes of VMs, guards, entries and the log drive core.routing, core.admission, core.interference and core.work in virtual time, beside five baselines and a reference without batch.

--- /dev/null
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/Call.java
@@ -0,0 +1,21 @@
+package org.fulmarreach.bench.policy;
+
+/** One call of a caller under way. */
+final class Call {
+    final long startMs;
+    final long deadlineMs;
+    final double baseMs;
+    final boolean idempotent;
+    CallFront origin;
+    CallFront handler;
+    SimVm guard;
+    int attempts;
+    boolean ended;
+
+    Call(long startMs, long deadlineMs, double baseMs, boolean idempotent) {
+        this.startMs = startMs;
+        this.deadlineMs = deadlineMs;
+        this.baseMs = baseMs;
+        this.idempotent = idempotent;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/PolicyBench.java
@@ -0,0 +1,67 @@
+package org.fulmarreach.bench.policy;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Runs the policy scenarios and writes tables, CSV and plots. */
+public final class PolicyBench {
+    private final PrintStream out;
+    private final Path folder;
+    private final long seed;
+
+    /**
+     * Constructs a bench.
+     *
+     * @param out receives the tables
+     * @param folder receives CSV and plots; created if missing
+     * @param seed seed of all random numbers
+     */
+    public PolicyBench(PrintStream out, Path folder, long seed) {
+        this.out = out;
+        this.folder = folder;
+        this.seed = seed;
+    }
+
+    /** Returns the names of the scenarios. */
+    public static List<String> listScenarios() {
+        return Scenarios.ALL.stream().map(Scenario::name).toList();
+    }
+
+    /**
+     * Runs scenarios under all policies.
+     *
+     * @param names scenarios; empty for all
+     * @param policies names of the policies; empty for all
+     * @throws IOException if the results cannot be written
+     */
+    public void run(List<String> names, List<String> policies) throws IOException {
+        List<Run> runs = new ArrayList<>();
+        out.println(Run.tableHeader());
+        for (Scenario scenario : Scenarios.ALL) {
+            if (!names.isEmpty() && !names.contains(scenario.name())) {
+                continue;
+            }
+            for (Policy policy : Policy.values()) {
+                if (policies.isEmpty() || policies.contains(policy.name())) {
+                    Run run = Run.execute(scenario, policy, seed);
+                    runs.add(run);
+                    out.println(run.toRow());
+                }
+            }
+        }
+        out.println();
+        out.println("| bar (section 1.6) | scenario | measured | verdict |");
+        out.println("|---|---|---|---|");
+        List<String> bars = new Bars(runs).evaluate();
+        bars.forEach(out::println);
+        Files.createDirectories(folder);
+        List<String> lines = new ArrayList<>(List.of(Run.CSV_HEADER));
+        runs.forEach(run -> lines.add(run.toCsv()));
+        Files.write(folder.resolve("policy.csv"), lines);
+        PolicyPlots.write(runs, folder);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/PolicyPlots.java
@@ -0,0 +1,90 @@
+package org.fulmarreach.bench.policy;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.CategoryChart;
+import org.knowm.xchart.CategoryChartBuilder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+/** Plots of the results. Stateless. */
+final class PolicyPlots {
+    private static final int WIDTH = 900;
+    private static final int HEIGHT = 420;
+
+    private PolicyPlots() {}
+
+    static void write(List<Run> runs, Path folder) throws IOException {
+        writeBars(
+                runs, folder, "p99", "p99 of calls in ms", run -> run.measures().p99Ms());
+        writeBars(
+                runs,
+                folder,
+                "in-time",
+                "calls in time in %",
+                run -> 100 * run.measures().inTimePart());
+        for (String name : List.of("noisy", "noisy-association")) {
+            writeSeries(runs, folder, name);
+        }
+    }
+
+    private static void writeBars(List<Run> runs, Path folder, String file, String title, ToDoubleFunction<Run> figure)
+            throws IOException {
+        List<String> scenarios =
+                runs.stream().map(run -> run.scenario().name()).distinct().toList();
+        CategoryChart chart = new CategoryChartBuilder()
+                .width(WIDTH + 500)
+                .height(HEIGHT)
+                .title(title)
+                .build();
+        chart.getStyler().setXAxisLabelRotation(30);
+        for (Policy policy : Policy.values()) {
+            List<String> names = new ArrayList<>();
+            List<Double> values = new ArrayList<>();
+            for (Run run : runs) {
+                if (run.policy() == policy) {
+                    names.add(run.scenario().name());
+                    values.add(figure.applyAsDouble(run));
+                }
+            }
+            if (names.size() == scenarios.size() && !names.isEmpty()) {
+                chart.addSeries(policy.title(), names, values);
+            }
+        }
+        if (!chart.getSeriesMap().isEmpty()) {
+            BitmapEncoder.saveBitmap(chart, folder.resolve(file).toString(), BitmapEncoder.BitmapFormat.PNG);
+        }
+    }
+
+    private static void writeSeries(List<Run> runs, Path folder, String scenario) throws IOException {
+        XYChart chart = new XYChartBuilder()
+                .width(WIDTH)
+                .height(HEIGHT)
+                .title("p99 in 10 s, scenario " + scenario)
+                .xAxisTitle("s")
+                .yAxisTitle("ms")
+                .build();
+        for (Run run : runs) {
+            boolean shown = run.policy() == Policy.FULMARREACH
+                    || run.policy() == Policy.UNTHROTTLED
+                    || run.policy() == Policy.NO_BATCH;
+            if (run.scenario().name().equals(scenario) && shown) {
+                List<Double> seconds = new ArrayList<>();
+                for (int i = 0; i < run.measures().p99Series.size(); i++) {
+                    seconds.add(i * 10.0);
+                }
+                chart.addSeries(run.policy().title(), seconds, run.measures().p99Series)
+                        .setMarker(SeriesMarkers.NONE);
+            }
+        }
+        if (!chart.getSeriesMap().isEmpty()) {
+            BitmapEncoder.saveBitmap(chart, folder.resolve(scenario).toString(), BitmapEncoder.BitmapFormat.PNG);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/Run.java
@@ -0,0 +1,124 @@
+package org.fulmarreach.bench.policy;
+
+import java.util.Locale;
+import java.util.Set;
+
+import org.fulmarreach.core.work.RunKey;
+
+/**
+ * Result of one scenario under one policy.
+ *
+ * @param scenario the scenario
+ * @param policy the policy
+ * @param measures what was measured
+ * @param deadlines runs with a deadline
+ * @param maxHopelessStarts most starts of one run that can never succeed
+ * @param hopelessRepeats whether such a run was started twice on one VM
+ */
+record Run(
+        Scenario scenario,
+        Policy policy,
+        Measures measures,
+        Deadlines deadlines,
+        int maxHopelessStarts,
+        boolean hopelessRepeats) {
+    static final String CSV_HEADER = "scenario,policy,offered,in_time,late,refused,failed,p50_ms,p99_ms,p999_ms,"
+            + "slots_useful,batch_core_s,runs_due,runs_met,starts,evictions,memory_kills,refused_starts,"
+            + "starts_on_failing,starts_while_failing,max_hopeless_starts,overcommitted_vm_s,standing_down_s,"
+            + "appends_per_s,own_link_bytes_per_s,call_link_bytes_per_s";
+
+    static Run execute(Scenario scenario, Policy policy, long seed) {
+        World world = new World(scenario, policy, seed);
+        Measures measures = world.run();
+        int maxStarts = 0;
+        boolean repeats = false;
+        for (var entry : measures.startsByRun.entrySet()) {
+            RunKey key = entry.getKey();
+            if (world.findWork(key.work()).hopeless()) {
+                Set<String> vms = measures.vmsByRun.get(key);
+                maxStarts = Math.max(maxStarts, entry.getValue());
+                repeats |= vms.size() < entry.getValue();
+            }
+        }
+        return new Run(scenario, policy, measures, Deadlines.count(world), maxStarts, repeats);
+    }
+
+    /** Returns the part of all slots' time that was spent on calls answered in time. */
+    double findUsefulSlots() {
+        double measuredMs = scenario.durationMs() - Scenario.WARM_UP_MS - 2_000;
+        return measures.usefulSlotMs / (Site.VMS * Site.SLOTS * measuredMs);
+    }
+
+    double findAppendsPerS() {
+        return measures.appends * 1_000.0 / measures.durationMs;
+    }
+
+    double findOwnLinkPart() {
+        return measures.ownLinkBytes / (double) measures.durationMs / RegionLink.BYTES_PER_MS;
+    }
+
+    String toCsv() {
+        Measures m = measures;
+        double seconds = m.durationMs / 1_000.0;
+        return String.format(
+                Locale.ROOT,
+                "%s,%s,%d,%d,%d,%d,%d,%.0f,%.0f,%.0f,%.4f,%.0f,%d,%d,%d,%d,%d,%d,%d,%d,%d,%.0f,%.0f,%.2f,%.0f,%.0f",
+                scenario.name(),
+                policy.name(),
+                m.offered,
+                m.inTime,
+                m.late,
+                m.refused,
+                m.failed,
+                m.p50Ms(),
+                m.p99Ms(),
+                m.p999Ms(),
+                findUsefulSlots(),
+                m.batchCoreMs / 1_000,
+                deadlines.due(),
+                deadlines.met(),
+                m.starts,
+                m.evictions,
+                m.memoryKills,
+                m.refusedStarts,
+                m.startsOnFailing,
+                m.startsWhileFailing,
+                maxHopelessStarts,
+                m.overcommittedVmMs / 1_000,
+                m.standingDownMs / 1_000.0,
+                findAppendsPerS(),
+                m.ownLinkBytes / seconds,
+                m.callLinkBytes / seconds);
+    }
+
+    /** Returns a row of the printed table. */
+    String toRow() {
+        Measures m = measures;
+        return String.format(
+                Locale.ROOT,
+                "| %s | %s | %.2f%% | %.0f | %.0f | %.0f | %.1f%% | %.0f | %d/%d | %d | %d | %d | %d | %.0f | %.0f |",
+                scenario.name(),
+                policy.title(),
+                100 * m.inTimePart(),
+                m.p50Ms(),
+                m.p99Ms(),
+                m.p999Ms(),
+                100 * findUsefulSlots(),
+                m.batchCoreMs / 1_000,
+                deadlines.met(),
+                deadlines.due(),
+                m.starts,
+                m.evictions,
+                m.memoryKills,
+                m.refusedStarts,
+                m.overcommittedVmMs / 1_000,
+                m.standingDownMs / 1_000.0);
+    }
+
+    static String tableHeader() {
+        return """
+                | scenario | policy | calls in time | p50 ms | p99 ms | p99.9 ms | useful slots | batch core s | \
+                deadlines met | starts | evictions | memory kills | refused starts | CPU over VM s | standing down s |
+                |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|""";
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/SimVm.java
@@ -0,0 +1,88 @@
+package org.fulmarreach.bench.policy;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import org.HdrHistogram.Histogram;
+import org.fulmarreach.core.admission.CallAdmission;
+import org.fulmarreach.core.exc.Result;
+import org.fulmarreach.core.model.Target;
+import org.fulmarreach.core.model.Vm;
+
+/** A VM with its target and the call side of its guard. The latency of a call grows with the pressure of the tasks. */
+final class SimVm {
+    private static final long HOP_MS = 1;
+    private static final long FAILED_CALL_MS = 5;
+    private static final double SLOT_MILLI_CORES = 1_000;
+
+    final Vm vm;
+    final TaskHost tasks;
+    final Histogram window = new Histogram(60_000, 3);
+    boolean dead;
+    boolean failing;
+    private final World world;
+    private final CallAdmission admission = new CallAdmission();
+    private final Deque<Call> waiting = new ArrayDeque<>();
+    private int inUse;
+
+    SimVm(World world, Vm vm, int lagMs) {
+        this.world = world;
+        this.vm = vm;
+        this.tasks = new TaskHost(world, this, lagMs);
+        admission.applyTarget(new Target(world.scenario.site().service(), Site.SLOTS, Site.CONNECTIONS, false));
+    }
+
+    int inUse() {
+        return inUse;
+    }
+
+    /** Takes in a call that an entry sent. */
+    void receive(Call call) {
+        if (dead) {
+            return;
+        }
+        if (!world.policy.admitsCalls()) {
+            if (inUse < Site.SLOTS) {
+                run(call);
+            } else {
+                waiting.addLast(call);
+            }
+        } else if (admission.acquire() instanceof Result.Ok<Integer>) {
+            run(call);
+        } else {
+            CallFront handler = call.handler;
+            world.timeline.after(HOP_MS, () -> handler.receiveRefusal(this, call));
+        }
+    }
+
+    void die() {
+        dead = true;
+        waiting.clear();
+        tasks.die();
+    }
+
+    private void run(Call call) {
+        inUse++;
+        world.measures.maxCallsOnVm = Math.max(world.measures.maxCallsOnVm, inUse);
+        boolean fails = failing;
+        double slowdown = tasks.findPressure() * tasks.findCpuExcess(inUse * SLOT_MILLI_CORES);
+        long serviceMs = fails ? FAILED_CALL_MS : Math.max(1, Math.round(call.baseMs * slowdown));
+        world.timeline.after(serviceMs, () -> end(call, serviceMs, fails));
+    }
+
+    private void end(Call call, long serviceMs, boolean fails) {
+        if (dead) {
+            return;
+        }
+        inUse--;
+        if (world.policy.admitsCalls()) {
+            admission.release(serviceMs);
+        }
+        window.recordValue(serviceMs);
+        CallFront handler = call.handler;
+        world.timeline.after(HOP_MS, () -> handler.receiveResult(this, call, serviceMs, !fails));
+        if (!waiting.isEmpty()) {
+            run(waiting.pollFirst());
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/World.java
@@ -0,0 +1,344 @@
+package org.fulmarreach.bench.policy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import org.fulmarreach.core.model.AvailabilityZone;
+import org.fulmarreach.core.model.TaskId;
+import org.fulmarreach.core.model.Vm;
+import org.fulmarreach.core.rules.ParseResult;
+import org.fulmarreach.core.rules.Rules;
+import org.fulmarreach.core.rules.RulesParser;
+import org.fulmarreach.core.work.GuardReport;
+import org.fulmarreach.core.work.RunKey;
+import org.fulmarreach.core.work.WorkNotice;
+import org.fulmarreach.protocol.io.ThriftBytes;
+import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.Frame;
+import org.fulmarreach.protocol.thrift.PeerStatus;
+import org.fulmarreach.protocol.thrift.ServiceSummary;
+
+/** One run of a scenario under one policy: a site with its VMs, entries, log and links in virtual time. */
+final class World {
+    /** Start of a batch interval, UTC milliseconds. */
+    static final long START_WALL_MS = 1_800_000_000_000L;
+
+    private static final double MEDIAN_MS = 80;
+    private static final double SIGMA = 0.45;
+    private static final double MEAN_MS = MEDIAN_MS * Math.exp(SIGMA * SIGMA / 2);
+    private static final double UNSAFE_PART = 0.3;
+    private static final long DEADLINE_MS = 2_000;
+    private static final long HOP_MS = 1;
+    private static final long HEARTBEAT_MS = 500;
+    private static final long FRONT_TICK_MS = 20;
+    private static final long WINDOW_MS = 2_000;
+    private static final long SERIES_MS = 10_000;
+    private static final long STANDING_CHECK_MS = 1_000;
+    /** Bytes of length prefix, TCP and IP around a frame. */
+    private static final int FRAME_BYTES = 44;
+
+    final Timeline timeline = new Timeline();
+    final Measures measures = new Measures();
+    final SimLog log = new SimLog();
+    final Scenario scenario;
+    final Policy policy;
+    final Map<String, SimVm> vms = new LinkedHashMap<>();
+    final List<CallFront> callFronts = new ArrayList<>();
+    final List<WorkFront> workFronts = new ArrayList<>();
+    final Map<String, Work> works = new HashMap<>();
+    final Random faultRandom;
+    private final RegionLink homeToFar;
+    private final RegionLink farToHome;
+    private final Random arrivals;
+    final Rules rules;
+    final Set<String> cancelled = new HashSet<>();
+    private long failingFromMs = Long.MAX_VALUE;
+
+    World(Scenario scenario, Policy policy, long seed) {
+        this.scenario = scenario;
+        this.policy = policy;
+        Random seeds = new Random(seed);
+        arrivals = new Random(seeds.nextLong());
+        faultRandom = new Random(seeds.nextLong());
+        homeToFar = new RegionLink(timeline, new Random(seeds.nextLong()));
+        farToHome = new RegionLink(timeline, new Random(seeds.nextLong()));
+        List<Work> mix = scenario.mix().construct(scenario.site(), seeds.nextLong());
+        mix.forEach(work -> works.put(work.name(), work));
+        List<String> lines = policy.hasBatch() ? mix.stream().map(Work::line).toList() : List.of();
+        rules = switch (RulesParser.parse(lines)) {
+            case ParseResult.Parsed parsed -> parsed.rules();
+            case ParseResult.Faulty faulty -> throw new IllegalStateException("rules: " + faulty.faults());
+        };
+        Random lags = new Random(seeds.nextLong());
+        for (Vm vm : scenario.site().constructVms()) {
+            int lagMs = scenario.minLagMs() + lags.nextInt(scenario.maxLagMs() - scenario.minLagMs() + 1);
+            vms.put(vm.id(), new SimVm(this, vm, lagMs));
+        }
+        int number = 0;
+        for (AvailabilityZone zone : scenario.site().constructEntryZones()) {
+            String region = zone.region().name();
+            boolean home = region.equals(scenario.site().homeRegion());
+            callFronts.add(new CallFront(this, zone.name(), home, seeds.nextLong()));
+            workFronts.add(new WorkFront(this, "entry-" + number++, region, zone.name(), rules, seeds.nextLong()));
+        }
+    }
+
+    // Life cycle
+
+    Measures run() {
+        vms.values().forEach(this::startVm);
+        timeline.every(HEARTBEAT_MS, this::exchangePeers);
+        callFronts.forEach(front -> timeline.every(FRONT_TICK_MS, () -> {
+            if (!front.dead) {
+                front.tick();
+            }
+        }));
+        if (policy.hasBatch()) {
+            workFronts.forEach(WorkFront::start);
+            timeline.every(STANDING_CHECK_MS, this::checkStanding);
+        }
+        timeline.every(SERIES_MS, measures::closeSeriesPoint);
+        scenario.faults().accept(this);
+        timeline.after(1_000, () -> arrive(true));
+        timeline.after(1_000, () -> arrive(false));
+        timeline.runUntil(scenario.durationMs());
+        vms.values().forEach(vm -> measures.batchCoreMs += vm.tasks.findOpenCoreMs());
+        measures.durationMs = scenario.durationMs();
+        measures.appends = log.appends();
+        measures.ownLinkBytes = Math.max(homeToFar.ownBytes(), farToHome.ownBytes());
+        measures.callLinkBytes = Math.max(homeToFar.callBytes(), farToHome.callBytes());
+        return measures;
+    }
+
+    private void startVm(SimVm vm) {
+        whileAlive(vm, TaskHost.STEP_MS, vm.tasks::step);
+        whileAlive(vm, 1_000, vm.tasks::observe);
+        whileAlive(vm, WINDOW_MS, vm.tasks::closeWindow);
+        whileAlive(vm, HEARTBEAT_MS, () -> sendHeartbeats(vm));
+    }
+
+    private void whileAlive(SimVm vm, long periodMs, Runnable action) {
+        timeline.every(periodMs, () -> {
+            if (!vm.dead) {
+                action.run();
+            }
+        });
+    }
+
+    private void sendHeartbeats(SimVm vm) {
+        GuardReport report = vm.tasks.report();
+        int inUse = vm.inUse();
+        String region = vm.vm.zone().region().name();
+        timeline.after(HOP_MS, () -> {
+            for (int i = 0; i < workFronts.size(); i++) {
+                WorkFront front = workFronts.get(i);
+                if (front.region.equals(region) && !front.dead) {
+                    front.receiveHeartbeat(report);
+                    callFronts.get(i).receiveHeartbeat(vm, inUse);
+                }
+            }
+        });
+    }
+
+    private void exchangePeers() {
+        for (int i = 0; i < workFronts.size(); i++) {
+            for (int j = 0; j < workFronts.size(); j++) {
+                if (i == j || workFronts.get(j).dead) {
+                    continue;
+                }
+                WorkFront from = workFronts.get(i);
+                WorkFront to = workFronts.get(j);
+                if (from.region.equals(to.region)) {
+                    to.receivePeer(from);
+                } else if (!from.dead) {
+                    CallFront sender = callFronts.get(i);
+                    CallFront receiver = callFronts.get(j);
+                    int freeSlots = sender.findFreeSlots();
+                    link(sender.home)
+                            .sendOwn(
+                                    findStatusBytes(from, freeSlots), () -> receiver.receiveSummary(sender, freeSlots));
+                }
+            }
+        }
+    }
+
+    private int findStatusBytes(WorkFront from, int freeSlots) {
+        ServiceSummary summary = new ServiceSummary(scenario.site().service(), 8, 64, 64 - freeSlots);
+        PeerStatus status =
+                new PeerStatus(from.id, 1_000, List.of(summary), 8, 1_000, true, false, from.zone, from.region);
+        return ThriftBytes.encode(new Frame(0, Body.peerStatus(status))).length + FRAME_BYTES;
+    }
+
+    private void checkStanding() {
+        if (timeline.nowMs() < Scenario.WARM_UP_MS) {
+            return;
+        }
+        for (Work work : works.values()) {
+            int running = 0;
+            for (SimVm vm : vms.values()) {
+                running += vm.tasks.countRunning(work.name());
+            }
+            if (work.standing() && running == 0) {
+                measures.standingDownMs += STANDING_CHECK_MS;
+            }
+        }
+    }
+
+    // Calls
+
+    private void arrive(boolean home) {
+        double capacityPerMs = Site.VMS * Site.SLOTS / MEAN_MS;
+        double perMs = scenario.load().find(timeline.nowMs(), home) * capacityPerMs;
+        double gapMs = -Math.log(1 - arrivals.nextDouble()) / Math.max(1e-6, perMs);
+        double baseMs = MEDIAN_MS * Math.exp(SIGMA * arrivals.nextGaussian());
+        boolean idempotent = arrivals.nextDouble() >= UNSAFE_PART;
+        int pick = arrivals.nextInt(1_000);
+        timeline.after(Math.round(Math.min(gapMs, 10_000)), () -> {
+            submit(home, baseMs, idempotent, pick);
+            arrive(home);
+        });
+    }
+
+    private void submit(boolean home, double baseMs, boolean idempotent, int pick) {
+        long nowMs = timeline.nowMs();
+        List<CallFront> live = callFronts.stream()
+                .filter(front -> front.home == home && !front.dead)
+                .toList();
+        Call call = new Call(nowMs, nowMs + DEADLINE_MS, baseMs, idempotent);
+        if (isMeasured(call)) {
+            measures.offered++;
+        }
+        if (live.isEmpty()) {
+            refuseCall(call);
+        } else {
+            CallFront front = live.get(pick % live.size());
+            timeline.after(HOP_MS, () -> front.submit(call));
+        }
+    }
+
+    /** Calls near the end are left out, since their deadline is after it. */
+    private boolean isMeasured(Call call) {
+        return call.startMs >= Scenario.WARM_UP_MS && call.deadlineMs < scenario.durationMs();
+    }
+
+    void endCall(Call call, boolean success, long serviceMs) {
+        if (call.ended || !isMeasured(call)) {
+            return;
+        }
+        call.ended = true;
+        long nowMs = timeline.nowMs() + HOP_MS;
+        measures.slotMs += serviceMs;
+        measures.endedCalls++;
+        if (!success) {
+            measures.failed++;
+        } else if (nowMs > call.deadlineMs) {
+            measures.late++;
+            measures.recordLatency(DEADLINE_MS);
+        } else {
+            measures.inTime++;
+            measures.usefulSlotMs += serviceMs;
+            measures.recordLatency(nowMs - call.startMs);
+        }
+    }
+
+    void refuseCall(Call call) {
+        if (!call.ended && isMeasured(call)) {
+            call.ended = true;
+            measures.refused++;
+        }
+    }
+
+    // Work
+
+    void countStart(RunKey key, SimVm host) {
+        measures.countStart(key, host.vm.id());
+        if (timeline.nowMs() - 30_000 >= failingFromMs) {
+            measures.startsWhileFailing++;
+            measures.startsOnFailing += host.failing ? 1 : 0;
+        }
+    }
+
+    void succeed(TaskId task, Work work) {
+        measures.succeededWallMs.putIfAbsent(RunKey.of(task), wallMs());
+        measures.batchCoreMs += work.runtimeMs() * (double) work.size().milliCores() / 1_000;
+    }
+
+    void note(WorkNotice notice) {
+        if (WorkFront.isEviction(notice)) {
+            measures.evictions++;
+        }
+    }
+
+    // Faults
+
+    void failWorker(String vm) {
+        findVm(vm).failing = true;
+        failingFromMs = timeline.nowMs();
+    }
+
+    void loseVm(SimVm vm) {
+        vm.die();
+        workFronts.forEach(front -> front.receiveGuardLost(vm.vm.id()));
+    }
+
+    /** Loses a zone with its VMs and entries. */
+    void loseZone(String zone) {
+        vms.values().stream().filter(vm -> vm.vm.zone().name().equals(zone)).forEach(this::loseVm);
+        for (int i = 0; i < workFronts.size(); i++) {
+            if (workFronts.get(i).zone.equals(zone)) {
+                workFronts.get(i).dead = true;
+                callFronts.get(i).dead = true;
+            }
+        }
+    }
+
+    void fillLink() {
+        homeToFar.full = true;
+        farToHome.full = true;
+    }
+
+    // Look-ups
+
+    long wallMs() {
+        return START_WALL_MS + timeline.nowMs();
+    }
+
+    /** Returns the link away from the home region, or towards it. */
+    RegionLink link(boolean fromHome) {
+        return fromHome ? homeToFar : farToHome;
+    }
+
+    long findFarDelayMs() {
+        return homeToFar.full ? 110 : 10;
+    }
+
+    Work findWork(String name) {
+        return works.get(name);
+    }
+
+    SimVm findVm(String id) {
+        return vms.get(id);
+    }
+
+    WorkFront findFront(String id) {
+        return workFronts.stream()
+                .filter(front -> front.id.equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Tells whether an entry reads the log for its region: the first live one. */
+    boolean isReader(WorkFront front) {
+        return workFronts.stream()
+                .filter(other -> other.region.equals(front.region) && !other.dead)
+                .findFirst()
+                .orElseThrow()
+                .equals(front);
+    }
+}
