--- a/bench/src/main/java/org/fulmarreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/fulmarreach/bench/BenchMain.java
@@ -5,6 +5,7 @@
 import java.util.List;
 
 import org.fulmarreach.bench.policy.PolicyBench;
+import org.fulmarreach.bench.slopes.SlopeBench;
 
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -36,6 +37,10 @@
             return;
         }
         Path folder = Path.of(chosen.getString("out"));
+        if ("slopes".equals(chosen.getString("command"))) {
+            new SlopeBench(System.out, folder).run();
+            return;
+        }
         List<String> names = chosen.getList("scenario") == null ? List.of() : chosen.getList("scenario");
         List<String> policies = chosen.getList("policy") == null ? List.of() : chosen.getList("policy");
         new PolicyBench(System.out, folder, chosen.getLong("seed")).run(names, policies);
@@ -54,6 +59,8 @@
         policy.addArgument("--policy").nargs("*").help("policies to run (default: all)");
         policy.addArgument("--seed").type(Long.class).setDefault(DEFAULT_SEED).help("seed of all random numbers");
         policy.addArgument("--out").setDefault("bench/out").help("folder for CSV and plots");
+        Subparser slopes = commands.addParser("slopes").help("bytes, processor time and heap by size");
+        slopes.addArgument("--out").setDefault("bench/out").help("folder for CSV");
         return parser;
     }
 }
--- a/bench/src/main/java/org/fulmarreach/bench/policy/CallFront.java
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/CallFront.java
@@ -222,6 +222,7 @@
         if (mayMove && !findCandidates(guard).isEmpty() && retries.tryRetry()) {
             submitFree(call, false, guard);
         } else {
+            world.measures.refusedAtGuard++;
             refuse(call);
         }
     }
--- a/bench/src/main/java/org/fulmarreach/bench/policy/Measures.java
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/Measures.java
@@ -28,6 +28,9 @@
     long inTime;
     long late;
     long refused;
+    /** Calls whose last refusal came from a full target, and which could not move; part of the refused ones. */
+    long refusedAtGuard;
+
     long failed;
     /** Time in slots of calls that were answered in time. */
     double usefulSlotMs;
--- a/bench/src/main/java/org/fulmarreach/bench/policy/Run.java
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/Run.java
@@ -22,10 +22,11 @@
         Deadlines deadlines,
         int maxHopelessStarts,
         boolean hopelessRepeats) {
-    static final String CSV_HEADER = "scenario,policy,offered,in_time,late,refused,failed,p50_ms,p99_ms,p999_ms,"
-            + "slots_useful,batch_core_s,runs_due,runs_met,starts,evictions,memory_kills,refused_starts,"
-            + "starts_on_failing,starts_while_failing,max_hopeless_starts,overcommitted_vm_s,standing_down_s,"
-            + "appends_per_s,own_link_bytes_per_s,call_link_bytes_per_s";
+    static final String CSV_HEADER =
+            "scenario,policy,offered,in_time,late,refused,refused_at_guard,failed,p50_ms,p99_ms,p999_ms,"
+                    + "slots_useful,batch_core_s,runs_due,runs_met,starts,evictions,memory_kills,refused_starts,"
+                    + "starts_on_failing,starts_while_failing,max_hopeless_starts,overcommitted_vm_s,standing_down_s,"
+                    + "appends_per_s,own_link_bytes_per_s,call_link_bytes_per_s";
 
     static Run execute(Scenario scenario, Policy policy, long seed) {
         World world = new World(scenario, policy, seed);
@@ -62,13 +63,14 @@
         double seconds = m.durationMs / 1_000.0;
         return String.format(
                 Locale.ROOT,
-                "%s,%s,%d,%d,%d,%d,%d,%.0f,%.0f,%.0f,%.4f,%.0f,%d,%d,%d,%d,%d,%d,%d,%d,%d,%.0f,%.0f,%.2f,%.0f,%.0f",
+                "%s,%s,%d,%d,%d,%d,%d,%d,%.0f,%.0f,%.0f,%.4f,%.0f,%d,%d,%d,%d,%d,%d,%d,%d,%d,%.0f,%.0f,%.2f,%.0f,%.0f",
                 scenario.name(),
                 policy.name(),
                 m.offered,
                 m.inTime,
                 m.late,
                 m.refused,
+                m.refusedAtGuard,
                 m.failed,
                 m.p50Ms(),
                 m.p99Ms(),
--- a/bench/src/main/java/org/fulmarreach/bench/policy/Scenario.java
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/Scenario.java
@@ -1,5 +1,7 @@
 package org.fulmarreach.bench.policy;
 
+import java.util.EnumSet;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -13,6 +15,7 @@
  * @param minLagMs shortest lag of usage reports
  * @param maxLagMs longest lag of usage reports
  * @param faults plans the faults of a world
+ * @param baselines policies to compare with unless the command line names others
  */
 record Scenario(
         String name,
@@ -22,10 +25,19 @@
         WorkMix mix,
         int minLagMs,
         int maxLagMs,
-        Consumer<World> faults) {
+        Consumer<World> faults,
+        Set<Policy> baselines) {
     /** Virtual time before calls are measured. */
     static final long WARM_UP_MS = 120_000;
 
+    Scenario withBaselines(Policy first, Policy... others) {
+        return withBaselines(EnumSet.of(first, others));
+    }
+
+    Scenario withBaselines(Set<Policy> newBaselines) {
+        return new Scenario(name, site, durationMs, load, mix, minLagMs, maxLagMs, faults, newBaselines);
+    }
+
     /** Offered calls. */
     interface Load {
         /** Returns the calls of one region over the capacity of all slots of the site. */
--- a/bench/src/main/java/org/fulmarreach/bench/policy/TaskHost.java
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/TaskHost.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.fulmarreach.core.admission.TaskAdmission;
 import org.fulmarreach.core.exc.Result;
@@ -198,10 +199,13 @@
         return sum;
     }
 
-    int countRunning(String work) {
-        return (int) held.values().stream()
-                .filter(state -> state.running() && state.work.name().equals(work))
-                .count();
+    /** Adds the names of the standing work that runs. */
+    void collectStanding(Set<String> names) {
+        for (Held state : held.values()) {
+            if (state.running() && state.work.standing()) {
+                names.add(state.work.name());
+            }
+        }
     }
 
     // Guard
