--- a/cli/src/main/java/org/fulmarreach/cli/Tables.java
+++ b/cli/src/main/java/org/fulmarreach/cli/Tables.java
@@ -85,9 +85,9 @@
         };
     }
 
-    /** Returns the explanation of one work item. */
+    /** Returns the runs and the explanation of one work, from {@code {"runs":[...],"explanation":[...]}}. */
     static List<String> formatWhy(JsonNode work) {
-        List<String> lines = new ArrayList<>(format(WORK, List.of(work)));
+        List<String> lines = new ArrayList<>(format(WORK, work.path("runs")));
         lines.add("");
         work.path("explanation").forEach(reason -> lines.add("- " + reason.asText()));
         return lines;
--- a/it/src/main/java/org/fulmarreach/it/ManagedProcess.java
+++ b/it/src/main/java/org/fulmarreach/it/ManagedProcess.java
@@ -1,7 +1,5 @@
 package org.fulmarreach.it;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -17,6 +15,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
 /**
  * A child process started through one of the scripts in {@code bin/}, which prints one JSON line when it is ready. Its
  * output goes to a file. Thread-safe.
@@ -57,8 +58,8 @@
         Path output = directory.resolve(name + ".out");
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().putAll(environment);
-        builder.redirectError(
-                ProcessBuilder.Redirect.appendTo(directory.resolve(name + ".err").toFile()));
+        builder.redirectError(ProcessBuilder.Redirect.appendTo(
+                directory.resolve(name + ".err").toFile()));
         try {
             ManagedProcess managed = new ManagedProcess(name, builder.start(), output);
             Thread reader = new Thread(managed::readOutput, "output-" + name);
