--- a/standin/src/main/java/org/fulmarreach/standin/LoadCaller.java
+++ b/standin/src/main/java/org/fulmarreach/standin/LoadCaller.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.net.http.HttpTimeoutException;
 import java.time.Duration;
 import java.util.Map;
@@ -60,10 +59,10 @@
                 .POST(HttpRequest.BodyPublishers.ofString(Journal.line(Map.of("service", options.service()))))
                 .build();
         try {
-            HttpResponse<byte[]> response = sender.send(request);
+            LoadTool.Sender.Answer response = sender.send(request);
             JsonNode json = StandInServer.parse(response.body());
-            if (response.statusCode() / 100 != 2 || !json.path("id").isTextual()) {
-                throw new MintException(json.path("code").asText("STATUS_" + response.statusCode()));
+            if (response.status() / 100 != 2 || !json.path("id").isTextual()) {
+                throw new MintException(json.path("code").asText("STATUS_" + response.status()));
             }
             return json.get("id").asText();
         } catch (IOException | IllegalArgumentException e) {
@@ -109,21 +108,21 @@
     }
 
     /** Compares the answer with the call; the target's echo names the call that it belongs to. */
-    Outcome classify(HttpResponse<byte[]> response, String id, String tag) {
+    private Outcome classify(LoadTool.Sender.Answer response, String id, String tag) {
         JsonNode json;
         try {
             json = StandInServer.parse(response.body());
         } catch (IllegalArgumentException e) {
-            return response.statusCode() == 200
+            return response.status() == 200
                     ? new Outcome("wrong", "NOT_JSON", id)
-                    : new Outcome("error", "STATUS_" + response.statusCode(), id);
+                    : new Outcome("error", "STATUS_" + response.status(), id);
         }
-        if (response.statusCode() == 200) {
+        if (response.status() == 200) {
             return isOwnEcho(json, id, tag, response.body().length)
                     ? new Outcome("whole", "", id)
                     : new Outcome("wrong", "OTHER_ANSWER", id);
         }
-        String code = json.path("code").asText("STATUS_" + response.statusCode());
+        String code = json.path("code").asText("STATUS_" + response.status());
         String outcome = json.path("outcome").asText("");
         boolean named = outcome.equals("not_run") || outcome.equals("unknown");
         return new Outcome(named ? outcome : "error", code, id);
--- a/standin/src/main/java/org/fulmarreach/standin/LoadTool.java
+++ b/standin/src/main/java/org/fulmarreach/standin/LoadTool.java
@@ -160,7 +160,7 @@
 
     /** Sends one HTTP request; exists so that the outcome rules can be tested without a network. */
     interface Sender {
-        HttpResponse<byte[]> send(HttpRequest request) throws java.io.IOException, InterruptedException;
+        Answer send(HttpRequest request) throws java.io.IOException, InterruptedException;
 
         /** Returns a sender over HTTP/1.1 with connections that are kept open. */
         static Sender overHttp() {
@@ -168,9 +168,15 @@
                     .version(HttpClient.Version.HTTP_1_1)
                     .connectTimeout(Duration.ofSeconds(2))
                     .build();
-            return request -> client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+            return request -> {
+                HttpResponse<byte[]> response = client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+                return new Answer(response.statusCode(), response.body());
+            };
         }
 
+        /** A whole answer. */
+        record Answer(int status, byte[] body) {}
+
         /** Returns the URI of a path at an address. */
         static URI uri(String address, String path) {
             return URI.create("http://" + address + path);
