Report no tasks before they are known, and the highest term seen

A leader takes a task that a restarted guard does not name for ended and may assign it elsewhere, so the guard now dials only after it has listed its worker agent's tasks, or after those of its predecessor have lapsed (worker lease and 3 s). A new leader takes the reported term as the proof that its predecessor's messages are refused, so the status carries the highest term seen for the shard instead of that of the last renewal.

--- a/core/src/main/java/org/fulmarreach/core/work/GuardTaskView.java
+++ b/core/src/main/java/org/fulmarreach/core/work/GuardTaskView.java
@@ -8,7 +8,8 @@
  *
  * @param task id
  * @param shard shard of the leader that started or renewed it; empty for a task of an earlier incarnation
- * @param term term of that leader; 0 for a task of an earlier incarnation
+ * @param term highest term that the guard has seen for the shard; 0 for a task of an earlier incarnation. A new leader
+ *     takes it as the proof that no message of its predecessor is accepted any more
  * @param phase phase
  * @param checkpoint progress to go on from; null for none
  * @param reason why it ended or was refused; null for none
--- a/core/src/main/java/org/fulmarreach/core/work/GuardTasks.java
+++ b/core/src/main/java/org/fulmarreach/core/work/GuardTasks.java
@@ -81,16 +81,15 @@
         }
         if (!listed) {
             String reason = "WORKER_FAILED: the worker agent has not been listed yet";
-            ordersBeforeList.putIfAbsent(
-                    order.task(), () -> refuseIfAbsent(order.shard(), order.term(), order.task(), reason));
+            ordersBeforeList.putIfAbsent(order.task(), () -> refuseIfAbsent(order.shard(), order.task(), reason));
             return true;
         }
         Optional<String> obstacle = findObstacle(order, nowMs);
         if (obstacle.isPresent()) {
-            refuse(order.shard(), order.term(), order.task(), obstacle.get());
+            refuse(order.shard(), order.task(), obstacle.get());
             return true;
         }
-        HeldTask held = new HeldTask(order.task(), order.shard(), order.term(), GuardTaskPhase.STARTING);
+        HeldTask held = new HeldTask(order.task(), order.shard(), GuardTaskPhase.STARTING);
         held.grantEndMs = grantEndMs(order.tickEchoMs(), order.leaseMs());
         held.checkpoint = order.checkpoint();
         held.startPending = true;
@@ -117,7 +116,6 @@
             if (held != null && held.isLive()) {
                 held.grantEndMs = Math.max(held.grantEndMs, grantEndMs(tickEchoMs, leaseMs));
                 held.shard = shard;
-                held.term = term;
             }
         }
         checkGrants(nowMs);
@@ -131,10 +129,10 @@
             return false;
         }
         if (!listed) {
-            ordersBeforeList.put(task, () -> applyStop(shard, term, task, withCheckpoint));
+            ordersBeforeList.put(task, () -> applyStop(shard, task, withCheckpoint));
             return true;
         }
-        applyStop(shard, term, task, withCheckpoint);
+        applyStop(shard, task, withCheckpoint);
         sendStops(nowMs);
         return true;
     }
@@ -299,7 +297,9 @@
 
     /** Returns all tasks: live ones, and final states that are not acknowledged. */
     public List<GuardTaskView> views() {
-        return tasks.values().stream().map(HeldTask::view).toList();
+        return tasks.values().stream()
+                .map(held -> held.view(terms.getOrDefault(held.shard, 0L)))
+                .toList();
     }
 
     /** Tells whether the last starts all failed, at least three. */
@@ -379,27 +379,26 @@
         }
     }
 
-    private void refuse(String shard, long term, TaskId task, String reason) {
-        HeldTask refused = new HeldTask(task, shard, term, GuardTaskPhase.REFUSED);
+    private void refuse(String shard, TaskId task, String reason) {
+        HeldTask refused = new HeldTask(task, shard, GuardTaskPhase.REFUSED);
         refused.reason = reason;
         tasks.put(task, refused);
     }
 
-    private void refuseIfAbsent(String shard, long term, TaskId task, String reason) {
+    private void refuseIfAbsent(String shard, TaskId task, String reason) {
         if (!tasks.containsKey(task)) {
-            refuse(shard, term, task, reason);
+            refuse(shard, task, reason);
         }
     }
 
-    private void applyStop(String shard, long term, TaskId task, boolean withCheckpoint) {
+    private void applyStop(String shard, TaskId task, boolean withCheckpoint) {
         HeldTask held = tasks.get(task);
         if (held == null) {
-            refuse(shard, term, task, "STOPPED_BEFORE_START");
+            refuse(shard, task, "STOPPED_BEFORE_START");
             return;
         }
         if (!held.phase.isFinal()) {
             held.shard = shard;
-            held.term = term;
             markStopping(held, withCheckpoint ? "EVICTED" : "STOPPED", withCheckpoint);
         }
     }
@@ -447,7 +446,7 @@
     }
 
     private HeldTask adopt(AgentTask agentTask, long nowMs) {
-        HeldTask held = new HeldTask(agentTask.task(), "", 0, GuardTaskPhase.RUNNING);
+        HeldTask held = new HeldTask(agentTask.task(), "", GuardTaskPhase.RUNNING);
         findLive(held.task).ifPresent(other -> {
             boolean otherIsOlder = other.task.epoch() < held.task.epoch();
             markStopping(otherIsOlder ? other : held, "EPOCH_SUPERSEDED", false);
@@ -473,7 +472,7 @@
 
     /** The earlier incarnation may not have reported the end; its leader may have forgotten it, so it is dropped. */
     private void adoptEnded(AgentTask agentTask, long nowMs) {
-        HeldTask held = new HeldTask(agentTask.task(), "", 0, agentTask.phase());
+        HeldTask held = new HeldTask(agentTask.task(), "", agentTask.phase());
         held.reason = agentTask.reason();
         held.dropAtMs = nowMs + TOMBSTONE_MS;
         tasks.put(held.task, held);
--- a/core/src/main/java/org/fulmarreach/core/work/HeldTask.java
+++ b/core/src/main/java/org/fulmarreach/core/work/HeldTask.java
@@ -12,7 +12,6 @@
 
     final TaskId task;
     String shard;
-    long term;
     GuardTaskPhase phase;
     long grantEndMs = NO_GRANT;
     String checkpoint;
@@ -29,10 +28,9 @@
     boolean stopWithCheckpoint;
     long stopSentMs = NEVER;
 
-    HeldTask(TaskId task, String shard, long term, GuardTaskPhase phase) {
+    HeldTask(TaskId task, String shard, GuardTaskPhase phase) {
         this.task = task;
         this.shard = shard;
-        this.term = term;
         this.phase = phase;
     }
 
@@ -47,7 +45,7 @@
         stopPending = false;
     }
 
-    GuardTaskView view() {
-        return new GuardTaskView(task, shard, term, phase, checkpoint, reason, used, usageLagMs);
+    GuardTaskView view(long shardTerm) {
+        return new GuardTaskView(task, shard, shardTerm, phase, checkpoint, reason, used, usageLagMs);
     }
 }
--- a/guard/src/main/java/org/fulmarreach/guard/EntryLinksActor.java
+++ b/guard/src/main/java/org/fulmarreach/guard/EntryLinksActor.java
@@ -39,6 +39,11 @@
     private static final long FORGET_ADDRESS_MS = 60_000;
     /** The first dial waits this long for the target's and the worker agent's answers, which the Hello carries. */
     private static final long FIRST_DIAL_WAIT_MS = 3_000;
+    /**
+     * A leader takes a task that a restarted guard does not name for ended. Without a list from the agent the guard
+     * waits until tasks of the earlier incarnation have lapsed: a start under way (2 s), the worker lease, 1 s margin.
+     */
+    private static final long UNLISTED_MARGIN_MS = 3_000;
 
     private final Parts parts;
     private final TimerScheduler<LinksCommand> timers;
@@ -46,7 +51,7 @@
     private final long startedMs;
     private CallStatus calls = CallStatus.NONE;
     private LinksCommand.TasksReported tasks =
-            new LinksCommand.TasksReported(List.of(), Resources.NONE, Resources.NONE, false);
+            new LinksCommand.TasksReported(List.of(), Resources.NONE, Resources.NONE, false, false);
     private Resources announcedCapacity = Resources.NONE;
     private boolean dialling;
     private long rulesRevision;
@@ -58,6 +63,7 @@
      * @param entries addresses from the settings
      * @param heartbeatMs interval of heartbeats
      * @param hasWorker whether the VM has a worker agent
+     * @param workerLeaseMs lease of tasks at the agent, in milliseconds
      * @param dialler opens a connection; the listener gets its events
      * @param router takes frames for other actors
      * @param clock clock of this guard
@@ -68,6 +74,7 @@
             List<Address> entries,
             long heartbeatMs,
             boolean hasWorker,
+            long workerLeaseMs,
             Dialler dialler,
             Router router,
             MonotonicClock clock,
@@ -151,7 +158,7 @@
                 announceNewCapacity();
             }
             case LinksCommand.TasksLost lost ->
-                tasks = new LinksCommand.TasksReported(List.of(), tasks.capacity(), Resources.NONE, true);
+                tasks = new LinksCommand.TasksReported(List.of(), tasks.capacity(), Resources.NONE, true, true);
             case LinksCommand.Timer timer -> beat();
         }
         return this;
@@ -168,9 +175,11 @@
     }
 
     private void startDialling() {
-        boolean known =
-                calls.target() != null && (!parts.hasWorker || !tasks.capacity().equals(Resources.NONE));
-        if (!dialling && (known || parts.clock.nowMs() - startedMs >= FIRST_DIAL_WAIT_MS)) {
+        long waitedMs = parts.clock.nowMs() - startedMs;
+        boolean hasCapacity = !parts.hasWorker || !tasks.capacity().equals(Resources.NONE);
+        boolean known = calls.target() != null && hasCapacity;
+        boolean safe = !parts.hasWorker || tasks.listed() || waitedMs >= parts.workerLeaseMs + UNLISTED_MARGIN_MS;
+        if (!dialling && safe && (known || waitedMs >= FIRST_DIAL_WAIT_MS)) {
             dialling = true;
             announcedCapacity = tasks.capacity();
             List.copyOf(peers.keySet()).forEach(this::dial);
--- a/guard/src/main/java/org/fulmarreach/guard/GuardNode.java
+++ b/guard/src/main/java/org/fulmarreach/guard/GuardNode.java
@@ -165,6 +165,7 @@
                         settings.addresses(Setting.ENTRIES),
                         settings.number(Setting.HEARTBEAT_MS),
                         !settings.text(Setting.WORKER).isEmpty(),
+                        settings.number(Setting.WORKER_LEASE_MS),
                         constructTransport(context, settings, log)::connect,
                         new FrameRouter(calls, tasks, context.getSelf()),
                         clock,
--- a/guard/src/main/java/org/fulmarreach/guard/LinksCommand.java
+++ b/guard/src/main/java/org/fulmarreach/guard/LinksCommand.java
@@ -39,8 +39,10 @@
      * @param capacity resources of the VM; none while not known
      * @param free resources for further tasks
      * @param workerFailing whether the last starts all failed
+     * @param listed whether the worker agent has told which tasks of an earlier incarnation run
      */
-    record TasksReported(List<TaskStatus> tasks, Resources capacity, Resources free, boolean workerFailing)
+    record TasksReported(
+            List<TaskStatus> tasks, Resources capacity, Resources free, boolean workerFailing, boolean listed)
             implements LinksCommand {}
 
     /** The owner of the tasks has stopped; no task is renewed any more and none can be started. */
--- a/guard/src/main/java/org/fulmarreach/guard/TaskActor.java
+++ b/guard/src/main/java/org/fulmarreach/guard/TaskActor.java
@@ -342,7 +342,7 @@
         Resources free = admission.free();
         Resources shownFree = new Resources(
                 Math.max(0, free.milliCores()), Math.max(0, free.memoryMb()), Math.max(0, free.accelerators()));
-        return new LinksCommand.TasksReported(statuses, admission.capacity(), shownFree, isFailing());
+        return new LinksCommand.TasksReported(statuses, admission.capacity(), shownFree, isFailing(), tasks.isListed());
     }
 
     private boolean isFailing() {
