Name unfit work early and bound the search for VMs

Work that fits on no VM was named only when its run was due; it is now named when the rule is known, in the list and as an event. Thousands of waiting runs would each have searched all VMs in every 250 ms step; a size that is no smaller than one without room is now not searched for again. Usage is learned only for the shard's own work.

--- a/core/src/main/java/org/fulmarreach/core/work/RunViews.java
+++ b/core/src/main/java/org/fulmarreach/core/work/RunViews.java
@@ -54,7 +54,9 @@
             for (BatchRun run : batch.findRuns(wallMs + 1, wallMs + 1 + batch.everyMs())) {
                 RunKey key = new RunKey(batch.name(), run.run());
                 if (fold.find(key) == null) {
-                    views.add(construct(key, rule, "starts in " + (run.startMs() - wallMs) / 1000 + " s"));
+                    String unfit = scheduler.findUnfit(batch.name());
+                    String start = "starts in " + (run.startMs() - wallMs) / 1000 + " s";
+                    views.add(construct(key, rule, unfit == null ? start : start + ", but " + unfit));
                 }
             }
         }
--- a/core/src/main/java/org/fulmarreach/core/work/Scheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/work/Scheduler.java
@@ -31,6 +31,9 @@
 
     private static final int MAX_WARNED = 10_000;
 
+    /** Time between two checks whether the runs that are not due yet fit on any VM. */
+    private static final long FIT_CHECK_MS = 10_000;
+
     private static final double HARM_WEIGHT = 0.05;
 
     private final ShardId shard;
@@ -42,7 +45,9 @@
     private final Map<RunKey, String> evictedFrom = new HashMap<>();
     private final Set<RunKey> warned = new HashSet<>();
     private final Map<String, Rule> owned = new TreeMap<>();
+    private final Map<String, String> unfit = new HashMap<>();
     private Rules rules = Rules.empty();
+    private long fitCheckedMs = Placement.NEVER;
 
     Scheduler(ShardId shard, RandomGenerator random) {
         this.shard = shard;
@@ -68,7 +73,8 @@
 
     void observe(GuardReport report) {
         for (TaskReport task : report.tasks()) {
-            if (task.phase() == TaskReport.Phase.RUNNING) {
+            if (task.phase() == TaskReport.Phase.RUNNING
+                    && owned.containsKey(task.task().work())) {
                 learning.observeUsage(task.task().work(), task.used());
                 double observed = 1 - task.throttleShare();
                 harm.merge(
@@ -114,6 +120,11 @@
         return owned.values();
     }
 
+    /** Returns why a batch work whose run is not due yet fits on no VM; null when it does. */
+    String findUnfit(String work) {
+        return unfit.get(work);
+    }
+
     Resources estimateSize(Rule rule) {
         return switch (rule) {
             case BatchRule batch -> learning.estimateSize(batch.name(), batch.declared());
@@ -139,6 +150,7 @@
             ShardState fold, Map<String, GuardSlot> guards, Collection<Placement> placements, long nowMs, long wallMs) {
         Plan plan = new Plan(new ArrayList<>(), new HashMap<>(), new ArrayList<>());
         reportFailingWorkers(guards, plan, nowMs);
+        checkFit(guards, plan, nowMs, wallMs);
         List<Candidate> candidates = findCandidates(fold, wallMs);
         if (candidates.isEmpty()) {
             return plan;
@@ -236,12 +248,11 @@
             reason = "no VM is reachable";
         }
         if (reason == null && !pool.hasCapacityFor(candidate.size(), entry.failedVms())) {
-            reason = "fits on no reachable VM: needs " + candidate.size().milliCores() / 1000.0 + " cores, "
-                    + candidate.size().memoryMb() + " MiB";
-            warn(candidate, reason, plan);
+            reason = describeUnfit(candidate.size());
+            warn(candidate.key(), reason, plan);
         }
         if (reason == null && candidate.slackMs() < 0 && !entry.key().standing()) {
-            warn(candidate, "cannot meet its deadline: late by " + -candidate.slackMs() + " ms", plan);
+            warn(candidate.key(), "cannot meet its deadline: late by " + -candidate.slackMs() + " ms", plan);
         }
         Resources needed = candidate.size().plus(headroom);
         if (reason == null && candidate.comfortable() && !needed.fitsInto(pool.totalFree())) {
@@ -275,16 +286,44 @@
         return pool.choose(work, candidate.size(), failed, nowMs);
     }
 
-    private void warn(Candidate candidate, String reason, Plan plan) {
+    /** Names work that fits on no VM before its run is due, so that its rule can be changed in time. */
+    private void checkFit(Map<String, GuardSlot> guards, Plan plan, long nowMs, long wallMs) {
+        if (nowMs - fitCheckedMs < FIT_CHECK_MS) {
+            return;
+        }
+        List<Resources> capacities = guards.values().stream()
+                .filter(slot -> slot.isReachable(nowMs))
+                .map(slot -> slot.report().vm().capacity())
+                .distinct()
+                .toList();
+        if (capacities.isEmpty()) {
+            return;
+        }
+        fitCheckedMs = nowMs;
+        unfit.clear();
+        for (Rule rule : owned.values()) {
+            Resources size = estimateSize(rule);
+            if (rule instanceof BatchRule batch && capacities.stream().noneMatch(size::fitsInto)) {
+                unfit.put(batch.name(), describeUnfit(size));
+                batch.findRuns(wallMs + 1, wallMs + 1 + batch.everyMs()).stream()
+                        .findFirst()
+                        .ifPresent(run -> warn(new RunKey(batch.name(), run.run()), describeUnfit(size), plan));
+            }
+        }
+    }
+
+    private static String describeUnfit(Resources size) {
+        return "fits on no reachable VM: needs " + size.milliCores() / 1000.0 + " cores, " + size.memoryMb() + " MiB";
+    }
+
+    private void warn(RunKey key, String reason, Plan plan) {
         if (warned.size() >= MAX_WARNED) {
             warned.clear();
         }
-        if (warned.add(candidate.key())) {
+        if (warned.add(key)) {
             plan.notices()
                     .add(new Action.Notify(
-                            WorkNotice.DEADLINE_AT_RISK,
-                            "work=" + candidate.key().work() + " run="
-                                    + candidate.key().run() + " " + reason));
+                            WorkNotice.DEADLINE_AT_RISK, "work=" + key.work() + " run=" + key.run() + " " + reason));
         }
     }
 
--- a/core/src/main/java/org/fulmarreach/core/work/VmPool.java
+++ b/core/src/main/java/org/fulmarreach/core/work/VmPool.java
@@ -36,6 +36,7 @@
     private final Map<String, Integer> tasksByRack = new HashMap<>();
     private final Map<String, Integer> tasksByZone = new HashMap<>();
     private final List<Vm> known = new ArrayList<>();
+    private final List<Resources> sizesWithoutRoom = new ArrayList<>();
     private final StartHealth health;
     private final ToDoubleBiFunction<String, String> harm;
     private final RandomGenerator random;
@@ -102,6 +103,10 @@
 
     /** Returns the VM to place a run on; null when there is none with room. */
     GuardReport choose(String work, Resources size, List<String> excluded, long nowMs) {
+        // Thousands of runs may wait; a size that is no smaller than one without room needs no search.
+        if (sizesWithoutRoom.stream().anyMatch(failed -> failed.fitsInto(size))) {
+            return null;
+        }
         Room best = null;
         double bestScore = Double.MAX_VALUE;
         for (Room room : rooms.values()) {
@@ -115,6 +120,10 @@
                 bestScore = score;
             }
         }
+        if (best == null && excluded.isEmpty()) {
+            sizesWithoutRoom.removeIf(size::fitsInto);
+            sizesWithoutRoom.add(size);
+        }
         return best == null ? null : best.report;
     }
 
--- a/core/src/test/java/org/fulmarreach/core/work/ShardPolicyTest.java
+++ b/core/src/test/java/org/fulmarreach/core/work/ShardPolicyTest.java
@@ -1,8 +1,10 @@
 package org.fulmarreach.core.work;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.fulmarreach.core.exc.Result;
+import org.fulmarreach.core.model.TaskId;
 import org.fulmarreach.core.rules.ParseResult;
 import org.fulmarreach.core.rules.Rules;
 import org.fulmarreach.core.rules.RulesParser;
@@ -13,6 +15,7 @@
 import net.jqwik.api.constraints.LongRange;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -32,10 +35,10 @@
             entries.get((int) ((seed + i) % 3)).restart();
             world.guards.get("vm-" + (seed + i) % 6).restart();
         }
-        ShardState whole = read(world, 0);
+        ShardState whole = read(world.log.records, 0);
         int synchronizedReaders = 0;
         for (int first = 1; first < world.log.records.size(); first++) {
-            ShardState truncated = read(world, first);
+            ShardState truncated = read(world.log.records, first);
             if (truncated.isSynchronized()) {
                 synchronizedReaders++;
                 assertEquals(whole.constructSnapshot(), truncated.constructSnapshot(), "from " + first);
@@ -45,6 +48,58 @@
         assertTrue(synchronizedReaders > 20, "readers that could start: " + synchronizedReaders);
     }
 
+    @Test
+    void snapshotCountsOnlyWithAllLaterRecords() {
+        WorkDecision.Assign assign = new WorkDecision.Assign(new TaskId(STANDING.work(), 0, 1), "vm-1", 1, null);
+        ShardState state = new ShardState(InvariantCheck.THROWING);
+        List<WorkBatch> log = new ArrayList<>();
+        log.add(new WorkBatch("a/claim-1", 0, List.of(new WorkDecision.Claim("a/1", -1, List.of("b")))));
+        log.add(new WorkBatch("a/1#1", 0, List.of(assign)));
+        for (int i = 0; i < log.size(); i++) {
+            state.apply(i, log.get(i));
+        }
+        WorkBatch snapshot = new WorkBatch("a/1#2", 0, List.of(state.constructSnapshot()));
+        WorkDecision cancelled = new WorkDecision.Cancelled(STANDING.work(), 0, "rule");
+        log.add(new WorkBatch("b/cancel-1", -1, List.of(cancelled)));
+        log.add(snapshot);
+        assertEquals(WorkPhase.CANCELLED, read(log, 2).find(STANDING).phase());
+        assertEquals(read(log, 0).constructSnapshot(), read(log, 2).constructSnapshot());
+        assertFalse(read(log, 3).isSynchronized(), "a reader that misses the cancellation");
+    }
+
+    @Test
+    void workIsNamedEarlyAndHeldByItsQuota() {
+        World world = new World(6, WorkTimes.DEFAULT);
+        changeRules(world, """
+                quota cores=2 memory=8G tasks=2 # m: x
+                standing one region=sued cores=1 memory=1G # m: x
+                standing two region=sued cores=1 memory=1G # m: x
+                standing three region=sued cores=1 memory=1G # m: x
+                batch giant region=sued every=1h at=30m within=20m runtime=1m cores=99 memory=1G # n: y
+                batch late region=sued every=10m at=0s within=2m runtime=90s cores=1 memory=1G # n: y
+                """);
+        world.run(30_000);
+        FakeEntry leader = world.findLeader();
+        List<String> reasons = leader.leader.listRuns(world.wallMs()).stream()
+                .map(run -> run.key().work() + " " + run.phase() + " "
+                        + run.reason().replaceAll("in \\d+ s", "in N s"))
+                .toList();
+        long running = reasons.stream()
+                .filter(reason -> reason.contains("ASSIGNED runs"))
+                .count();
+        assertEquals(2, running, "by quota: " + reasons);
+        assertTrue(reasons.stream().anyMatch(r -> r.contains("waits for the quota of m: 2 tasks")), reasons::toString);
+        assertTrue(
+                reasons.stream().anyMatch(r -> r.contains("starts in N s, but fits on no reachable VM: needs 99.0")),
+                reasons::toString);
+        List<String> warned = leader.notices.stream()
+                .filter(notice -> notice.notice() == WorkNotice.DEADLINE_AT_RISK)
+                .map(Action.Notify::detail)
+                .toList();
+        assertTrue(warned.stream().anyMatch(w -> w.contains("giant")), warned::toString);
+        assertTrue(warned.stream().anyMatch(w -> w.contains("late") && w.contains("cannot meet")), warned::toString);
+    }
+
     @Test
     void jobThatCanNeverRunIsStartedOnThreeVmsAtMost() {
         World world = new World(1, WorkTimes.DEFAULT);
@@ -133,11 +188,11 @@
         return world.findLeader().leader.state();
     }
 
-    private static ShardState read(World world, int first) {
+    private static ShardState read(List<WorkBatch> log, int first) {
         ShardState state = new ShardState(InvariantCheck.THROWING);
         state.restartAt(first);
-        for (LoggedBatch logged : world.log.read(first)) {
-            state.apply(logged.offset(), logged.batch());
+        for (int i = first; i < log.size(); i++) {
+            state.apply(i, log.get(i));
         }
         return state;
     }
