Evict when the guard asks, and avoid VMs that refused

The leader evicted after 30 s at the lowest share whether or not the share had brought relief, which only the guard knows; it now evicts the tasks that the guard's heartbeat names with EVICTION_NEEDED. A refused start was placed on the same VM again at once; the VM is now avoided for 5 s, and an evicting one for 60 s (10 s for standing work).

--- a/core/src/main/java/org/fulmarreach/core/work/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/work/Placement.java
@@ -26,7 +26,6 @@
     long lastStartTickMs = NEVER;
     long lastStopMs = NEVER;
     long runningSinceMs = NEVER;
-    long lowThrottleSinceMs = NEVER;
 
     Placement(TaskId task, String vm, boolean inherited, long knownSinceMs) {
         this.task = task;
--- a/core/src/main/java/org/fulmarreach/core/work/Releases.java
+++ b/core/src/main/java/org/fulmarreach/core/work/Releases.java
@@ -1,11 +1,8 @@
 package org.fulmarreach.core.work;
 
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -19,9 +16,8 @@
     /** Standing work that ran this long before it failed was interrupted; that is no failed start. */
     private static final long STABLE_RUN_MS = 60_000;
 
-    private static final double LOWEST_SHARE = 0.1;
-    private static final long LOW_THROTTLE_MS = 30_000;
-    private static final long EVICTION_PAUSE_MS = 60_000;
+    /** Start of the reason with which a guard asks for an eviction. */
+    private static final String EVICTION_NEEDED = "EVICTION_NEEDED";
 
     private final WorkTimes times;
     private final ShardState fold;
@@ -31,7 +27,6 @@
     private final Placements placements;
     private final Map<RunKey, Long> startableFromMs;
     private final Consumer<Action> out;
-    private final Map<String, Long> evictedMsByVm = new HashMap<>();
 
     Releases(
             WorkTimes times,
@@ -79,26 +74,26 @@
         return decisions;
     }
 
-    /** Finds the tasks to evict: at most one for each VM, and only after a long time at the lowest throttle share. */
+    /**
+     * Finds the tasks to evict. The guard asks for it after a long time at the lowest throttle share without relief,
+     * since only it knows the latency of its target.
+     */
     List<WorkDecision> findEvictions(long nowMs) {
         List<WorkDecision> decisions = new ArrayList<>();
-        Set<String> vms = new HashSet<>();
         for (Placement placement : placements.all()) {
             GuardSlot slot = guards.get(placement.vm);
             TaskReport report = slot == null ? null : slot.report().find(placement.task);
-            boolean low = report != null
+            boolean asked = report != null
                     && report.phase() == TaskReport.Phase.RUNNING
-                    && report.throttleShare() <= LOWEST_SHARE;
-            if (!low) {
-                placement.lowThrottleSinceMs = Placement.NEVER;
-            } else if (placement.lowThrottleSinceMs == Placement.NEVER) {
-                placement.lowThrottleSinceMs = nowMs;
-            } else if (isEvictable(placement, slot, nowMs) && vms.add(placement.vm)) {
-                evictedMsByVm.put(placement.vm, nowMs);
-                scheduler.observeEviction(RunKey.of(placement.task), placement.vm);
+                    && report.reason() != null
+                    && report.reason().startsWith(EVICTION_NEEDED);
+            WorkEntry entry = fold.find(RunKey.of(placement.task));
+            if (asked && entry.phase() == WorkPhase.ASSIGNED && !placement.released) {
+                scheduler.observeEviction(entry.key(), placement.vm, nowMs);
                 decisions.add(new WorkDecision.EvictIntent(placement.task));
-                out.accept(
-                        new Action.Notify(WorkNotice.EVICTED, "work=" + placement.task.work() + " vm=" + placement.vm));
+                out.accept(new Action.Notify(
+                        WorkNotice.EVICTED,
+                        "work=" + placement.task.work() + " vm=" + placement.vm + " reason=" + report.reason()));
             }
         }
         return decisions;
@@ -121,6 +116,9 @@
         if (notice != null) {
             out.accept(notice);
         }
+        if (report.phase() == TaskReport.Phase.REFUSED) {
+            scheduler.observeRefusal(RunKey.of(placement.task), placement.vm, nowMs);
+        }
         if (report.phase() == TaskReport.Phase.SUCCEEDED) {
             return new WorkDecision.Finished(placement.task, true, null);
         }
@@ -142,36 +140,4 @@
                 new Action.Notify(WorkNotice.PLACEMENT_LOST, "work=" + placement.task.work() + " vm=" + placement.vm));
         return new WorkDecision.Stopped(placement.task, null, "its VM was lost");
     }
-
-    private boolean isEvictable(Placement placement, GuardSlot slot, long nowMs) {
-        boolean longEnough = nowMs - placement.lowThrottleSinceMs >= LOW_THROTTLE_MS;
-        boolean paused = nowMs - evictedMsByVm.getOrDefault(placement.vm, Placement.NEVER) < EVICTION_PAUSE_MS;
-        WorkEntry entry = fold.find(RunKey.of(placement.task));
-        boolean assigned = entry.phase() == WorkPhase.ASSIGNED && !placement.released;
-        return longEnough && !paused && assigned && isFirstToEvict(placement, slot.report());
-    }
-
-    /**
-     * The leaders of all shards see the same heartbeat. They agree on the victim without messages: batch before
-     * standing work, the largest user first.
-     */
-    private static boolean isFirstToEvict(Placement placement, GuardReport report) {
-        TaskReport own = report.find(placement.task);
-        for (TaskReport other : report.tasks()) {
-            boolean running = other.phase() == TaskReport.Phase.RUNNING;
-            if (running && other.throttleShare() <= LOWEST_SHARE && comparePriority(other, own) < 0) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private static int comparePriority(TaskReport a, TaskReport b) {
-        int byKind = Boolean.compare(a.task().run() == RunKey.STANDING, b.task().run() == RunKey.STANDING);
-        if (byKind != 0) {
-            return byKind;
-        }
-        int bySize = Integer.compare(b.used().milliCores(), a.used().milliCores());
-        return bySize != 0 ? bySize : a.task().toAgentId().compareTo(b.task().toAgentId());
-    }
 }
--- a/core/src/main/java/org/fulmarreach/core/work/Scheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/work/Scheduler.java
@@ -31,6 +31,9 @@
 
     private static final int MAX_WARNED = 10_000;
 
+    private static final long AVOID_EVICTING_MS = 60_000;
+    private static final long AVOID_REFUSING_MS = 5_000;
+
     /** Time between two checks whether the runs that are not due yet fit on any VM. */
     private static final long FIT_CHECK_MS = 10_000;
 
@@ -42,7 +45,7 @@
     private final WorkLearning learning = new WorkLearning();
     private final Map<String, Double> harm = new HashMap<>();
     private final Map<RunKey, Long> seenBeforeDeadline = new HashMap<>();
-    private final Map<RunKey, String> evictedFrom = new HashMap<>();
+    private final Map<RunKey, Map<String, Long>> avoidedUntilMs = new HashMap<>();
     private final Set<RunKey> warned = new HashSet<>();
     private final Map<String, Rule> owned = new TreeMap<>();
     private final Map<String, String> unfit = new HashMap<>();
@@ -103,9 +106,18 @@
         return null;
     }
 
-    /** Takes note of an eviction; the run goes elsewhere if it can. */
-    void observeEviction(RunKey key, String vm) {
-        evictedFrom.put(key, vm);
+    /** Takes note of an eviction; the run goes elsewhere for a while, and standing work waits less long for that. */
+    void observeEviction(RunKey key, String vm, long nowMs) {
+        avoid(key, vm, nowMs + (key.standing() ? AVOID_EVICTING_MS / 6 : AVOID_EVICTING_MS));
+    }
+
+    /** Takes note of a refused start, which would be refused again until the guard has told of its room. */
+    void observeRefusal(RunKey key, String vm, long nowMs) {
+        avoid(key, vm, nowMs + AVOID_REFUSING_MS);
+    }
+
+    private void avoid(RunKey key, String vm, long untilMs) {
+        avoidedUntilMs.computeIfAbsent(key, run -> new HashMap<>()).put(vm, untilMs);
     }
 
     // Public API
@@ -272,18 +284,16 @@
     }
 
     private GuardReport choose(Candidate candidate, VmPool pool, long nowMs) {
-        String work = candidate.key().work();
-        List<String> failed = candidate.entry().failedVms();
-        String evicted = evictedFrom.remove(candidate.key());
-        if (evicted != null) {
-            List<String> avoided = new ArrayList<>(failed);
-            avoided.add(evicted);
-            GuardReport other = pool.choose(work, candidate.size(), avoided, nowMs);
-            if (other != null) {
-                return other;
+        List<String> excluded = new ArrayList<>(candidate.entry().failedVms());
+        Map<String, Long> avoided = avoidedUntilMs.get(candidate.key());
+        if (avoided != null) {
+            avoided.values().removeIf(untilMs -> untilMs <= nowMs);
+            excluded.addAll(avoided.keySet());
+            if (avoided.isEmpty()) {
+                avoidedUntilMs.remove(candidate.key());
             }
         }
-        return pool.choose(work, candidate.size(), failed, nowMs);
+        return pool.choose(candidate.key().work(), candidate.size(), excluded, nowMs);
     }
 
     /** Names work that fits on no VM before its run is due, so that its rule can be changed in time. */
--- a/core/src/test/java/org/fulmarreach/core/work/ShardPolicyTest.java
+++ b/core/src/test/java/org/fulmarreach/core/work/ShardPolicyTest.java
@@ -110,6 +110,15 @@
         assertEquals(ShardState.QUARANTINE_VMS, entry.task().epoch(), "starts");
     }
 
+    @Test
+    void refusingVmIsAvoidedForAWhile() {
+        World world = new World(7, WorkTimes.DEFAULT);
+        List.of("vm-0", "vm-1", "vm-2", "vm-3", "vm-4").forEach(vm -> world.guards.get(vm).full = true);
+        world.run(15_000);
+        assertEquals("vm-5", world.findVm(STANDING.work()));
+        assertTrue(state(world).find(STANDING).task().epoch() <= 6, "one start on each VM at most");
+    }
+
     @Test
     void failingWorkerGetsNoStartsButProbes() {
         World world = new World(2, WorkTimes.DEFAULT);
