Queue a free call that a full guard refused, and pass on Date and Server

In a trial with three entries, three guards and the stand-ins on a busy machine, 9 of 600 idempotent calls at 100/s were answered NO_CAPACITY with 23 of 24 slots free: bursts of two entries met at one guard, and the retry budget of the refused calls was used up. A refused call now waits for a slot that is known to be free, and the guard counts as full until it reports again. Answers that the guard no longer keeps get a JSON error with status 410 instead of an empty one.

--- a/entry/src/main/java/org/fulmarreach/entry/calls/CallRouter.java
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/CallRouter.java
@@ -143,6 +143,9 @@
             return;
         }
         guard.removeOutstanding();
+        if (result.getOutcome() == Outcome.NOT_RUN && CallResults.toCode(result) == ErrorCode.NO_CAPACITY) {
+            guard.markFull();
+        }
         ServiceState service = serviceOf(call.request().service());
         service.recordResult(guard.view().guardId(), result, clock.nowMs(), log);
         if (call.phase() == PendingCall.Phase.SENT && call.correlationId() == correlationId) {
@@ -394,7 +397,8 @@
         if (!isNotRun) {
             call.noteMaybeRan();
         }
-        if (tryMove(call)) {
+        boolean isFull = isNotRun && CallResults.toCode(result) == ErrorCode.NO_CAPACITY;
+        if (tryMove(call) || isFull && tryWaitAgain(call)) {
             return;
         }
         Problem problem = CallResults.toProblem(result);
@@ -414,6 +418,25 @@
         return true;
     }
 
+    /**
+     * Queues a call that a full guard refused. It is sent again only when a slot is known to be free, so that this
+     * cannot multiply an overload as a retry could.
+     */
+    private boolean tryWaitAgain(PendingCall call) {
+        ServiceState service = serviceOf(call.request().service());
+        int slots = service.knownSlots(directory);
+        boolean waits = call.mayMove()
+                && call.attempts() < MAX_ATTEMPTS
+                && slots > 0
+                && service.offerFree(call, slots, clock.nowMs());
+        if (waits) {
+            call.bind(null, "");
+            call.markQueued();
+            queued++;
+        }
+        return waits;
+    }
+
     private void finishRefused(PendingCall call, ResolveResult result) {
         if (call.mayMove() && tryMove(call)) {
             return;
--- a/entry/src/main/java/org/fulmarreach/entry/calls/ServiceState.java
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/ServiceState.java
@@ -86,8 +86,10 @@
             serviceTime.record(result.getServiceMs());
         }
         // A refusal for lack of room or because the target leaves says nothing about its health.
-        boolean isRefusal =
-                result.getOutcome() == Outcome.NOT_RUN && CallResults.toCode(result) != ErrorCode.TARGET_FAILED;
+        ErrorCode code = ran ? null : CallResults.toCode(result);
+        boolean isRefusal = result.getOutcome() == Outcome.NOT_RUN
+                && code != ErrorCode.TARGET_FAILED
+                && code != ErrorCode.NO_TARGET;
         boolean success = ran && result.getStatus() < SERVER_ERROR;
         if (!isRefusal && ejection.record(guardId, success, nowMs)) {
             log.emit(EntryEvent.TARGET_EJECTED, "guard", guardId);
--- a/entry/src/main/java/org/fulmarreach/entry/guards/GuardSession.java
+++ b/entry/src/main/java/org/fulmarreach/entry/guards/GuardSession.java
@@ -79,6 +79,11 @@
         foreignLoad = Math.max(0, newHeartbeat.getSlotsInUse() - outstanding);
     }
 
+    /** Notes that the guard has refused a call for lack of a slot: others hold the rest until it reports again. */
+    public void markFull() {
+        foreignLoad = Math.max(foreignLoad, slots() - outstanding);
+    }
+
     /** Returns the guard's own clock at its last heartbeat; every id and start refers to it. */
     public long tickMs() {
         return heartbeat == null ? 0 : heartbeat.getTickMs();
--- a/entry/src/main/java/org/fulmarreach/entry/http/CallEndpoint.java
+++ b/entry/src/main/java/org/fulmarreach/entry/http/CallEndpoint.java
@@ -21,9 +21,11 @@
 import org.fulmarreach.core.request.RequestId;
 import org.fulmarreach.entry.calls.CallAnswer;
 import org.fulmarreach.entry.calls.CallInput;
+import org.fulmarreach.entry.calls.CallResults;
 import org.fulmarreach.entry.calls.CallService;
 import org.fulmarreach.entry.calls.RequestState;
 import org.fulmarreach.entry.guards.DirectoryCommand;
+import org.fulmarreach.protocol.thrift.CallResult;
 import org.fulmarreach.protocol.thrift.Header;
 
 /** Endpoints for callers. Thread-safe. */
@@ -34,6 +36,7 @@
     private static final int MAX_URI_CHARACTERS = 2_048;
     private static final int MAX_HEADER_CHARACTERS = 16_384;
     private static final long MAX_DEADLINE_MS = 60_000;
+    private static final int GONE = 410;
     private static final String REQUEST_ID = "Request-Id";
     private static final String DEADLINE = "Deadline-Ms";
     private static final String SERVICES = "/v1/services/";
@@ -202,7 +205,7 @@
 
     private static HttpResponse toResponse(CallAnswer answer) {
         return switch (answer) {
-            case CallAnswer.Answered answered -> TargetResponses.toResponse(answered.requestId(), answered.result());
+            case CallAnswer.Answered answered -> toResponse(answered);
             case CallAnswer.NotRun notRun ->
                 withId(JsonBodies.toError(503, "not_run", orDefault(notRun.problem())), notRun.requestId());
             case CallAnswer.Unknown unknown ->
@@ -213,6 +216,15 @@
         };
     }
 
+    private static HttpResponse toResponse(CallAnswer.Answered answered) {
+        CallResult result = answered.result();
+        if (result.getCode() == null) {
+            return TargetResponses.toResponse(answered.requestId(), result);
+        }
+        // The guard knows that the call ran, and has dropped the answer to keep within its memory.
+        return withId(JsonBodies.toError(GONE, null, CallResults.toProblem(result)), answered.requestId());
+    }
+
     /** A call that was given up always says when to come back. */
     private static Problem orDefault(Problem problem) {
         return problem.retryAfterMs() > 0 ? problem : problem.withRetryAfterMs(1_000);
--- a/entry/src/main/java/org/fulmarreach/entry/http/TargetResponses.java
+++ b/entry/src/main/java/org/fulmarreach/entry/http/TargetResponses.java
@@ -40,6 +40,9 @@
             String name = header.getName().toLowerCase(Locale.ROOT);
             if (name.equals("content-type")) {
                 contentType = parse(header.getValue());
+            } else if (name.equals("date") || name.equals("server")) {
+                // The library writes its own values unless it finds these as typed headers.
+                headers.add(HttpHeader.parse(header.getName(), header.getValue()));
             } else if (!NOT_PASSED.contains(name)) {
                 headers.add(rawHeader(header.getName(), header.getValue()));
             }
--- a/entry/src/test/java/org/fulmarreach/entry/EntryNodeTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/EntryNodeTest.java
@@ -78,6 +78,7 @@
         HttpResponse<String> answer = send("GET", "/v1/services/bestellung/suche/kreide?farbe=rot", "", Map.of());
         assertEquals(207, answer.statusCode());
         assertEquals("ring /suche/kreide?farbe=rot", answer.body());
+        assertEquals("shop/1", answer.headers().firstValue("Server").orElse(""));
         assertEquals("t1", answer.headers().firstValue("X-Target").orElse(""));
         assertTrue(answer.headers().firstValue("Request-Id").orElse("").startsWith("guard-1.7.1000."));
         assertTrue(
--- a/entry/src/test/java/org/fulmarreach/entry/FakeGuard.java
+++ b/entry/src/test/java/org/fulmarreach/entry/FakeGuard.java
@@ -54,7 +54,10 @@
         return new CallResult()
                 .setOutcome(Outcome.RUN)
                 .setStatus(status)
-                .setHeaders(List.of(new Header("Content-Type", "text/plain"), new Header("X-Target", "t1")))
+                .setHeaders(List.of(
+                        new Header("Content-Type", "text/plain"),
+                        new Header("X-Target", "t1"),
+                        new Header("Server", "shop/1")))
                 .setBody(body.getBytes(StandardCharsets.UTF_8))
                 .setServiceMs(1);
     }
--- a/entry/src/test/java/org/fulmarreach/entry/calls/CallRouterTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/calls/CallRouterTest.java
@@ -195,6 +195,21 @@
         assertEquals(0, router.countQueued());
     }
 
+    @Test
+    void freeCallRefusedByAFullGuardWaitsForAKnownFreeSlot() {
+        FakeLink link = connect("g1", 1, 8);
+        router.submit(request("", true, 1_000), answers::add);
+        CallResult full = new CallResult()
+                .setRequestId(link.sent.get(0).requestId())
+                .setOutcome(Outcome.NOT_RUN)
+                .setCode(ErrorCode.NO_CAPACITY.name());
+        router.receiveResult(link.session(), link.sent.get(0).correlationId(), full);
+        assertEquals(1, link.sent.size(), "sending at once would be refused again");
+        beat(link, GuardState.READY, 8);
+        link.answer(1, Outcome.RUN, 200);
+        assertEquals(200, answered(0).getStatus());
+    }
+
     @Test
     void leavingTargetGetsNoNewCall() {
         FakeLink link = connect("g1", 1, 8);
