--- a/entry/src/test/java/org/fulmarreach/entry/EntryNodeTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/EntryNodeTest.java
@@ -10,14 +10,19 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.fulmarreach.core.budget.BudgetRecord;
 import org.fulmarreach.core.exc.Result;
+import org.fulmarreach.core.rules.RulesRecord;
 import org.fulmarreach.entry.work.WorkNode;
+import org.fulmarreach.protocol.io.BudgetRecords;
+import org.fulmarreach.protocol.io.RulesRecords;
 import org.fulmarreach.protocol.thrift.Call;
 import org.fulmarreach.protocol.thrift.CallResult;
 import org.fulmarreach.runtime.cfg.Settings;
@@ -37,6 +42,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
@@ -59,7 +65,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        entry = startEntry("entry-a", "");
+        entry = startEntry("entry-a", "sued", "");
         publish("p1", 0, RULES);
     }
 
@@ -210,7 +216,7 @@
     @Test
     void secondEntryLearnsRulesFromItsPeerWhileTheStoreIsDown() throws Exception {
         store.setDown(true);
-        try (EntryNode second = startEntry("entry-b", address(entry.frameAddress()))) {
+        try (EntryNode second = startEntry("entry-b", "sued", address(entry.frameAddress()))) {
             assertEquals(503, get(second.operatorAddress(), "/health").statusCode());
             await().atMost(Duration.ofSeconds(10))
                     .untilAsserted(() -> assertEquals(
@@ -226,38 +232,76 @@
         connect(call -> FakeGuard.answer(200, "ok"));
         assertEquals(
                 200, send("GET", "/v1/services/bestellung/teuer", "", Map.of()).statusCode());
-        int before = store.size("budget");
+        await().untilAsserted(() -> assertTrue(
+                json(get(entry.operatorAddress(), "/v1/budget")).path("purse").asLong() > 0));
         entry.drain();
-        assertTrue(store.size("budget") >= before);
+        BudgetRecord last = BudgetRecords.fromBytes(store.last("budget"));
+        assertInstanceOf(BudgetRecord.Return.class, last);
+    }
+
+    @Test
+    void otherRegionForwardsToTheTargetAndToTheGuardOfAnId() throws Exception {
+        connect(call -> FakeGuard.answer(200, "ring"));
+        try (EntryNode far = startEntry("entry-n", "nord", address(entry.frameAddress()))) {
+            await().atMost(Duration.ofSeconds(10))
+                    .untilAsserted(() -> assertEquals(
+                            200,
+                            get(far.callerAddress(), "/v1/services/bestellung/suche")
+                                    .statusCode()));
+            String id = mint();
+            int before = guard.executions();
+            for (int i = 0; i < 2; i++) {
+                HttpRequest request = request(
+                        "POST", far.callerAddress(), "/v1/services/bestellung/checkout", "x", Map.of("Request-Id", id));
+                assertEquals(
+                        200,
+                        http.send(request, HttpResponse.BodyHandlers.ofString()).statusCode());
+            }
+            assertEquals(1, guard.executions() - before);
+        }
+    }
+
+    @Test
+    void snapshotIsWrittenWhenTheLastIsOld() throws Exception {
+        try (EntryNode other =
+                startEntry("entry-0", "sued", address(entry.frameAddress()), "--store-retention-ms", "10000")) {
+            await().atMost(Duration.ofSeconds(10))
+                    .until(() -> RulesRecords.fromBytes(store.last("rules")) instanceof RulesRecord.Snapshot);
+            assertEquals(
+                    1,
+                    json(get(other.operatorAddress(), "/v1/rules"))
+                            .path("revision")
+                            .asLong());
+        }
     }
 
     /*
      * Helpers
      */
 
-    private EntryNode startEntry(String id, String peers) throws Exception {
-        String[] args = {
-            "entry",
-            "--id",
-            id,
-            "--region",
-            "sued",
-            "--zone",
-            "sued-a",
-            "--store",
-            "http://127.0.0.1:1",
-            "--store-region",
-            "sued",
-            "--listen",
-            "127.0.0.1:0",
-            "--http",
-            "127.0.0.1:0",
-            "--operator-http",
-            "127.0.0.1:0",
-            "--peers",
-            peers
-        };
-        return switch (new SettingsReader("test").read(args, Map.of())) {
+    private EntryNode startEntry(String id, String region, String peers, String... more) throws Exception {
+        List<String> all = new ArrayList<>(List.of(
+                "entry",
+                "--id",
+                id,
+                "--region",
+                region,
+                "--zone",
+                region + "-a",
+                "--store",
+                "http://127.0.0.1:1",
+                "--store-region",
+                "sued",
+                "--listen",
+                "127.0.0.1:0",
+                "--http",
+                "127.0.0.1:0",
+                "--operator-http",
+                "127.0.0.1:0",
+                "--peers",
+                peers));
+        all.addAll(List.of(more));
+        return switch (new SettingsReader("test").read(all.toArray(String[]::new), Map.of())) {
             case Result.Ok<Settings> ok ->
                 EntryNode.start(
                         ok.value(),
--- a/entry/src/test/java/org/fulmarreach/entry/FakeLog.java
+++ b/entry/src/test/java/org/fulmarreach/entry/FakeLog.java
@@ -29,8 +29,9 @@
         losesAnswers = newLosesAnswers;
     }
 
-    synchronized int size(String stream) {
-        return streams.getOrDefault(stream, List.of()).size();
+    synchronized byte[] last(String stream) {
+        List<byte[]> records = streams.get(stream);
+        return records.get(records.size() - 1);
     }
 
     @Override
