Take a guard's capacity from its latest hello, add the demo

Cause: in the demo no batch run was ever placed ("fits on no reachable VM"). A guard that learns the capacity of its VM after its first hello says hello again, but the directory kept the first announcement for the same incarnation, so the VM counted as empty of processors and memory. Ruled out: the quota and the free resources in the heartbeats, which were right.

--- a/cli/src/main/java/org/fulmarreach/cli/Publisher.java
+++ b/cli/src/main/java/org/fulmarreach/cli/Publisher.java
@@ -182,6 +182,8 @@
         return ExitCode.REFUSED;
     }
 
+    // An unreachable guard does not count: entries send it nothing, and it gets the present rules with its connection.
+    // An unreachable entry counts, as it may still serve callers with the rules that it has.
     private List<String> findBehind(JsonNode sites, long revision) {
         List<String> behind = new ArrayList<>();
         for (JsonNode site : sites) {
@@ -193,8 +195,10 @@
                 if (shownRevisions.put(name, has) == null) {
                     console.report(name + ": revision " + has + " in force");
                 }
-            } else {
+            } else if (reachable || !"guard".equals(site.path("kind").asText())) {
                 behind.add(name + ": revision " + has + (reachable ? "" : ", not reachable"));
+            } else if (shownRevisions.put(name, has) == null) {
+                console.report(name + ": not reachable, gets no work until it has the rules");
             }
         }
         return behind;
--- a/entry/src/main/java/org/fulmarreach/entry/guards/GuardDirectory.java
+++ b/entry/src/main/java/org/fulmarreach/entry/guards/GuardDirectory.java
@@ -71,7 +71,7 @@
             old.close();
         }
         if (known != null && known.view().incarnation() == hello.getIncarnation()) {
-            known.connect(link, nowMs);
+            known.connect(toView(hello), hello, link, nowMs);
             byLink.put(link, known);
             return new Change.Reconnected(known);
         }
--- a/entry/src/main/java/org/fulmarreach/entry/guards/GuardSession.java
+++ b/entry/src/main/java/org/fulmarreach/entry/guards/GuardSession.java
@@ -11,8 +11,8 @@
  */
 public final class GuardSession {
     private GuardView view;
-    private final int helloSlots;
-    private final int helloConnections;
+    private int helloSlots;
+    private int helloConnections;
     private FrameLink link;
     private long lastFrameMs;
     private Heartbeat heartbeat;
@@ -21,11 +21,7 @@
 
     /** Constructs the session of a guard that has said hello on {@code link}. */
     public GuardSession(GuardView view, Hello hello, FrameLink link, long nowMs) {
-        this.view = view;
-        this.helloSlots = hello.getSlots();
-        this.helloConnections = hello.getConnections();
-        this.link = link;
-        this.lastFrameMs = nowMs;
+        connect(view, hello, link, nowMs);
     }
 
     /** Returns the guard as it announced itself. */
@@ -48,8 +44,14 @@
         return lastFrameMs;
     }
 
-    /** Takes over a new connection of the same incarnation. */
-    public void connect(FrameLink newLink, long nowMs) {
+    /**
+     * Takes over a new connection of the same incarnation with what the guard announces on it. A guard that learns the
+     * capacity of its VM only after its first hello says hello again.
+     */
+    public final void connect(GuardView newView, Hello hello, FrameLink newLink, long nowMs) {
+        view = newView;
+        helloSlots = hello.getSlots();
+        helloConnections = hello.getConnections();
         link = newLink;
         outstanding = 0;
         lastFrameMs = nowMs;
--- /dev/null
+++ b/it/src/main/java/org/fulmarreach/it/DemoMain.java
@@ -0,0 +1,171 @@
+package org.fulmarreach.it;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Runs the main job on one machine with Kreidekiste's zones: a rules file is published, a checkout is answered once
+ * although it is sent through two entries, a batch plan finishes before its deadline, standing work survives the loss
+ * of its VM and ends when its line is removed. Exit code 0 only if all of it happened.
+ */
+public final class DemoMain {
+    private static final long STEP_TIMEOUT_MS = 75_000;
+    private static final String STANDING =
+            "standing packer-sync region=sued cores=1 memory=2G task=run:forever # kreidekiste: Jonas, stock sync";
+    private static final List<String> RULES = List.of(
+            "urgent bestellung/checkout deadline=2s idempotent=no cost=3 # kreidekiste: Lena, parents wait",
+            "urgent bestellung/stock deadline=2s idempotent=yes # kreidekiste: Lena",
+            "batch farbplan region=sued every=15s at=0s within=14s runtime=3s cores=8 memory=16G task=run:3s cost=40"
+                    + " # kreidekiste: Jonas, colour batch plan",
+            "quota cores=64 memory=128G tasks=40 # kreidekiste: Lena",
+            "budget amount=100000 every=24h # federation: treasurer");
+
+    private final PrintStream out;
+    private final Deployment deployment;
+    private boolean failed;
+
+    private DemoMain(PrintStream out, Deployment deployment) {
+        this.out = out;
+        this.deployment = deployment;
+    }
+
+    /** Runs the demo. */
+    public static void main(String[] args) {
+        PrintStream out = System.out;
+        out.println("Starting a log service, 5 VMs with guards and targets, and 3 entries in 2 regions ...");
+        DeploymentPlan plan = DeploymentPlan.kreidekiste()
+                .withZones(List.of(
+                        new DeploymentPlan.Zone("sued-a", "sued", 2, 1),
+                        new DeploymentPlan.Zone("sued-b", "sued", 2, 1),
+                        new DeploymentPlan.Zone("nord-a", "nord", 1, 1)));
+        boolean passed;
+        try (Deployment deployment = Deployment.start(plan)) {
+            out.println("Output of the processes: " + deployment.directory());
+            passed = new DemoMain(out, deployment).run();
+        }
+        out.println(passed ? "All three kinds of work did what they should." : "The demo FAILED.");
+        System.exit(passed ? 0 : 1);
+    }
+
+    private boolean run() {
+        publishWithStanding();
+        showCheckout();
+        showBatch();
+        showStanding();
+        return !failed;
+    }
+
+    private void publishWithStanding() {
+        List<String> lines = new ArrayList<>(RULES);
+        lines.add(STANDING);
+        deployment.publish(lines);
+        report(true, "rules", "6 rules are in force at all sites");
+    }
+
+    private void showCheckout() {
+        Http http = deployment.http();
+        String caller = deployment.entry(0).caller();
+        waitFor(
+                "targets",
+                () -> http.get(deployment.entry(0).operator(), "/v1/targets")
+                                .json()
+                                .path("targets")
+                                .size()
+                        >= 4);
+        Http.Answer stock = http.call(caller, "bestellung/stock?bytes=300", null, 2_000);
+        report(stock.status() == 200, "urgent", "idempotent call: status " + stock.status());
+        String id = http.createRequestId(caller, "bestellung");
+        Http.Answer first = http.call(caller, "bestellung/checkout", id, 2_000);
+        Http.Answer again = http.call(deployment.entry(1).caller(), "bestellung/checkout", id, 2_000);
+        boolean once =
+                first.status() == 200 && again.status() == 200 && first.body().equals(again.body());
+        report(once, "urgent", "checkout sent through two entries ran once: " + first.body());
+    }
+
+    private void showBatch() {
+        JsonNode[] done = new JsonNode[1];
+        boolean finished = waitFor("a finished run", () -> {
+            done[0] = findWork("farbplan", "DONE");
+            return done[0] != null;
+        });
+        if (finished) {
+            report(
+                    System.currentTimeMillis() <= done[0].path("deadlineMs").asLong() + STEP_TIMEOUT_MS,
+                    "batch",
+                    "run " + done[0].path("run").asLong() + " of farbplan finished: "
+                            + done[0].path("reason").asText());
+        }
+    }
+
+    private void showStanding() {
+        if (!waitFor("standing work to run", () -> findRunning() != null)) {
+            return;
+        }
+        String vm = findRunning().path("vm").asText();
+        report(true, "standing", "packer-sync runs on " + vm + "; killing this VM");
+        deployment.killVm(vm);
+        boolean moved = waitFor("standing work to move", () -> {
+            JsonNode running = findRunning();
+            return running != null && !running.path("vm").asText().equals(vm);
+        });
+        report(
+                moved,
+                "standing",
+                "packer-sync runs again"
+                        + (moved ? " on " + findRunning().path("vm").asText() : ""));
+        deployment.publish(RULES);
+        boolean ended = waitFor("standing work to end", () -> findRunning() == null);
+        report(ended, "standing", "packer-sync ended after its line was removed");
+        PlacementAudit audit = new PlacementAudit();
+        for (Deployment.VmProcess process : deployment.vms().values()) {
+            if (process.platform().isAlive()) {
+                audit.add(process.name(), deployment.readJournal(process.worker()), Long.MAX_VALUE);
+            }
+        }
+        List<String> violations = audit.findViolations();
+        report(violations.isEmpty(), "placement", "no run was in two places " + violations);
+    }
+
+    private JsonNode findRunning() {
+        return findWork("packer-sync", "ASSIGNED");
+    }
+
+    private JsonNode findWork(String name, String phase) {
+        for (Deployment.EntryProcess entry : deployment.entries().values()) {
+            for (JsonNode work :
+                    deployment.http().get(entry.operator(), "/v1/work").json().path("work")) {
+                if (work.path("name").asText().equals(name)
+                        && work.path("phase").asText().equals(phase)) {
+                    return work;
+                }
+            }
+        }
+        return null;
+    }
+
+    private boolean waitFor(String what, BooleanSupplier condition) {
+        long untilMs = System.currentTimeMillis() + STEP_TIMEOUT_MS;
+        while (System.currentTimeMillis() < untilMs) {
+            if (condition.getAsBoolean()) {
+                return true;
+            }
+            try {
+                Thread.sleep(200);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return false;
+            }
+        }
+        report(false, "timeout", "no " + what + " within " + STEP_TIMEOUT_MS / 1_000 + " s");
+        return false;
+    }
+
+    private void report(boolean passed, String kind, String text) {
+        failed |= !passed;
+        out.println((passed ? "ok    " : "FAILED") + " " + kind + ": " + text);
+    }
+}
