--- /dev/null
+++ b/it/src/test/java/org/fulmarreach/it/ModuleDependenciesTest.java
@@ -0,0 +1,77 @@
+package org.fulmarreach.it;
+
+import org.junit.jupiter.api.Test;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+/** Guards against a core that reaches for I/O or threads, and against dependencies that run the wrong way. */
+class ModuleDependenciesTest {
+    private final JavaClasses classes = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("org.fulmarreach");
+
+    @Test
+    void coreDependsOnNoOtherModuleAndOnNoLibrary() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.fulmarreach.core..")
+                .should()
+                .dependOnClassesThat()
+                .resideOutsideOfPackages(
+                        "java.lang..",
+                        "java.util..",
+                        "java.math..",
+                        "java.time..",
+                        "java.nio.charset..",
+                        "org.fulmarreach.core..")
+                .check(classes);
+    }
+
+    @Test
+    void coreHasNoClockAndNoThreads() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.fulmarreach.core..")
+                .should()
+                .callMethod(System.class, "currentTimeMillis")
+                .orShould()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .dependOnClassesThat()
+                .areAssignableTo(Thread.class)
+                .check(classes);
+    }
+
+    @Test
+    void rolesDoNotKnowEachOther() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.fulmarreach.guard..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("org.fulmarreach.entry..", "org.fulmarreach.daemon..", "org.fulmarreach.standin..")
+                .check(classes);
+        noClasses()
+                .that()
+                .resideInAPackage("org.fulmarreach.entry..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("org.fulmarreach.guard..", "org.fulmarreach.daemon..", "org.fulmarreach.standin..")
+                .check(classes);
+    }
+
+    @Test
+    void shippedCodeDoesNotUseStandIns() {
+        noClasses()
+                .that()
+                .resideOutsideOfPackages("org.fulmarreach.standin..", "org.fulmarreach.it..", "org.fulmarreach.bench..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("org.fulmarreach.standin..")
+                .check(classes);
+    }
+}
