Mint ids through another region, survive malformed frames, stop with a lost part

An entry whose region has no ready target now gets an id from a region that reports room; a forwarded call without a method asks for it, so that the schema stays as it is. A frame with missing fields ends its connection instead of the actor that owns all guards or peers. When an owner fails the entry stops, since it could only answer in part. The planned stop keeps 6 s of its bound for handing back shards and purse.

--- a/entry/src/main/java/org/fulmarreach/entry/EntryEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/EntryEvent.java
@@ -49,8 +49,9 @@
     OUTCOME_UNKNOWN(3004, Level.INFO, "A call was answered as unknown; the caller is told to ask the service."),
     /** Handler failed. */
     REQUEST_FAILED(3005, Level.SEVERE, "A request failed inside the entry; report it."),
-    /** Forwarded. */
-    CALL_FORWARDED(3006, Level.FINE, "A call was forwarded to another region."),
+    /** Owner failed. */
+    PART_FAILED(
+            3007, Level.SEVERE, "A part of the entry failed, and the entry stops; report the lines before this one."),
     /** Budget record damaged. */
     BUDGET_RECORD_SKIPPED(3201, Level.SEVERE, "A record of the budget stream could not be decoded and has no effect."),
     /** Budget granted. */
--- a/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
@@ -8,10 +8,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.Terminated;
 import org.apache.pekko.actor.typed.javadsl.AskPattern;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.stream.javadsl.Tcp;
@@ -41,6 +44,10 @@
     private static final int THREADS = 4;
     private static final long START_BOUND_MS = 15_000;
     private static final long POLL_MS = 20;
+
+    /** Part of the drain bound that is kept for handing back shards and purse and for closing the listeners. */
+    private static final long HAND_BACK_MS = 6_000;
+
     private static final Duration RESIGN_BOUND = Duration.ofSeconds(3);
 
     private final ActorSystem<Void> system;
@@ -49,6 +56,7 @@
     private final EntryHttp http;
     private final long drainTimeoutMs;
     private final MonotonicClock clock;
+    private final AtomicBoolean closing = new AtomicBoolean();
 
     private EntryNode(
             ActorSystem<Void> system,
@@ -116,8 +124,10 @@
                             new SecureRandom(),
                             log,
                             meters);
-                    ready.complete(EntryParts.start(context, environment, work));
-                    return Behaviors.empty();
+                    EntryParts parts = EntryParts.start(context, environment, work);
+                    parts.actors().all().forEach(context::watch);
+                    ready.complete(parts);
+                    return stopWithAnyActor(log);
                 }),
                 "entry",
                 THREADS);
@@ -143,14 +153,14 @@
 
     /**
      * Stops as planned: refuses new calls, finishes those that run, hands back shards and purse, then closes. Returns
-     * within the drain bound and a few seconds.
+     * within the drain bound.
      */
     public void drain() {
         CallService calls = parts.calls();
         EntryActors actors = parts.actors();
         calls.drain();
         actors.peers().tell(new PeersCommand.Leave());
-        long untilMs = clock.nowMs() + drainTimeoutMs;
+        long untilMs = clock.nowMs() + Math.max(POLL_MS, drainTimeoutMs - HAND_BACK_MS);
         while (calls.countRunning() > 0 && clock.nowMs() < untilMs) {
             sleep();
         }
@@ -167,6 +177,9 @@
 
     @Override
     public void close() {
+        if (!closing.compareAndSet(false, true)) {
+            return;
+        }
         frames.unbind();
         http.close().toCompletableFuture().exceptionally(failure -> null).join();
         system.terminate();
@@ -177,6 +190,11 @@
      * Public API
      */
 
+    /** Returns a stage that completes when the entry has stopped, as planned or because one of its parts failed. */
+    public CompletionStage<Done> whenStopped() {
+        return system.getWhenTerminated();
+    }
+
     /** Returns the address for guards and entries. */
     public InetSocketAddress frameAddress() {
         return frames.localAddress();
@@ -196,6 +214,17 @@
      * Helpers
      */
 
+    /** An entry without one of its owners would answer in part only; it stops, and the balancer chooses another. */
+    private static Behavior<Void> stopWithAnyActor(EventLog log) {
+        return Behaviors.receiveSignal((context, signal) -> {
+            if (signal instanceof Terminated ended) {
+                log.emit(EntryEvent.PART_FAILED, "part", ended.getRef().path().name());
+                return Behaviors.stopped();
+            }
+            return Behaviors.same();
+        });
+    }
+
     private static LogClient constructStore(ActorSystem<?> system, Settings settings) {
         URI store = URI.create(settings.text(Setting.STORE));
         int timeoutMs = settings.intNumber(Setting.STORE_TIMEOUT_MS);
--- a/entry/src/main/java/org/fulmarreach/entry/EntryParts.java
+++ b/entry/src/main/java/org/fulmarreach/entry/EntryParts.java
@@ -11,6 +11,8 @@
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.fulmarreach.core.exc.ErrorCode;
+import org.fulmarreach.core.exc.Result;
 import org.fulmarreach.core.rules.RulesInForce;
 import org.fulmarreach.entry.budget.BudgetActor;
 import org.fulmarreach.entry.budget.BudgetCommand;
@@ -53,6 +55,8 @@
  * @param calls service for calls
  */
 record EntryParts(EntryActors actors, CallService calls) {
+    private static final long MINT_BOUND_MS = 2_000;
+
     /**
      * What the parts are constructed from.
      *
@@ -93,11 +97,11 @@
         CallService calls = new CallService(
                 directory,
                 budget,
-                new PeerForwarder(servicesElsewhere, peersLater),
+                new PeerForwarder(servicesElsewhere, peersLater, env.clock()),
                 env.clock(),
                 new CallMeters(env.meters()));
-        PeerDependencies dependencies = new PeerDependencies(
-                calls::callForwarded, store.direct(), store::isReachable, rules, servicesElsewhere);
+        PeerDependencies dependencies =
+                new PeerDependencies(calls, store.direct(), store::isReachable, rules, servicesElsewhere);
         ActorRef<PeersCommand> peers = context.spawn(
                 PeersActor.construct(toPeersSettings(env), dependencies, env.transport(), env.clock(), env.log()),
                 "peers");
@@ -139,13 +143,28 @@
     }
 
     private record PeerForwarder(
-            AtomicReference<Set<String>> servicesElsewhere, AtomicReference<ActorRef<PeersCommand>> peers)
+            AtomicReference<Set<String>> servicesElsewhere,
+            AtomicReference<ActorRef<PeersCommand>> peers,
+            MonotonicClock clock)
             implements CallForwarder {
         @Override
         public boolean hasRoomElsewhere(String service) {
             return servicesElsewhere.get().contains(service);
         }
 
+        @Override
+        public void mintElsewhere(String service, Consumer<Result<String>> reply) {
+            // A call without a method asks for an id.
+            CallRequest question = new CallRequest(
+                    "", service, "", "", List.of(), new byte[0], "", true, clock.nowMs() + MINT_BOUND_MS, true, null);
+            forward(
+                    question,
+                    answer -> reply.accept(
+                            answer instanceof CallAnswer.Answered answered
+                                    ? Result.ok(answered.requestId())
+                                    : Result.err(ErrorCode.NO_TARGET, "no target of " + service + " is ready")));
+        }
+
         @Override
         public void forward(CallRequest request, Consumer<CallAnswer> reply) {
             peers.get().tell(new PeersCommand.Forward(request, reply));
--- a/entry/src/main/java/org/fulmarreach/entry/calls/CallService.java
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/CallService.java
@@ -20,7 +20,7 @@
  * Takes a call from its rule through budget, routing and forwarding to its final answer. Thread-safe; keeps no state of
  * calls.
  */
-public final class CallService {
+public final class CallService implements ForwardedCalls {
     private static final long RETRY_AFTER_MS = 1_000;
     private static final long MAX_WAIT_FOR_BUDGET_MS = 500;
 
@@ -119,8 +119,24 @@
         return answer;
     }
 
-    /** Answers a call that another region's entry has charged and forwarded; it is not forwarded again. */
-    public void callForwarded(CallRequest request, Consumer<CallAnswer> reply) {
+    /** Makes an id bound to a guard of this region, or of another one if no target is ready here. */
+    public void mintId(String service, Consumer<Result<String>> reply) {
+        mintLocalId(service, result -> {
+            if (result instanceof Result.Err<String> && forwarder.hasRoomElsewhere(service)) {
+                forwarder.mintElsewhere(service, reply);
+            } else {
+                reply.accept(result);
+            }
+        });
+    }
+
+    @Override
+    public void mintLocalId(String service, Consumer<Result<String>> reply) {
+        directory.tell(new DirectoryCommand.MintId(service, reply));
+    }
+
+    @Override
+    public void submitForwarded(CallRequest request, Consumer<CallAnswer> reply) {
         directory.tell(new DirectoryCommand.SubmitCall(request, reply));
     }
 
--- a/entry/src/main/java/org/fulmarreach/entry/guards/DirectoryActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/guards/DirectoryActor.java
@@ -109,16 +109,30 @@
             case LinkEvent.Opened opened -> {
                 // The guard speaks first.
             }
-            case LinkEvent.Received received ->
-                receiveFrame(
-                        received.link(),
-                        received.frame().getCorrelationId(),
-                        received.frame().getBody());
+            case LinkEvent.Received received -> receiveChecked(received);
             case LinkEvent.Closed closed ->
                 directory.disconnect(closed.link()).ifPresent(session -> lose(session, closed.reason()));
         }
     }
 
+    /** A frame with missing fields ends its connection, not the owner of all others. */
+    private void receiveChecked(LinkEvent.Received received) {
+        Body body = received.frame().getBody();
+        try {
+            receiveFrame(received.link(), received.frame().getCorrelationId(), body);
+        } catch (NullPointerException | IllegalArgumentException e) {
+            log.emit(
+                    EntryEvent.UNEXPECTED_FRAME,
+                    "remote",
+                    received.link().remoteAddress(),
+                    "frame",
+                    body.getSetField(),
+                    "reason",
+                    e);
+            received.link().close();
+        }
+    }
+
     private void receiveFrame(FrameLink link, long correlationId, Body body) {
         if (body.isSetHello()) {
             register(link, body.getHello());
--- a/entry/src/main/java/org/fulmarreach/entry/http/CallEndpoint.java
+++ b/entry/src/main/java/org/fulmarreach/entry/http/CallEndpoint.java
@@ -253,14 +253,14 @@
             return error(400, null, Problem.of(ErrorCode.BAD_REQUEST, "the field service is missing"));
         }
         CompletableFuture<HttpResponse> response = new CompletableFuture<>();
-        directory.tell(new DirectoryCommand.MintId(service, result -> response.complete(toResponse(result))));
+        calls.mintId(service, result -> response.complete(toResponse(result)));
         return response;
     }
 
     private static HttpResponse toResponse(Result<String> minted) {
         return switch (minted) {
             case Result.Ok<String> ok -> JsonBodies.toResponse(200, Map.of("id", ok.value(), "validMs", ID_VALID_MS));
-            case Result.Err<String> err -> JsonBodies.toError(503, null, err.problem());
+            case Result.Err<String> err -> JsonBodies.toError(503, null, orDefault(err.problem()));
         };
     }
 
--- a/entry/src/main/java/org/fulmarreach/entry/http/EntryActors.java
+++ b/entry/src/main/java/org/fulmarreach/entry/http/EntryActors.java
@@ -1,5 +1,7 @@
 package org.fulmarreach.entry.http;
 
+import java.util.List;
+
 import org.apache.pekko.actor.typed.ActorRef;
 import org.fulmarreach.entry.budget.BudgetCommand;
 import org.fulmarreach.entry.guards.DirectoryCommand;
@@ -21,4 +23,9 @@
         ActorRef<RulesCommand> rules,
         ActorRef<BudgetCommand> budget,
         ActorRef<PeersCommand> peers,
-        ActorRef<WorkCommand> work) {}
+        ActorRef<WorkCommand> work) {
+    /** Returns all of them. */
+    public List<ActorRef<?>> all() {
+        return List.of(directory, rules, budget, peers, work);
+    }
+}
--- a/entry/src/main/java/org/fulmarreach/entry/peers/PeerDependencies.java
+++ b/entry/src/main/java/org/fulmarreach/entry/peers/PeerDependencies.java
@@ -3,11 +3,9 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 
 import org.apache.pekko.actor.typed.ActorRef;
-import org.fulmarreach.entry.calls.CallAnswer;
-import org.fulmarreach.entry.calls.CallRequest;
+import org.fulmarreach.entry.calls.ForwardedCalls;
 import org.fulmarreach.entry.rules.RulesCommand;
 import org.fulmarreach.platform.LogClient;
 
@@ -21,19 +19,8 @@
  * @param servicesElsewhere receives the services with free slots in other regions
  */
 public record PeerDependencies(
-        CallSink calls,
+        ForwardedCalls calls,
         LogClient log,
         BooleanSupplier storeReachable,
         ActorRef<RulesCommand> rules,
-        AtomicReference<Set<String>> servicesElsewhere) {
-    /** Takes in calls that a peer has forwarded. Implementations are thread-safe. */
-    public interface CallSink {
-        /**
-         * Takes in a call.
-         *
-         * @param request the call
-         * @param reply gets the answer once
-         */
-        void submit(CallRequest request, Consumer<CallAnswer> reply);
-    }
-}
+        AtomicReference<Set<String>> servicesElsewhere) {}
--- a/entry/src/main/java/org/fulmarreach/entry/peers/PeerRequests.java
+++ b/entry/src/main/java/org/fulmarreach/entry/peers/PeerRequests.java
@@ -5,6 +5,7 @@
 
 import org.fulmarreach.core.exc.ErrorCode;
 import org.fulmarreach.core.exc.Problem;
+import org.fulmarreach.core.exc.Result;
 import org.fulmarreach.entry.calls.CallRequest;
 import org.fulmarreach.entry.calls.CallResults;
 import org.fulmarreach.platform.LogBatch;
@@ -14,6 +15,7 @@
 import org.fulmarreach.protocol.thrift.CallResult;
 import org.fulmarreach.protocol.thrift.Failure;
 import org.fulmarreach.protocol.thrift.LogRecord;
+import org.fulmarreach.protocol.thrift.Outcome;
 import org.fulmarreach.protocol.thrift.ReadLog;
 import org.fulmarreach.protocol.thrift.ReadLogResult;
 import org.fulmarreach.protocol.thrift.Resolve;
@@ -35,7 +37,10 @@
     }
 
     void receive(FrameLink link, long correlationId, Body body) {
-        if (body.isSetForwardCall()) {
+        if (body.isSetForwardCall()
+                && body.getForwardCall().getCall().getMethod().isEmpty()) {
+            mint(link, correlationId, body.getForwardCall().getCall().getServiceName());
+        } else if (body.isSetForwardCall()) {
             submit(link, correlationId, toRequest(body.getForwardCall().getCall()));
         } else if (body.isSetResolve()) {
             submit(link, correlationId, toRefusal(body.getResolve()));
@@ -45,7 +50,7 @@
     }
 
     private void submit(FrameLink link, long correlationId, CallRequest request) {
-        dependencies.calls().submit(request, answer -> {
+        dependencies.calls().submitForwarded(request, answer -> {
             CallResult result = CallResults.toPeer(answer);
             link.send(
                     correlationId,
@@ -55,6 +60,20 @@
         });
     }
 
+    /** A forwarded call without a method asks for an id of its service. */
+    private void mint(FrameLink link, long correlationId, String service) {
+        dependencies.calls().mintLocalId(service, result -> {
+            Body answer = switch (result) {
+                case Result.Ok<String> ok ->
+                    Body.callResult(new CallResult().setOutcome(Outcome.RUN).setRequestId(ok.value()));
+                case Result.Err<String> err ->
+                    Body.failure(new Failure(
+                            err.problem().code().name(), err.problem().message()));
+            };
+            link.send(correlationId, answer);
+        });
+    }
+
     private CallRequest toRequest(Call call) {
         return new CallRequest(
                 call.getRequestId() == null ? "" : call.getRequestId(),
--- a/entry/src/main/java/org/fulmarreach/entry/peers/PeersActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/peers/PeersActor.java
@@ -166,15 +166,29 @@
             case LinkEvent.Opened opened -> {
                 // The side that dialled speaks first.
             }
-            case LinkEvent.Received received ->
-                receiveFrame(
-                        received.link(),
-                        received.frame().getCorrelationId(),
-                        received.frame().getBody());
+            case LinkEvent.Received received -> receiveChecked(received);
             case LinkEvent.Closed closed -> disconnect(closed.link(), closed.reason());
         }
     }
 
+    /** A frame with missing fields ends its connection, not the owner of all others. */
+    private void receiveChecked(LinkEvent.Received received) {
+        Body body = received.frame().getBody();
+        try {
+            receiveFrame(received.link(), received.frame().getCorrelationId(), body);
+        } catch (NullPointerException | IllegalArgumentException e) {
+            log.emit(
+                    EntryEvent.UNEXPECTED_FRAME,
+                    "remote",
+                    received.link().remoteAddress(),
+                    "frame",
+                    body.getSetField(),
+                    "reason",
+                    e);
+            received.link().close();
+        }
+    }
+
     private void disconnect(FrameLink link, String reason) {
         if (link == null) {
             return;
--- a/entry/src/main/java/org/fulmarreach/entry/rules/RulesActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/rules/RulesActor.java
@@ -233,7 +233,7 @@
             return new PublishAnswer.Rejected(
                     Problem.of(
                             ErrorCode.BAD_REQUEST,
-                            "the lines have " + faulty.faults().size() + " faults"),
+                            "faults in the lines: " + faulty.faults().size()),
                     faulty.faults());
         }
         if (publish.baseRevision() < book.revision()) {
@@ -254,7 +254,8 @@
                 complete(conflict.publishId(), new PublishAnswer.Conflict(conflict.revision(), book.lines()));
             case RulesOutcome.Rejected rejected -> {
                 Problem problem = Problem.of(
-                        rejected.code(), "the publish has " + rejected.faults().size() + " faults");
+                        rejected.code(),
+                        "faults in the publish: " + rejected.faults().size());
                 complete(rejected.publishId(), new PublishAnswer.Rejected(problem, rejected.faults()));
             }
             case RulesOutcome.Restored restored -> {
--- a/entry/src/test/java/org/fulmarreach/entry/EntryNodeTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/EntryNodeTest.java
@@ -248,7 +248,11 @@
                             200,
                             get(far.callerAddress(), "/v1/services/bestellung/suche")
                                     .statusCode()));
-            String id = mint();
+            HttpRequest minting =
+                    request("POST", far.callerAddress(), "/v1/request-ids", "{\"service\":\"bestellung\"}", Map.of());
+            String id = json(http.send(minting, HttpResponse.BodyHandlers.ofString()))
+                    .path("id")
+                    .asText();
             int before = guard.executions();
             for (int i = 0; i < 2; i++) {
                 HttpRequest request = request(
