--- a/entry/src/main/java/org/fulmarreach/entry/budget/BudgetActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/budget/BudgetActor.java
@@ -217,7 +217,7 @@
                 unreadable = false;
                 records.batch().records().forEach(this::apply);
                 caughtUp = caughtUp || records.isCaughtUp();
-                follower.readFrom(Math.max(ledger.nextOffset(), records.batch().nextOffset()), records.isCaughtUp());
+                follower.readFrom(Math.max(ledger.nextOffset(), records.batch().nextOffset()), caughtUp);
                 enterPeriod();
                 reserve(0);
                 retryWaiting();
--- a/entry/src/main/java/org/fulmarreach/entry/rules/RulesActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/rules/RulesActor.java
@@ -134,7 +134,8 @@
                     log.emit(EntryEvent.RULES_SNAPSHOT_MISSING, "next", book.nextOffset());
                 }
                 announce();
-                follower.readFrom(Math.max(book.nextOffset(), records.batch().nextOffset()), records.isCaughtUp());
+                follower.readFrom(
+                        Math.max(book.nextOffset(), records.batch().nextOffset()), loaded || records.isCaughtUp());
             }
             case StreamNews.Truncated truncated -> {
                 book.loseRecordsBefore(truncated.firstOffset());
--- a/entry/src/main/java/org/fulmarreach/entry/store/StreamFollower.java
+++ b/entry/src/main/java/org/fulmarreach/entry/store/StreamFollower.java
@@ -48,7 +48,8 @@
     private static StreamNews toNews(LogRead read) {
         return switch (read) {
             case LogRead.Batch found ->
-                new StreamNews.Records(found.batch(), found.batch().records().size() < MAX_RECORDS);
+                // A batch may be cut for its size, so that only an empty one shows that nothing more is there.
+                new StreamNews.Records(found.batch(), found.batch().records().isEmpty());
             case LogRead.Truncated truncated -> new StreamNews.Truncated(truncated.firstOffset());
         };
     }
