Sample VMs for placement and bound what a leader keeps

A burst of starts scored every VM for each run. Slots of guards that are gone for 10 minutes and notes on ended runs are dropped. When more than half of the VMs are ejected, the ones that stay in the choice are now really chosen.

The test of failing workers did not notice that ejection was off, because the preference for good VMs hid it while they had room.

--- a/core/src/main/java/org/fulmarreach/core/work/GuardSlot.java
+++ b/core/src/main/java/org/fulmarreach/core/work/GuardSlot.java
@@ -5,6 +5,8 @@
     /** A guard without a heartbeat for this long counts as unreachable, like a silent connection. */
     static final long SILENCE_MS = 2_000;
 
+    private static final long FORGET_MS = 10 * 60_000L;
+
     private GuardReport report;
     private long seenMs;
     private boolean connected;
@@ -41,6 +43,11 @@
         return report;
     }
 
+    /** Tells whether the guard has been gone so long that its VM has hardly a future. */
+    boolean isForgettable(long nowMs) {
+        return nowMs - seenMs > FORGET_MS;
+    }
+
     boolean isReachable(long nowMs) {
         return connected && nowMs - seenMs <= SILENCE_MS;
     }
--- a/core/src/main/java/org/fulmarreach/core/work/Scheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/work/Scheduler.java
@@ -116,6 +116,11 @@
         avoid(key, vm, nowMs + AVOID_REFUSING_MS);
     }
 
+    /** Takes note that a run has ended. */
+    void forget(RunKey key) {
+        avoidedUntilMs.remove(key);
+    }
+
     private void avoid(RunKey key, String vm, long untilMs) {
         avoidedUntilMs.computeIfAbsent(key, run -> new HashMap<>()).put(vm, untilMs);
     }
--- a/core/src/main/java/org/fulmarreach/core/work/ShardLeader.java
+++ b/core/src/main/java/org/fulmarreach/core/work/ShardLeader.java
@@ -22,6 +22,8 @@
 
     private static final long CLAIM_RETRY_MS = 1_000;
 
+    private static final long PRUNE_EVERY_MS = 60_000;
+
     /** A gap between two ticks of this length means that the process was paused. */
     private static final long PAUSE_MS = 1_500;
 
@@ -62,6 +64,7 @@
     private long acceptedSeenMs = Placement.NEVER;
     private long claimedMs = Placement.NEVER;
     private long tickedMs = Placement.NEVER;
+    private long prunedMs = Placement.NEVER;
     private long resumedMs = Placement.NEVER;
     private long snapshotMs = Placement.NEVER;
     private int recordsSinceSnapshot;
@@ -255,6 +258,12 @@
             resumedMs = nowMs;
         }
         tickedMs = nowMs;
+        if (nowMs - prunedMs >= PRUNE_EVERY_MS) {
+            prunedMs = nowMs;
+            guards.entrySet()
+                    .removeIf(guard -> guard.getValue().isForgettable(nowMs)
+                            && placements.findOn(guard.getKey()).isEmpty());
+        }
         if (store.isProbeDue(nowMs)) {
             act(new Action.ProbeStore());
         }
@@ -357,7 +366,12 @@
             case WorkDecision.Stopped stopped -> placements.remove(stopped.task());
             case WorkDecision.Finished finished -> {
                 placements.remove(finished.task());
-                WorkEntry entry = fold.find(RunKey.of(finished.task()));
+                RunKey key = RunKey.of(finished.task());
+                WorkEntry entry = fold.find(key);
+                if (entry == null || entry.phase().ended()) {
+                    startableFromMs.remove(key);
+                    scheduler.forget(key);
+                }
                 if (entry != null && entry.phase() == WorkPhase.QUARANTINED) {
                     notify(
                             WorkNotice.QUARANTINED,
--- a/core/src/main/java/org/fulmarreach/core/work/VmPool.java
+++ b/core/src/main/java/org/fulmarreach/core/work/VmPool.java
@@ -16,6 +16,9 @@
  * step.
  */
 final class VmPool {
+    /** The best of this many VMs is nearly as good as the best of thousands, at a fraction of the cost. */
+    private static final int SAMPLED_VMS = 64;
+
     private static final double RISK_WEIGHT = 4;
     private static final double HARM_WEIGHT = 2;
 
@@ -24,15 +27,18 @@
 
     private static final class Room {
         private final GuardReport report;
+        private final boolean ejected;
         private Resources free;
 
-        Room(GuardReport report) {
+        Room(GuardReport report, boolean ejected) {
             this.report = report;
+            this.ejected = ejected;
             this.free = report.free();
         }
     }
 
     private final Map<String, Room> rooms = new HashMap<>();
+    private final List<Room> roomList = new ArrayList<>();
     private final Map<String, Integer> tasksByRack = new HashMap<>();
     private final Map<String, Integer> tasksByZone = new HashMap<>();
     private final List<Vm> known = new ArrayList<>();
@@ -72,7 +78,9 @@
             if (!usable && ++ejected * 2 <= guards.size()) {
                 continue;
             }
-            rooms.put(report.vm().id(), new Room(report));
+            Room room = new Room(report, !usable);
+            roomList.add(room);
+            rooms.put(report.vm().id(), room);
             totalFree = totalFree.plus(report.free());
         }
     }
@@ -107,11 +115,37 @@
         if (sizesWithoutRoom.stream().anyMatch(failed -> failed.fitsInto(size))) {
             return null;
         }
+        Room best = null;
+        if (roomList.size() > SAMPLED_VMS) {
+            best = findBest(drawSample(), work, size, excluded, nowMs);
+        }
+        if (best == null) {
+            best = findBest(roomList, work, size, excluded, nowMs);
+        }
+        if (best == null && excluded.isEmpty()) {
+            sizesWithoutRoom.removeIf(size::fitsInto);
+            sizesWithoutRoom.add(size);
+        }
+        return best == null ? null : best.report;
+    }
+
+    // Helpers
+
+    private List<Room> drawSample() {
+        List<Room> sample = new ArrayList<>(SAMPLED_VMS);
+        for (int i = 0; i < SAMPLED_VMS; i++) {
+            sample.add(roomList.get(random.nextInt(roomList.size())));
+        }
+        return sample;
+    }
+
+    private Room findBest(List<Room> searched, String work, Resources size, List<String> excluded, long nowMs) {
         Room best = null;
         double bestScore = Double.MAX_VALUE;
-        for (Room room : rooms.values()) {
+        for (Room room : searched) {
             String id = room.report.vm().id();
-            if (!size.fitsInto(room.free) || excluded.contains(id) || !health.isUsable(id, nowMs)) {
+            boolean usable = room.ejected || health.isUsable(id, nowMs);
+            if (!size.fitsInto(room.free) || excluded.contains(id) || !usable) {
                 continue;
             }
             double score = score(room, work, size);
@@ -120,15 +154,9 @@
                 bestScore = score;
             }
         }
-        if (best == null && excluded.isEmpty()) {
-            sizesWithoutRoom.removeIf(size::fitsInto);
-            sizesWithoutRoom.add(size);
-        }
-        return best == null ? null : best.report;
+        return best;
     }
 
-    // Helpers
-
     private double score(Room room, String work, Resources size) {
         Vm vm = room.report.vm();
         double rackShare = tasksByRack.getOrDefault(vm.rack(), 0) / (double) Math.max(1, tasks);
--- a/core/src/test/java/org/fulmarreach/core/work/FakeGuard.java
+++ b/core/src/test/java/org/fulmarreach/core/work/FakeGuard.java
@@ -30,7 +30,7 @@
     }
 
     final World world;
-    final Vm vm;
+    Vm vm;
     final long clockOffsetMs;
     final Map<TaskId, Running> worker = new LinkedHashMap<>();
     private final Map<TaskId, Known> known = new LinkedHashMap<>();
@@ -100,7 +100,7 @@
                     highestTerm,
                     world.shardName()));
         }
-        Resources free = new Resources(16_000 - used, 64_000 - used, 0);
+        Resources free = vm.capacity().minus(new Resources(used, used, 0));
         return new GuardReport(vm, "bestellung", incarnation, tick(), true, false, free, tasks);
     }
 
@@ -146,6 +146,10 @@
         worker.keySet().forEach(task -> put(task, TaskReport.Phase.RUNNING));
     }
 
+    void setCapacity(Resources capacity) {
+        vm = new Vm(vm.id(), vm.rack(), vm.zone(), capacity);
+    }
+
     void loseVm() {
         dead = true;
         worker.clear();
@@ -160,6 +164,7 @@
         } else if (full) {
             put(start.task(), TaskReport.Phase.REFUSED);
         } else if (failing) {
+            world.failedStarts++;
             put(start.task(), TaskReport.Phase.FAILED);
         } else {
             put(start.task(), TaskReport.Phase.RUNNING).grantUntilTick = start.tickEchoMs() + start.leaseMs();
--- a/core/src/test/java/org/fulmarreach/core/work/ShardPolicyTest.java
+++ b/core/src/test/java/org/fulmarreach/core/work/ShardPolicyTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.fulmarreach.core.exc.Result;
+import org.fulmarreach.core.model.Resources;
 import org.fulmarreach.core.model.TaskId;
 import org.fulmarreach.core.rules.ParseResult;
 import org.fulmarreach.core.rules.Rules;
@@ -120,28 +121,29 @@
     }
 
     @Test
-    void failingWorkerGetsNoStartsButProbes() {
+    void failingWorkerGetsAtMostOnePercentOfTheStarts() {
         World world = new World(2, WorkTimes.DEFAULT);
-        FakeGuard bad = world.guards.get("vm-3");
-        bad.failing = true;
         StringBuilder text = new StringBuilder();
         for (int i = 0; i < 60; i++) {
-            text.append(
-                    "batch job-" + i + " region=sued every=10m at=0s within=9m runtime=20s cores=1 memory=1G # m: x\n");
+            text.append("batch job-" + i + " region=sued every=1m at=" + i
+                    + "s within=55s runtime=5s cores=1 memory=1G # m: x\n");
         }
-        Rules rules =
-                ((ParseResult.Parsed) RulesParser.parse(text.toString().lines().toList())).rules();
-        world.entries.values().forEach(entry -> entry.leader.onRules(rules));
-        world.run(300_000);
-        long done = state(world).entries().stream()
-                .filter(entry -> entry.phase() == WorkPhase.DONE)
-                .count();
-        long failures = state(world).entries().stream()
-                .filter(entry ->
-                        entry.failedVms().contains("vm-3") || entry.task().epoch() > 1)
-                .count();
-        assertEquals(60, done, "finished jobs");
-        assertTrue(failures <= 16, "starts on the failing VM: " + failures);
+        changeRules(world, text.toString());
+        // One task on each VM, so that the failing one is often the only one with room.
+        world.guards.values().forEach(guard -> {
+            guard.batchMs = 5_000;
+            guard.setCapacity(new Resources(2_000, 64_000, 0));
+        });
+        world.run(60_000);
+        world.guards.get("vm-3").failing = true;
+        world.run(30_000);
+        int startsBefore = world.starts.size();
+        int failuresBefore = world.failedStarts;
+        world.run(600_000);
+        int starts = world.starts.size() - startsBefore;
+        int failures = world.failedStarts - failuresBefore;
+        assertTrue(starts > 400, "starts: " + starts);
+        assertTrue(failures * 100 <= starts, failures + " of " + starts + " starts failed");
     }
 
     @Test
--- a/core/src/test/java/org/fulmarreach/core/work/World.java
+++ b/core/src/test/java/org/fulmarreach/core/work/World.java
@@ -37,6 +37,7 @@
     final WorkTimes times;
     final Rules rules;
     long nowMs;
+    int failedStarts;
     double loss;
     double lateMessages;
     double lostAnswers;
