--- a/daemon/src/main/java/org/fulmarreach/daemon/FulmardMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/FulmardMain.java
@@ -80,6 +80,10 @@
         try {
             RunningNode node = settings.role() == Role.ENTRY ? startEntry(settings, log) : startGuard(settings, log);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node, settings, log), "drain"));
+            // An entry stops by itself only when one of its parts failed; a guard also after an operator drained it.
+            int exitCode = settings.role() == Role.ENTRY ? EXIT_FAILED : 0;
+            // A thread of its own: exit never returns, and the actor system's callbacks must go on.
+            node.whenStopped().thenRunAsync(() -> System.exit(exitCode), task -> new Thread(task, "exit").start());
             printReady(settings, node.addresses());
             log.emit(RuntimeEvent.STARTED, "role", settings.role(), "addresses", node.addresses());
         } catch (FulmarreachException e) {
@@ -133,6 +137,11 @@
                 return CompletableFuture.runAsync(node::drain);
             }
 
+            @Override
+            public CompletionStage<?> whenStopped() {
+                return node.whenStopped();
+            }
+
             @Override
             public void close() {
                 node.close();
@@ -157,6 +166,11 @@
                 return node.drain();
             }
 
+            @Override
+            public CompletionStage<?> whenStopped() {
+                return node.whenStopped();
+            }
+
             @Override
             public void close() {
                 node.close();
--- a/daemon/src/main/java/org/fulmarreach/daemon/RunningNode.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/RunningNode.java
@@ -11,6 +11,9 @@
     /** Refuses new work and completes when running work is finished. */
     CompletionStage<?> drain();
 
+    /** Completes when the role has stopped by itself, for example after an operator drained it. */
+    CompletionStage<?> whenStopped();
+
     /** Stops at once. */
     void close();
 }
