Test the refusal of a full table and the stop that a start may overtake

17 mechanisms of the core were removed one at a time on a scratch copy. 13 removals were seen to fail a test; the highest refused tick and the stop that proves nothing were not, and two tests now hold them (seen to fail without). Not held by a test: the check that blames only harmful work for an eviction, and the recovery of one work at a time.

--- a/core/src/test/java/org/fulmarreach/core/request/ExecutionTableTest.java
+++ b/core/src/test/java/org/fulmarreach/core/request/ExecutionTableTest.java
@@ -157,6 +157,19 @@
         assertEquals(new Execution.Done<>("0123456789"), table.find(new RequestId("g", 1, 0, "c2"), 0));
     }
 
+    @Example
+    void refusalOfAFullTableHoldsAfterRoomIsBack() {
+        ExecutionTable<String> table = new ExecutionTable<>("g", 1, LIMITS.withMaxEntries(1), String::length);
+        table.begin(new RequestId("g", 1, 0, "i0"), 0);
+        table.complete(new RequestId("g", 1, 0, "i0"), "answer");
+        RequestId refused = new RequestId("g", 1, 20, "c1");
+        assertInstanceOf(Execution.Refused.class, table.begin(refused, 20));
+        // The only entry expires first; the refused id would still be in its time of acceptance.
+        long laterMs = 20 + LIMITS.acceptMs();
+        assertInstanceOf(Execution.Refused.class, table.find(refused, laterMs));
+        assertInstanceOf(Execution.Fresh.class, table.find(new RequestId("g", 1, 21, "c2"), laterMs));
+    }
+
     @Example
     void idsReadBackAndMalformedOnesAreRefused() {
         RequestId dotted = RequestId.mintForCaller("guard.vm-1.sued", 3, -5, 1, 2);
--- a/core/src/test/java/org/fulmarreach/core/work/GuardTasksTest.java
+++ b/core/src/test/java/org/fulmarreach/core/work/GuardTasksTest.java
@@ -89,6 +89,17 @@
         assertEquals(List.of(), tasks.takeActions());
     }
 
+    @Example
+    void stopThatAStartMayOvertakeProvesNothingAndIsRepeated() {
+        tasks.applyList(List.of(), 0, 0);
+        tasks.start(order(TASK, 1, 0), 0);
+        tasks.stop(SHARD, 1, TASK, false, 100);
+        assertTrue(tasks.takeActions().contains(new TaskAction.Stop(TASK, false, false)));
+        tasks.noteStarted(TASK, 200);
+        assertEquals(List.of(new TaskAction.Stop(TASK, false, true)), tasks.takeActions());
+        assertEquals(GuardTaskPhase.STOPPING, phase(TASK));
+    }
+
     @Example
     void checkpointOfAStopIsNotLostToAListInBetween() {
         startRunning(0);
