--- a/core/src/test/java/org/fulmarreach/core/work/FakeGuard.java
+++ b/core/src/test/java/org/fulmarreach/core/work/FakeGuard.java
@@ -30,7 +30,7 @@
     }
 
     final World world;
-    final Vm vm;
+    Vm vm;
     final long clockOffsetMs;
     final Map<TaskId, Running> worker = new LinkedHashMap<>();
     private final Map<TaskId, Known> known = new LinkedHashMap<>();
@@ -40,7 +40,8 @@
     long pausedUntilMs;
     boolean dead;
     boolean failing;
-    double throttleShare = 1;
+    boolean asksForEviction;
+    boolean full;
     long batchMs = 20_000;
 
     FakeGuard(World world, String id, String rack, String zone, long clockOffsetMs) {
@@ -93,13 +94,13 @@
                     entry.getKey(),
                     state.phase,
                     state.checkpoint,
-                    null,
+                    asksForEviction && !state.phase.isFinal() ? "EVICTION_NEEDED: no relief" : null,
                     new Resources(1_000, 1_000, 0),
-                    throttleShare,
+                    1,
                     highestTerm,
                     world.shardName()));
         }
-        Resources free = new Resources(16_000 - used, 64_000 - used, 0);
+        Resources free = vm.capacity().minus(new Resources(used, used, 0));
         return new GuardReport(vm, "bestellung", incarnation, tick(), true, false, free, tasks);
     }
 
@@ -145,6 +146,10 @@
         worker.keySet().forEach(task -> put(task, TaskReport.Phase.RUNNING));
     }
 
+    void setCapacity(Resources capacity) {
+        vm = new Vm(vm.id(), vm.rack(), vm.zone(), capacity);
+    }
+
     void loseVm() {
         dead = true;
         worker.clear();
@@ -156,7 +161,10 @@
         }
         if (tick() - start.tickEchoMs() > 5_000) {
             put(start.task(), TaskReport.Phase.REFUSED);
+        } else if (full) {
+            put(start.task(), TaskReport.Phase.REFUSED);
         } else if (failing) {
+            world.failedStarts++;
             put(start.task(), TaskReport.Phase.FAILED);
         } else {
             put(start.task(), TaskReport.Phase.RUNNING).grantUntilTick = start.tickEchoMs() + start.leaseMs();
