Keep room for a large run that is about to miss its deadline

Cause: with VMs that are nearly full, each room that becomes free is taken by a smaller run, although it comes later by slack, and a large run starts only when its slack is gone. Standing work waits in the same way.

Change: a run with 0 to 60 s of slack, and standing work, that fits nowhere now reserves the VM with the most room for the rest of the planning step, at most 32 times in a step.

--- a/bench/src/main/java/org/fulmarreach/bench/policy/TaskHost.java
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/TaskHost.java
@@ -1,6 +1,7 @@
 package org.fulmarreach.bench.policy;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -28,6 +29,8 @@
  */
 final class TaskHost {
     static final long STEP_MS = 250;
+    private static final String NO_RELIEF = "EVICTION_NEEDED: the lowest share brought no relief";
+    private static final String NO_MEMORY = "EVICTION_NEEDED: the tasks use more memory than the VM holds";
     private static final long SAMPLE_MS = 1_000;
     private static final long FAILURE_MS = 500;
     private static final int MAX_SAMPLES = 40;
@@ -53,6 +56,7 @@
         private double progressMs;
         private String checkpoint;
         private String reason;
+        private String evictionReason;
         private final int[] samples = new int[MAX_SAMPLES];
         private int sampled;
 
@@ -84,7 +88,11 @@
     }
 
     void die() {
-        held.values().forEach(this::loseProgress);
+        held.forEach((task, state) -> {
+            if (state.running()) {
+                world.lostMs.put(RunKey.of(task), world.timeline.nowMs());
+            }
+        });
         held.clear();
     }
 
@@ -244,11 +252,29 @@
         double cpuOverload = world.policy.learnsSizes() ? admission.overload().cores() : 0;
         WindowStats stats = new WindowStats(world.scenario.site().service(), p99Ms, calls, cpuOverload);
         ThrottleDecision decision = controller.onWindow(world.timeline.nowMs(), stats, running);
+        askForEvictions(decision);
         if (world.policy == Policy.EVICT_FIRST) {
             decision.shares().forEach((task, share) -> evictAtOnce(task));
         }
     }
 
+    /** Asks the leader for evictions as the guard does: when throttling brought no relief, or for lack of memory. */
+    private void askForEvictions(ThrottleDecision decision) {
+        held.forEach((task, state) -> {
+            boolean recovered = controller.share(task) > ThrottleSettings.DEFAULT.lowestShare() + 1e-9;
+            state.evictionReason = recovered ? null : state.evictionReason;
+        });
+        if (world.policy.throttles()) {
+            decision.evict().map(held::get).ifPresent(state -> state.evictionReason = NO_RELIEF);
+        }
+        if (world.policy.learnsSizes() && admission.overload().memory() > 1) {
+            held.values().stream()
+                    .filter(Held::running)
+                    .max(Comparator.comparingLong(state -> state.work.size().memoryMb()))
+                    .ifPresent(state -> state.evictionReason = NO_MEMORY);
+        }
+    }
+
     /** The baseline evicts each task that the controller would throttle for the first time. */
     private void evictAtOnce(TaskId task) {
         Held state = held.get(task);
@@ -264,7 +290,7 @@
                 task,
                 state.phase,
                 state.checkpoint,
-                state.reason,
+                state.running() ? state.evictionReason : state.reason,
                 world.policy.learnsSizes() ? state.lagged(lagMs) : Resources.NONE,
                 shareOf(task),
                 terms.getOrDefault(state.shard, -1L),
--- a/bench/src/main/java/org/fulmarreach/bench/policy/World.java
+++ b/bench/src/main/java/org/fulmarreach/bench/policy/World.java
@@ -58,6 +58,9 @@
     private final Random arrivals;
     final Rules rules;
     final Set<String> cancelled = new HashSet<>();
+    /** Time at which the VM of a run was lost. */
+    final Map<RunKey, Long> lostMs = new HashMap<>();
+
     private long failingFromMs = Long.MAX_VALUE;
 
     World(Scenario scenario, Policy policy, long seed) {
--- a/core/src/main/java/org/fulmarreach/core/work/Scheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/work/Scheduler.java
@@ -277,6 +277,9 @@
         }
         GuardReport guard = reason != null ? null : choose(candidate, pool, nowMs);
         if (guard == null) {
+            if (reason == null && isUrgent(candidate)) {
+                pool.reserve(candidate.size(), entry.failedVms(), nowMs);
+            }
             plan.waiting().put(entry.key(), reason == null ? "waits for room on a VM" : reason);
             return;
         }
@@ -288,6 +291,12 @@
         health.place(vm);
     }
 
+    /** Room is kept for standing work, and for batch that can still meet its deadline but not much longer. */
+    private static boolean isUrgent(Candidate candidate) {
+        boolean standing = candidate.key().standing();
+        return standing || candidate.slackMs() >= 0 && candidate.slackMs() <= COMFORTABLE_SLACK_MS;
+    }
+
     private GuardReport choose(Candidate candidate, VmPool pool, long nowMs) {
         List<String> excluded = new ArrayList<>(candidate.entry().failedVms());
         Map<String, Long> avoided = avoidedUntilMs.get(candidate.key());
--- a/core/src/main/java/org/fulmarreach/core/work/VmPool.java
+++ b/core/src/main/java/org/fulmarreach/core/work/VmPool.java
@@ -19,6 +19,9 @@
     /** The best of this many VMs is nearly as good as the best of thousands, at a fraction of the cost. */
     private static final int SAMPLED_VMS = 64;
 
+    /** Bounds the time of one step; each reservation looks at all VMs. */
+    private static final int MAX_RESERVATIONS = 32;
+
     private static final double RISK_WEIGHT = 4;
     private static final double HARM_WEIGHT = 2;
 
@@ -47,6 +50,7 @@
     private final ToDoubleBiFunction<String, String> harm;
     private final RandomGenerator random;
     private int tasks;
+    private int reservations;
     private Resources totalFree = Resources.NONE;
 
     VmPool(
@@ -129,6 +133,29 @@
         return best == null ? null : best.report;
     }
 
+    /**
+     * Keeps the VM with the most room for a run that fits nowhere now. Without it, smaller runs take each room that
+     * becomes free, and a large one waits until its deadline has passed.
+     */
+    void reserve(Resources size, List<String> excluded, long nowMs) {
+        if (reservations++ >= MAX_RESERVATIONS) {
+            return;
+        }
+        Room widest = null;
+        for (Room room : roomList) {
+            Vm vm = room.report.vm();
+            boolean possible = size.fitsInto(vm.capacity()) && !excluded.contains(vm.id());
+            boolean wider = widest == null || room.free.milliCores() > widest.free.milliCores();
+            if (possible && wider && (room.ejected || health.isUsable(vm.id(), nowMs))) {
+                widest = room;
+            }
+        }
+        if (widest != null) {
+            widest.free = widest.free.minus(size);
+            totalFree = totalFree.minus(size);
+        }
+    }
+
     // Helpers
 
     private List<Room> drawSample() {
