--- /dev/null
+++ b/bench/src/test/java/org/fulmarreach/bench/policy/RunTest.java
@@ -0,0 +1,40 @@
+package org.fulmarreach.bench.policy;
+
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against figures that cannot be repeated, and against calls that the bench loses. */
+class RunTest {
+    private static final Scenario SHORT = new Scenario(
+            "short",
+            Site.KREIDEKISTE,
+            Scenario.WARM_UP_MS + 60_000,
+            (nowMs, home) -> home ? 0.9 : 0.3,
+            new WorkMix(0.6, 0.2, 5, 0.02, 60_000),
+            5_000,
+            30_000,
+            world -> world.timeline.at(130_000, () -> world.loseVm(world.findVm("vm-1"))),
+            Set.of());
+
+    @Test
+    void sameSeedGivesTheSameFigures() {
+        String first = Run.execute(SHORT, Policy.FULMARREACH, 3).toCsv();
+        assertEquals(first, Run.execute(SHORT, Policy.FULMARREACH, 3).toCsv());
+        assertNotEquals(first, Run.execute(SHORT, Policy.FULMARREACH, 4).toCsv());
+    }
+
+    @Test
+    void callsEndOnceAndKeepToTheSlots() {
+        Measures measures = Run.execute(SHORT, Policy.FULMARREACH, 3).measures();
+        long ended = measures.inTime + measures.late + measures.refused + measures.failed;
+        assertTrue(measures.offered > 10_000 && measures.starts > 50, "offered " + measures.offered);
+        assertTrue(ended <= measures.offered, ended + " of " + measures.offered);
+        assertTrue(measures.offered - ended <= Site.SLOTS * 5, "without an end: " + (measures.offered - ended));
+        assertTrue(measures.maxCallsOnVm <= Site.SLOTS, "calls on a VM: " + measures.maxCallsOnVm);
+    }
+}
