--- a/entry/src/main/java/org/fulmarreach/entry/guards/DirectoryActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/guards/DirectoryActor.java
@@ -180,6 +180,8 @@
 
     private void receiveHeartbeat(GuardSession session, Heartbeat heartbeat) {
         if (heartbeat.getIncarnation() != session.view().incarnation() || heartbeat.getState() == null) {
+            // Later heartbeats of this connection only tell what has changed since this one.
+            session.link().close();
             return;
         }
         session.update(heartbeat, clock.nowMs());
--- a/entry/src/main/java/org/fulmarreach/entry/guards/GuardSession.java
+++ b/entry/src/main/java/org/fulmarreach/entry/guards/GuardSession.java
@@ -1,5 +1,6 @@
 package org.fulmarreach.entry.guards;
 
+import org.fulmarreach.protocol.io.TaskChangesReader;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.GuardState;
 import org.fulmarreach.protocol.thrift.Heartbeat;
@@ -16,6 +17,7 @@
     private FrameLink link;
     private long lastFrameMs;
     private Heartbeat heartbeat;
+    private TaskChangesReader taskChanges;
     private int outstanding;
     private int foreignLoad;
 
@@ -53,6 +55,7 @@
         helloSlots = hello.getSlots();
         helloConnections = hello.getConnections();
         link = newLink;
+        taskChanges = new TaskChangesReader();
         outstanding = 0;
         lastFrameMs = nowMs;
     }
@@ -70,7 +73,7 @@
 
     /** Takes in a heartbeat. */
     public void update(Heartbeat newHeartbeat, long nowMs) {
-        heartbeat = newHeartbeat;
+        heartbeat = taskChanges.read(newHeartbeat);
         String service = newHeartbeat.getServiceName();
         if (service != null && !service.equals(view.service())) {
             view = new GuardView(view.guardId(), view.incarnation(), view.vm(), service);
--- a/guard/src/main/java/org/fulmarreach/guard/EntryLinksActor.java
+++ b/guard/src/main/java/org/fulmarreach/guard/EntryLinksActor.java
@@ -15,6 +15,7 @@
 import org.apache.pekko.actor.typed.javadsl.Receive;
 import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.protocol.io.TaskChangesWriter;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.GuardState;
 import org.fulmarreach.protocol.thrift.Heartbeat;
@@ -109,6 +110,7 @@
     private static final class Peer {
         private final boolean fromSettings;
         private FrameLink link;
+        private TaskChangesWriter taskChanges;
         private String entryId;
         private boolean alias;
         private long backoffMs;
@@ -202,14 +204,18 @@
         if (!dialling) {
             return;
         }
-        Body heartbeat = Body.heartbeat(constructHeartbeat());
+        Heartbeat heartbeat = constructHeartbeat();
         for (Peer peer : peers.values()) {
             if (peer.link != null) {
-                peer.link.send(heartbeat);
+                sendHeartbeat(peer, heartbeat);
             }
         }
     }
 
+    private void sendHeartbeat(Peer peer, Heartbeat heartbeat) {
+        peer.link.send(Body.heartbeat(peer.taskChanges.write(heartbeat, parts.clock.nowMs())));
+    }
+
     private Heartbeat constructHeartbeat() {
         Heartbeat heartbeat = new Heartbeat()
                 .setTickMs(parts.clock.nowMs())
@@ -275,8 +281,9 @@
         switch (event) {
             case LinkEvent.Opened opened -> {
                 peer.link = opened.link();
+                peer.taskChanges = new TaskChangesWriter();
                 peer.link.send(Body.hello(constructHello()));
-                peer.link.send(Body.heartbeat(constructHeartbeat()));
+                sendHeartbeat(peer, constructHeartbeat());
             }
             case LinkEvent.Received received ->
                 applyBody(address, peer, received.frame().getBody());
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/BudgetSnapshot.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/BudgetSnapshot.java
@@ -643,14 +643,14 @@
           case 1: // TOTALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list128 = iprot.readListBegin();
-                struct.totals = new java.util.ArrayList<PeriodTotal>(_list128.size);
-                @org.apache.thrift.annotation.Nullable PeriodTotal _elem129;
-                for (int _i130 = 0; _i130 < _list128.size; ++_i130)
+                org.apache.thrift.protocol.TList _list136 = iprot.readListBegin();
+                struct.totals = new java.util.ArrayList<PeriodTotal>(_list136.size);
+                @org.apache.thrift.annotation.Nullable PeriodTotal _elem137;
+                for (int _i138 = 0; _i138 < _list136.size; ++_i138)
                 {
-                  _elem129 = new PeriodTotal();
-                  _elem129.read(iprot);
-                  struct.totals.add(_elem129);
+                  _elem137 = new PeriodTotal();
+                  _elem137.read(iprot);
+                  struct.totals.add(_elem137);
                 }
                 iprot.readListEnd();
               }
@@ -711,9 +711,9 @@
         oprot.writeFieldBegin(TOTALS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.totals.size()));
-          for (PeriodTotal _iter131 : struct.totals)
+          for (PeriodTotal _iter139 : struct.totals)
           {
-            _iter131.write(oprot);
+            _iter139.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -769,9 +769,9 @@
       if (struct.isSetTotals()) {
         {
           oprot.writeI32(struct.totals.size());
-          for (PeriodTotal _iter132 : struct.totals)
+          for (PeriodTotal _iter140 : struct.totals)
           {
-            _iter132.write(oprot);
+            _iter140.write(oprot);
           }
         }
       }
@@ -795,14 +795,14 @@
       java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list133 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.totals = new java.util.ArrayList<PeriodTotal>(_list133.size);
-          @org.apache.thrift.annotation.Nullable PeriodTotal _elem134;
-          for (int _i135 = 0; _i135 < _list133.size; ++_i135)
+          org.apache.thrift.protocol.TList _list141 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.totals = new java.util.ArrayList<PeriodTotal>(_list141.size);
+          @org.apache.thrift.annotation.Nullable PeriodTotal _elem142;
+          for (int _i143 = 0; _i143 < _list141.size; ++_i143)
           {
-            _elem134 = new PeriodTotal();
-            _elem134.read(iprot);
-            struct.totals.add(_elem134);
+            _elem142 = new PeriodTotal();
+            _elem142.read(iprot);
+            struct.totals.add(_elem142);
           }
         }
         struct.setTotalsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/Call.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/Call.java
@@ -1193,14 +1193,14 @@
           case 7: // HEADERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.headers = new java.util.ArrayList<Header>(_list24.size);
-                @org.apache.thrift.annotation.Nullable Header _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
+                struct.headers = new java.util.ArrayList<Header>(_list32.size);
+                @org.apache.thrift.annotation.Nullable Header _elem33;
+                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
                 {
-                  _elem25 = new Header();
-                  _elem25.read(iprot);
-                  struct.headers.add(_elem25);
+                  _elem33 = new Header();
+                  _elem33.read(iprot);
+                  struct.headers.add(_elem33);
                 }
                 iprot.readListEnd();
               }
@@ -1289,9 +1289,9 @@
         oprot.writeFieldBegin(HEADERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.headers.size()));
-          for (Header _iter27 : struct.headers)
+          for (Header _iter35 : struct.headers)
           {
-            _iter27.write(oprot);
+            _iter35.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1385,9 +1385,9 @@
       if (struct.isSetHeaders()) {
         {
           oprot.writeI32(struct.headers.size());
-          for (Header _iter28 : struct.headers)
+          for (Header _iter36 : struct.headers)
           {
-            _iter28.write(oprot);
+            _iter36.write(oprot);
           }
         }
       }
@@ -1435,14 +1435,14 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.headers = new java.util.ArrayList<Header>(_list29.size);
-          @org.apache.thrift.annotation.Nullable Header _elem30;
-          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.headers = new java.util.ArrayList<Header>(_list37.size);
+          @org.apache.thrift.annotation.Nullable Header _elem38;
+          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
           {
-            _elem30 = new Header();
-            _elem30.read(iprot);
-            struct.headers.add(_elem30);
+            _elem38 = new Header();
+            _elem38.read(iprot);
+            struct.headers.add(_elem38);
           }
         }
         struct.setHeadersIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/CallResult.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/CallResult.java
@@ -1100,14 +1100,14 @@
           case 4: // HEADERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
-                struct.headers = new java.util.ArrayList<Header>(_list32.size);
-                @org.apache.thrift.annotation.Nullable Header _elem33;
-                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.headers = new java.util.ArrayList<Header>(_list40.size);
+                @org.apache.thrift.annotation.Nullable Header _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
                 {
-                  _elem33 = new Header();
-                  _elem33.read(iprot);
-                  struct.headers.add(_elem33);
+                  _elem41 = new Header();
+                  _elem41.read(iprot);
+                  struct.headers.add(_elem41);
                 }
                 iprot.readListEnd();
               }
@@ -1197,9 +1197,9 @@
         oprot.writeFieldBegin(HEADERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.headers.size()));
-          for (Header _iter35 : struct.headers)
+          for (Header _iter43 : struct.headers)
           {
-            _iter35.write(oprot);
+            _iter43.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1295,9 +1295,9 @@
       if (struct.isSetHeaders()) {
         {
           oprot.writeI32(struct.headers.size());
-          for (Header _iter36 : struct.headers)
+          for (Header _iter44 : struct.headers)
           {
-            _iter36.write(oprot);
+            _iter44.write(oprot);
           }
         }
       }
@@ -1339,14 +1339,14 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.headers = new java.util.ArrayList<Header>(_list37.size);
-          @org.apache.thrift.annotation.Nullable Header _elem38;
-          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.headers = new java.util.ArrayList<Header>(_list45.size);
+          @org.apache.thrift.annotation.Nullable Header _elem46;
+          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
           {
-            _elem38 = new Header();
-            _elem38.read(iprot);
-            struct.headers.add(_elem38);
+            _elem46 = new Header();
+            _elem46.read(iprot);
+            struct.headers.add(_elem46);
           }
         }
         struct.setHeadersIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/Heartbeat.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/Heartbeat.java
@@ -26,6 +26,8 @@
   private static final org.apache.thrift.protocol.TField CONNECTIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("connections", org.apache.thrift.protocol.TType.I32, (short)11);
   private static final org.apache.thrift.protocol.TField SERVICE_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceName", org.apache.thrift.protocol.TType.STRING, (short)12);
   private static final org.apache.thrift.protocol.TField WORKER_FAILING_FIELD_DESC = new org.apache.thrift.protocol.TField("workerFailing", org.apache.thrift.protocol.TType.BOOL, (short)13);
+  private static final org.apache.thrift.protocol.TField TASKS_ARE_CHANGES_FIELD_DESC = new org.apache.thrift.protocol.TField("tasksAreChanges", org.apache.thrift.protocol.TType.BOOL, (short)14);
+  private static final org.apache.thrift.protocol.TField GONE_TASKS_FIELD_DESC = new org.apache.thrift.protocol.TField("goneTasks", org.apache.thrift.protocol.TType.LIST, (short)15);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new HeartbeatStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new HeartbeatTupleSchemeFactory();
@@ -43,6 +45,8 @@
   private int connections; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String serviceName; // optional
   private boolean workerFailing; // required
+  private boolean tasksAreChanges; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<TaskId> goneTasks; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -62,7 +66,15 @@
     SLOTS((short)10, "slots"),
     CONNECTIONS((short)11, "connections"),
     SERVICE_NAME((short)12, "serviceName"),
-    WORKER_FAILING((short)13, "workerFailing");
+    WORKER_FAILING((short)13, "workerFailing"),
+    /**
+     * When set, tasks holds only new and changed tasks since the last heartbeat on this connection.
+     */
+    TASKS_ARE_CHANGES((short)14, "tasksAreChanges"),
+    /**
+     * Tasks that were in the last heartbeat on this connection and are no more; only with tasksAreChanges.
+     */
+    GONE_TASKS((short)15, "goneTasks");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -104,6 +116,10 @@
           return SERVICE_NAME;
         case 13: // WORKER_FAILING
           return WORKER_FAILING;
+        case 14: // TASKS_ARE_CHANGES
+          return TASKS_ARE_CHANGES;
+        case 15: // GONE_TASKS
+          return GONE_TASKS;
         default:
           return null;
       }
@@ -156,8 +172,9 @@
   private static final int __SLOTS_ISSET_ID = 6;
   private static final int __CONNECTIONS_ISSET_ID = 7;
   private static final int __WORKERFAILING_ISSET_ID = 8;
+  private static final int __TASKSARECHANGES_ISSET_ID = 9;
   private short __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.SERVICE_NAME};
+  private static final _Fields optionals[] = {_Fields.SERVICE_NAME,_Fields.GONE_TASKS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -188,6 +205,11 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.WORKER_FAILING, new org.apache.thrift.meta_data.FieldMetaData("workerFailing", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.TASKS_ARE_CHANGES, new org.apache.thrift.meta_data.FieldMetaData("tasksAreChanges", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.GONE_TASKS, new org.apache.thrift.meta_data.FieldMetaData("goneTasks", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, TaskId.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Heartbeat.class, metaDataMap);
   }
@@ -207,7 +229,8 @@
     long incarnation,
     int slots,
     int connections,
-    boolean workerFailing)
+    boolean workerFailing,
+    boolean tasksAreChanges)
   {
     this();
     this.tickMs = tickMs;
@@ -231,6 +254,8 @@
     setConnectionsIsSet(true);
     this.workerFailing = workerFailing;
     setWorkerFailingIsSet(true);
+    this.tasksAreChanges = tasksAreChanges;
+    setTasksAreChangesIsSet(true);
   }
 
   /**
@@ -263,6 +288,14 @@
       this.serviceName = other.serviceName;
     }
     this.workerFailing = other.workerFailing;
+    this.tasksAreChanges = other.tasksAreChanges;
+    if (other.isSetGoneTasks()) {
+      java.util.List<TaskId> __this__goneTasks = new java.util.ArrayList<TaskId>(other.goneTasks.size());
+      for (TaskId other_element : other.goneTasks) {
+        __this__goneTasks.add(new TaskId(other_element));
+      }
+      this.goneTasks = __this__goneTasks;
+    }
   }
 
   @Override
@@ -294,6 +327,9 @@
     this.serviceName = null;
     setWorkerFailingIsSet(false);
     this.workerFailing = false;
+    setTasksAreChangesIsSet(false);
+    this.tasksAreChanges = false;
+    this.goneTasks = null;
   }
 
   public long getTickMs() {
@@ -627,6 +663,82 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WORKERFAILING_ISSET_ID, value);
   }
 
+  /**
+   * When set, tasks holds only new and changed tasks since the last heartbeat on this connection.
+   */
+  public boolean isTasksAreChanges() {
+    return this.tasksAreChanges;
+  }
+
+  /**
+   * When set, tasks holds only new and changed tasks since the last heartbeat on this connection.
+   */
+  public Heartbeat setTasksAreChanges(boolean tasksAreChanges) {
+    this.tasksAreChanges = tasksAreChanges;
+    setTasksAreChangesIsSet(true);
+    return this;
+  }
+
+  public void unsetTasksAreChanges() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TASKSARECHANGES_ISSET_ID);
+  }
+
+  /** Returns true if field tasksAreChanges is set (has been assigned a value) and false otherwise */
+  public boolean isSetTasksAreChanges() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TASKSARECHANGES_ISSET_ID);
+  }
+
+  public void setTasksAreChangesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TASKSARECHANGES_ISSET_ID, value);
+  }
+
+  public int getGoneTasksSize() {
+    return (this.goneTasks == null) ? 0 : this.goneTasks.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<TaskId> getGoneTasksIterator() {
+    return (this.goneTasks == null) ? null : this.goneTasks.iterator();
+  }
+
+  public void addToGoneTasks(TaskId elem) {
+    if (this.goneTasks == null) {
+      this.goneTasks = new java.util.ArrayList<TaskId>();
+    }
+    this.goneTasks.add(elem);
+  }
+
+  /**
+   * Tasks that were in the last heartbeat on this connection and are no more; only with tasksAreChanges.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<TaskId> getGoneTasks() {
+    return this.goneTasks;
+  }
+
+  /**
+   * Tasks that were in the last heartbeat on this connection and are no more; only with tasksAreChanges.
+   */
+  public Heartbeat setGoneTasks(@org.apache.thrift.annotation.Nullable java.util.List<TaskId> goneTasks) {
+    this.goneTasks = goneTasks;
+    return this;
+  }
+
+  public void unsetGoneTasks() {
+    this.goneTasks = null;
+  }
+
+  /** Returns true if field goneTasks is set (has been assigned a value) and false otherwise */
+  public boolean isSetGoneTasks() {
+    return this.goneTasks != null;
+  }
+
+  public void setGoneTasksIsSet(boolean value) {
+    if (!value) {
+      this.goneTasks = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -734,6 +846,22 @@
       }
       break;
 
+    case TASKS_ARE_CHANGES:
+      if (value == null) {
+        unsetTasksAreChanges();
+      } else {
+        setTasksAreChanges((java.lang.Boolean)value);
+      }
+      break;
+
+    case GONE_TASKS:
+      if (value == null) {
+        unsetGoneTasks();
+      } else {
+        setGoneTasks((java.util.List<TaskId>)value);
+      }
+      break;
+
     }
   }
 
@@ -780,6 +908,12 @@
     case WORKER_FAILING:
       return isWorkerFailing();
 
+    case TASKS_ARE_CHANGES:
+      return isTasksAreChanges();
+
+    case GONE_TASKS:
+      return getGoneTasks();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -818,6 +952,10 @@
       return isSetServiceName();
     case WORKER_FAILING:
       return isSetWorkerFailing();
+    case TASKS_ARE_CHANGES:
+      return isSetTasksAreChanges();
+    case GONE_TASKS:
+      return isSetGoneTasks();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -952,6 +1090,24 @@
         return false;
     }
 
+    boolean this_present_tasksAreChanges = true;
+    boolean that_present_tasksAreChanges = true;
+    if (this_present_tasksAreChanges || that_present_tasksAreChanges) {
+      if (!(this_present_tasksAreChanges && that_present_tasksAreChanges))
+        return false;
+      if (this.tasksAreChanges != that.tasksAreChanges)
+        return false;
+    }
+
+    boolean this_present_goneTasks = true && this.isSetGoneTasks();
+    boolean that_present_goneTasks = true && that.isSetGoneTasks();
+    if (this_present_goneTasks || that_present_goneTasks) {
+      if (!(this_present_goneTasks && that_present_goneTasks))
+        return false;
+      if (!this.goneTasks.equals(that.goneTasks))
+        return false;
+    }
+
     return true;
   }
 
@@ -993,6 +1149,12 @@
 
     hashCode = hashCode * 8191 + ((workerFailing) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((tasksAreChanges) ? 131071 : 524287);
+
+    hashCode = hashCode * 8191 + ((isSetGoneTasks()) ? 131071 : 524287);
+    if (isSetGoneTasks())
+      hashCode = hashCode * 8191 + goneTasks.hashCode();
+
     return hashCode;
   }
 
@@ -1134,6 +1296,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetTasksAreChanges(), other.isSetTasksAreChanges());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTasksAreChanges()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.tasksAreChanges, other.tasksAreChanges);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetGoneTasks(), other.isSetGoneTasks());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetGoneTasks()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.goneTasks, other.goneTasks);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1227,6 +1409,20 @@
     sb.append("workerFailing:");
     sb.append(this.workerFailing);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("tasksAreChanges:");
+    sb.append(this.tasksAreChanges);
+    first = false;
+    if (isSetGoneTasks()) {
+      if (!first) sb.append(", ");
+      sb.append("goneTasks:");
+      if (this.goneTasks == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.goneTasks);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1393,6 +1589,33 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 14: // TASKS_ARE_CHANGES
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.tasksAreChanges = iprot.readBool();
+              struct.setTasksAreChangesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 15: // GONE_TASKS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list3 = iprot.readListBegin();
+                struct.goneTasks = new java.util.ArrayList<TaskId>(_list3.size);
+                @org.apache.thrift.annotation.Nullable TaskId _elem4;
+                for (int _i5 = 0; _i5 < _list3.size; ++_i5)
+                {
+                  _elem4 = new TaskId();
+                  _elem4.read(iprot);
+                  struct.goneTasks.add(_elem4);
+                }
+                iprot.readListEnd();
+              }
+              struct.setGoneTasksIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1435,9 +1658,9 @@
         oprot.writeFieldBegin(TASKS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.tasks.size()));
-          for (TaskStatus _iter3 : struct.tasks)
+          for (TaskStatus _iter6 : struct.tasks)
           {
-            _iter3.write(oprot);
+            _iter6.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1465,6 +1688,23 @@
       oprot.writeFieldBegin(WORKER_FAILING_FIELD_DESC);
       oprot.writeBool(struct.workerFailing);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(TASKS_ARE_CHANGES_FIELD_DESC);
+      oprot.writeBool(struct.tasksAreChanges);
+      oprot.writeFieldEnd();
+      if (struct.goneTasks != null) {
+        if (struct.isSetGoneTasks()) {
+          oprot.writeFieldBegin(GONE_TASKS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.goneTasks.size()));
+            for (TaskId _iter7 : struct.goneTasks)
+            {
+              _iter7.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1523,7 +1763,13 @@
       if (struct.isSetWorkerFailing()) {
         optionals.set(12);
       }
-      oprot.writeBitSet(optionals, 13);
+      if (struct.isSetTasksAreChanges()) {
+        optionals.set(13);
+      }
+      if (struct.isSetGoneTasks()) {
+        optionals.set(14);
+      }
+      oprot.writeBitSet(optionals, 15);
       if (struct.isSetTickMs()) {
         oprot.writeI64(struct.tickMs);
       }
@@ -1545,9 +1791,9 @@
       if (struct.isSetTasks()) {
         {
           oprot.writeI32(struct.tasks.size());
-          for (TaskStatus _iter4 : struct.tasks)
+          for (TaskStatus _iter8 : struct.tasks)
           {
-            _iter4.write(oprot);
+            _iter8.write(oprot);
           }
         }
       }
@@ -1569,12 +1815,24 @@
       if (struct.isSetWorkerFailing()) {
         oprot.writeBool(struct.workerFailing);
       }
+      if (struct.isSetTasksAreChanges()) {
+        oprot.writeBool(struct.tasksAreChanges);
+      }
+      if (struct.isSetGoneTasks()) {
+        {
+          oprot.writeI32(struct.goneTasks.size());
+          for (TaskId _iter9 : struct.goneTasks)
+          {
+            _iter9.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Heartbeat struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(13);
+      java.util.BitSet incoming = iprot.readBitSet(15);
       if (incoming.get(0)) {
         struct.tickMs = iprot.readI64();
         struct.setTickMsIsSet(true);
@@ -1602,14 +1860,14 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.tasks = new java.util.ArrayList<TaskStatus>(_list5.size);
-          @org.apache.thrift.annotation.Nullable TaskStatus _elem6;
-          for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+          org.apache.thrift.protocol.TList _list10 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.tasks = new java.util.ArrayList<TaskStatus>(_list10.size);
+          @org.apache.thrift.annotation.Nullable TaskStatus _elem11;
+          for (int _i12 = 0; _i12 < _list10.size; ++_i12)
           {
-            _elem6 = new TaskStatus();
-            _elem6.read(iprot);
-            struct.tasks.add(_elem6);
+            _elem11 = new TaskStatus();
+            _elem11.read(iprot);
+            struct.tasks.add(_elem11);
           }
         }
         struct.setTasksIsSet(true);
@@ -1638,6 +1896,24 @@
         struct.workerFailing = iprot.readBool();
         struct.setWorkerFailingIsSet(true);
       }
+      if (incoming.get(13)) {
+        struct.tasksAreChanges = iprot.readBool();
+        struct.setTasksAreChangesIsSet(true);
+      }
+      if (incoming.get(14)) {
+        {
+          org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.goneTasks = new java.util.ArrayList<TaskId>(_list13.size);
+          @org.apache.thrift.annotation.Nullable TaskId _elem14;
+          for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+          {
+            _elem14 = new TaskId();
+            _elem14.read(iprot);
+            struct.goneTasks.add(_elem14);
+          }
+        }
+        struct.setGoneTasksIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/HeartbeatAck.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/HeartbeatAck.java
@@ -503,13 +503,13 @@
           case 3: // ENTRIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.entries = new java.util.ArrayList<java.lang.String>(_list16.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.entries = new java.util.ArrayList<java.lang.String>(_list24.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem17 = iprot.readString();
-                  struct.entries.add(_elem17);
+                  _elem25 = iprot.readString();
+                  struct.entries.add(_elem25);
                 }
                 iprot.readListEnd();
               }
@@ -544,9 +544,9 @@
         oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.entries.size()));
-          for (java.lang.String _iter19 : struct.entries)
+          for (java.lang.String _iter27 : struct.entries)
           {
-            oprot.writeString(_iter19);
+            oprot.writeString(_iter27);
           }
           oprot.writeListEnd();
         }
@@ -590,9 +590,9 @@
       if (struct.isSetEntries()) {
         {
           oprot.writeI32(struct.entries.size());
-          for (java.lang.String _iter20 : struct.entries)
+          for (java.lang.String _iter28 : struct.entries)
           {
-            oprot.writeString(_iter20);
+            oprot.writeString(_iter28);
           }
         }
       }
@@ -612,13 +612,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.entries = new java.util.ArrayList<java.lang.String>(_list21.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem22;
-          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.entries = new java.util.ArrayList<java.lang.String>(_list29.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem30;
+          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
           {
-            _elem22 = iprot.readString();
-            struct.entries.add(_elem22);
+            _elem30 = iprot.readString();
+            struct.entries.add(_elem30);
           }
         }
         struct.setEntriesIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/PeerState.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/PeerState.java
@@ -420,13 +420,13 @@
           case 2: // LINES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
-                struct.lines = new java.util.ArrayList<java.lang.String>(_list72.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem73;
-                for (int _i74 = 0; _i74 < _list72.size; ++_i74)
+                org.apache.thrift.protocol.TList _list80 = iprot.readListBegin();
+                struct.lines = new java.util.ArrayList<java.lang.String>(_list80.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem81;
+                for (int _i82 = 0; _i82 < _list80.size; ++_i82)
                 {
-                  _elem73 = iprot.readString();
-                  struct.lines.add(_elem73);
+                  _elem81 = iprot.readString();
+                  struct.lines.add(_elem81);
                 }
                 iprot.readListEnd();
               }
@@ -458,9 +458,9 @@
         oprot.writeFieldBegin(LINES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.lines.size()));
-          for (java.lang.String _iter75 : struct.lines)
+          for (java.lang.String _iter83 : struct.lines)
           {
-            oprot.writeString(_iter75);
+            oprot.writeString(_iter83);
           }
           oprot.writeListEnd();
         }
@@ -498,9 +498,9 @@
       if (struct.isSetLines()) {
         {
           oprot.writeI32(struct.lines.size());
-          for (java.lang.String _iter76 : struct.lines)
+          for (java.lang.String _iter84 : struct.lines)
           {
-            oprot.writeString(_iter76);
+            oprot.writeString(_iter84);
           }
         }
       }
@@ -516,13 +516,13 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.lines = new java.util.ArrayList<java.lang.String>(_list77.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem78;
-          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
+          org.apache.thrift.protocol.TList _list85 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.lines = new java.util.ArrayList<java.lang.String>(_list85.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem86;
+          for (int _i87 = 0; _i87 < _list85.size; ++_i87)
           {
-            _elem78 = iprot.readString();
-            struct.lines.add(_elem78);
+            _elem86 = iprot.readString();
+            struct.lines.add(_elem86);
           }
         }
         struct.setLinesIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/PeerStatus.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/PeerStatus.java
@@ -977,14 +977,14 @@
           case 3: // SERVICES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
-                struct.services = new java.util.ArrayList<ServiceSummary>(_list56.size);
-                @org.apache.thrift.annotation.Nullable ServiceSummary _elem57;
-                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
+                struct.services = new java.util.ArrayList<ServiceSummary>(_list64.size);
+                @org.apache.thrift.annotation.Nullable ServiceSummary _elem65;
+                for (int _i66 = 0; _i66 < _list64.size; ++_i66)
                 {
-                  _elem57 = new ServiceSummary();
-                  _elem57.read(iprot);
-                  struct.services.add(_elem57);
+                  _elem65 = new ServiceSummary();
+                  _elem65.read(iprot);
+                  struct.services.add(_elem65);
                 }
                 iprot.readListEnd();
               }
@@ -1069,9 +1069,9 @@
         oprot.writeFieldBegin(SERVICES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.services.size()));
-          for (ServiceSummary _iter59 : struct.services)
+          for (ServiceSummary _iter67 : struct.services)
           {
-            _iter59.write(oprot);
+            _iter67.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1155,9 +1155,9 @@
       if (struct.isSetServices()) {
         {
           oprot.writeI32(struct.services.size());
-          for (ServiceSummary _iter60 : struct.services)
+          for (ServiceSummary _iter68 : struct.services)
           {
-            _iter60.write(oprot);
+            _iter68.write(oprot);
           }
         }
       }
@@ -1195,14 +1195,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.services = new java.util.ArrayList<ServiceSummary>(_list61.size);
-          @org.apache.thrift.annotation.Nullable ServiceSummary _elem62;
-          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
+          org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.services = new java.util.ArrayList<ServiceSummary>(_list69.size);
+          @org.apache.thrift.annotation.Nullable ServiceSummary _elem70;
+          for (int _i71 = 0; _i71 < _list69.size; ++_i71)
           {
-            _elem62 = new ServiceSummary();
-            _elem62.read(iprot);
-            struct.services.add(_elem62);
+            _elem70 = new ServiceSummary();
+            _elem70.read(iprot);
+            struct.services.add(_elem70);
           }
         }
         struct.setServicesIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/PeriodTotal.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/PeriodTotal.java
@@ -503,13 +503,13 @@
           case 3: // IDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list120 = iprot.readListBegin();
-                struct.ids = new java.util.ArrayList<java.lang.String>(_list120.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem121;
-                for (int _i122 = 0; _i122 < _list120.size; ++_i122)
+                org.apache.thrift.protocol.TList _list128 = iprot.readListBegin();
+                struct.ids = new java.util.ArrayList<java.lang.String>(_list128.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem129;
+                for (int _i130 = 0; _i130 < _list128.size; ++_i130)
                 {
-                  _elem121 = iprot.readString();
-                  struct.ids.add(_elem121);
+                  _elem129 = iprot.readString();
+                  struct.ids.add(_elem129);
                 }
                 iprot.readListEnd();
               }
@@ -544,9 +544,9 @@
         oprot.writeFieldBegin(IDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.ids.size()));
-          for (java.lang.String _iter123 : struct.ids)
+          for (java.lang.String _iter131 : struct.ids)
           {
-            oprot.writeString(_iter123);
+            oprot.writeString(_iter131);
           }
           oprot.writeListEnd();
         }
@@ -590,9 +590,9 @@
       if (struct.isSetIds()) {
         {
           oprot.writeI32(struct.ids.size());
-          for (java.lang.String _iter124 : struct.ids)
+          for (java.lang.String _iter132 : struct.ids)
           {
-            oprot.writeString(_iter124);
+            oprot.writeString(_iter132);
           }
         }
       }
@@ -612,13 +612,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list125 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.ids = new java.util.ArrayList<java.lang.String>(_list125.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem126;
-          for (int _i127 = 0; _i127 < _list125.size; ++_i127)
+          org.apache.thrift.protocol.TList _list133 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.ids = new java.util.ArrayList<java.lang.String>(_list133.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem134;
+          for (int _i135 = 0; _i135 < _list133.size; ++_i135)
           {
-            _elem126 = iprot.readString();
-            struct.ids.add(_elem126);
+            _elem134 = iprot.readString();
+            struct.ids.add(_elem134);
           }
         }
         struct.setIdsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/ReadLogResult.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/ReadLogResult.java
@@ -589,14 +589,14 @@
           case 3: // RECORDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
-                struct.records = new java.util.ArrayList<LogRecord>(_list64.size);
-                @org.apache.thrift.annotation.Nullable LogRecord _elem65;
-                for (int _i66 = 0; _i66 < _list64.size; ++_i66)
+                org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
+                struct.records = new java.util.ArrayList<LogRecord>(_list72.size);
+                @org.apache.thrift.annotation.Nullable LogRecord _elem73;
+                for (int _i74 = 0; _i74 < _list72.size; ++_i74)
                 {
-                  _elem65 = new LogRecord();
-                  _elem65.read(iprot);
-                  struct.records.add(_elem65);
+                  _elem73 = new LogRecord();
+                  _elem73.read(iprot);
+                  struct.records.add(_elem73);
                 }
                 iprot.readListEnd();
               }
@@ -639,9 +639,9 @@
         oprot.writeFieldBegin(RECORDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.records.size()));
-          for (LogRecord _iter67 : struct.records)
+          for (LogRecord _iter75 : struct.records)
           {
-            _iter67.write(oprot);
+            _iter75.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -695,9 +695,9 @@
       if (struct.isSetRecords()) {
         {
           oprot.writeI32(struct.records.size());
-          for (LogRecord _iter68 : struct.records)
+          for (LogRecord _iter76 : struct.records)
           {
-            _iter68.write(oprot);
+            _iter76.write(oprot);
           }
         }
       }
@@ -720,14 +720,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.records = new java.util.ArrayList<LogRecord>(_list69.size);
-          @org.apache.thrift.annotation.Nullable LogRecord _elem70;
-          for (int _i71 = 0; _i71 < _list69.size; ++_i71)
+          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.records = new java.util.ArrayList<LogRecord>(_list77.size);
+          @org.apache.thrift.annotation.Nullable LogRecord _elem78;
+          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
           {
-            _elem70 = new LogRecord();
-            _elem70.read(iprot);
-            struct.records.add(_elem70);
+            _elem78 = new LogRecord();
+            _elem78.read(iprot);
+            struct.records.add(_elem78);
           }
         }
         struct.setRecordsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/RenewTasks.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/RenewTasks.java
@@ -679,14 +679,14 @@
           case 5: // TASKS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
-                struct.tasks = new java.util.ArrayList<TaskId>(_list40.size);
-                @org.apache.thrift.annotation.Nullable TaskId _elem41;
-                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
+                struct.tasks = new java.util.ArrayList<TaskId>(_list48.size);
+                @org.apache.thrift.annotation.Nullable TaskId _elem49;
+                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
                 {
-                  _elem41 = new TaskId();
-                  _elem41.read(iprot);
-                  struct.tasks.add(_elem41);
+                  _elem49 = new TaskId();
+                  _elem49.read(iprot);
+                  struct.tasks.add(_elem49);
                 }
                 iprot.readListEnd();
               }
@@ -729,9 +729,9 @@
         oprot.writeFieldBegin(TASKS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.tasks.size()));
-          for (TaskId _iter43 : struct.tasks)
+          for (TaskId _iter51 : struct.tasks)
           {
-            _iter43.write(oprot);
+            _iter51.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -787,9 +787,9 @@
       if (struct.isSetTasks()) {
         {
           oprot.writeI32(struct.tasks.size());
-          for (TaskId _iter44 : struct.tasks)
+          for (TaskId _iter52 : struct.tasks)
           {
-            _iter44.write(oprot);
+            _iter52.write(oprot);
           }
         }
       }
@@ -817,14 +817,14 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.tasks = new java.util.ArrayList<TaskId>(_list45.size);
-          @org.apache.thrift.annotation.Nullable TaskId _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.tasks = new java.util.ArrayList<TaskId>(_list53.size);
+          @org.apache.thrift.annotation.Nullable TaskId _elem54;
+          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
           {
-            _elem46 = new TaskId();
-            _elem46.read(iprot);
-            struct.tasks.add(_elem46);
+            _elem54 = new TaskId();
+            _elem54.read(iprot);
+            struct.tasks.add(_elem54);
           }
         }
         struct.setTasksIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/RulesPublish.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/RulesPublish.java
@@ -695,13 +695,13 @@
           case 3: // REMOVED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list80 = iprot.readListBegin();
-                struct.removed = new java.util.ArrayList<java.lang.String>(_list80.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem81;
-                for (int _i82 = 0; _i82 < _list80.size; ++_i82)
+                org.apache.thrift.protocol.TList _list88 = iprot.readListBegin();
+                struct.removed = new java.util.ArrayList<java.lang.String>(_list88.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem89;
+                for (int _i90 = 0; _i90 < _list88.size; ++_i90)
                 {
-                  _elem81 = iprot.readString();
-                  struct.removed.add(_elem81);
+                  _elem89 = iprot.readString();
+                  struct.removed.add(_elem89);
                 }
                 iprot.readListEnd();
               }
@@ -713,13 +713,13 @@
           case 4: // ADDED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list83 = iprot.readListBegin();
-                struct.added = new java.util.ArrayList<java.lang.String>(_list83.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem84;
-                for (int _i85 = 0; _i85 < _list83.size; ++_i85)
+                org.apache.thrift.protocol.TList _list91 = iprot.readListBegin();
+                struct.added = new java.util.ArrayList<java.lang.String>(_list91.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem92;
+                for (int _i93 = 0; _i93 < _list91.size; ++_i93)
                 {
-                  _elem84 = iprot.readString();
-                  struct.added.add(_elem84);
+                  _elem92 = iprot.readString();
+                  struct.added.add(_elem92);
                 }
                 iprot.readListEnd();
               }
@@ -764,9 +764,9 @@
         oprot.writeFieldBegin(REMOVED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.removed.size()));
-          for (java.lang.String _iter86 : struct.removed)
+          for (java.lang.String _iter94 : struct.removed)
           {
-            oprot.writeString(_iter86);
+            oprot.writeString(_iter94);
           }
           oprot.writeListEnd();
         }
@@ -776,9 +776,9 @@
         oprot.writeFieldBegin(ADDED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.added.size()));
-          for (java.lang.String _iter87 : struct.added)
+          for (java.lang.String _iter95 : struct.added)
           {
-            oprot.writeString(_iter87);
+            oprot.writeString(_iter95);
           }
           oprot.writeListEnd();
         }
@@ -833,18 +833,18 @@
       if (struct.isSetRemoved()) {
         {
           oprot.writeI32(struct.removed.size());
-          for (java.lang.String _iter88 : struct.removed)
+          for (java.lang.String _iter96 : struct.removed)
           {
-            oprot.writeString(_iter88);
+            oprot.writeString(_iter96);
           }
         }
       }
       if (struct.isSetAdded()) {
         {
           oprot.writeI32(struct.added.size());
-          for (java.lang.String _iter89 : struct.added)
+          for (java.lang.String _iter97 : struct.added)
           {
-            oprot.writeString(_iter89);
+            oprot.writeString(_iter97);
           }
         }
       }
@@ -867,26 +867,26 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list90 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.removed = new java.util.ArrayList<java.lang.String>(_list90.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem91;
-          for (int _i92 = 0; _i92 < _list90.size; ++_i92)
+          org.apache.thrift.protocol.TList _list98 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.removed = new java.util.ArrayList<java.lang.String>(_list98.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem99;
+          for (int _i100 = 0; _i100 < _list98.size; ++_i100)
           {
-            _elem91 = iprot.readString();
-            struct.removed.add(_elem91);
+            _elem99 = iprot.readString();
+            struct.removed.add(_elem99);
           }
         }
         struct.setRemovedIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.added = new java.util.ArrayList<java.lang.String>(_list93.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem94;
-          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
+          org.apache.thrift.protocol.TList _list101 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.added = new java.util.ArrayList<java.lang.String>(_list101.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem102;
+          for (int _i103 = 0; _i103 < _list101.size; ++_i103)
           {
-            _elem94 = iprot.readString();
-            struct.added.add(_elem94);
+            _elem102 = iprot.readString();
+            struct.added.add(_elem102);
           }
         }
         struct.setAddedIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/RulesSnapshot.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/RulesSnapshot.java
@@ -704,13 +704,13 @@
           case 2: // LINES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list96 = iprot.readListBegin();
-                struct.lines = new java.util.ArrayList<java.lang.String>(_list96.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem97;
-                for (int _i98 = 0; _i98 < _list96.size; ++_i98)
+                org.apache.thrift.protocol.TList _list104 = iprot.readListBegin();
+                struct.lines = new java.util.ArrayList<java.lang.String>(_list104.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem105;
+                for (int _i106 = 0; _i106 < _list104.size; ++_i106)
                 {
-                  _elem97 = iprot.readString();
-                  struct.lines.add(_elem97);
+                  _elem105 = iprot.readString();
+                  struct.lines.add(_elem105);
                 }
                 iprot.readListEnd();
               }
@@ -722,14 +722,14 @@
           case 3: // BINDINGS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list99 = iprot.readListBegin();
-                struct.bindings = new java.util.ArrayList<NameBinding>(_list99.size);
-                @org.apache.thrift.annotation.Nullable NameBinding _elem100;
-                for (int _i101 = 0; _i101 < _list99.size; ++_i101)
+                org.apache.thrift.protocol.TList _list107 = iprot.readListBegin();
+                struct.bindings = new java.util.ArrayList<NameBinding>(_list107.size);
+                @org.apache.thrift.annotation.Nullable NameBinding _elem108;
+                for (int _i109 = 0; _i109 < _list107.size; ++_i109)
                 {
-                  _elem100 = new NameBinding();
-                  _elem100.read(iprot);
-                  struct.bindings.add(_elem100);
+                  _elem108 = new NameBinding();
+                  _elem108.read(iprot);
+                  struct.bindings.add(_elem108);
                 }
                 iprot.readListEnd();
               }
@@ -741,14 +741,14 @@
           case 4: // RECENT_PUBLISHES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list102 = iprot.readListBegin();
-                struct.recentPublishes = new java.util.ArrayList<PublishResult>(_list102.size);
-                @org.apache.thrift.annotation.Nullable PublishResult _elem103;
-                for (int _i104 = 0; _i104 < _list102.size; ++_i104)
+                org.apache.thrift.protocol.TList _list110 = iprot.readListBegin();
+                struct.recentPublishes = new java.util.ArrayList<PublishResult>(_list110.size);
+                @org.apache.thrift.annotation.Nullable PublishResult _elem111;
+                for (int _i112 = 0; _i112 < _list110.size; ++_i112)
                 {
-                  _elem103 = new PublishResult();
-                  _elem103.read(iprot);
-                  struct.recentPublishes.add(_elem103);
+                  _elem111 = new PublishResult();
+                  _elem111.read(iprot);
+                  struct.recentPublishes.add(_elem111);
                 }
                 iprot.readListEnd();
               }
@@ -788,9 +788,9 @@
         oprot.writeFieldBegin(LINES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.lines.size()));
-          for (java.lang.String _iter105 : struct.lines)
+          for (java.lang.String _iter113 : struct.lines)
           {
-            oprot.writeString(_iter105);
+            oprot.writeString(_iter113);
           }
           oprot.writeListEnd();
         }
@@ -800,9 +800,9 @@
         oprot.writeFieldBegin(BINDINGS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.bindings.size()));
-          for (NameBinding _iter106 : struct.bindings)
+          for (NameBinding _iter114 : struct.bindings)
           {
-            _iter106.write(oprot);
+            _iter114.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -812,9 +812,9 @@
         oprot.writeFieldBegin(RECENT_PUBLISHES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.recentPublishes.size()));
-          for (PublishResult _iter107 : struct.recentPublishes)
+          for (PublishResult _iter115 : struct.recentPublishes)
           {
-            _iter107.write(oprot);
+            _iter115.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -864,27 +864,27 @@
       if (struct.isSetLines()) {
         {
           oprot.writeI32(struct.lines.size());
-          for (java.lang.String _iter108 : struct.lines)
+          for (java.lang.String _iter116 : struct.lines)
           {
-            oprot.writeString(_iter108);
+            oprot.writeString(_iter116);
           }
         }
       }
       if (struct.isSetBindings()) {
         {
           oprot.writeI32(struct.bindings.size());
-          for (NameBinding _iter109 : struct.bindings)
+          for (NameBinding _iter117 : struct.bindings)
           {
-            _iter109.write(oprot);
+            _iter117.write(oprot);
           }
         }
       }
       if (struct.isSetRecentPublishes()) {
         {
           oprot.writeI32(struct.recentPublishes.size());
-          for (PublishResult _iter110 : struct.recentPublishes)
+          for (PublishResult _iter118 : struct.recentPublishes)
           {
-            _iter110.write(oprot);
+            _iter118.write(oprot);
           }
         }
       }
@@ -903,41 +903,41 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list111 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.lines = new java.util.ArrayList<java.lang.String>(_list111.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem112;
-          for (int _i113 = 0; _i113 < _list111.size; ++_i113)
+          org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.lines = new java.util.ArrayList<java.lang.String>(_list119.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem120;
+          for (int _i121 = 0; _i121 < _list119.size; ++_i121)
           {
-            _elem112 = iprot.readString();
-            struct.lines.add(_elem112);
+            _elem120 = iprot.readString();
+            struct.lines.add(_elem120);
           }
         }
         struct.setLinesIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list114 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.bindings = new java.util.ArrayList<NameBinding>(_list114.size);
-          @org.apache.thrift.annotation.Nullable NameBinding _elem115;
-          for (int _i116 = 0; _i116 < _list114.size; ++_i116)
+          org.apache.thrift.protocol.TList _list122 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.bindings = new java.util.ArrayList<NameBinding>(_list122.size);
+          @org.apache.thrift.annotation.Nullable NameBinding _elem123;
+          for (int _i124 = 0; _i124 < _list122.size; ++_i124)
           {
-            _elem115 = new NameBinding();
-            _elem115.read(iprot);
-            struct.bindings.add(_elem115);
+            _elem123 = new NameBinding();
+            _elem123.read(iprot);
+            struct.bindings.add(_elem123);
           }
         }
         struct.setBindingsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list117 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.recentPublishes = new java.util.ArrayList<PublishResult>(_list117.size);
-          @org.apache.thrift.annotation.Nullable PublishResult _elem118;
-          for (int _i119 = 0; _i119 < _list117.size; ++_i119)
+          org.apache.thrift.protocol.TList _list125 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.recentPublishes = new java.util.ArrayList<PublishResult>(_list125.size);
+          @org.apache.thrift.annotation.Nullable PublishResult _elem126;
+          for (int _i127 = 0; _i127 < _list125.size; ++_i127)
           {
-            _elem118 = new PublishResult();
-            _elem118.read(iprot);
-            struct.recentPublishes.add(_elem118);
+            _elem126 = new PublishResult();
+            _elem126.read(iprot);
+            struct.recentPublishes.add(_elem126);
           }
         }
         struct.setRecentPublishesIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/TaskReportAck.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/TaskReportAck.java
@@ -516,14 +516,14 @@
           case 3: // TASKS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
-                struct.tasks = new java.util.ArrayList<TaskId>(_list48.size);
-                @org.apache.thrift.annotation.Nullable TaskId _elem49;
-                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
+                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
+                struct.tasks = new java.util.ArrayList<TaskId>(_list56.size);
+                @org.apache.thrift.annotation.Nullable TaskId _elem57;
+                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
                 {
-                  _elem49 = new TaskId();
-                  _elem49.read(iprot);
-                  struct.tasks.add(_elem49);
+                  _elem57 = new TaskId();
+                  _elem57.read(iprot);
+                  struct.tasks.add(_elem57);
                 }
                 iprot.readListEnd();
               }
@@ -560,9 +560,9 @@
         oprot.writeFieldBegin(TASKS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.tasks.size()));
-          for (TaskId _iter51 : struct.tasks)
+          for (TaskId _iter59 : struct.tasks)
           {
-            _iter51.write(oprot);
+            _iter59.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -606,9 +606,9 @@
       if (struct.isSetTasks()) {
         {
           oprot.writeI32(struct.tasks.size());
-          for (TaskId _iter52 : struct.tasks)
+          for (TaskId _iter60 : struct.tasks)
           {
-            _iter52.write(oprot);
+            _iter60.write(oprot);
           }
         }
       }
@@ -628,14 +628,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.tasks = new java.util.ArrayList<TaskId>(_list53.size);
-          @org.apache.thrift.annotation.Nullable TaskId _elem54;
-          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.tasks = new java.util.ArrayList<TaskId>(_list61.size);
+          @org.apache.thrift.annotation.Nullable TaskId _elem62;
+          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
           {
-            _elem54 = new TaskId();
-            _elem54.read(iprot);
-            struct.tasks.add(_elem54);
+            _elem62 = new TaskId();
+            _elem62.read(iprot);
+            struct.tasks.add(_elem62);
           }
         }
         struct.setTasksIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/Welcome.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/Welcome.java
@@ -502,13 +502,13 @@
           case 2: // ENTRIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
-                struct.entries = new java.util.ArrayList<java.lang.String>(_list8.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem9;
-                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
+                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
+                struct.entries = new java.util.ArrayList<java.lang.String>(_list16.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem17;
+                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
                 {
-                  _elem9 = iprot.readString();
-                  struct.entries.add(_elem9);
+                  _elem17 = iprot.readString();
+                  struct.entries.add(_elem17);
                 }
                 iprot.readListEnd();
               }
@@ -550,9 +550,9 @@
         oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.entries.size()));
-          for (java.lang.String _iter11 : struct.entries)
+          for (java.lang.String _iter19 : struct.entries)
           {
-            oprot.writeString(_iter11);
+            oprot.writeString(_iter19);
           }
           oprot.writeListEnd();
         }
@@ -596,9 +596,9 @@
       if (struct.isSetEntries()) {
         {
           oprot.writeI32(struct.entries.size());
-          for (java.lang.String _iter12 : struct.entries)
+          for (java.lang.String _iter20 : struct.entries)
           {
-            oprot.writeString(_iter12);
+            oprot.writeString(_iter20);
           }
         }
       }
@@ -617,13 +617,13 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.entries = new java.util.ArrayList<java.lang.String>(_list13.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem14;
-          for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.entries = new java.util.ArrayList<java.lang.String>(_list21.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem22;
+          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
           {
-            _elem14 = iprot.readString();
-            struct.entries.add(_elem14);
+            _elem22 = iprot.readString();
+            struct.entries.add(_elem22);
           }
         }
         struct.setEntriesIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkBatch.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkBatch.java
@@ -513,14 +513,14 @@
           case 3: // DECISIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list184 = iprot.readListBegin();
-                struct.decisions = new java.util.ArrayList<WorkDecision>(_list184.size);
-                @org.apache.thrift.annotation.Nullable WorkDecision _elem185;
-                for (int _i186 = 0; _i186 < _list184.size; ++_i186)
+                org.apache.thrift.protocol.TList _list192 = iprot.readListBegin();
+                struct.decisions = new java.util.ArrayList<WorkDecision>(_list192.size);
+                @org.apache.thrift.annotation.Nullable WorkDecision _elem193;
+                for (int _i194 = 0; _i194 < _list192.size; ++_i194)
                 {
-                  _elem185 = new WorkDecision();
-                  _elem185.read(iprot);
-                  struct.decisions.add(_elem185);
+                  _elem193 = new WorkDecision();
+                  _elem193.read(iprot);
+                  struct.decisions.add(_elem193);
                 }
                 iprot.readListEnd();
               }
@@ -557,9 +557,9 @@
         oprot.writeFieldBegin(DECISIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.decisions.size()));
-          for (WorkDecision _iter187 : struct.decisions)
+          for (WorkDecision _iter195 : struct.decisions)
           {
-            _iter187.write(oprot);
+            _iter195.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -603,9 +603,9 @@
       if (struct.isSetDecisions()) {
         {
           oprot.writeI32(struct.decisions.size());
-          for (WorkDecision _iter188 : struct.decisions)
+          for (WorkDecision _iter196 : struct.decisions)
           {
-            _iter188.write(oprot);
+            _iter196.write(oprot);
           }
         }
       }
@@ -625,14 +625,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list189 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.decisions = new java.util.ArrayList<WorkDecision>(_list189.size);
-          @org.apache.thrift.annotation.Nullable WorkDecision _elem190;
-          for (int _i191 = 0; _i191 < _list189.size; ++_i191)
+          org.apache.thrift.protocol.TList _list197 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.decisions = new java.util.ArrayList<WorkDecision>(_list197.size);
+          @org.apache.thrift.annotation.Nullable WorkDecision _elem198;
+          for (int _i199 = 0; _i199 < _list197.size; ++_i199)
           {
-            _elem190 = new WorkDecision();
-            _elem190.read(iprot);
-            struct.decisions.add(_elem190);
+            _elem198 = new WorkDecision();
+            _elem198.read(iprot);
+            struct.decisions.add(_elem198);
           }
         }
         struct.setDecisionsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkClaim.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkClaim.java
@@ -513,13 +513,13 @@
           case 3: // WITNESSES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list136 = iprot.readListBegin();
-                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list136.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem137;
-                for (int _i138 = 0; _i138 < _list136.size; ++_i138)
+                org.apache.thrift.protocol.TList _list144 = iprot.readListBegin();
+                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list144.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem145;
+                for (int _i146 = 0; _i146 < _list144.size; ++_i146)
                 {
-                  _elem137 = iprot.readString();
-                  struct.witnesses.add(_elem137);
+                  _elem145 = iprot.readString();
+                  struct.witnesses.add(_elem145);
                 }
                 iprot.readListEnd();
               }
@@ -556,9 +556,9 @@
         oprot.writeFieldBegin(WITNESSES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.witnesses.size()));
-          for (java.lang.String _iter139 : struct.witnesses)
+          for (java.lang.String _iter147 : struct.witnesses)
           {
-            oprot.writeString(_iter139);
+            oprot.writeString(_iter147);
           }
           oprot.writeListEnd();
         }
@@ -602,9 +602,9 @@
       if (struct.isSetWitnesses()) {
         {
           oprot.writeI32(struct.witnesses.size());
-          for (java.lang.String _iter140 : struct.witnesses)
+          for (java.lang.String _iter148 : struct.witnesses)
           {
-            oprot.writeString(_iter140);
+            oprot.writeString(_iter148);
           }
         }
       }
@@ -624,13 +624,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list141 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list141.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem142;
-          for (int _i143 = 0; _i143 < _list141.size; ++_i143)
+          org.apache.thrift.protocol.TList _list149 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list149.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem150;
+          for (int _i151 = 0; _i151 < _list149.size; ++_i151)
           {
-            _elem142 = iprot.readString();
-            struct.witnesses.add(_elem142);
+            _elem150 = iprot.readString();
+            struct.witnesses.add(_elem150);
           }
         }
         struct.setWitnessesIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkEntry.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkEntry.java
@@ -879,13 +879,13 @@
           case 6: // FAILED_VMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list144 = iprot.readListBegin();
-                struct.failedVms = new java.util.ArrayList<java.lang.String>(_list144.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem145;
-                for (int _i146 = 0; _i146 < _list144.size; ++_i146)
+                org.apache.thrift.protocol.TList _list152 = iprot.readListBegin();
+                struct.failedVms = new java.util.ArrayList<java.lang.String>(_list152.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem153;
+                for (int _i154 = 0; _i154 < _list152.size; ++_i154)
                 {
-                  _elem145 = iprot.readString();
-                  struct.failedVms.add(_elem145);
+                  _elem153 = iprot.readString();
+                  struct.failedVms.add(_elem153);
                 }
                 iprot.readListEnd();
               }
@@ -949,9 +949,9 @@
         oprot.writeFieldBegin(FAILED_VMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.failedVms.size()));
-          for (java.lang.String _iter147 : struct.failedVms)
+          for (java.lang.String _iter155 : struct.failedVms)
           {
-            oprot.writeString(_iter147);
+            oprot.writeString(_iter155);
           }
           oprot.writeListEnd();
         }
@@ -1023,9 +1023,9 @@
       if (struct.isSetFailedVms()) {
         {
           oprot.writeI32(struct.failedVms.size());
-          for (java.lang.String _iter148 : struct.failedVms)
+          for (java.lang.String _iter156 : struct.failedVms)
           {
-            oprot.writeString(_iter148);
+            oprot.writeString(_iter156);
           }
         }
       }
@@ -1061,13 +1061,13 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list149 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.failedVms = new java.util.ArrayList<java.lang.String>(_list149.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem150;
-          for (int _i151 = 0; _i151 < _list149.size; ++_i151)
+          org.apache.thrift.protocol.TList _list157 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.failedVms = new java.util.ArrayList<java.lang.String>(_list157.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem158;
+          for (int _i159 = 0; _i159 < _list157.size; ++_i159)
           {
-            _elem150 = iprot.readString();
-            struct.failedVms.add(_elem150);
+            _elem158 = iprot.readString();
+            struct.failedVms.add(_elem158);
           }
         }
         struct.setFailedVmsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkPredecessor.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkPredecessor.java
@@ -498,13 +498,13 @@
           case 2: // WITNESSES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list152 = iprot.readListBegin();
-                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list152.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem153;
-                for (int _i154 = 0; _i154 < _list152.size; ++_i154)
+                org.apache.thrift.protocol.TList _list160 = iprot.readListBegin();
+                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list160.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem161;
+                for (int _i162 = 0; _i162 < _list160.size; ++_i162)
                 {
-                  _elem153 = iprot.readString();
-                  struct.witnesses.add(_elem153);
+                  _elem161 = iprot.readString();
+                  struct.witnesses.add(_elem161);
                 }
                 iprot.readListEnd();
               }
@@ -544,9 +544,9 @@
         oprot.writeFieldBegin(WITNESSES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.witnesses.size()));
-          for (java.lang.String _iter155 : struct.witnesses)
+          for (java.lang.String _iter163 : struct.witnesses)
           {
-            oprot.writeString(_iter155);
+            oprot.writeString(_iter163);
           }
           oprot.writeListEnd();
         }
@@ -590,9 +590,9 @@
       if (struct.isSetWitnesses()) {
         {
           oprot.writeI32(struct.witnesses.size());
-          for (java.lang.String _iter156 : struct.witnesses)
+          for (java.lang.String _iter164 : struct.witnesses)
           {
-            oprot.writeString(_iter156);
+            oprot.writeString(_iter164);
           }
         }
       }
@@ -611,13 +611,13 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list157 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list157.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem158;
-          for (int _i159 = 0; _i159 < _list157.size; ++_i159)
+          org.apache.thrift.protocol.TList _list165 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list165.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem166;
+          for (int _i167 = 0; _i167 < _list165.size; ++_i167)
           {
-            _elem158 = iprot.readString();
-            struct.witnesses.add(_elem158);
+            _elem166 = iprot.readString();
+            struct.witnesses.add(_elem166);
           }
         }
         struct.setWitnessesIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkSnapshot.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkSnapshot.java
@@ -866,14 +866,14 @@
           case 3: // ENTRIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list160 = iprot.readListBegin();
-                struct.entries = new java.util.ArrayList<WorkEntry>(_list160.size);
-                @org.apache.thrift.annotation.Nullable WorkEntry _elem161;
-                for (int _i162 = 0; _i162 < _list160.size; ++_i162)
+                org.apache.thrift.protocol.TList _list168 = iprot.readListBegin();
+                struct.entries = new java.util.ArrayList<WorkEntry>(_list168.size);
+                @org.apache.thrift.annotation.Nullable WorkEntry _elem169;
+                for (int _i170 = 0; _i170 < _list168.size; ++_i170)
                 {
-                  _elem161 = new WorkEntry();
-                  _elem161.read(iprot);
-                  struct.entries.add(_elem161);
+                  _elem169 = new WorkEntry();
+                  _elem169.read(iprot);
+                  struct.entries.add(_elem169);
                 }
                 iprot.readListEnd();
               }
@@ -893,13 +893,13 @@
           case 5: // WITNESSES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list163 = iprot.readListBegin();
-                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list163.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem164;
-                for (int _i165 = 0; _i165 < _list163.size; ++_i165)
+                org.apache.thrift.protocol.TList _list171 = iprot.readListBegin();
+                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list171.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem172;
+                for (int _i173 = 0; _i173 < _list171.size; ++_i173)
                 {
-                  _elem164 = iprot.readString();
-                  struct.witnesses.add(_elem164);
+                  _elem172 = iprot.readString();
+                  struct.witnesses.add(_elem172);
                 }
                 iprot.readListEnd();
               }
@@ -919,14 +919,14 @@
           case 7: // PREDECESSORS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list166 = iprot.readListBegin();
-                struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list166.size);
-                @org.apache.thrift.annotation.Nullable WorkPredecessor _elem167;
-                for (int _i168 = 0; _i168 < _list166.size; ++_i168)
+                org.apache.thrift.protocol.TList _list174 = iprot.readListBegin();
+                struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list174.size);
+                @org.apache.thrift.annotation.Nullable WorkPredecessor _elem175;
+                for (int _i176 = 0; _i176 < _list174.size; ++_i176)
                 {
-                  _elem167 = new WorkPredecessor();
-                  _elem167.read(iprot);
-                  struct.predecessors.add(_elem167);
+                  _elem175 = new WorkPredecessor();
+                  _elem175.read(iprot);
+                  struct.predecessors.add(_elem175);
                 }
                 iprot.readListEnd();
               }
@@ -963,9 +963,9 @@
         oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.entries.size()));
-          for (WorkEntry _iter169 : struct.entries)
+          for (WorkEntry _iter177 : struct.entries)
           {
-            _iter169.write(oprot);
+            _iter177.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -978,9 +978,9 @@
         oprot.writeFieldBegin(WITNESSES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.witnesses.size()));
-          for (java.lang.String _iter170 : struct.witnesses)
+          for (java.lang.String _iter178 : struct.witnesses)
           {
-            oprot.writeString(_iter170);
+            oprot.writeString(_iter178);
           }
           oprot.writeListEnd();
         }
@@ -993,9 +993,9 @@
         oprot.writeFieldBegin(PREDECESSORS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.predecessors.size()));
-          for (WorkPredecessor _iter171 : struct.predecessors)
+          for (WorkPredecessor _iter179 : struct.predecessors)
           {
-            _iter171.write(oprot);
+            _iter179.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1051,9 +1051,9 @@
       if (struct.isSetEntries()) {
         {
           oprot.writeI32(struct.entries.size());
-          for (WorkEntry _iter172 : struct.entries)
+          for (WorkEntry _iter180 : struct.entries)
           {
-            _iter172.write(oprot);
+            _iter180.write(oprot);
           }
         }
       }
@@ -1063,9 +1063,9 @@
       if (struct.isSetWitnesses()) {
         {
           oprot.writeI32(struct.witnesses.size());
-          for (java.lang.String _iter173 : struct.witnesses)
+          for (java.lang.String _iter181 : struct.witnesses)
           {
-            oprot.writeString(_iter173);
+            oprot.writeString(_iter181);
           }
         }
       }
@@ -1075,9 +1075,9 @@
       if (struct.isSetPredecessors()) {
         {
           oprot.writeI32(struct.predecessors.size());
-          for (WorkPredecessor _iter174 : struct.predecessors)
+          for (WorkPredecessor _iter182 : struct.predecessors)
           {
-            _iter174.write(oprot);
+            _iter182.write(oprot);
           }
         }
       }
@@ -1097,14 +1097,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list175 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.entries = new java.util.ArrayList<WorkEntry>(_list175.size);
-          @org.apache.thrift.annotation.Nullable WorkEntry _elem176;
-          for (int _i177 = 0; _i177 < _list175.size; ++_i177)
+          org.apache.thrift.protocol.TList _list183 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.entries = new java.util.ArrayList<WorkEntry>(_list183.size);
+          @org.apache.thrift.annotation.Nullable WorkEntry _elem184;
+          for (int _i185 = 0; _i185 < _list183.size; ++_i185)
           {
-            _elem176 = new WorkEntry();
-            _elem176.read(iprot);
-            struct.entries.add(_elem176);
+            _elem184 = new WorkEntry();
+            _elem184.read(iprot);
+            struct.entries.add(_elem184);
           }
         }
         struct.setEntriesIsSet(true);
@@ -1115,13 +1115,13 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list178 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list178.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem179;
-          for (int _i180 = 0; _i180 < _list178.size; ++_i180)
+          org.apache.thrift.protocol.TList _list186 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list186.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem187;
+          for (int _i188 = 0; _i188 < _list186.size; ++_i188)
           {
-            _elem179 = iprot.readString();
-            struct.witnesses.add(_elem179);
+            _elem187 = iprot.readString();
+            struct.witnesses.add(_elem187);
           }
         }
         struct.setWitnessesIsSet(true);
@@ -1132,14 +1132,14 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list181 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list181.size);
-          @org.apache.thrift.annotation.Nullable WorkPredecessor _elem182;
-          for (int _i183 = 0; _i183 < _list181.size; ++_i183)
+          org.apache.thrift.protocol.TList _list189 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list189.size);
+          @org.apache.thrift.annotation.Nullable WorkPredecessor _elem190;
+          for (int _i191 = 0; _i191 < _list189.size; ++_i191)
           {
-            _elem182 = new WorkPredecessor();
-            _elem182.read(iprot);
-            struct.predecessors.add(_elem182);
+            _elem190 = new WorkPredecessor();
+            _elem190.read(iprot);
+            struct.predecessors.add(_elem190);
           }
         }
         struct.setPredecessorsIsSet(true);
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -72,7 +72,11 @@
   10: i32 slots,
   11: i32 connections,
   12: optional string serviceName,
-  13: bool workerFailing
+  13: bool workerFailing,
+  /** When set, tasks holds only new and changed tasks since the last heartbeat on this connection. */
+  14: bool tasksAreChanges,
+  /** Tasks that were in the last heartbeat on this connection and are no more; only with tasksAreChanges. */
+  15: optional list<TaskId> goneTasks
 }
 
 struct Welcome {
