Add measurements on real processes

Cause: memory, processor time and traffic of the guard, latency and the time until rules are in force were not measured. Ruled out: in-process measurements, which share heap and threads.

--- a/bench/src/main/java/org/fulmarreach/bench/slopes/Samples.java
+++ b/bench/src/main/java/org/fulmarreach/bench/slopes/Samples.java
@@ -74,6 +74,7 @@
                         1_796_000_000_123L,
                         8,
                         64,
+                        false,
                         false)
                 .setServiceName(SERVICE);
     }
--- /dev/null
+++ b/it/src/main/java/org/fulmarreach/it/BareMain.java
@@ -0,0 +1,20 @@
+package org.fulmarreach.it;
+
+import java.util.concurrent.CountDownLatch;
+
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.fulmarreach.runtime.util.ActorSystems;
+
+/** An idle JVM, or an idle actor system with the guard's threads: what a guard costs before it does anything. */
+public final class BareMain {
+    private BareMain() {}
+
+    /** Starts the process; the argument is {@code jvm} or {@code pekko}. */
+    public static void main(String[] args) throws InterruptedException {
+        if (args[0].equals("pekko")) {
+            ActorSystems.construct(Behaviors.<Void>empty(), "bare", 2);
+        }
+        System.out.println("{\"ready\":true}");
+        new CountDownLatch(1).await();
+    }
+}
