Test calls under faults with real processes

Until now only unit tests with fakes showed that a call runs at most once, that answers are whole and that "not run" is true. CallsFaultsTest runs two entries behind fault-injecting proxies and three guards as processes, pauses, kills and restarts an entry and a guard, silences, cuts, resets and delays connections, loses answers of a target, and then compares all attempts of all callers with the targets' journals. It failed at first because ids are made for the guards of the entry's own zone, so that one entry never made an id of the other zone's guard; the test now takes ids from both entries.

--- /dev/null
+++ b/it/src/test/java/org/fulmarreach/it/CallsFaultsTest.java
@@ -0,0 +1,305 @@
+package org.fulmarreach.it;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards against calls that run twice (I6), answers that belong to another call or are cut (I4), and calls that run
+ * although a caller was told that they do not (I5), while entries, guards and connections fail.
+ */
+class CallsFaultsTest {
+    private static final long DEADLINE_MS = 1_200;
+    private static final Duration STEP = Duration.ofSeconds(60);
+
+    private final CallsClient client = new CallsClient();
+    private Deployment deployment;
+    private String firstVm;
+    private String secondVm;
+    private String firstEntry;
+    private String secondEntry;
+
+    @BeforeEach
+    void start() {
+        deployment = CallsRules.start(DeploymentPlan.small(1)
+                .withZones(List.of(
+                        new DeploymentPlan.Zone("sued-a", "sued", 2, 1),
+                        new DeploymentPlan.Zone("sued-b", "sued", 1, 1)))
+                .withProxy());
+        firstVm = "vm-sued-a-0";
+        secondVm = "vm-sued-b-0";
+        firstEntry = deployment.entry(0).name();
+        secondEntry = deployment.entry(1).name();
+    }
+
+    @AfterEach
+    void stop() {
+        if (deployment != null) {
+            deployment.close();
+        }
+    }
+
+    @Test
+    void runsEachCallAtMostOnceAndTellsTheTruthUnderFaults() throws Exception {
+        var options = new CallsTraffic.Options(12, 20_261, DEADLINE_MS, 0.2, List.of(0, 1), true);
+        try (CallsTraffic traffic = CallsTraffic.start(deployment, client, options)) {
+            awaitMoreWhole(traffic, 100);
+            for (String entry : List.of(firstEntry, secondEntry)) {
+                deployment.controlProxy(entry, "{\"delayMs\":5,\"jitterMs\":40}");
+            }
+            controlTarget(firstVm, "{\"loseAnswersShare\":0.1}");
+            awaitMoreWhole(traffic, 100);
+            failEntries(traffic);
+            failConnections(traffic);
+            failGuards(traffic);
+            controlTarget(firstVm, "{\"loseAnswersShare\":0}");
+            awaitMoreWhole(traffic, 50);
+            List<CallsTraffic.Call> calls = traffic.finish(60);
+            flushConnections();
+            CallsAudit audit = CallsAudit.read(deployment, client);
+            System.out.println("calls: " + calls.size() + ", executed: "
+                    + audit.executions().size() + ", told: " + CallsAudit.countTold(calls));
+            assertEquals(List.of(), audit.violations(), "I6, I1");
+            assertEquals(List.of(), CallsAudit.findWrong(calls), "I4");
+            assertEquals(List.of(), audit.findFalseNotRun(calls), "I5");
+            assertEquals(List.of(), checkUnknown(calls, audit), "I5");
+        }
+    }
+
+    /**
+     * The original call travels slowly through one entry while the other entry gives the same id up. The guard must
+     * keep the refusal, or the original runs after the caller was told that it never will.
+     */
+    @Test
+    void neverRunsAnOriginalThatArrivesAfterItsRefusal() throws Exception {
+        int notRun = 0;
+        List<CallsTraffic.Call> calls = new ArrayList<>();
+        for (int round = 0; round < 3; round++) {
+            List<String> ids = createIdsOfOneGuard(12);
+            String vm = ids.get(0).substring("guard-".length(), ids.get(0).indexOf('.'));
+            controlTarget(vm, "{\"slowFactor\":30}");
+            deployment.controlProxy(firstEntry, "{\"direction\":\"down\",\"delayMs\":1200}");
+            List<CallsTraffic.Call> originals = new ArrayList<>();
+            for (String id : ids.subList(0, 4)) {
+                originals.add(send(0, id, 10_000));
+            }
+            for (String id : ids.subList(4, 12)) {
+                calls.add(send(1, id, 10_000));
+            }
+            await(
+                    "all slots in use",
+                    () -> client.read(deployment.vms().get(vm).target(), "/journal")
+                                    .path("running")
+                                    .asInt()
+                            == 8);
+            for (String id : ids.subList(0, 4)) {
+                CallsTraffic.Call given = send(1, id, 30);
+                notRun += given.attempts().get(0).join().told() == CallsClient.Told.NOT_RUN ? 1 : 0;
+                calls.add(given);
+            }
+            calls.addAll(originals);
+            for (CallsTraffic.Call original : originals) {
+                original.attempts().get(0).join();
+            }
+            deployment.controlProxy(firstEntry, "{\"direction\":\"down\",\"delayMs\":0}");
+            controlTarget(vm, "{\"slowFactor\":1}");
+        }
+        flushConnections();
+        CallsAudit audit = CallsAudit.read(deployment, client);
+        System.out.println("refused before the original: " + notRun + " of 12, told: " + CallsAudit.countTold(calls));
+        assertEquals(List.of(), audit.violations(), "I6, I1");
+        assertEquals(List.of(), audit.findFalseNotRun(calls), "I5");
+        assertTrue(notRun >= 6, "too few refusals came before their original: " + notRun);
+    }
+
+    /*
+     * Faults
+     */
+
+    private void failEntries(CallsTraffic traffic) {
+        Deployment.EntryProcess first = deployment.entry(0);
+        long repeated = countRepeated(traffic);
+        first.process().pause();
+        await("calls repeated past the pause", () -> countRepeated(traffic) >= repeated + 5);
+        first.process().resume();
+        awaitMoreWhole(traffic, 50);
+        long beforeKill = countRepeated(traffic);
+        first.process().kill();
+        await("calls repeated past the kill", () -> countRepeated(traffic) >= beforeKill + 3);
+        deployment.restartEntry(firstEntry);
+        CallsRules.awaitTargets(deployment);
+        awaitMoreWhole(traffic, 50);
+    }
+
+    private void failConnections(CallsTraffic traffic) {
+        long accepted = countAccepted(secondEntry);
+        deployment.controlProxy(secondEntry, "{\"silent\":true}");
+        await("new connections", () -> countAccepted(secondEntry) > accepted);
+        CallsRules.awaitTargets(deployment);
+        awaitMoreWhole(traffic, 30);
+        deployment.controlProxy(firstEntry, "{\"reset\":true}");
+        deployment.controlProxy(secondEntry, "{\"reset\":true}");
+        awaitMoreWhole(traffic, 30);
+        for (String direction : List.of("down", "up")) {
+            long before = countAccepted(firstEntry);
+            deployment.controlProxy(firstEntry, "{\"direction\":\"" + direction + "\",\"drop\":true}");
+            await("a redial after the cut " + direction, () -> countAccepted(firstEntry) > before);
+            deployment.controlProxy(firstEntry, "{\"direction\":\"" + direction + "\",\"drop\":false}");
+            CallsRules.awaitTargets(deployment);
+            awaitMoreWhole(traffic, 30);
+        }
+        long undecided = countUnknown(traffic);
+        deployment.controlProxy(firstEntry, "{\"direction\":\"down\",\"delayMs\":1500}");
+        await("calls delayed beyond their answer", () -> countUnknown(traffic) >= undecided + 5);
+        deployment.controlProxy(firstEntry, "{\"direction\":\"down\",\"delayMs\":5}");
+        CallsRules.awaitTargets(deployment);
+        awaitMoreWhole(traffic, 30);
+    }
+
+    private void failGuards(CallsTraffic traffic) {
+        Deployment.VmProcess paused = deployment.vms().get(firstVm);
+        long undecided = countUnknown(traffic);
+        paused.guard().pause();
+        await("calls at the paused guard", () -> countUnknown(traffic) >= undecided + 3);
+        paused.guard().resume();
+        CallsRules.awaitTargets(deployment);
+        awaitMoreWhole(traffic, 30);
+        deployment.vms().get(secondVm).guard().kill();
+        deployment.restartGuard(secondVm);
+        CallsRules.awaitTargets(deployment);
+        awaitMoreWhole(traffic, 30);
+    }
+
+    /*
+     * Checks
+     */
+
+    /** Asks about each id whose outcome stayed unknown; returns the answers that the journals contradict. */
+    private List<String> checkUnknown(List<CallsTraffic.Call> calls, CallsAudit audit) {
+        Map<String, Long> incarnations = new HashMap<>();
+        client.read(deployment.entry(1).operator(), "/v1/targets")
+                .path("targets")
+                .forEach(row -> incarnations.put(
+                        "guard-" + row.path("vm").asText(),
+                        row.path("incarnation").asLong()));
+        Map<String, Integer> resolved = new TreeMap<>();
+        List<String> contradicted = new ArrayList<>();
+        for (CallsTraffic.Call call : calls) {
+            List<CallsClient.Attempt> attempts =
+                    call.attempts().stream().map(CompletableFuture::join).toList();
+            CallsClient.Attempt last = attempts.get(attempts.size() - 1);
+            if (call.id().isEmpty() || last.told() != CallsClient.Told.UNKNOWN) {
+                continue;
+            }
+            String[] parts = call.id().split("\\.");
+            boolean alive = incarnations.getOrDefault(parts[0], 0L) == Long.parseLong(parts[1]);
+            String state = client.read(deployment.entry(1).caller(), "/v1/requests/" + call.id())
+                    .path("state")
+                    .asText();
+            boolean ran = audit.executions().containsKey(call.id());
+            resolved.merge(
+                    last.code() + (alive ? ", guard lives, " : ", guard restarted, ") + "asked: " + state
+                            + (ran ? ", ran" : ", did not run"),
+                    1,
+                    Integer::sum);
+            if (state.equals("done") && !ran || state.equals("refused") && ran) {
+                contradicted.add(call.id() + " " + state);
+            }
+        }
+        System.out.println("unknown: " + resolved);
+        return contradicted;
+    }
+
+    /** A whole answer over each connection proves that the guards have taken in all that was sent on it before. */
+    private void flushConnections() {
+        CallsRules.awaitTargets(deployment);
+        for (int entry = 0; entry < 2; entry++) {
+            int place = entry;
+            List<String> left = deployment.vms().keySet().stream()
+                    .map(vm -> "guard-" + vm + ".")
+                    .collect(Collectors.toCollection(ArrayList::new));
+            await("an answer over each connection", () -> {
+                // An entry makes ids for the guards of its own zone first.
+                for (Deployment.EntryProcess maker : deployment.entries().values()) {
+                    String id = client.createId(maker, 2_000);
+                    if (left.stream().anyMatch(id::startsWith)
+                            && send(place, id, 3_000).attempts().get(0).join().told() == CallsClient.Told.WHOLE) {
+                        left.removeIf(id::startsWith);
+                    }
+                }
+                return left.isEmpty();
+            });
+        }
+    }
+
+    /*
+     * Helpers
+     */
+
+    private CallsTraffic.Call send(int entry, String id, long deadlineMs) {
+        String path = "/checkout/single?bytes=900";
+        return new CallsTraffic.Call(
+                id,
+                System.currentTimeMillis(),
+                List.of(client.call(deployment.entry(entry), id, path, 900, deadlineMs)));
+    }
+
+    private List<String> createIdsOfOneGuard(int count) {
+        Map<String, List<String>> byGuard = new HashMap<>();
+        for (int i = 0; i < 300; i++) {
+            String id = client.createId(deployment.entry(1), 2_000);
+            assertFalse(id.isEmpty(), "no request id");
+            List<String> ids = byGuard.computeIfAbsent(id.substring(0, id.indexOf('.')), key -> new ArrayList<>());
+            ids.add(id);
+            if (ids.size() == count) {
+                return ids;
+            }
+        }
+        throw new AssertionError("no guard got " + count + " ids");
+    }
+
+    private void controlTarget(String vm, String json) {
+        deployment.http().post(deployment.vms().get(vm).target(), "/control", json);
+    }
+
+    private long countAccepted(String entry) {
+        return client.read(deployment.entries().get(entry).proxyControl(), "/")
+                .path("pairs")
+                .get(0)
+                .path("accepted")
+                .asLong();
+    }
+
+    private static long countRepeated(CallsTraffic traffic) {
+        return traffic.count(call -> call.attempts().size() > 1);
+    }
+
+    private static long countUnknown(CallsTraffic traffic) {
+        return traffic.count(call -> call.attempts().stream()
+                .anyMatch(attempt -> attempt.isDone() && attempt.join().told() == CallsClient.Told.UNKNOWN));
+    }
+
+    private static void awaitMoreWhole(CallsTraffic traffic, int more) {
+        long before = traffic.countWhole();
+        await(more + " more whole answers", () -> traffic.countWhole() >= before + more);
+    }
+
+    private static void await(String what, BooleanSupplier condition) {
+        Awaitility.await(what).atMost(STEP).pollInterval(Duration.ofMillis(50)).until(condition::getAsBoolean);
+    }
+}
