--- a/it/src/main/java/org/fulmarreach/it/Deployment.java
+++ b/it/src/main/java/org/fulmarreach/it/Deployment.java
@@ -150,6 +150,21 @@
                         entry.operator()));
     }
 
+    /**
+     * Starts a new VM in the place of one that was killed, with the same name.
+     *
+     * @return name of the output file of its stand-ins
+     */
+    public String replaceVm(String name) {
+        VmProcess vm = vms.get(name);
+        String process = "platform-" + name + "-again-" + System.nanoTime();
+        ManagedProcess platform = ManagedProcess.start(process, directory, "standin", listPlatformArgs(), Map.of());
+        String rack = vm.guardArgs().get(vm.guardArgs().indexOf("--rack") + 1);
+        startGuard(vm.zone(), name, platform, rack);
+        vms.get(name).guard().awaitReady();
+        return process + ".out";
+    }
+
     /*
      * Public API
      */
@@ -302,12 +317,9 @@
         Map<String, ManagedProcess> platforms = new LinkedHashMap<>();
         for (DeploymentPlan.Zone zone : plan.zones()) {
             for (String name : plan.nameVms(zone)) {
-                List<String> args = new ArrayList<>(List.of("platform", "--vms", "1", "--service", plan.service()));
-                args.addAll(List.of("--cores", Integer.toString(plan.cores())));
-                args.addAll(List.of("--memory-mb", Long.toString(plan.memoryMb())));
-                args.addAll(List.of("--service-ms", Integer.toString(plan.serviceMs())));
-                args.addAll(plan.vmArgs());
-                platforms.put(name, ManagedProcess.start("platform-" + name, directory, "standin", args, Map.of()));
+                platforms.put(
+                        name,
+                        ManagedProcess.start("platform-" + name, directory, "standin", listPlatformArgs(), Map.of()));
             }
         }
         for (DeploymentPlan.Zone zone : plan.zones()) {
@@ -318,6 +330,15 @@
         }
     }
 
+    private List<String> listPlatformArgs() {
+        List<String> args = new ArrayList<>(List.of("platform", "--vms", "1", "--service", plan.service()));
+        args.addAll(List.of("--cores", Integer.toString(plan.cores())));
+        args.addAll(List.of("--memory-mb", Long.toString(plan.memoryMb())));
+        args.addAll(List.of("--service-ms", Integer.toString(plan.serviceMs())));
+        args.addAll(plan.vmArgs());
+        return args;
+    }
+
     private void startGuard(DeploymentPlan.Zone zone, String name, ManagedProcess platform, String rack) {
         JsonNode ready = platform.awaitReady();
         String worker = ready.path("workers").get(0).asText();
--- /dev/null
+++ b/it/src/test/java/org/fulmarreach/it/BudgetLimitTest.java
@@ -0,0 +1,125 @@
+package org.fulmarreach.it;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Test;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards against a budget that is overspent when several entries call at its limit, an entry dies with a part of it and
+ * comes back, and the store fails (I10). The costs are counted at the targets.
+ */
+class BudgetLimitTest {
+    private static final int AMOUNT = 300;
+    private static final int COST = 3;
+    private static final int CALLERS_PER_ENTRY = 3;
+    private static final List<String> RULES = List.of(
+            "urgent bestellung/checkout deadline=2s idempotent=no cost=" + COST + " # kreidekiste: Lena",
+            "budget amount=" + AMOUNT + " every=1000d # federation: treasurer");
+
+    private final AtomicInteger whole = new AtomicInteger();
+    private final AtomicInteger refused = new AtomicInteger();
+    private final AtomicBoolean ends = new AtomicBoolean();
+    private Deployment deployment;
+
+    @Test
+    void executesNoMoreThanTheBudget() {
+        try (Deployment started = Deployment.start(DeploymentPlan.small(1).withServiceMs(5))) {
+            deployment = started;
+            deployment.publish(RULES);
+            WorkObserver.await("a call", () -> call(0).status() == 200);
+            List<CompletableFuture<Void>> callers = new ArrayList<>();
+            for (int i = 0; i < 2 * CALLERS_PER_ENTRY; i++) {
+                int entry = i % 2;
+                callers.add(CompletableFuture.runAsync(() -> callUntilEnd(entry)));
+            }
+            awaitSpent(AMOUNT / 10);
+            restart(0);
+            awaitSpent(AMOUNT / 4);
+            deployment.controlStore("{\"outage\":\"refuse\"}");
+            // While the store is down, what the entries hold is spent and the rest is refused.
+            awaitRefusals();
+            deployment.controlStore("{\"outage\":\"none\"}");
+            awaitSpent(AMOUNT / 2);
+            deployment.controlStore("{\"loseAnswersShare\":0.5}");
+            awaitRefusals();
+            deployment.controlStore("{\"loseAnswersShare\":0}");
+            restart(1);
+            awaitRefusals();
+            awaitRefusals();
+            ends.set(true);
+            callers.forEach(CompletableFuture::join);
+            int spent = countSpent();
+            assertTrue(spent <= AMOUNT, "executed calls cost " + spent + " of " + AMOUNT);
+            assertTrue(spent >= AMOUNT / 2, "executed calls cost only " + spent + " of " + AMOUNT);
+            assertTrue(whole.get() > 0 && refused.get() > 0);
+            assertEquals(List.of(), new WorkObserver(deployment).findInvariantEvents());
+        }
+    }
+
+    private void restart(int index) {
+        String name = deployment.entry(index).name();
+        deployment.entry(index).process().kill();
+        deployment.restartEntry(name);
+        WorkObserver.await("rules at " + name, () -> {
+            String operator = deployment.entries().get(name).operator();
+            return deployment.http().get(operator, "/health").status() == 200;
+        });
+    }
+
+    /** Waits until the executed calls cost {@code cost}, or the budget has no more to give. */
+    private void awaitSpent(int cost) {
+        int before = refused.get();
+        WorkObserver.await("calls that cost " + cost, () -> countSpent() >= cost || refused.get() > before + 20);
+    }
+
+    private void awaitRefusals() {
+        int before = refused.get();
+        WorkObserver.await("refusals BUDGET_EXHAUSTED", () -> refused.get() >= before + 20);
+    }
+
+    private int countSpent() {
+        int executed = 0;
+        for (Deployment.VmProcess vm : deployment.vms().values()) {
+            for (JsonNode entry : deployment.readJournal(vm.target())) {
+                boolean isCharge = entry.path("path").asText().contains("checkout");
+                executed += entry.path("event").asText().equals("EXECUTE") && isCharge ? 1 : 0;
+            }
+        }
+        return executed * COST;
+    }
+
+    private void callUntilEnd(int index) {
+        while (!ends.get()) {
+            try {
+                Http.Answer answer = call(index);
+                if (answer.status() == 200) {
+                    whole.incrementAndGet();
+                } else if (answer.json().path("code").asText().equals("BUDGET_EXHAUSTED")) {
+                    refused.incrementAndGet();
+                    Thread.sleep(20);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            } catch (RuntimeException e) {
+                // The entry is down at the moment; the next call goes to it again.
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    private Http.Answer call(int index) {
+        String caller = deployment.entry(index).caller();
+        String id = deployment.http().createRequestId(caller, "bestellung");
+        return deployment.http().call(caller, "bestellung/checkout", id, 2_000);
+    }
+}
--- /dev/null
+++ b/it/src/test/java/org/fulmarreach/it/WorkPlacementTest.java
@@ -0,0 +1,167 @@
+package org.fulmarreach.it;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards against a run that is executed in two places, and against standing work that stays ended, while leaders,
+ * guards, VMs and the store fail under a load of short batch runs (I2, I11). The worker lease is longer than a grant,
+ * so that only the end of the grant bounds an execution whose guard is paused.
+ */
+class WorkPlacementTest {
+    private static final List<String> STANDING = List.of("watch-0", "watch-1", "watch-2", "watch-3");
+    private static final long OUTAGE_MS = 30_000;
+
+    private static List<String> rules() {
+        List<String> lines = new ArrayList<>();
+        for (String name : STANDING) {
+            lines.add("standing " + name + " region=sued cores=1 memory=1G task=run:forever # kreidekiste: Jonas");
+        }
+        for (int i = 0; i < 3; i++) {
+            lines.add("batch build-" + i + " region=sued every=3s at=" + i + "s within=3s runtime=1s cores=1 memory=1G"
+                    + " task=run:1s # kreidekiste: Jonas");
+        }
+        return lines;
+    }
+
+    private static Deployment startLoaded() {
+        Deployment deployment =
+                Deployment.start(DeploymentPlan.small(2).withProxy().withGuardArgs("--worker-lease-ms", "20000"));
+        deployment.publish(rules());
+        WorkObserver work = new WorkObserver(deployment);
+        work.awaitStanding(STANDING);
+        work.awaitNewBatch();
+        return deployment;
+    }
+
+    private static void requireRecovered(WorkObserver work, String fault) {
+        work.awaitStanding(STANDING);
+        work.awaitNewBatch();
+        assertEquals(List.of(), work.findViolations(), fault);
+        assertEquals(List.of(), work.findInvariantEvents(), fault);
+    }
+
+    @Test
+    void keepsOnePlaceWhileLeadersAndTheStoreFail() {
+        try (Deployment deployment = startLoaded()) {
+            WorkObserver work = new WorkObserver(deployment);
+            killLeader(deployment, work);
+            pauseLeaderPastItsLease(work);
+            cutLeaderOneWay(deployment, work);
+            loseAppendAnswers(deployment, work);
+            keepStandingWorkThroughOutage(deployment, work);
+            takeOverAcrossOutage(deployment, work);
+        }
+    }
+
+    @Test
+    void keepsOnePlaceWhileGuardsAndVmsFail() {
+        try (Deployment deployment = startLoaded()) {
+            WorkObserver work = new WorkObserver(deployment);
+            restartGuardWithoutMemory(deployment, work);
+            pauseGuardPastItsGrant(deployment, work);
+            killVmAndLeader(deployment, work);
+        }
+    }
+
+    private static void killLeader(Deployment deployment, WorkObserver work) {
+        Deployment.EntryProcess leader = work.awaitLeader();
+        Deployment.EntryProcess other = work.findOther(leader);
+        long term = work.findLease(other).path("term").asLong();
+        leader.process().kill();
+        work.awaitNewTerm(other, term);
+        requireRecovered(work, "leader killed");
+        deployment.restartEntry(leader.name());
+    }
+
+    private static void pauseLeaderPastItsLease(WorkObserver work) {
+        Deployment.EntryProcess leader = work.awaitLeader();
+        Deployment.EntryProcess other = work.findOther(leader);
+        long term = work.findLease(other).path("term").asLong();
+        leader.process().pause();
+        work.awaitNewTerm(other, term);
+        leader.process().resume();
+        requireRecovered(work, "leader paused and resumed");
+    }
+
+    private static void cutLeaderOneWay(Deployment deployment, WorkObserver work) {
+        Deployment.EntryProcess leader = work.awaitLeader();
+        long cutMs = System.currentTimeMillis();
+        deployment.controlProxy(leader.name(), "{\"direction\":\"down\",\"drop\":true}");
+        // Grants end 10 s after the cut; the leader learns nothing until the cut ends.
+        WorkObserver.await(
+                "the end of the grants of the leader that was cut off",
+                () -> work.findStops(STANDING, cutMs).size() >= STANDING.size());
+        deployment.controlProxy(leader.name(), "{\"direction\":\"down\",\"drop\":false}");
+        requireRecovered(work, "leader cut off one way");
+    }
+
+    private static void loseAppendAnswers(Deployment deployment, WorkObserver work) {
+        deployment.controlStore("{\"loseAnswersShare\":0.5}");
+        work.awaitNewBatch();
+        work.awaitNewBatch();
+        deployment.controlStore("{\"loseAnswersShare\":0}");
+        requireRecovered(work, "answers of appends lost");
+    }
+
+    private static void keepStandingWorkThroughOutage(Deployment deployment, WorkObserver work) {
+        work.awaitLeader();
+        long fromMs = System.currentTimeMillis();
+        deployment.controlStore("{\"outage\":\"refuse\"}");
+        WorkObserver.await("30 s of outage", () -> System.currentTimeMillis() >= fromMs + OUTAGE_MS);
+        assertEquals(List.of(), work.findStops(STANDING, fromMs), "standing work stopped in an outage of the store");
+        deployment.controlStore("{\"outage\":\"none\"}");
+        requireRecovered(work, "store outage");
+        assertEquals(List.of(), work.findStops(STANDING, fromMs), "standing work stopped after the outage");
+    }
+
+    private static void takeOverAcrossOutage(Deployment deployment, WorkObserver work) {
+        Deployment.EntryProcess leader = work.awaitLeader();
+        Deployment.EntryProcess other = work.findOther(leader);
+        long term = work.findLease(other).path("term").asLong();
+        deployment.controlStore("{\"outage\":\"hang\"}");
+        long fromMs = System.currentTimeMillis();
+        leader.process().kill();
+        WorkObserver.await(
+                "the end of the grants without leader and store",
+                () -> work.findStops(STANDING, fromMs).size() >= STANDING.size());
+        deployment.controlStore("{\"outage\":\"none\"}");
+        work.awaitNewTerm(other, term);
+        requireRecovered(work, "takeover across an outage");
+        deployment.restartEntry(leader.name());
+        assertTrue(work.awaitLeader().process().isAlive());
+    }
+
+    private static void restartGuardWithoutMemory(Deployment deployment, WorkObserver work) {
+        String vm = work.findVm(STANDING.get(0));
+        deployment.vms().get(vm).guard().kill();
+        deployment.restartGuard(vm);
+        requireRecovered(work, "guard restarted without memory");
+    }
+
+    private static void pauseGuardPastItsGrant(Deployment deployment, WorkObserver work) {
+        String vm = work.findVm(STANDING.get(0));
+        Deployment.VmProcess paused = deployment.vms().get(vm);
+        paused.guard().pause();
+        deployment.controlStore("{\"loseAnswersShare\":0.5}");
+        WorkObserver.await(
+                "the work to run on another VM",
+                () -> work.findRunning(STANDING.get(0)).stream().anyMatch(place -> !place.startsWith(vm + ":")));
+        deployment.controlStore("{\"loseAnswersShare\":0}");
+        paused.guard().resume();
+        requireRecovered(work, "guard paused past its grant while answers of appends are lost");
+    }
+
+    private static void killVmAndLeader(Deployment deployment, WorkObserver work) {
+        Deployment.EntryProcess leader = work.awaitLeader();
+        work.killVm(work.findVm(STANDING.get(0)));
+        leader.process().kill();
+        requireRecovered(work, "VM and leader killed");
+        deployment.restartEntry(leader.name());
+    }
+}
