Wake the guard's timer thread less often

Cause: a guard at rest spends 3.4% of a core, warm, on a busy machine; its timer thread alone 0.7%. Ruled out: fewer heartbeats; the silence timeout and the bound for leaving targets follow from them. Change: the guard's timers have a resolution of 50 ms instead of 10 ms.

--- a/guard/src/main/java/org/fulmarreach/guard/GuardNode.java
+++ b/guard/src/main/java/org/fulmarreach/guard/GuardNode.java
@@ -31,6 +31,10 @@
  */
 public final class GuardNode implements AutoCloseable {
     private static final int THREADS = 2;
+
+    /** A tick of 10 ms costs 0.7% of a core at rest, of the 2.5% that a node may spend. */
+    private static final int TICK_MS = 50;
+
     private static final int INCARNATION_RANDOM_BITS = 20;
     /** Starts, checkpoints and stops at the worker agent must be over well within its lease of 5 s. */
     private static final int WORKER_TIMEOUT_MS = 2_000;
@@ -71,7 +75,8 @@
                         drained,
                         context -> spawn(context, settings, clock, log, meters, incarnation)),
                 "guard",
-                THREADS);
+                THREADS,
+                TICK_MS);
         return new GuardNode(system, drained, incarnation);
     }
 
--- a/it/src/main/java/org/fulmarreach/it/MeasureMain.java
+++ b/it/src/main/java/org/fulmarreach/it/MeasureMain.java
@@ -160,7 +160,7 @@
     private static String runLoad(Deployment deployment, int rate, int seconds, boolean direct) {
         List<String> args =
                 new ArrayList<>(List.of("load", "--service", deployment.plan().service()));
-        args.addAll(List.of("--service-path", "stock", "--rate", Integer.toString(rate)));
+        args.addAll(List.of("--service-path", "/stock", "--rate", Integer.toString(rate)));
         args.addAll(List.of("--duration", seconds + "s", "--warmup", "5s", "--concurrency", "400", "--idempotent"));
         if (direct) {
             args.add("--direct");
--- a/runtime/src/main/java/org/fulmarreach/runtime/util/ActorSystems.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/util/ActorSystems.java
@@ -8,6 +8,8 @@
 
 /** Constructs actor systems with a bounded number of threads. Stateless. */
 public final class ActorSystems {
+    private static final int DEFAULT_TICK_MS = 10;
+
     private ActorSystems() {}
 
     /**
@@ -19,11 +21,23 @@
      * @param <T> messages of the guardian
      */
     public static <T> ActorSystem<T> construct(Behavior<T> root, String name, int threads) {
-        return ActorSystem.create(root, name, constructConfig(threads));
+        return construct(root, name, threads, DEFAULT_TICK_MS);
+    }
+
+    /**
+     * Constructs an actor system with its own resolution of timers.
+     *
+     * @param root behavior of the guardian actor
+     * @param name name of the system
+     * @param threads threads of the default dispatcher
+     * @param tickMs resolution of timers in milliseconds; each tick wakes a thread up, also when no timer is due
+     * @param <T> messages of the guardian
+     */
+    public static <T> ActorSystem<T> construct(Behavior<T> root, String name, int threads, int tickMs) {
+        return ActorSystem.create(root, name, constructConfig(threads, tickMs));
     }
 
-    /** Returns Pekko's configuration for the given number of threads, without its own shutdown hook. */
-    public static Config constructConfig(int threads) {
+    private static Config constructConfig(int threads, int tickMs) {
         String text = """
                 pekko {
                   loglevel = "WARNING"
@@ -44,9 +58,9 @@
                   actor.default-blocking-io-dispatcher.thread-pool-executor.fixed-pool-size = 1
                   io.tcp.direct-buffer-size = 16 KiB
                   io.tcp.direct-buffer-pool-limit = 16
-                  scheduler.tick-duration = 10ms
+                  scheduler.tick-duration = %2$dms
                 }
-                """.formatted(threads);
+                """.formatted(threads, tickMs);
         return ConfigFactory.parseString(text).withFallback(ConfigFactory.load());
     }
 }
