Split the task table and the agent's orders from GuardTasks

The table is now HeldTasks and the orders are WorkerOrders, both package-private and owned by GuardTasks. Splitting off only the handling of the agent's list was ruled out, since its order of stops depends on calls into the other parts. Statements run in the same order as before, so behaviour is the same. Marking a task as stopping has moved to HeldTask, next to finish.

--- a/core/src/main/java/org/fulmarreach/core/work/GuardTasks.java
+++ b/core/src/main/java/org/fulmarreach/core/work/GuardTasks.java
@@ -1,6 +1,5 @@
 package org.fulmarreach.core.work;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -29,30 +28,21 @@
     /** A grant is never longer than this, whatever the message says; leaders rely on it for takeovers. */
     public static final long MAX_GRANT_MS = 10_000;
 
-    private static final long RENEW_INTERVAL_MS = 1_000;
-    private static final long STOP_RETRY_MS = 1_000;
-    /** Far longer than a start can be under way, so that a late start of a forgotten id is refused by its age. */
-    private static final long TOMBSTONE_MS = 60_000;
     /** Bound of a start at the agent and its lease: an unclear start that is not listed after this has not run. */
     private static final long UNCLEAR_START_MS = 8_000;
 
     private static final int FAILED_STARTS_UNTIL_FAILING = 3;
 
     private final long incarnation;
-    private final int workerLeaseMs;
     private final TaskAdmission admission;
-    private final Map<TaskId, HeldTask> tasks = new LinkedHashMap<>();
-    private final Map<TaskId, Long> tombstones = new LinkedHashMap<>();
+    private final HeldTasks tasks;
+    private final WorkerOrders orders;
     private final Map<String, Long> terms = new HashMap<>();
     private final Map<TaskId, Runnable> ordersBeforeList = new LinkedHashMap<>();
-    private List<TaskAction> actions = new ArrayList<>();
     private boolean listed;
     private boolean leaving;
     private int failedStarts;
 
-    /** A run of a work, whose epochs must not overlap. */
-    private record Run(String work, long run) {}
-
     /**
      * Constructs the state of a guard that knows nothing yet.
      *
@@ -62,8 +52,9 @@
      */
     public GuardTasks(long incarnation, int workerLeaseMs, TaskAdmission admission) {
         this.incarnation = incarnation;
-        this.workerLeaseMs = workerLeaseMs;
         this.admission = admission;
+        this.tasks = new HeldTasks(admission);
+        this.orders = new WorkerOrders(tasks, workerLeaseMs);
     }
 
     /*
@@ -76,17 +67,17 @@
         if (!acceptTerm(order.shard(), order.term())) {
             return false;
         }
-        if (order.incarnation() != incarnation || tasks.containsKey(order.task())) {
+        if (order.incarnation() != incarnation || tasks.contains(order.task())) {
             return true;
         }
         if (!listed) {
             String reason = "WORKER_FAILED: the worker agent has not been listed yet";
-            ordersBeforeList.putIfAbsent(order.task(), () -> refuseIfAbsent(order.shard(), order.task(), reason));
+            ordersBeforeList.putIfAbsent(order.task(), () -> tasks.refuseIfAbsent(order.shard(), order.task(), reason));
             return true;
         }
         Optional<String> obstacle = findObstacle(order, nowMs);
         if (obstacle.isPresent()) {
-            refuse(order.shard(), order.task(), obstacle.get());
+            tasks.refuse(order.shard(), order.task(), obstacle.get());
             return true;
         }
         HeldTask held = new HeldTask(order.task(), order.shard(), GuardTaskPhase.STARTING);
@@ -95,10 +86,9 @@
         held.startPending = true;
         held.startSentMs = nowMs;
         held.renewSentMs = nowMs;
-        tasks.put(order.task(), held);
-        requireSingleEpochs();
-        actions.add(new TaskAction.Start(
-                order.task(), leaseWithinGrant(held, nowMs), order.size(), order.command(), order.checkpoint()));
+        tasks.add(held);
+        tasks.requireSingleEpochs();
+        orders.start(held, order, nowMs);
         return true;
     }
 
@@ -112,7 +102,7 @@
             return true;
         }
         for (TaskId task : renewed) {
-            HeldTask held = tasks.get(task);
+            HeldTask held = tasks.find(task);
             if (held != null && held.isLive()) {
                 held.grantEndMs = Math.max(held.grantEndMs, grantEndMs(tickEchoMs, leaseMs));
                 held.shard = shard;
@@ -133,7 +123,7 @@
             return true;
         }
         applyStop(shard, task, withCheckpoint);
-        sendStops(nowMs);
+        orders.sendStops(nowMs);
         return true;
     }
 
@@ -143,13 +133,7 @@
         if (!acceptTerm(shard, term)) {
             return false;
         }
-        for (TaskId task : acknowledged) {
-            HeldTask held = tasks.get(task);
-            if (held != null && held.phase.isFinal()) {
-                tasks.remove(task);
-                tombstones.put(task, nowMs + TOMBSTONE_MS);
-            }
-        }
+        acknowledged.forEach(task -> tasks.forget(task, nowMs));
         return true;
     }
 
@@ -164,11 +148,11 @@
         checkGrants(nowMs);
         leaving = newLeaving;
         if (leaving) {
-            tasks.values().stream()
+            tasks.all().stream()
                     .filter(held -> !held.phase.isFinal())
-                    .forEach(held -> markStopping(held, "LEAVING", true));
+                    .forEach(held -> held.markStopping("LEAVING", true));
         }
-        sendStops(nowMs);
+        orders.sendStops(nowMs);
     }
 
     /*
@@ -179,7 +163,7 @@
     public void noteStarted(TaskId task, long nowMs) {
         checkGrants(nowMs);
         failedStarts = 0;
-        HeldTask held = tasks.get(task);
+        HeldTask held = tasks.find(task);
         if (held == null || !held.startPending) {
             return;
         }
@@ -189,23 +173,23 @@
         if (held.phase == GuardTaskPhase.STARTING) {
             held.phase = GuardTaskPhase.RUNNING;
         }
-        sendStops(nowMs);
+        orders.sendStops(nowMs);
     }
 
     /** Notes that the agent refused to start a task, which never runs under this id. */
     public void noteStartFailed(TaskId task, String reason, long nowMs) {
         checkGrants(nowMs);
         failedStarts++;
-        HeldTask held = tasks.get(task);
+        HeldTask held = tasks.find(task);
         if (held != null && held.startPending) {
-            end(held, GuardTaskPhase.FAILED, reason);
+            tasks.end(held, GuardTaskPhase.FAILED, reason);
         }
     }
 
     /** Notes that the outcome of a start is not known; later lists decide it. */
     public void noteStartUnclear(TaskId task, long nowMs) {
         checkGrants(nowMs);
-        HeldTask held = tasks.get(task);
+        HeldTask held = tasks.find(task);
         if (held != null && held.startPending) {
             held.startUnclear = true;
         }
@@ -219,7 +203,7 @@
      */
     public void noteStopped(TaskId task, String checkpoint, long nowMs) {
         checkGrants(nowMs);
-        HeldTask held = tasks.get(task);
+        HeldTask held = tasks.find(task);
         if (held == null || held.phase != GuardTaskPhase.STOPPING) {
             return;
         }
@@ -227,13 +211,13 @@
             throw new InvariantViolationException("I2: no stop of " + task + " that proves its end is under way");
         }
         held.checkpoint = checkpoint == null ? held.checkpoint : checkpoint;
-        end(held, GuardTaskPhase.STOPPED, null);
+        tasks.end(held, GuardTaskPhase.STOPPED, null);
     }
 
     /** Notes that a stop could not be confirmed; it is repeated. */
     public void noteStopFailed(TaskId task, long nowMs) {
         checkGrants(nowMs);
-        HeldTask held = tasks.get(task);
+        HeldTask held = tasks.find(task);
         if (held != null) {
             held.stopPending = false;
         }
@@ -256,7 +240,7 @@
                 applyEnded(agentTask, nowMs);
             }
         }
-        for (HeldTask held : List.copyOf(tasks.values())) {
+        for (HeldTask held : List.copyOf(tasks.all())) {
             if (!running.contains(held.task)) {
                 applyMissing(held, askedMs);
             }
@@ -266,7 +250,7 @@
             ordersBeforeList.values().forEach(Runnable::run);
             ordersBeforeList.clear();
         }
-        sendStops(nowMs);
+        orders.sendStops(nowMs);
     }
 
     /*
@@ -276,28 +260,19 @@
     /** Stops tasks whose grants lapsed, and renews those that are due. Called several times a second. */
     public void tick(long nowMs) {
         checkGrants(nowMs);
-        tombstones.values().removeIf(untilMs -> untilMs <= nowMs);
-        tasks.values().removeIf(held -> held.phase.isFinal() && held.dropAtMs <= nowMs);
-        for (HeldTask held : tasks.values()) {
-            boolean due = nowMs - held.renewSentMs >= RENEW_INTERVAL_MS;
-            if (held.phase == GuardTaskPhase.RUNNING && held.grantEndMs != HeldTask.NO_GRANT && due) {
-                held.renewSentMs = nowMs;
-                actions.add(new TaskAction.Renew(held.task, leaseWithinGrant(held, nowMs)));
-            }
-        }
-        sendStops(nowMs);
+        tasks.dropOutdated(nowMs);
+        orders.sendRenewals(nowMs);
+        orders.sendStops(nowMs);
     }
 
     /** Returns what must be done at the worker agent since the last call, in order. */
     public List<TaskAction> takeActions() {
-        List<TaskAction> taken = actions;
-        actions = new ArrayList<>();
-        return taken;
+        return orders.takeActions();
     }
 
     /** Returns all tasks: live ones, and final states that are not acknowledged. */
     public List<GuardTaskView> views() {
-        return tasks.values().stream()
+        return tasks.all().stream()
                 .map(held -> held.view(terms.getOrDefault(held.shard, 0L)))
                 .toList();
     }
@@ -309,7 +284,7 @@
 
     /** Tells whether all tasks have ended and the leaders have acknowledged those that they know to be here. */
     public boolean isDrained() {
-        return tasks.values().stream().allMatch(held -> held.phase.isFinal() && held.shard.isEmpty());
+        return tasks.all().stream().allMatch(held -> held.phase.isFinal() && held.shard.isEmpty());
     }
 
     /** Tells whether the worker agent has been listed in this incarnation. */
@@ -322,12 +297,8 @@
      */
 
     private void checkGrants(long nowMs) {
-        for (HeldTask held : tasks.values()) {
-            if (held.isLive() && held.grantEndMs != HeldTask.NO_GRANT && held.grantEndMs <= nowMs) {
-                markStopping(held, "GRANT_LAPSED", false);
-            }
-        }
-        sendStops(nowMs);
+        tasks.stopLapsed(nowMs);
+        orders.sendStops(nowMs);
     }
 
     private boolean acceptTerm(String shard, long term) {
@@ -341,7 +312,7 @@
 
     private Optional<String> findObstacle(StartOrder order, long nowMs) {
         long ageMs = nowMs - order.tickEchoMs();
-        if (tombstones.containsKey(order.task())) {
+        if (tasks.isForgotten(order.task())) {
             return Optional.of("REFUSED_EARLIER");
         }
         if (ageMs < 0 || ageMs > MAX_START_AGE_MS || grantEndMs(order.tickEchoMs(), order.leaseMs()) <= nowMs) {
@@ -350,10 +321,10 @@
         if (leaving) {
             return Optional.of("LEAVING");
         }
-        Optional<HeldTask> other = findLive(order.task());
+        Optional<HeldTask> other = tasks.findLive(order.task());
         if (other.isPresent()) {
             stopOlderEpoch(other.get(), order.task());
-            sendStops(nowMs);
+            orders.sendStops(nowMs);
             return Optional.of("EPOCH_LIVE: epoch " + other.get().task.epoch() + " has not ended");
         }
         return switch (admission.admit(order.task(), order.size(), nowMs)) {
@@ -363,75 +334,33 @@
         };
     }
 
-    private Optional<HeldTask> findLive(TaskId task) {
-        for (HeldTask held : tasks.values()) {
-            boolean sameRun = held.task.run() == task.run() && held.task.work().equals(task.work());
-            if (sameRun && !held.phase.isFinal()) {
-                return Optional.of(held);
-            }
-        }
-        return Optional.empty();
-    }
-
     private static void stopOlderEpoch(HeldTask held, TaskId task) {
         if (held.task.epoch() < task.epoch()) {
-            markStopping(held, "EPOCH_SUPERSEDED", false);
-        }
-    }
-
-    private void refuse(String shard, TaskId task, String reason) {
-        HeldTask refused = new HeldTask(task, shard, GuardTaskPhase.REFUSED);
-        refused.reason = reason;
-        tasks.put(task, refused);
-    }
-
-    private void refuseIfAbsent(String shard, TaskId task, String reason) {
-        if (!tasks.containsKey(task)) {
-            refuse(shard, task, reason);
+            held.markStopping("EPOCH_SUPERSEDED", false);
         }
     }
 
     private void applyStop(String shard, TaskId task, boolean withCheckpoint) {
-        HeldTask held = tasks.get(task);
+        HeldTask held = tasks.find(task);
         if (held == null) {
-            refuse(shard, task, "STOPPED_BEFORE_START");
+            tasks.refuse(shard, task, "STOPPED_BEFORE_START");
             return;
         }
         if (!held.phase.isFinal()) {
             held.shard = shard;
-            markStopping(held, withCheckpoint ? "EVICTED" : "STOPPED", withCheckpoint);
-        }
-    }
-
-    private static void markStopping(HeldTask held, String reason, boolean withCheckpoint) {
-        if (held.phase != GuardTaskPhase.STOPPING) {
-            held.phase = GuardTaskPhase.STOPPING;
-            held.reason = reason;
-            held.stopWithCheckpoint = withCheckpoint;
-        }
-    }
-
-    /** A start under way may overtake a stop, so a stop sent before the start was answered is sent again after it. */
-    private void sendStops(long nowMs) {
-        for (HeldTask held : tasks.values()) {
-            boolean due = held.stopSentMs == HeldTask.NEVER || nowMs - held.stopSentMs >= STOP_RETRY_MS;
-            if (held.phase == GuardTaskPhase.STOPPING && !held.stopPending && due) {
-                held.stopSentMs = nowMs;
-                held.stopPending = !held.startPending;
-                actions.add(new TaskAction.Stop(held.task, held.stopWithCheckpoint, !held.startPending));
-            }
+            held.markStopping(withCheckpoint ? "EVICTED" : "STOPPED", withCheckpoint);
         }
     }
 
     private void applyRunning(AgentTask agentTask, long nowMs) {
-        HeldTask held = tasks.get(agentTask.task());
+        HeldTask held = tasks.find(agentTask.task());
         if (held == null || held.phase.isFinal()) {
             if (listed) {
                 // A start that arrived after it had been given up on; its lease is not renewed either.
-                actions.add(new TaskAction.Stop(agentTask.task(), false, false));
+                orders.stopUnknown(agentTask.task());
                 return;
             }
-            held = adopt(agentTask, nowMs);
+            held = tasks.adopt(agentTask, nowMs);
         }
         held.used = agentTask.used();
         held.usageLagMs = agentTask.lagMs();
@@ -445,75 +374,33 @@
         }
     }
 
-    private HeldTask adopt(AgentTask agentTask, long nowMs) {
-        HeldTask held = new HeldTask(agentTask.task(), "", GuardTaskPhase.RUNNING);
-        findLive(held.task).ifPresent(other -> {
-            boolean otherIsOlder = other.task.epoch() < held.task.epoch();
-            markStopping(otherIsOlder ? other : held, "EPOCH_SUPERSEDED", false);
-        });
-        tasks.put(held.task, held);
-        admission.adopt(held.task, agentTask.used(), nowMs);
-        return held;
-    }
-
     private void applyEnded(AgentTask agentTask, long nowMs) {
-        HeldTask held = tasks.get(agentTask.task());
+        HeldTask held = tasks.find(agentTask.task());
         // A stop under way brings the checkpoint with its answer.
         boolean awaitsStop = held != null && held.stopPending && agentTask.phase() == GuardTaskPhase.STOPPED;
         if (held == null && !listed && agentTask.phase() != GuardTaskPhase.STOPPED) {
-            adoptEnded(agentTask, nowMs);
+            tasks.adoptEnded(agentTask, nowMs);
         } else if (held != null && !held.phase.isFinal() && !awaitsStop) {
             if (held.startPending && agentTask.phase() == GuardTaskPhase.FAILED) {
                 failedStarts++;
             }
-            end(held, agentTask.phase(), agentTask.reason());
+            tasks.end(held, agentTask.phase(), agentTask.reason());
         }
     }
 
-    /** The earlier incarnation may not have reported the end; its leader may have forgotten it, so it is dropped. */
-    private void adoptEnded(AgentTask agentTask, long nowMs) {
-        HeldTask held = new HeldTask(agentTask.task(), "", agentTask.phase());
-        held.reason = agentTask.reason();
-        held.dropAtMs = nowMs + TOMBSTONE_MS;
-        tasks.put(held.task, held);
-    }
-
     private void applyMissing(HeldTask held, long askedMs) {
         // The agent may have made the list before it got the start, unless the start had been answered by then.
         if (held.phase == GuardTaskPhase.RUNNING && held.runningSinceMs < askedMs) {
-            end(held, GuardTaskPhase.STOPPED, "LOST: the worker agent does not know the task");
+            tasks.end(held, GuardTaskPhase.STOPPED, "LOST: the worker agent does not know the task");
         }
         if (held.startUnclear && askedMs - held.startSentMs >= UNCLEAR_START_MS) {
             failedStarts++;
-            end(held, GuardTaskPhase.FAILED, "WORKER_FAILED: the start was not answered and the task does not run");
+            tasks.end(
+                    held, GuardTaskPhase.FAILED, "WORKER_FAILED: the start was not answered and the task does not run");
         }
     }
 
-    private void end(HeldTask held, GuardTaskPhase phase, String reason) {
-        held.finish(phase, reason);
-        held.startUnclear = false;
-        admission.release(held.task);
-    }
-
     private static long grantEndMs(long tickEchoMs, int leaseMs) {
         return tickEchoMs + Math.min(leaseMs, MAX_GRANT_MS);
     }
-
-    /** The lease at the agent ends with the grant at the latest, apart from the time that the call travels. */
-    private int leaseWithinGrant(HeldTask held, long nowMs) {
-        if (held.grantEndMs == HeldTask.NO_GRANT || held.grantEndMs <= nowMs) {
-            throw new InvariantViolationException(
-                    "I2: " + held.task + " would be renewed past its grant, " + (nowMs - held.grantEndMs) + " ms late");
-        }
-        return (int) Math.min(workerLeaseMs, held.grantEndMs - nowMs);
-    }
-
-    private void requireSingleEpochs() {
-        Set<Run> live = new HashSet<>();
-        for (HeldTask held : tasks.values()) {
-            if (held.isLive() && !live.add(new Run(held.task.work(), held.task.run()))) {
-                throw new InvariantViolationException("I2: two live epochs of " + held.task);
-            }
-        }
-    }
 }
--- a/core/src/main/java/org/fulmarreach/core/work/HeldTask.java
+++ b/core/src/main/java/org/fulmarreach/core/work/HeldTask.java
@@ -3,7 +3,7 @@
 import org.fulmarreach.core.model.Resources;
 import org.fulmarreach.core.model.TaskId;
 
-/** Present state of one task at the guard; changed by {@link GuardTasks} only. */
+/** Present state of one task at the guard; changed by {@link GuardTasks} and its parts only. */
 final class HeldTask {
     /** End of the grant of a task that no leader of this incarnation has granted. */
     static final long NO_GRANT = Long.MIN_VALUE;
@@ -38,6 +38,15 @@
         return phase == GuardTaskPhase.RUNNING || phase == GuardTaskPhase.STARTING;
     }
 
+    /** Marks the task to be stopped; the reason and mode of an earlier mark stay. */
+    void markStopping(String why, boolean withCheckpoint) {
+        if (phase != GuardTaskPhase.STOPPING) {
+            phase = GuardTaskPhase.STOPPING;
+            reason = why;
+            stopWithCheckpoint = withCheckpoint;
+        }
+    }
+
     void finish(GuardTaskPhase finalPhase, String why) {
         phase = finalPhase;
         reason = why == null || why.isEmpty() ? reason : why;
