Split dispatching and final answers from CallRouter

Both are package-private, and calls go one way, from router to dispatcher to pending calls. Splitting off only the queues was ruled out: placing a call and giving it up call each other, so the router would have stayed above 500 lines. Statements and the draws of random numbers keep their order, so behaviour is the same.

--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/CallDispatcher.java
@@ -0,0 +1,299 @@
+package org.fulmarreach.entry.calls;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.fulmarreach.core.exc.ErrorCode;
+import org.fulmarreach.core.exc.Problem;
+import org.fulmarreach.core.exc.Result;
+import org.fulmarreach.core.request.RequestId;
+import org.fulmarreach.core.routing.Candidate;
+import org.fulmarreach.core.routing.TargetChooser;
+import org.fulmarreach.entry.guards.GuardDirectory;
+import org.fulmarreach.entry.guards.GuardSession;
+import org.fulmarreach.protocol.thrift.CallResult;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.util.MonotonicClock;
+
+/**
+ * Chooses the guard of each call and sends the call there, now or from a queue once a slot is free. Keeps the queues
+ * and the health of the targets of each service. Not thread-safe; owned by the router.
+ */
+final class CallDispatcher {
+    private static final int MAX_ATTEMPTS = 3;
+
+    private final GuardDirectory directory;
+    private final TargetChooser chooser;
+    private final int maxQueuedPerService;
+    private final RandomGenerator random;
+    private final MonotonicClock clock;
+    private final GuardMessenger messenger;
+    private final PendingCalls pending;
+    private final Map<String, ServiceState> services = new HashMap<>();
+    private int queued;
+
+    CallDispatcher(
+            GuardDirectory directory,
+            String zone,
+            int maxQueuedPerService,
+            RandomGenerator random,
+            MonotonicClock clock,
+            GuardMessenger messenger,
+            PendingCalls pending) {
+        this.directory = directory;
+        this.chooser = new TargetChooser(zone);
+        this.maxQueuedPerService = maxQueuedPerService;
+        this.random = random;
+        this.clock = clock;
+        this.messenger = messenger;
+        this.pending = pending;
+    }
+
+    /*
+     * Calls
+     */
+
+    /** Takes in a call that any target of its service may run. */
+    void submitFree(PendingCall call) {
+        serviceOf(call.request().service()).retries().recordCall();
+        place(call);
+    }
+
+    /** Takes in a call whose id is bound to one guard. */
+    void submitBound(PendingCall call) {
+        if (!(RequestId.parse(call.id()) instanceof Result.Ok<RequestId>(RequestId id))) {
+            pending.finishNotRun(call, Problem.of(ErrorCode.BAD_REQUEST, "malformed request id " + call.id()));
+            return;
+        }
+        GuardSession guard = directory.find(id.guardId()).orElse(null);
+        if (guard == null) {
+            pending.finish(
+                    call,
+                    new CallAnswer.Elsewhere(
+                            Problem.of(ErrorCode.GUARD_UNREACHABLE, "guard " + id.guardId() + " is not known here")
+                                    .withRetryAfterMs(CallProblems.DEFAULT_RETRY_AFTER_MS)));
+            return;
+        }
+        call.bind(guard, call.id());
+        if (guard.view().incarnation() > id.incarnation()) {
+            pending.finishUnknown(call, CallProblems.restarted(id));
+        } else if (!guard.isConnected() || guard.view().incarnation() < id.incarnation()) {
+            call.markDisconnected(Math.min(call.request().deadlineMs(), clock.nowMs() + CallRouter.GUARD_RETURN_MS));
+        } else if (call.refusal() != null) {
+            refuseAtGuard(call, call.refusal());
+        } else if (!guard.isReady()) {
+            refuseAtGuard(call, CallProblems.leaving(guard));
+        } else if (guard.load() < guard.slots()) {
+            send(call);
+        } else {
+            queueBound(call, guard);
+        }
+    }
+
+    /** Makes an id that is bound to one guard of the service. */
+    Result<String> mintId(String service) {
+        List<Candidate> candidates = findCandidates(service, null);
+        if (candidates.isEmpty()) {
+            return Result.err(CallProblems.noTarget(service));
+        }
+        // An id may be used much later, so that it is bound even when no slot is free now.
+        Candidate chosen =
+                chooser.choose(candidates, random).orElseGet(() -> candidates.get(random.nextInt(candidates.size())));
+        GuardSession guard = directory.find(chosen.id()).orElseThrow();
+        return Result.ok(RequestId.mintForCaller(
+                        chosen.id(), guard.view().incarnation(), guard.tickMs(), random.nextLong(), random.nextLong())
+                .format());
+    }
+
+    /** Sends a call to the guard that it is bound to. */
+    void send(PendingCall call) {
+        GuardSession guard = call.guard();
+        serviceOf(call.request().service()).recordSend(guard.view().guardId(), clock.nowMs());
+        guard.addOutstanding();
+        call.markSent(messenger.sendCall(guard, call));
+    }
+
+    /** Asks the guard of a call to refuse it; the problem is the answer once it has. */
+    void refuseAtGuard(PendingCall call, Problem problem) {
+        call.markRefusing(messenger.sendResolve(call.guard(), call, true), problem);
+    }
+
+    /** Sends a call to another target if it may run there; tells whether it was taken care of. */
+    boolean tryMove(PendingCall call) {
+        boolean inTime = clock.nowMs() < call.request().deadlineMs();
+        if (!call.mayMove() || call.attempts() >= MAX_ATTEMPTS || !inTime) {
+            return false;
+        }
+        if (findCandidates(call.request().service(), call.guard()).isEmpty()
+                || !serviceOf(call.request().service()).retries().tryRetry()) {
+            return false;
+        }
+        place(call);
+        return true;
+    }
+
+    /**
+     * Queues a call that a full guard refused. It is sent again only when a slot is known to be free, so that this
+     * cannot multiply an overload as a retry could.
+     */
+    boolean tryWaitAgain(PendingCall call) {
+        ServiceState service = serviceOf(call.request().service());
+        int slots = service.knownSlots(directory);
+        boolean waits = call.mayMove()
+                && call.attempts() < MAX_ATTEMPTS
+                && slots > 0
+                && service.offerFree(call, slots, clock.nowMs());
+        if (waits) {
+            call.bind(null, "");
+            call.markQueued();
+            queued++;
+        }
+        return waits;
+    }
+
+    /*
+     * Queues and targets
+     */
+
+    /** Sends waiting calls while the guard has free slots. */
+    void drainQueues(GuardSession guard) {
+        ServiceState service = serviceOf(guard.view().service());
+        while (guard.isReady() && guard.load() < guard.slots()) {
+            Optional<PendingCall> next = service.pollBound(guard.view().guardId());
+            if (next.isPresent()) {
+                queued--;
+                send(next.get());
+                continue;
+            }
+            Optional<PendingCall> free = service.pollFree();
+            if (free.isEmpty()) {
+                return;
+            }
+            queued--;
+            place(free.get());
+            if (free.get().phase() == PendingCall.Phase.QUEUED) {
+                return;
+            }
+        }
+    }
+
+    /** Takes the calls that are bound to a guard out of its queue. */
+    List<PendingCall> drainBound(GuardSession guard) {
+        List<PendingCall> waiting =
+                serviceOf(guard.view().service()).drainBound(guard.view().guardId());
+        queued -= waiting.size();
+        return waiting;
+    }
+
+    /** Gives up waiting calls that would be late. */
+    void expireQueues(long nowMs) {
+        for (ServiceState service : services.values()) {
+            List<PendingCall> late = service.expire(nowMs);
+            queued -= late.size();
+            late.forEach(call -> giveUpQueued(call, service));
+        }
+    }
+
+    int countQueued() {
+        return queued;
+    }
+
+    void recordResult(String service, GuardSession guard, CallResult result, EventLog log) {
+        serviceOf(service).recordResult(guard.view().guardId(), result, clock.nowMs(), log);
+    }
+
+    void refreshTargets(String service) {
+        serviceOf(service).retainTargets(directory, service);
+    }
+
+    boolean isTarget(GuardSession guard) {
+        return serviceOf(guard.view().service()).isTarget(guard.view().guardId());
+    }
+
+    boolean isEjected(GuardSession guard) {
+        return !serviceOf(guard.view().service()).isAvailable(guard.view().guardId(), clock.nowMs());
+    }
+
+    /*
+     * Helpers
+     */
+
+    private void queueBound(PendingCall call, GuardSession guard) {
+        ServiceState service = serviceOf(guard.view().service());
+        call.markQueued();
+        if (service.offerBound(guard, call, clock.nowMs())) {
+            queued++;
+        } else {
+            refuseAtGuard(call, service.noCapacity(guard.view().guardId(), guard.slots()));
+        }
+    }
+
+    /** Sends a call to any target of its service, or queues it, or answers that there is no room. */
+    private void place(PendingCall call) {
+        String name = call.request().service();
+        List<Candidate> candidates = findCandidates(name, call.guard());
+        Optional<Candidate> chosen = chooser.choose(candidates, random);
+        ServiceState service = serviceOf(name);
+        if (chosen.isPresent()) {
+            GuardSession guard = directory.find(chosen.get().id()).orElseThrow();
+            call.bind(
+                    guard,
+                    RequestId.mintForOneCall(
+                                    chosen.get().id(),
+                                    guard.view().incarnation(),
+                                    guard.tickMs(),
+                                    random.nextLong(),
+                                    random.nextLong())
+                            .format());
+            send(call);
+        } else if (call.request().mayLeaveRegion() && call.attempts() == 0) {
+            pending.finish(call, new CallAnswer.Elsewhere(CallProblems.noTarget(name)));
+        } else if (candidates.isEmpty()) {
+            pending.finishNotRun(call, CallProblems.noTarget(name));
+        } else {
+            int slots = candidates.stream().mapToInt(Candidate::slots).sum();
+            call.markQueued();
+            if (service.offerFree(call, slots, clock.nowMs())) {
+                queued++;
+            } else {
+                pending.finishNotRun(call, service.noCapacity("", slots));
+            }
+        }
+    }
+
+    private List<Candidate> findCandidates(String service, GuardSession excluded) {
+        long nowMs = clock.nowMs();
+        ServiceState state = serviceOf(service);
+        List<Candidate> candidates = new ArrayList<>();
+        for (String guardId : state.targets()) {
+            GuardSession guard = directory.find(guardId).orElse(null);
+            if (guard != null
+                    && guard != excluded
+                    && guard.view().service().equals(service)
+                    && guard.isReady()
+                    && state.isAvailable(guardId, nowMs)) {
+                candidates.add(new Candidate(guardId, guard.view().vm().zone().name(), guard.slots(), guard.load()));
+            }
+        }
+        return candidates;
+    }
+
+    private void giveUpQueued(PendingCall call, ServiceState service) {
+        if (call.request().isBound()) {
+            refuseAtGuard(
+                    call,
+                    service.noCapacity(
+                            call.guard().view().guardId(), call.guard().slots()));
+        } else {
+            pending.finishNotRun(call, service.noCapacity("", service.knownSlots(directory)));
+        }
+    }
+
+    private ServiceState serviceOf(String name) {
+        return services.computeIfAbsent(name, key -> new ServiceState(maxQueuedPerService));
+    }
+}
