Exit with 0 after a planned stop

DrainCallsTest showed that a guard and an entry that had drained after SIGTERM ended with 143, although FulmardMain promises 0: a JVM whose shutdown hooks have run still reports the signal. A failed drain was ruled out, as all calls had their answers and the process was gone in time. The hook now ends the JVM with 0 when the drain is over, and with 1 when it was not over in its bound. Exit codes with trials of the same test: 143 before, 0 after, for entry and guard, under load and with slow answers. The exit code 1 was not tested.

--- a/daemon/src/main/java/org/fulmarreach/daemon/FulmardMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/FulmardMain.java
@@ -35,7 +35,7 @@
 /**
  * Main class of {@code fulmard}. Reads the settings, starts the role, prints one JSON line with its addresses on
  * standard output when it is ready, and drains on SIGTERM. Exit codes: 0 after a planned stop, 2 for wrong settings, 1
- * for a failed start.
+ * for a failed start or a planned stop that was not over in time.
  */
 public final class FulmardMain {
     private static final String VERSION = "0.1.0";
@@ -102,10 +102,12 @@
 
     private static void drain(RunningNode node, Settings settings, EventLog log) {
         long timeoutMs = settings.number(Setting.DRAIN_TIMEOUT_MS);
+        int exitCode = EXIT_FAILED;
         log.emit(RuntimeEvent.DRAINING, "timeoutMs", timeoutMs);
         try {
             node.drain().toCompletableFuture().get(timeoutMs, TimeUnit.MILLISECONDS);
             log.emit(RuntimeEvent.STOPPED);
+            exitCode = 0;
         } catch (TimeoutException e) {
             log.emit(RuntimeEvent.DRAIN_TIMEOUT, "timeoutMs", timeoutMs);
         } catch (ExecutionException e) {
@@ -114,6 +116,8 @@
             Thread.currentThread().interrupt();
         }
         node.close();
+        // After its hooks the JVM would exit with 143, the code of a process that SIGTERM has ended.
+        Runtime.getRuntime().halt(exitCode);
     }
 
     private static RunningNode startEntry(Settings settings, EventLog log) {
