Split leadership and the writing of batches from ShardLeader

The first is now Leadership and the second BatchWriter, both package-private and owned by ShardLeader. A class for claims alone was ruled out, since the own term and the fenced term belong to the same decision and would have had two owners. Actions keep their order, so behaviour is the same.

ShardWorldTest (7), ShardPolicyTest (1), ShardStateTest (5) and GuardTasksTest (8) pass, unchanged.

--- a/core/src/main/java/org/fulmarreach/core/work/ShardLeader.java
+++ b/core/src/main/java/org/fulmarreach/core/work/ShardLeader.java
@@ -14,60 +14,29 @@
  * actor of the shard.
  */
 public final class ShardLeader {
-    private static final int SNAPSHOT_RECORDS = 2_000;
-    private static final int MAX_DECISIONS = 2_000;
-
-    /** Step in the order of claims, so that entries seldom claim at the same moment. */
-    private static final long CLAIM_STEP_MS = 500;
-
-    private static final long CLAIM_RETRY_MS = 1_000;
-
     private static final long PRUNE_EVERY_MS = 60_000;
 
-    /** A gap between two ticks of this length means that the process was paused. */
-    private static final long PAUSE_MS = 1_500;
-
-    /** Time after a pause in which waiting heartbeats are handled before a silent guard counts as lost. */
-    private static final long PAUSE_GRACE_MS = 3_000;
-
     private final ShardId shard;
-    private final WorkTimes times;
     private final InvariantCheck invariants;
     private final ShardState fold;
     private final Scheduler scheduler;
     private final Lease lease;
-    private final Takeover takeover;
+    private final Leadership leadership;
     private final Outbox outbox;
     private final Peers peers;
     private final StoreHealth store = new StoreHealth();
     private final Map<String, GuardSlot> guards = new HashMap<>();
     private final Placements placements = new Placements();
     private final Map<RunKey, Long> startableFromMs = new HashMap<>();
-    private final Map<String, Long> claimsSentMs = new HashMap<>();
-    private final Map<RunKey, String> waiting = new HashMap<>();
     private final Cancellations cancels;
     private final GuardDialogue dialogue;
-    private final Releases releases;
+    private final BatchWriter batches;
     private List<Action> actions = new ArrayList<>();
 
     private boolean rulesKnown;
-    private long ownTerm = ShardState.NO_OFFSET;
-    private long fencedTerm = ShardState.NO_OFFSET;
     private boolean caughtUp;
-    private boolean resigning;
-    private boolean outage;
     private boolean noSnapshotReported;
-    private long sequence;
-    private long claims;
-    private long readsOkSinceMs = Placement.NEVER;
-    private long lastReadIssuedMs = Placement.NEVER;
-    private long acceptedSeenMs = Placement.NEVER;
-    private long claimedMs = Placement.NEVER;
-    private long tickedMs = Placement.NEVER;
     private long prunedMs = Placement.NEVER;
-    private long resumedMs = Placement.NEVER;
-    private long snapshotMs = Placement.NEVER;
-    private int recordsSinceSnapshot;
 
     /**
      * Constructs a follower.
@@ -80,18 +49,21 @@
      */
     public ShardLeader(ShardId shard, String zone, WorkTimes times, RandomGenerator random, InvariantCheck invariants) {
         this.shard = shard;
-        this.times = times;
         this.invariants = invariants;
         this.fold = new ShardState(invariants);
         this.scheduler = new Scheduler(shard, random);
         this.lease = new Lease(times);
-        this.takeover = new Takeover(times);
+        Takeover takeover = new Takeover(times);
         this.outbox = new Outbox(times);
         this.peers = new Peers(zone);
+        this.leadership = new Leadership(shard, times, fold, store, lease, takeover, peers, this::act);
         this.cancels = new Cancellations(shard, fold, scheduler, this::act);
         this.dialogue =
                 new GuardDialogue(shard, times, fold, scheduler, placements, startableFromMs, invariants, this::act);
-        this.releases = new Releases(times, fold, scheduler, takeover, guards, placements, startableFromMs, this::act);
+        Releases releases =
+                new Releases(times, fold, scheduler, takeover, guards, placements, startableFromMs, this::act);
+        this.batches = new BatchWriter(
+                times, fold, scheduler, leadership, outbox, cancels, releases, guards, placements, this::act);
     }
 
     // Inputs
@@ -113,21 +85,19 @@
      */
     public void onRead(long issuedMs, List<LoggedBatch> records, boolean atTail, long nowMs) {
         store.read(true, nowMs);
-        if (readsOkSinceMs == Placement.NEVER) {
-            readsOkSinceMs = issuedMs;
-        }
+        leadership.noteRead(issuedMs);
         for (LoggedBatch logged : records) {
             FoldOutcome outcome = fold.apply(logged.offset(), logged.batch());
-            recordsSinceSnapshot++;
+            batches.noteRecord();
             if (outcome instanceof FoldOutcome.Accepted accepted) {
                 if (!ShardState.isCancelRequest(logged.batch())) {
-                    acceptedSeenMs = nowMs;
+                    leadership.noteAccepted(nowMs);
                 }
                 onAccepted(logged, accepted, nowMs);
             }
         }
         if (records.isEmpty()) {
-            lastReadIssuedMs = issuedMs;
+            leadership.noteEmptyRead(issuedMs);
         }
         if (atTail) {
             caughtUp = fold.isSynchronized();
@@ -136,15 +106,13 @@
                 notify(WorkNotice.NO_SNAPSHOT, "first kept record without a snapshot after it");
             }
         }
-        if (acceptedSeenMs == Placement.NEVER) {
-            acceptedSeenMs = nowMs;
-        }
+        leadership.startSilence(nowMs);
     }
 
     /** Takes the failure of a read. */
     public void onReadFailed(long nowMs) {
         store.read(false, nowMs);
-        readsOkSinceMs = Placement.NEVER;
+        leadership.noteReadFailed();
     }
 
     /** Takes the answer that records from {@link #nextOffset()} on are not kept any more. */
@@ -205,28 +173,7 @@
 
     /** Takes a message of another entry about this shard. */
     public void onPeerMessage(String from, PeerMessage message, long nowMs) {
-        switch (message) {
-            case PeerMessage.ConfirmOutage ask -> {
-                // A witness that has not read the log since its start may have forgotten that it was fenced.
-                boolean lowest = ask.term() >= Math.max(fold.term(), fencedTerm);
-                boolean confirmed = store.isDown(nowMs) && caughtUp && lowest;
-                act(new Action.ToPeer(from, new PeerMessage.OutageAnswer(ask.term(), confirmed, ask.askedMs())));
-            }
-            case PeerMessage.OutageAnswer answer -> {
-                if (answer.confirmed() && answer.term() == ownTerm) {
-                    lease.confirm(from, answer.askedMs());
-                }
-            }
-            case PeerMessage.FenceLeader fence -> {
-                fencedTerm = Math.max(fencedTerm, fence.term());
-                act(new Action.ToPeer(from, new PeerMessage.FenceAnswer(fence.term(), true)));
-            }
-            case PeerMessage.FenceAnswer answer -> {
-                if (answer.acknowledged() && answer.term() == ownTerm) {
-                    takeover.acknowledge(from, nowMs);
-                }
-            }
-        }
+        leadership.onPeerMessage(from, message, caughtUp, nowMs);
     }
 
     /** Asks to cancel a work; the answer is an {@link Action.CancelAnswer}. */
@@ -241,7 +188,7 @@
 
     /** Resigns for a planned stop: grants nothing and claims nothing from now on. */
     public void resign() {
-        resigning = true;
+        leadership.resign();
         if (!isLeading()) {
             act(new Action.Resigned());
         }
@@ -254,10 +201,7 @@
      * @param wallMs UTC milliseconds
      */
     public void tick(long nowMs, long wallMs) {
-        if (tickedMs != Placement.NEVER && nowMs - tickedMs > PAUSE_MS) {
-            resumedMs = nowMs;
-        }
-        tickedMs = nowMs;
+        batches.noteTick(nowMs);
         if (nowMs - prunedMs >= PRUNE_EVERY_MS) {
             prunedMs = nowMs;
             guards.entrySet()
@@ -267,13 +211,14 @@
         if (store.isProbeDue(nowMs)) {
             act(new Action.ProbeStore());
         }
-        if (fold.isSynchronized() && caughtUp && rulesKnown && !store.readsFail()) {
+        boolean ready = fold.isSynchronized() && caughtUp && rulesKnown && !store.readsFail();
+        if (ready) {
             cancels.send(wallMs);
         }
         if (isLeading()) {
             lead(nowMs, wallMs);
-        } else {
-            claimIfDue(nowMs);
+        } else if (ready) {
+            leadership.claimIfDue(nowMs);
         }
     }
 
@@ -286,7 +231,7 @@
 
     /** Tells whether this entry leads the shard, as far as it has read. */
     public boolean isLeading() {
-        return ownTerm != ShardState.NO_OFFSET && fold.isSynchronized() && fold.term() == ownTerm && !fold.resigned();
+        return leadership.isLeading();
     }
 
     /** Returns the state of the shard as far as it has been read; not to be changed. */
@@ -296,22 +241,22 @@
 
     /** Returns the time since the last accepted record was seen, in milliseconds. */
     public long findAgeMs(long nowMs) {
-        return acceptedSeenMs == Placement.NEVER ? 0 : nowMs - acceptedSeenMs;
+        return leadership.findAgeMs(nowMs);
     }
 
     /** Tells whether this entry leads without the store. */
     public boolean isOutage() {
-        return outage;
+        return leadership.isOutage();
     }
 
     /** Returns the runs of this shard's work, and the rules' next ones. */
     public List<RunView> listRuns(long wallMs) {
-        return RunViews.list(fold, scheduler, waiting, isLeading(), wallMs);
+        return RunViews.list(fold, scheduler, batches.waiting(), isLeading(), wallMs);
     }
 
     /** Tells whether a guard's task may get a grant now. */
     boolean mayAct(long nowMs) {
-        return isLeading() && !resigning && fencedTerm <= ownTerm && lease.mayGrant(fold.witnesses(), nowMs);
+        return leadership.mayAct(nowMs);
     }
 
     // Log
@@ -319,8 +264,7 @@
     private void onAccepted(LoggedBatch logged, FoldOutcome.Accepted accepted, long nowMs) {
         WorkBatch batch = logged.batch();
         if (batch.asSnapshot() != null) {
-            snapshotMs = nowMs;
-            recordsSinceSnapshot = 0;
+            batches.noteSnapshot(nowMs);
         }
         for (WorkDecision decision : batch.decisions()) {
             if (decision instanceof WorkDecision.Cancelled cancelled) {
@@ -331,7 +275,7 @@
             onClaim(logged, claim, nowMs);
             return;
         }
-        if (batch.term() != ownTerm || ownTerm == ShardState.NO_OFFSET) {
+        if (!leadership.isOwn(batch)) {
             return;
         }
         long sentMs = outbox.accept(batch.batchId());
@@ -393,18 +337,12 @@
     }
 
     private void onClaim(LoggedBatch logged, WorkDecision.Claim claim, long nowMs) {
-        Long sentMs = claimsSentMs.get(logged.batch().batchId());
-        if (!claim.leader().equals(shard.leaderId()) || sentMs == null) {
+        boolean again = leadership.hasTerm();
+        if (!leadership.begin(logged, claim, nowMs)) {
             depose(nowMs);
             return;
         }
-        boolean again = ownTerm != ShardState.NO_OFFSET;
-        ownTerm = logged.offset();
-        sequence = 0;
-        claimsSentMs.clear();
         outbox.clear();
-        lease.begin(sentMs);
-        takeover.begin(ownTerm, fold.predecessors(), shard.entryId(), nowMs);
         if (!again) {
             placements.clear();
             startableFromMs.clear();
@@ -414,119 +352,29 @@
                 }
             }
         }
-        notify(WorkNotice.LEADING, "term=" + ownTerm + " witnesses=" + fold.witnesses());
+        notify(WorkNotice.LEADING, "term=" + leadership.term() + " witnesses=" + fold.witnesses());
         guards.values().stream()
                 .filter(slot -> slot.isReachable(nowMs) && mayAct(nowMs))
                 .forEach(slot -> dialogue.answer(slot, lease.isUnconditional(nowMs), nowMs));
     }
 
     private void depose(long nowMs) {
-        if (ownTerm == ShardState.NO_OFFSET) {
+        if (!leadership.hasTerm()) {
             return;
         }
-        notify(WorkNotice.DEPOSED, "term=" + ownTerm);
-        ownTerm = ShardState.NO_OFFSET;
-        outage = false;
+        leadership.end();
         outbox.clear();
-        takeover.forgetOwnTerms();
         placements.clear();
-        waiting.clear();
-    }
-
-    // Following
-
-    private void claimIfDue(long nowMs) {
-        boolean ready = fold.isSynchronized() && caughtUp && !resigning && rulesKnown && !store.readsFail();
-        if (!ready || nowMs - claimedMs < CLAIM_RETRY_MS) {
-            return;
-        }
-        // Records may be waiting after a pause; only a read that was sent after the silence proves it.
-        boolean vacant = fold.term() == ShardState.NO_OFFSET || fold.resigned();
-        long silenceMs =
-                (vacant ? 0 : times.claimAfterMs()) + CLAIM_STEP_MS * peers.findRank(shard.entryId(), shard.name());
-        if (lastReadIssuedMs >= Math.max(acceptedSeenMs, readsOkSinceMs) + silenceMs) {
-            sendClaim(nowMs);
-        }
-    }
-
-    private void sendClaim(long nowMs) {
-        claimedMs = nowMs;
-        claims++;
-        WorkDecision claim = new WorkDecision.Claim(shard.leaderId(), fold.lastAcceptedOffset(), peers.findWitnesses());
-        String batchId = shard.leaderId() + "/claim-" + claims;
-        claimsSentMs.put(batchId, nowMs);
-        act(new Action.Append(new WorkBatch(batchId, 0, List.of(claim))));
+        batches.clearWaiting();
     }
 
     // Leading
 
     private void lead(long nowMs, long wallMs) {
-        boolean unconditional = lease.isUnconditional(nowMs);
-        if (outage == unconditional) {
-            outage = !unconditional;
-            notify(outage ? WorkNotice.OUTAGE_ENTERED : WorkNotice.OUTAGE_ENDED, "term=" + ownTerm);
-        }
-        if (lease.isAskDue(nowMs)) {
-            fold.witnesses().forEach(id -> act(new Action.ToPeer(id, new PeerMessage.ConfirmOutage(ownTerm, nowMs))));
-        }
-        takeover.findWitnessesToAsk(nowMs)
-                .forEach(id -> act(new Action.ToPeer(id, new PeerMessage.FenceLeader(ownTerm))));
+        leadership.maintain(nowMs);
         // A leader that cannot read back its decisions leaves the shard to an entry that can.
-        if (store.readsFail()) {
-            return;
-        }
-        WorkBatch retry = outbox.findRetry(nowMs);
-        if (retry != null) {
-            act(new Action.Append(retry));
-        } else if (outbox.isFree(nowMs)) {
-            append(nowMs, wallMs);
-        }
-    }
-
-    private void append(long nowMs, long wallMs) {
-        if (!resigning && peers.shouldReplace(fold.witnesses(), nowMs) && nowMs - claimedMs >= CLAIM_RETRY_MS) {
-            sendClaim(nowMs);
-            return;
-        }
-        List<WorkDecision> decisions = new ArrayList<>();
-        if (resigning) {
-            decisions.add(new WorkDecision.Renew(true, false));
-        } else if (isSnapshotDue(nowMs)) {
-            decisions.add(fold.constructSnapshot());
-        } else {
-            decide(decisions, nowMs, wallMs);
-        }
-        if (!decisions.isEmpty()) {
-            sequence++;
-            String batchId = WorkBatch.constructId(shard.leaderId(), sequence);
-            act(new Action.Append(outbox.send(new WorkBatch(batchId, ownTerm, decisions), nowMs)));
-        }
-    }
-
-    private boolean isSnapshotDue(long nowMs) {
-        boolean old = nowMs - snapshotMs >= times.retentionMs() / 4 && nowMs - claimedMs >= times.claimAfterMs();
-        return recordsSinceSnapshot >= SNAPSHOT_RECORDS || old;
-    }
-
-    private void decide(List<WorkDecision> decisions, long nowMs, long wallMs) {
-        boolean timed = nowMs - resumedMs >= PAUSE_GRACE_MS;
-        decisions.addAll(releases.findEnded(timed, nowMs));
-        decisions.addAll(cancels.findLifted());
-        decisions.addAll(releases.findEvictions(nowMs));
-        if (lease.isUnconditional(nowMs) && rulesKnown) {
-            Plan plan = scheduler.plan(fold, guards, placements.all(), nowMs, wallMs);
-            decisions.addAll(plan.assigns()
-                    .subList(0, Math.min(MAX_DECISIONS, plan.assigns().size())));
-            waiting.clear();
-            waiting.putAll(plan.waiting());
-            plan.notices().forEach(this::act);
-        }
-        boolean settled = !fold.predecessors().isEmpty() && takeover.isSettled(nowMs);
-        if (settled) {
-            notify(WorkNotice.SETTLED, "term=" + ownTerm);
-        }
-        if (settled || decisions.isEmpty() && nowMs - outbox.lastSentMs() >= times.renewEveryMs()) {
-            decisions.add(new WorkDecision.Renew(false, settled));
+        if (!store.readsFail()) {
+            batches.write(rulesKnown, nowMs, wallMs);
         }
     }
 
