Share the frame check and the Call message within the entry

The actors of guards and of peers had the same method that ends a connection after a frame with missing fields, and GuardMessenger and PeerForwards built the same Call from a CallRequest field by field.

The check is now FrameDispatch.receiveChecked and the message CallRequest.toCall. Left as they are: the accessors of the event enums and the parameter lists of constructors and records, which share a shape but no logic, and the offset handling of BudgetLedger and RuleBook, which is the same logic but has no package in core that fits both.

Behaviour is the same.

--- a/entry/src/main/java/org/fulmarreach/entry/calls/CallRequest.java
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/CallRequest.java
@@ -1,8 +1,10 @@
 package org.fulmarreach.entry.calls;
 
+import java.nio.ByteBuffer;
 import java.util.List;
 
 import org.fulmarreach.core.exc.Problem;
+import org.fulmarreach.protocol.thrift.Call;
 import org.fulmarreach.protocol.thrift.Header;
 
 /**
@@ -38,6 +40,29 @@
         return !requestId.isEmpty();
     }
 
+    /**
+     * Returns the message that sends the call.
+     *
+     * @param id id of the attempt
+     * @param guardIncarnation incarnation of the guard that may run it; 0 when the guard is not chosen yet
+     * @param tickEchoMs tick of the guard's last heartbeat; 0 when it is not known here
+     * @param nowMs present time on the entry's clock
+     */
+    public Call toCall(String id, long guardIncarnation, long tickEchoMs, long nowMs) {
+        return new Call(
+                id,
+                guardIncarnation,
+                member,
+                service,
+                method,
+                path,
+                headers,
+                ByteBuffer.wrap(body),
+                (int) Math.max(1, deadlineMs - nowMs),
+                idempotent,
+                tickEchoMs);
+    }
+
     /** Returns a copy that waits in this region if it must. */
     public CallRequest withoutLeavingRegion() {
         return new CallRequest(
--- a/entry/src/main/java/org/fulmarreach/entry/calls/GuardMessenger.java
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/GuardMessenger.java
@@ -1,6 +1,5 @@
 package org.fulmarreach.entry.calls;
 
-import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
@@ -39,19 +38,7 @@
     }
 
     long sendCall(GuardSession guard, PendingCall call) {
-        CallRequest request = call.request();
-        Call body = new Call(
-                call.id(),
-                guard.view().incarnation(),
-                request.member(),
-                request.service(),
-                request.method(),
-                request.path(),
-                request.headers(),
-                ByteBuffer.wrap(request.body()),
-                (int) Math.max(1, request.deadlineMs() - clock.nowMs()),
-                request.idempotent(),
-                guard.tickMs());
+        Call body = call.request().toCall(call.id(), guard.view().incarnation(), guard.tickMs(), clock.nowMs());
         long correlationId = ++lastCorrelationId;
         calls.put(correlationId, new SentCall(guard, call.id(), call));
         guard.send(correlationId, Body.call(body));
--- a/entry/src/main/java/org/fulmarreach/entry/guards/DirectoryActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/guards/DirectoryActor.java
@@ -9,6 +9,7 @@
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.fulmarreach.entry.EntryEvent;
+import org.fulmarreach.entry.FrameDispatch;
 import org.fulmarreach.entry.calls.CallRouter;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.Drain;
@@ -109,30 +110,12 @@
             case LinkEvent.Opened opened -> {
                 // The guard speaks first.
             }
-            case LinkEvent.Received received -> receiveChecked(received);
+            case LinkEvent.Received received -> FrameDispatch.receiveChecked(received, this::receiveFrame, log);
             case LinkEvent.Closed closed ->
                 directory.disconnect(closed.link()).ifPresent(session -> lose(session, closed.reason()));
         }
     }
 
-    /** A frame with missing fields ends its connection, not the owner of all others. */
-    private void receiveChecked(LinkEvent.Received received) {
-        Body body = received.frame().getBody();
-        try {
-            receiveFrame(received.link(), received.frame().getCorrelationId(), body);
-        } catch (NullPointerException | IllegalArgumentException e) {
-            log.emit(
-                    EntryEvent.UNEXPECTED_FRAME,
-                    "remote",
-                    received.link().remoteAddress(),
-                    "frame",
-                    body.getSetField(),
-                    "reason",
-                    e);
-            received.link().close();
-        }
-    }
-
     private void receiveFrame(FrameLink link, long correlationId, Body body) {
         if (body.isSetHello()) {
             register(link, body.getHello());
--- a/entry/src/main/java/org/fulmarreach/entry/peers/PeerForwards.java
+++ b/entry/src/main/java/org/fulmarreach/entry/peers/PeerForwards.java
@@ -1,6 +1,5 @@
 package org.fulmarreach.entry.peers;
 
-import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -122,18 +121,7 @@
         if (request.refusal() != null && id != null) {
             return Body.resolve(new Resolve(request.requestId(), id.incarnation(), true));
         }
-        Call call = new Call(
-                request.requestId(),
-                id == null ? 0 : id.incarnation(),
-                request.member(),
-                request.service(),
-                request.method(),
-                request.path(),
-                request.headers(),
-                ByteBuffer.wrap(request.body()),
-                (int) Math.max(1, request.deadlineMs() - clock.nowMs()),
-                request.idempotent(),
-                0);
+        Call call = request.toCall(request.requestId(), id == null ? 0 : id.incarnation(), 0, clock.nowMs());
         ForwardCall forward = new ForwardCall(call);
         if (id != null) {
             forward.setGuardId(id.guardId());
--- a/entry/src/main/java/org/fulmarreach/entry/peers/PeersActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/peers/PeersActor.java
@@ -18,6 +18,7 @@
 import org.fulmarreach.core.exc.StoreException;
 import org.fulmarreach.core.rules.RulesInForce;
 import org.fulmarreach.entry.EntryEvent;
+import org.fulmarreach.entry.FrameDispatch;
 import org.fulmarreach.entry.guards.GuardSummary;
 import org.fulmarreach.entry.rules.RulesCommand;
 import org.fulmarreach.protocol.thrift.Body;
@@ -166,29 +167,11 @@
             case LinkEvent.Opened opened -> {
                 // The side that dialled speaks first.
             }
-            case LinkEvent.Received received -> receiveChecked(received);
+            case LinkEvent.Received received -> FrameDispatch.receiveChecked(received, this::receiveFrame, log);
             case LinkEvent.Closed closed -> disconnect(closed.link(), closed.reason());
         }
     }
 
-    /** A frame with missing fields ends its connection, not the owner of all others. */
-    private void receiveChecked(LinkEvent.Received received) {
-        Body body = received.frame().getBody();
-        try {
-            receiveFrame(received.link(), received.frame().getCorrelationId(), body);
-        } catch (NullPointerException | IllegalArgumentException e) {
-            log.emit(
-                    EntryEvent.UNEXPECTED_FRAME,
-                    "remote",
-                    received.link().remoteAddress(),
-                    "frame",
-                    body.getSetField(),
-                    "reason",
-                    e);
-            received.link().close();
-        }
-    }
-
     private void disconnect(FrameLink link, String reason) {
         if (link == null) {
             return;
