Show that the proofs fail without their mechanisms

Cause: the tests of placement, rules and budget had not been seen to fail.

BudgetLimitTest ends its waits once the amount is exceeded, so that it reports the amount; the same run failed by a timeout of 75 s before, since nothing was refused.

--- a/it/src/test/java/org/fulmarreach/it/BudgetLimitTest.java
+++ b/it/src/test/java/org/fulmarreach/it/BudgetLimitTest.java
@@ -83,7 +83,7 @@
 
     private void awaitRefusals() {
         int before = refused.get();
-        WorkObserver.await("refusals BUDGET_EXHAUSTED", () -> refused.get() >= before + 20);
+        WorkObserver.await("refusals BUDGET_EXHAUSTED", () -> refused.get() >= before + 20 || countSpent() > AMOUNT);
     }
 
     private int countSpent() {
