--- a/it/src/main/java/org/fulmarreach/it/SoakMain.java
+++ b/it/src/main/java/org/fulmarreach/it/SoakMain.java
@@ -148,6 +148,7 @@
             }
             case TARGET_LOSE_ANSWERS ->
                 deployment.http().post(deployment.vms().get(name).target(), "/control", "{\"loseAnswersShare\":0.5}");
+            default -> throw new IllegalStateException("no fault " + kind);
         }
     }
 
@@ -166,6 +167,7 @@
             case KILL_VM -> platformFiles.put(name, deployment.replaceVm(name));
             case TARGET_LOSE_ANSWERS ->
                 deployment.http().post(deployment.vms().get(name).target(), "/control", "{\"loseAnswersShare\":0}");
+            default -> throw new IllegalStateException("no fault " + kind);
         }
     }
 
