Let calls wait briefly at a full guard, serve queues in order of arrival

Cause: at three times capacity free calls waited until their deadline, because a guard's bound calls were always served first and the admission estimate of one queue ignored the other and the slots that other entries hold; and a guard that was full for a moment refused calls that an entry sent by a view up to a heartbeat old. Ruled out: raising the bound of 250 ms; dropping the queue at the entry, which wastes slots between two heartbeats. Change: the queue that waits longest is served first; the estimate counts the calls of the other queue and only slots that other entries do not hold; a guard lets one call per slot wait within its deadline and refuses it with a record when it would be late, when nobody waits for it any more, or when an entry asks to refuse it.

--- a/core/src/main/java/org/fulmarreach/core/admission/CallAdmission.java
+++ b/core/src/main/java/org/fulmarreach/core/admission/CallAdmission.java
@@ -38,14 +38,13 @@
      * @return the slots in use, or {@code NO_TARGET} or {@code NO_CAPACITY} with the time to come back
      */
     public Result<Integer> acquire() {
-        int room = Math.min(slots, connections);
+        int room = room();
         if (room == 0) {
             return Result.err(
                     Problem.of(ErrorCode.NO_TARGET, "The target is not ready.").withRetryAfterMs(NO_TARGET_RETRY_MS));
         }
         if (inUse >= room) {
-            return Result.err(Problem.of(ErrorCode.NO_CAPACITY, "All " + room + " slots are in use.")
-                    .withRetryAfterMs(estimateRetryMs()));
+            return Result.err(describeFull());
         }
         inUse++;
         if (inUse > slots || inUse > connections) {
@@ -78,6 +77,22 @@
         return Math.max(1, Math.round(serviceMs / Math.max(1, Math.min(slots, connections))));
     }
 
+    /** Returns the refusal of a call for which no slot becomes free in time. */
+    public Problem describeFull() {
+        return Problem.of(ErrorCode.NO_CAPACITY, "All " + room() + " slots are in use.")
+                .withRetryAfterMs(estimateRetryMs());
+    }
+
+    /** Returns how many calls may run at the same time. */
+    public int room() {
+        return Math.min(slots, connections);
+    }
+
+    /** Returns the service time that is expected, in milliseconds. */
+    public double serviceMs() {
+        return serviceMs;
+    }
+
     /** Returns the calls that hold a slot. */
     public int inUse() {
         return inUse;
--- a/core/src/main/java/org/fulmarreach/core/routing/CallQueue.java
+++ b/core/src/main/java/org/fulmarreach/core/routing/CallQueue.java
@@ -19,13 +19,20 @@
     private static final long MIN_RETRY_AFTER_MS = 100;
 
     private final int maxQueued;
+    private final int queuedPerSlot;
     private final Deque<Waiting<T>> waiting = new ArrayDeque<>();
 
-    private record Waiting<T>(T call, long deadlineMs) {}
+    private record Waiting<T>(T call, long sinceMs, long deadlineMs) {}
 
-    /** Constructs an empty queue for at most {@code maxQueued} calls. */
+    /** Constructs an empty queue for at most {@code maxQueued} calls, and four for each slot. */
     public CallQueue(int maxQueued) {
+        this(maxQueued, QUEUED_PER_SLOT);
+    }
+
+    /** Constructs an empty queue for at most {@code maxQueued} calls, and {@code queuedPerSlot} for each slot. */
+    public CallQueue(int maxQueued, int queuedPerSlot) {
         this.maxQueued = maxQueued;
+        this.queuedPerSlot = queuedPerSlot;
     }
 
     /**
@@ -39,18 +46,40 @@
      * @return whether the call waits now; if not, the caller gives it up at once
      */
     public boolean offer(T call, long deadlineMs, int slots, double serviceMs, long nowMs) {
-        if (waiting.size() >= maxQueued || waiting.size() >= (long) QUEUED_PER_SLOT * slots) {
+        return offer(call, deadlineMs, slots, 0, serviceMs, nowMs);
+    }
+
+    /**
+     * Takes in a call if it can make its deadline although other queues are served by the same slots.
+     *
+     * @param call the call
+     * @param deadlineMs time by which it must be answered
+     * @param slots slots known to serve this queue
+     * @param ahead calls of other queues that are served before it
+     * @param serviceMs expected service time in milliseconds
+     * @param nowMs present time
+     * @return whether the call waits now; if not, the caller gives it up at once
+     */
+    public boolean offer(T call, long deadlineMs, int slots, int ahead, double serviceMs, long nowMs) {
+        int before = waiting.size() + ahead;
+        if (waiting.size() >= maxQueued || before >= (long) queuedPerSlot * slots) {
             return false;
         }
         // The slots are in use now, so that the first of the queue waits for one of them to become free.
-        double waitMs = (waiting.size() + 1) * serviceMs / slots;
+        double waitMs = (before + 1) * serviceMs / slots;
         if (nowMs + waitMs + serviceMs > deadlineMs) {
             return false;
         }
-        waiting.addLast(new Waiting<>(call, deadlineMs));
+        waiting.addLast(new Waiting<>(call, nowMs, deadlineMs));
         return true;
     }
 
+    /** Returns since when the first call waits; {@link Long#MAX_VALUE} if none waits. */
+    public long findFirstSinceMs() {
+        Waiting<T> first = waiting.peekFirst();
+        return first == null ? Long.MAX_VALUE : first.sinceMs();
+    }
+
     /** Takes out the call that waits longest; empty if none waits. Call {@link #expire} before. */
     public Optional<T> poll() {
         Waiting<T> next = waiting.pollFirst();
--- a/entry/src/main/java/org/fulmarreach/entry/calls/CallDispatcher.java
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/CallDispatcher.java
@@ -159,23 +159,22 @@
      * Queues and targets
      */
 
-    /** Sends waiting calls while the guard has free slots. */
+    /** Sends waiting calls while the guard has free slots, those that wait longest first. */
     void drainQueues(GuardSession guard) {
         ServiceState service = serviceOf(guard.view().service());
         while (guard.isReady() && guard.load() < guard.slots()) {
-            Optional<PendingCall> next = service.pollBound(guard.view().guardId());
-            if (next.isPresent()) {
-                queued--;
-                send(next.get());
-                continue;
-            }
-            Optional<PendingCall> free = service.pollFree();
-            if (free.isEmpty()) {
+            Optional<PendingCall> next = service.poll(guard.view().guardId());
+            if (next.isEmpty()) {
                 return;
             }
             queued--;
-            place(free.get());
-            if (free.get().phase() == PendingCall.Phase.QUEUED) {
+            PendingCall call = next.get();
+            if (call.request().isBound()) {
+                send(call);
+                continue;
+            }
+            place(call);
+            if (call.phase() == PendingCall.Phase.QUEUED) {
                 return;
             }
         }
@@ -255,7 +254,7 @@
         } else if (candidates.isEmpty()) {
             pending.finishNotRun(call, CallProblems.noTarget(name));
         } else {
-            int slots = candidates.stream().mapToInt(Candidate::slots).sum();
+            int slots = Math.max(1, service.knownSlots(directory));
             call.markQueued();
             if (service.offerFree(call, slots, clock.nowMs())) {
                 queued++;
--- a/entry/src/main/java/org/fulmarreach/entry/calls/ServiceState.java
+++ b/entry/src/main/java/org/fulmarreach/entry/calls/ServiceState.java
@@ -68,7 +68,7 @@
                 .map(directory::find)
                 .flatMap(Optional::stream)
                 .filter(GuardSession::isReady)
-                .mapToInt(GuardSession::slots)
+                .mapToInt(GuardSession::usableSlots)
                 .sum();
     }
 
@@ -97,23 +97,27 @@
     }
 
     boolean offerFree(PendingCall call, int slots, long nowMs) {
-        return free.offer(call, call.request().deadlineMs(), slots, serviceTime.estimateMs(), nowMs);
+        return free.offer(call, call.request().deadlineMs(), slots, countBound(), serviceTime.estimateMs(), nowMs);
     }
 
     boolean offerBound(GuardSession guard, PendingCall call, long nowMs) {
         CallQueue<PendingCall> queue =
                 boundByGuard.computeIfAbsent(guard.view().guardId(), key -> new CallQueue<>(maxQueued));
+        // Free calls are spread over all targets, so that this guard serves its part of them.
+        int ahead = free.size() / Math.max(1, targets.size());
         return queue.offer(
-                call, call.request().deadlineMs(), Math.max(1, guard.slots()), serviceTime.estimateMs(), nowMs);
+                call, call.request().deadlineMs(), guard.usableSlots(), ahead, serviceTime.estimateMs(), nowMs);
     }
 
-    Optional<PendingCall> pollFree() {
-        return free.poll();
+    private int countBound() {
+        return boundByGuard.values().stream().mapToInt(CallQueue::size).sum();
     }
 
-    Optional<PendingCall> pollBound(String guardId) {
-        CallQueue<PendingCall> queue = boundByGuard.get(guardId);
-        return queue == null ? Optional.empty() : queue.poll();
+    /** Takes out the call that waits longest of those that the guard may serve. */
+    Optional<PendingCall> poll(String guardId) {
+        CallQueue<PendingCall> bound = boundByGuard.get(guardId);
+        boolean isBoundFirst = bound != null && bound.findFirstSinceMs() <= free.findFirstSinceMs();
+        return isBoundFirst && bound.size() > 0 ? bound.poll() : free.poll();
     }
 
     List<PendingCall> drainBound(String guardId) {
--- a/entry/src/main/java/org/fulmarreach/entry/guards/GuardSession.java
+++ b/entry/src/main/java/org/fulmarreach/entry/guards/GuardSession.java
@@ -109,6 +109,11 @@
         return heartbeat == null ? helloSlots : heartbeat.getSlots();
     }
 
+    /** Returns the slots that this entry can expect to use, at least one: those that other entries do not hold. */
+    public int usableSlots() {
+        return Math.max(1, slots() - foreignLoad);
+    }
+
     /** Returns its connections. */
     public int connections() {
         return heartbeat == null ? helloConnections : heartbeat.getConnections();
--- a/guard/src/main/java/org/fulmarreach/guard/CallActor.java
+++ b/guard/src/main/java/org/fulmarreach/guard/CallActor.java
@@ -12,6 +12,7 @@
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 import org.fulmarreach.core.admission.CallAdmission;
 import org.fulmarreach.core.exc.ErrorCode;
 import org.fulmarreach.core.exc.InvariantViolationException;
@@ -22,6 +23,7 @@
 import org.fulmarreach.core.request.ExecutionTable;
 import org.fulmarreach.core.request.RequestId;
 import org.fulmarreach.core.request.TableLimits;
+import org.fulmarreach.core.routing.CallQueue;
 import org.fulmarreach.platform.HttpField;
 import org.fulmarreach.platform.TargetReply;
 import org.fulmarreach.platform.TargetRequest;
@@ -54,6 +56,14 @@
     private static final Duration WINDOW = Duration.ofMillis(2_000);
     private static final int FAILED_POLLS_UNTIL_UNREADY = 3;
     private static final int MAX_WAITERS = 16;
+
+    /**
+     * Calls that may wait for each slot. Entries send by views that are up to a heartbeat old, so that a guard can be
+     * full for a few milliseconds only; a longer queue belongs to the entries, which can choose another target.
+     */
+    private static final int QUEUED_PER_SLOT = 1;
+
+    private static final Duration EXPIRY_INTERVAL = Duration.ofMillis(50);
     private static final String REQUEST_ID_HEADER = "Request-Id";
 
     private final Parts parts;
@@ -61,6 +71,9 @@
     private final CallAdmission admission = new CallAdmission();
     private final LatencyWindow window = new LatencyWindow();
     private final Map<RequestId, RunningCall> running = new HashMap<>();
+    private final Map<RequestId, QueuedCall> queued = new HashMap<>();
+    private final CallQueue<RequestId> queue = new CallQueue<>(Integer.MAX_VALUE, QUEUED_PER_SLOT);
+    private final TimerScheduler<CallCommand> timers;
     private Target target;
     private int failedPolls;
     private int lastP99Ms;
@@ -98,8 +111,12 @@
 
     private record RunningCall(long startedMs, String member, List<Waiter> waiters) {}
 
-    private CallActor(ActorContext<CallCommand> context, Parts parts) {
+    /** A call that was accepted and waits for a slot; nothing of it was sent to the target. */
+    private record QueuedCall(Call call, List<Waiter> waiters) {}
+
+    private CallActor(ActorContext<CallCommand> context, TimerScheduler<CallCommand> timers, Parts parts) {
         super(context);
+        this.timers = timers;
         this.parts = parts;
         this.table = new ExecutionTable<>(parts.guardId, parts.incarnation, parts.limits, KeptAnswer::sizeBytes);
     }
@@ -108,7 +125,7 @@
         return Behaviors.setup(context -> Behaviors.withTimers(timers -> {
             timers.startTimerWithFixedDelay(CallCommand.Timer.POLL, Duration.ZERO, POLL_INTERVAL);
             timers.startTimerAtFixedRate(CallCommand.Timer.WINDOW, WINDOW);
-            return new CallActor(context, parts);
+            return new CallActor(context, timers, parts);
         }));
     }
 
@@ -164,28 +181,60 @@
         Waiter first = new Waiter(received.link(), received.correlationId(), false);
         Waiter again = new Waiter(received.link(), received.correlationId(), true);
         switch (table.find(id, nowMs)) {
-            case Execution.Fresh<KeptAnswer> fresh -> startCall(received.call(), id, first, nowMs);
-            case Execution.Running<KeptAnswer> present -> addWaiter(running.get(id).waiters, again);
+            case Execution.Fresh<KeptAnswer> fresh -> acceptCall(received.call(), id, first, nowMs);
+            case Execution.Running<KeptAnswer> present -> addWaiter(findWaiters(id), again);
             case Execution.Done<KeptAnswer> done -> reply(again, id, done);
             case Execution.Refused<KeptAnswer> refused -> reply(again, id, refused);
             case Execution.Unknown<KeptAnswer> unknown -> reply(again, id, unknown);
         }
     }
 
-    private void startCall(Call call, RequestId id, Waiter waiter, long nowMs) {
+    private List<Waiter> findWaiters(RequestId id) {
+        RunningCall call = running.get(id);
+        return call == null ? queued.get(id).waiters : call.waiters;
+    }
+
+    private void acceptCall(Call call, RequestId id, Waiter waiter, long nowMs) {
         Problem obstacle = findObstacle(call, nowMs);
         if (obstacle != null) {
             reply(waiter, id, table.refuse(id, obstacle, nowMs));
             return;
         }
-        Execution<KeptAnswer> begun = table.begin(id, nowMs);
-        if (!(begun instanceof Execution.Running<KeptAnswer>)) {
-            admission.cancel();
-            reply(waiter, id, begun);
-            return;
-        }
         List<Waiter> waiters = new ArrayList<>(1);
         waiters.add(waiter);
+        if (!queued.isEmpty()) {
+            enqueue(call, id, waiters, nowMs, admission.describeFull());
+            return;
+        }
+        switch (admission.acquire()) {
+            case Result.Ok<Integer> ok -> {
+                Execution<KeptAnswer> begun = table.begin(id, nowMs);
+                if (begun instanceof Execution.Running<KeptAnswer>) {
+                    run(call, id, waiters, nowMs);
+                } else {
+                    admission.cancel();
+                    reply(waiter, id, begun);
+                }
+            }
+            case Result.Err<Integer> full -> enqueue(call, id, waiters, nowMs, full.problem());
+        }
+    }
+
+    /** Lets a call wait for a slot if it can still make its deadline; otherwise refuses it at once. */
+    private void enqueue(Call call, RequestId id, List<Waiter> waiters, long nowMs, Problem full) {
+        long deadlineMs = nowMs + call.getRemainingMs() - findDelayMs(call, nowMs);
+        boolean waits =
+                admission.room() > 0 && queue.offer(id, deadlineMs, admission.room(), admission.serviceMs(), nowMs);
+        Execution<KeptAnswer> known = waits ? table.begin(id, nowMs) : table.refuse(id, full, nowMs);
+        if (waits && known instanceof Execution.Running<KeptAnswer>) {
+            queued.put(id, new QueuedCall(call, waiters));
+            timers.startSingleTimer(CallCommand.Timer.EXPIRY, EXPIRY_INTERVAL);
+            return;
+        }
+        waiters.forEach(waiter -> reply(waiter, id, known));
+    }
+
+    private void run(Call call, RequestId id, List<Waiter> waiters, long nowMs) {
         running.put(id, new RunningCall(nowMs, call.getMember(), waiters));
         getContext().pipeToSelf(parts.gateway.send(toRequest(call)), (reply, failure) -> {
             // The gateway reports failures as replies; anything else leaves open whether the call ran.
@@ -194,7 +243,40 @@
         });
     }
 
-    /** Returns why the call cannot run now, or null after taking a slot for it. */
+    private void runQueued() {
+        giveUpLate();
+        while (queue.size() > 0 && admission.inUse() < admission.room()) {
+            RequestId id = queue.poll().orElseThrow();
+            QueuedCall next = queued.remove(id);
+            // A call that was given up meanwhile is no longer in the map.
+            if (next != null && admission.acquire() instanceof Result.Ok<Integer>) {
+                run(next.call, id, next.waiters, parts.clock.nowMs());
+            }
+        }
+    }
+
+    private void giveUpLate() {
+        for (RequestId id : queue.expire(admission.serviceMs(), parts.clock.nowMs())) {
+            giveUpQueued(id);
+        }
+        if (queue.size() > 0) {
+            timers.startSingleTimer(CallCommand.Timer.EXPIRY, EXPIRY_INTERVAL);
+        }
+    }
+
+    /** Answers a queued call as not run; its id never runs afterwards. */
+    private void giveUpQueued(RequestId id) {
+        QueuedCall call = queued.remove(id);
+        if (call == null) {
+            return;
+        }
+        table.completeNotRun(id, admission.describeFull());
+        Execution<KeptAnswer> known = table.find(id, parts.clock.nowMs());
+        call.waiters.forEach(waiter -> reply(waiter, id, known));
+        reportIfIdle();
+    }
+
+    /** Returns why the call cannot run here, whatever slots are free; null if it can. */
     private Problem findObstacle(Call call, long nowMs) {
         if (call.getGuardIncarnation() != parts.incarnation) {
             return Problem.of(ErrorCode.GUARD_RESTARTED, "The call names another incarnation than its id.");
@@ -207,18 +289,19 @@
             return Problem.of(ErrorCode.TOO_LARGE, "The body is over " + parts.maxBodyBytes + " bytes.");
         }
         long ageMs = nowMs - call.getTickEchoMs();
-        long delayMs = Math.max(0, ageMs - 2 * parts.heartbeatMs);
-        if (ageMs < 0 || ageMs > MAX_TICK_AGE_MS || call.getRemainingMs() - delayMs <= 0) {
+        if (ageMs < 0 || ageMs > MAX_TICK_AGE_MS || call.getRemainingMs() - findDelayMs(call, nowMs) <= 0) {
             return Problem.of(
                             ErrorCode.DEADLINE_EXCEEDED,
                             "The call had " + call.getRemainingMs() + " ms left and echoes a heartbeat " + ageMs
                                     + " ms old.")
                     .withRetryAfterMs(1);
         }
-        return switch (admission.acquire()) {
-            case Result.Ok<Integer> ok -> null;
-            case Result.Err<Integer> full -> full.problem();
-        };
+        return null;
+    }
+
+    /** Returns how long the call may have travelled; its echoed tick is up to two heartbeats old when it is sent. */
+    private long findDelayMs(Call call, long nowMs) {
+        return Math.max(0, nowMs - call.getTickEchoMs() - 2 * parts.heartbeatMs);
     }
 
     private static TargetRequest toRequest(Call call) {
@@ -250,6 +333,7 @@
         for (Waiter waiter : call.waiters) {
             reply(waiter, id, known);
         }
+        runQueued();
         reportIfIdle();
     }
 
@@ -284,9 +368,15 @@
     }
 
     private void dropInterest(CallCommand.Cancelled cancelled) {
-        if (RequestId.parse(cancelled.cancel().getRequestId()) instanceof Result.Ok<RequestId> ok
-                && running.get(ok.value()) instanceof RunningCall call) {
-            call.waiters.removeIf(waiter -> waiter.link == cancelled.link());
+        if (!(RequestId.parse(cancelled.cancel().getRequestId()) instanceof Result.Ok<RequestId>(RequestId id))) {
+            return;
+        }
+        if (running.containsKey(id) || queued.containsKey(id)) {
+            List<Waiter> waiters = findWaiters(id);
+            waiters.removeIf(waiter -> waiter.link == cancelled.link());
+            if (waiters.isEmpty()) {
+                giveUpQueued(id);
+            }
         }
     }
 
@@ -294,6 +384,9 @@
         for (RunningCall call : running.values()) {
             call.waiters.removeIf(waiter -> waiter.link == link);
         }
+        for (QueuedCall call : queued.values()) {
+            call.waiters.removeIf(waiter -> waiter.link == link);
+        }
     }
 
     private static void reply(Waiter waiter, RequestId id, Execution<KeptAnswer> known) {
@@ -311,6 +404,10 @@
     private void answerResolve(CallCommand.Asked asked) {
         Resolve resolve = asked.resolve();
         String text = resolve.getRequestId();
+        if (resolve.isRefuseIfAbsent() && RequestId.parse(text) instanceof Result.Ok<RequestId>(RequestId id)) {
+            // A call that still waits here is as good as absent: nothing of it has reached the target.
+            giveUpQueued(id);
+        }
         Execution<KeptAnswer> known = switch (RequestId.parse(text)) {
             case Result.Err<RequestId> malformed -> new Execution.Refused<>(malformed.problem());
             case Result.Ok<RequestId> ok -> table.resolve(ok.value(), resolve.isRefuseIfAbsent(), parts.clock.nowMs());
@@ -337,6 +434,7 @@
                                         failure == null
                                                 ? announcement
                                                 : Result.err(ErrorCode.TARGET_FAILED, String.valueOf(failure))));
+            case EXPIRY -> runQueued();
             default -> closeWindow();
         }
     }
@@ -369,6 +467,7 @@
                 announced.slots(),
                 Math.min(MAX_CONNECTIONS, announced.connections()),
                 announced.leaving()));
+        runQueued();
         if (!wasLeaving && announced.leaving()) {
             startLeaving("target leaves");
         }
@@ -390,13 +489,13 @@
     }
 
     private void startLeaving(String cause) {
-        parts.log.emit(GuardEvent.LEAVING, "cause", cause, "running", running.size());
+        parts.log.emit(GuardEvent.LEAVING, "cause", cause, "running", running.size(), "queued", queued.size());
         parts.guardian.tell(new GuardCommand.CallsChanged(currentStatus()));
         reportIfIdle();
     }
 
     private void reportIfIdle() {
-        if (isLeaving() && running.isEmpty()) {
+        if (isLeaving() && running.isEmpty() && queued.isEmpty()) {
             parts.guardian.tell(GuardCommand.Step.CALLS_ENDED);
         }
     }
--- a/guard/src/main/java/org/fulmarreach/guard/CallCommand.java
+++ b/guard/src/main/java/org/fulmarreach/guard/CallCommand.java
@@ -79,6 +79,8 @@
         /** Polls the target. */
         POLL,
         /** Closes the latency window. */
-        WINDOW
+        WINDOW,
+        /** Gives up queued calls that would be late. */
+        EXPIRY
     }
 }
