--- a/standin/src/main/java/org/fulmarreach/standin/LoadOptions.java
+++ b/standin/src/main/java/org/fulmarreach/standin/LoadOptions.java
@@ -42,8 +42,11 @@
         int bodyBytes,
         boolean printIds) {
     static LoadOptions of(Namespace arguments) {
+        List<String> entries = arguments.getList("entries");
+        // Load must not leave the machine; this fails for any address but 127.0.0.1.
+        entries.forEach(ProxyStandIn::parseAddress);
         return new LoadOptions(
-                arguments.getList("entries"),
+                entries,
                 arguments.getString("service"),
                 arguments.getString("service_path"),
                 arguments.getString("method"),
--- a/standin/src/main/java/org/fulmarreach/standin/LoadTool.java
+++ b/standin/src/main/java/org/fulmarreach/standin/LoadTool.java
@@ -61,7 +61,6 @@
         parser.addArgument("--timeout-ms").type(Long.class).setDefault(3_000L);
         parser.addArgument("--bytes").type(Integer.class).setDefault(256).help("size of the answers");
         parser.addArgument("--body-bytes").type(Integer.class).setDefault(64).help("size of the requests");
-        parser.addArgument("--seed").type(Long.class).setDefault(1L);
         parser.addArgument("--ids").action(Arguments.storeTrue()).help("print a JSON line for each call");
         byName.put("load", (arguments, runtime) -> {
             LoadOptions options = LoadOptions.of(arguments);
