Move the guard's queued calls to a class of their own

Ruled out: a queue inside CallAdmission, which knows no requests. Change: QueuedCalls holds the queue and the calls in it; no change of behaviour. Figures: GuardNodeTest, TaskActorTest and EntryLinksActorTest pass before and after.

--- a/guard/src/main/java/org/fulmarreach/guard/CallActor.java
+++ b/guard/src/main/java/org/fulmarreach/guard/CallActor.java
@@ -23,7 +23,6 @@
 import org.fulmarreach.core.request.ExecutionTable;
 import org.fulmarreach.core.request.RequestId;
 import org.fulmarreach.core.request.TableLimits;
-import org.fulmarreach.core.routing.CallQueue;
 import org.fulmarreach.platform.HttpField;
 import org.fulmarreach.platform.TargetReply;
 import org.fulmarreach.platform.TargetRequest;
@@ -57,12 +56,6 @@
     private static final int FAILED_POLLS_UNTIL_UNREADY = 3;
     private static final int MAX_WAITERS = 16;
 
-    /**
-     * Calls that may wait for each slot. Entries send by views that are up to a heartbeat old, so that a guard can be
-     * full for a few milliseconds only; a longer queue belongs to the entries, which can choose another target.
-     */
-    private static final int QUEUED_PER_SLOT = 1;
-
     private static final Duration EXPIRY_INTERVAL = Duration.ofMillis(50);
     private static final String REQUEST_ID_HEADER = "Request-Id";
 
@@ -71,8 +64,7 @@
     private final CallAdmission admission = new CallAdmission();
     private final LatencyWindow window = new LatencyWindow();
     private final Map<RequestId, RunningCall> running = new HashMap<>();
-    private final Map<RequestId, QueuedCall> queued = new HashMap<>();
-    private final CallQueue<RequestId> queue = new CallQueue<>(Integer.MAX_VALUE, QUEUED_PER_SLOT);
+    private final QueuedCalls queued = new QueuedCalls();
     private final TimerScheduler<CallCommand> timers;
     private Target target;
     private int failedPolls;
@@ -107,13 +99,8 @@
             ActorRef<GuardCommand> guardian,
             ActorRef<TaskCommand> tasks) {}
 
-    private record Waiter(FrameLink link, long correlationId, boolean repeated) {}
-
     private record RunningCall(long startedMs, String member, List<Waiter> waiters) {}
 
-    /** A call that was accepted and waits for a slot; nothing of it was sent to the target. */
-    private record QueuedCall(Call call, List<Waiter> waiters) {}
-
     private CallActor(ActorContext<CallCommand> context, TimerScheduler<CallCommand> timers, Parts parts) {
         super(context);
         this.timers = timers;
@@ -191,7 +178,7 @@
 
     private List<Waiter> findWaiters(RequestId id) {
         RunningCall call = running.get(id);
-        return call == null ? queued.get(id).waiters : call.waiters;
+        return call == null ? queued.findWaiters(id) : call.waiters;
     }
 
     private void acceptCall(Call call, RequestId id, Waiter waiter, long nowMs) {
@@ -223,14 +210,13 @@
     /** Lets a call wait for a slot if it can still make its deadline; otherwise refuses it at once. */
     private void enqueue(Call call, RequestId id, List<Waiter> waiters, long nowMs, Problem full) {
         long deadlineMs = nowMs + call.getRemainingMs() - findDelayMs(call, nowMs);
-        boolean waits =
-                admission.room() > 0 && queue.offer(id, deadlineMs, admission.room(), admission.serviceMs(), nowMs);
+        boolean waits = queued.offer(id, new QueuedCalls.Queued(call, waiters), deadlineMs, admission, nowMs);
         Execution<KeptAnswer> known = waits ? table.begin(id, nowMs) : table.refuse(id, full, nowMs);
-        if (waits && known instanceof Execution.Running<KeptAnswer>) {
-            queued.put(id, new QueuedCall(call, waiters));
+        if (known instanceof Execution.Running<KeptAnswer>) {
             timers.startSingleTimer(CallCommand.Timer.EXPIRY, EXPIRY_INTERVAL);
             return;
         }
+        queued.remove(id);
         waiters.forEach(waiter -> reply(waiter, id, known));
     }
 
@@ -245,34 +231,34 @@
 
     private void runQueued() {
         giveUpLate();
-        while (queue.size() > 0 && admission.inUse() < admission.room()) {
-            RequestId id = queue.poll().orElseThrow();
-            QueuedCall next = queued.remove(id);
-            // A call that was given up meanwhile is no longer in the map.
-            if (next != null && admission.acquire() instanceof Result.Ok<Integer>) {
-                run(next.call, id, next.waiters, parts.clock.nowMs());
+        while (admission.inUse() < admission.room()) {
+            RequestId id = queued.poll();
+            if (id == null || !(admission.acquire() instanceof Result.Ok<Integer>)) {
+                return;
             }
+            QueuedCalls.Queued next = queued.remove(id);
+            run(next.call(), id, next.waiters(), parts.clock.nowMs());
         }
     }
 
     private void giveUpLate() {
-        for (RequestId id : queue.expire(admission.serviceMs(), parts.clock.nowMs())) {
+        for (RequestId id : queued.expire(admission.serviceMs(), parts.clock.nowMs())) {
             giveUpQueued(id);
         }
-        if (queue.size() > 0) {
+        if (!queued.isEmpty()) {
             timers.startSingleTimer(CallCommand.Timer.EXPIRY, EXPIRY_INTERVAL);
         }
     }
 
     /** Answers a queued call as not run; its id never runs afterwards. */
     private void giveUpQueued(RequestId id) {
-        QueuedCall call = queued.remove(id);
+        QueuedCalls.Queued call = queued.remove(id);
         if (call == null) {
             return;
         }
         table.completeNotRun(id, admission.describeFull());
         Execution<KeptAnswer> known = table.find(id, parts.clock.nowMs());
-        call.waiters.forEach(waiter -> reply(waiter, id, known));
+        call.waiters().forEach(waiter -> reply(waiter, id, known));
         reportIfIdle();
     }
 
@@ -371,9 +357,9 @@
         if (!(RequestId.parse(cancelled.cancel().getRequestId()) instanceof Result.Ok<RequestId>(RequestId id))) {
             return;
         }
-        if (running.containsKey(id) || queued.containsKey(id)) {
-            List<Waiter> waiters = findWaiters(id);
-            waiters.removeIf(waiter -> waiter.link == cancelled.link());
+        List<Waiter> waiters = findWaiters(id);
+        if (waiters != null) {
+            waiters.removeIf(waiter -> waiter.link() == cancelled.link());
             if (waiters.isEmpty()) {
                 giveUpQueued(id);
             }
@@ -382,19 +368,17 @@
 
     private void dropLink(FrameLink link) {
         for (RunningCall call : running.values()) {
-            call.waiters.removeIf(waiter -> waiter.link == link);
-        }
-        for (QueuedCall call : queued.values()) {
-            call.waiters.removeIf(waiter -> waiter.link == link);
+            call.waiters.removeIf(waiter -> waiter.link() == link);
         }
+        queued.dropLink(link);
     }
 
     private static void reply(Waiter waiter, RequestId id, Execution<KeptAnswer> known) {
-        reply(waiter, CallResults.toResult(id.format(), known, waiter.repeated));
+        reply(waiter, CallResults.toResult(id.format(), known, waiter.repeated()));
     }
 
     private static void reply(Waiter waiter, CallResult result) {
-        waiter.link.send(waiter.correlationId, Body.callResult(result));
+        waiter.link().send(waiter.correlationId(), Body.callResult(result));
     }
 
     /*
