--- a/core/src/main/java/org/fulmarreach/core/exc/ErrorCode.java
+++ b/core/src/main/java/org/fulmarreach/core/exc/ErrorCode.java
@@ -13,7 +13,7 @@
     /** The id belongs to an earlier incarnation of its guard. */
     GUARD_RESTARTED("Ask the service whether the call took effect; use a new id for a new call."),
     /** No target has room within the deadline. */
-    NO_CAPACITY("Come back after the time in Retry-After."),
+    NO_CAPACITY("Come back after the time in Retry-After; a call with an id then needs a new id."),
     /** No target of the service is known. */
     NO_TARGET("Come back after the time in Retry-After; check with fulmarctl targets."),
     /** The target or guard is leaving. */
--- a/it/src/main/java/org/fulmarreach/it/DemoMain.java
+++ b/it/src/main/java/org/fulmarreach/it/DemoMain.java
@@ -93,14 +93,29 @@
             return done[0] != null;
         });
         if (finished) {
+            long run = done[0].path("run").asLong();
+            long deadlineMs = done[0].path("deadlineMs").asLong();
+            long finishedMs = findFinishMs("farbplan." + run + ".");
             report(
-                    System.currentTimeMillis() <= done[0].path("deadlineMs").asLong() + STEP_TIMEOUT_MS,
+                    finishedMs > 0 && finishedMs <= deadlineMs,
                     "batch",
-                    "run " + done[0].path("run").asLong() + " of farbplan finished: "
-                            + done[0].path("reason").asText());
+                    "run " + run + " of farbplan finished " + (deadlineMs - finishedMs) + " ms before its deadline");
         }
     }
 
+    /** Returns when a worker agent finished a task, wall clock in milliseconds; 0 if none did. */
+    private long findFinishMs(String idPrefix) {
+        for (Deployment.VmProcess vm : deployment.vms().values()) {
+            for (JsonNode entry : deployment.readJournal(vm.worker())) {
+                boolean isFinish = entry.path("event").asText().equals("FINISH");
+                if (isFinish && entry.path("id").asText().startsWith(idPrefix)) {
+                    return entry.path("wallMs").asLong();
+                }
+            }
+        }
+        return 0;
+    }
+
     private void showStanding() {
         if (!waitFor("standing work to run", () -> findRunning() != null)) {
             return;
