--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Job.java
@@ -0,0 +1,169 @@
+package org.fulmarreach.core.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A job with its tasks. Confined to the owner of its {@link JobBook}. */
+public final class Job {
+    private final JobSpec spec;
+    private final List<JobTask> tasks = new ArrayList<>();
+    private final int tasksPerOccurrence;
+    private final int[] stepStarts;
+    private boolean cancelled;
+    private boolean changed;
+    private long settledAtMs;
+    private JobStatus acknowledgedStatus = JobStatus.QUEUED;
+    private JobSnapshot acknowledged;
+
+    Job(JobSpec spec) {
+        this.spec = spec;
+        this.stepStarts = new int[spec.steps().size()];
+        int count = 0;
+        for (int step = 0; step < stepStarts.length; step++) {
+            stepStarts[step] = count;
+            count += spec.steps().get(step).taskCount();
+        }
+        this.tasksPerOccurrence = count;
+        for (int occurrence = 0; occurrence < spec.occurrences(); occurrence++) {
+            for (int step = 0; step < stepStarts.length; step++) {
+                for (int index = 0; index < spec.steps().get(step).taskCount(); index++) {
+                    tasks.add(new JobTask(
+                            this,
+                            new TaskName(spec.id(), occurrence, step, index),
+                            spec.steps().get(step)));
+                }
+            }
+        }
+    }
+
+    /** Returns what its caller submitted. */
+    public JobSpec spec() {
+        return spec;
+    }
+
+    /** Returns its tasks, by occurrence, step and index. */
+    public List<JobTask> tasks() {
+        return tasks;
+    }
+
+    /** Returns the tasks of one step of one occurrence. */
+    public List<JobTask> tasksOf(int occurrence, int step) {
+        int from = occurrence * tasksPerOccurrence + stepStarts[step];
+        return tasks.subList(from, from + spec.steps().get(step).taskCount());
+    }
+
+    /** Tells whether its caller cancelled it. */
+    public boolean isCancelled() {
+        return cancelled;
+    }
+
+    /** Returns the state that callers may be shown: only what the store has acknowledged. */
+    public JobStatus acknowledgedStatus() {
+        return acknowledgedStatus;
+    }
+
+    /** Returns Unix milliseconds at which it settled; 0 before. */
+    public long settledAtMs() {
+        return settledAtMs;
+    }
+
+    /** Returns its state including changes that are not written yet. */
+    public JobStatus status() {
+        boolean allDone = true;
+        boolean begun = false;
+        for (JobTask task : tasks) {
+            TaskState state = task.state();
+            if (state.phase() == TaskPhase.FAILED) {
+                return JobStatus.FAILED;
+            }
+            allDone &= state.phase() == TaskPhase.DONE;
+            begun |= state.run() > 0;
+        }
+        return JobStatus.of(allDone, begun, cancelled);
+    }
+
+    /** Returns its durable progress, including changes that are not written yet. */
+    public JobSnapshot snapshot() {
+        return new JobSnapshot(tasks.stream().map(JobTask::state).toList(), settledAtMs);
+    }
+
+    /** Tells whether all predecessors of a step are done in an occurrence. */
+    boolean isReady(int occurrence, int step) {
+        for (int before : spec.steps().get(step).after()) {
+            for (JobTask task : tasksOf(occurrence, before)) {
+                if (task.state().phase() != TaskPhase.DONE) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    JobTask find(TaskName name) {
+        if (name.occurrence() < 0
+                || name.occurrence() >= spec.occurrences()
+                || name.step() < 0
+                || name.step() >= stepStarts.length
+                || name.index() < 0
+                || name.index() >= spec.steps().get(name.step()).taskCount()) {
+            return null;
+        }
+        return tasksOf(name.occurrence(), name.step()).get(name.index());
+    }
+
+    /*
+     * Changes
+     */
+
+    void cancel() {
+        cancelled = true;
+        if (!acknowledgedStatus.isFinal()) {
+            acknowledgedStatus = JobStatus.CANCELLED;
+        }
+    }
+
+    void settle(long unixMs) {
+        if (settledAtMs == 0) {
+            settledAtMs = unixMs;
+            markChanged();
+        }
+    }
+
+    void restore(JobSnapshot snapshot) {
+        for (int i = 0; i < tasks.size() && i < snapshot.tasks().size(); i++) {
+            tasks.get(i).restore(snapshot.tasks().get(i));
+        }
+        settledAtMs = snapshot.settledAtMs();
+        changed = false;
+        acknowledge(snapshot);
+    }
+
+    /** Drops changes that the store has not acknowledged. */
+    void rollBack() {
+        if (acknowledged != null) {
+            restore(acknowledged);
+            return;
+        }
+        tasks.forEach(task -> task.restore(TaskState.INITIAL));
+        settledAtMs = 0;
+        changed = false;
+    }
+
+    /** Notes that the store holds this progress. */
+    void acknowledge(JobSnapshot snapshot) {
+        acknowledged = snapshot;
+        if (!acknowledgedStatus.isFinal()) {
+            acknowledgedStatus = snapshot.status(cancelled);
+        }
+    }
+
+    void markChanged() {
+        changed = true;
+    }
+
+    boolean takeChanged() {
+        boolean was = changed;
+        changed = false;
+        return was;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobConfig.java
@@ -0,0 +1,42 @@
+package org.fulmarreach.core.jobs;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Operators' configuration of queues. Immutable.
+ *
+ * @param version its version; later ones are larger
+ * @param queues all queues
+ * @param maxBodyBytes largest body of a request in bytes
+ */
+public record JobConfig(long version, List<JobQueue> queues, int maxBodyBytes) {
+    /** Copies the list. */
+    public JobConfig {
+        queues = List.copyOf(queues);
+    }
+
+    /** Finds the queue with the longest prefix of {@code path} among those of {@code host}. */
+    public Optional<JobQueue> findByRequest(String host, String path) {
+        JobQueue best = null;
+        for (JobQueue queue : queues) {
+            if (queue.host().equalsIgnoreCase(host)
+                    && path.startsWith(queue.pathPrefix())
+                    && (best == null
+                            || queue.pathPrefix().length() > best.pathPrefix().length())) {
+                best = queue;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Finds a queue by its name. */
+    public Optional<JobQueue> findByName(String name) {
+        for (JobQueue queue : queues) {
+            if (queue.name().equals(name)) {
+                return Optional.of(queue);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobSpec.java
@@ -0,0 +1,45 @@
+package org.fulmarreach.core.jobs;
+
+import java.util.List;
+
+/**
+ * A job as its caller submitted it. Immutable.
+ *
+ * @param id the caller's id of the job, unique
+ * @param queue name of the queue that it was submitted to
+ * @param payload text that each task is started with
+ * @param steps its steps, in order; a step names only earlier ones as its predecessors
+ * @param firstRunMs due time of the first occurrence in Unix milliseconds; used when {@code repetitions} is over 0
+ * @param intervalMs time between two occurrences in milliseconds
+ * @param repetitions number of occurrences; 0 for a job that runs once, at once
+ * @param acceptedAtMs Unix milliseconds at which an entry accepted it
+ */
+public record JobSpec(
+        String id,
+        String queue,
+        String payload,
+        List<JobStep> steps,
+        long firstRunMs,
+        long intervalMs,
+        int repetitions,
+        long acceptedAtMs) {
+    /** Copies the list. */
+    public JobSpec {
+        steps = List.copyOf(steps);
+    }
+
+    /** Returns how often the steps run, at least 1. */
+    public int occurrences() {
+        return Math.max(1, repetitions);
+    }
+
+    /** Tells whether the job has due times. */
+    public boolean isTimed() {
+        return repetitions > 0;
+    }
+
+    /** Returns the due time of an occurrence in Unix milliseconds; 0 for a job without due times. */
+    public long dueMs(int occurrence) {
+        return isTimed() ? firstRunMs + occurrence * intervalMs : 0;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -0,0 +1,126 @@
+package org.fulmarreach.core.jobs;
+
+/**
+ * A task of a job, with its durable state and what the leader has seen of its current run. Confined to the owner of its
+ * {@link JobBook}.
+ */
+public final class JobTask {
+    private static final int FULL_PACE_PERCENT = 100;
+
+    private final Job job;
+    private final TaskName name;
+    private final JobStep step;
+    private TaskState state = TaskState.INITIAL;
+    private RunProgress progress = RunProgress.NONE;
+    private WorkerRef avoided;
+    private String rack;
+    private int looksAfterStop;
+    private int pacePercent = FULL_PACE_PERCENT;
+
+    JobTask(Job job, TaskName name, JobStep step) {
+        this.job = job;
+        this.name = name;
+        this.step = step;
+    }
+
+    /** Returns the job that it belongs to. */
+    public Job job() {
+        return job;
+    }
+
+    /** Returns its identity. */
+    public TaskName name() {
+        return name;
+    }
+
+    /** Returns the step that it belongs to. */
+    public JobStep step() {
+        return step;
+    }
+
+    /** Returns its durable state, including changes that are not written yet. */
+    public TaskState state() {
+        return state;
+    }
+
+    /** Returns what was seen of the current run. */
+    public RunProgress progress() {
+        return progress;
+    }
+
+    /** Returns the worker on which the last run went wrong, or null. */
+    public WorkerRef avoided() {
+        return avoided;
+    }
+
+    /** Tells whether {@code run} on {@code worker} is the run that the task is assigned to. */
+    boolean isCurrent(WorkerRef worker, int run) {
+        return state.phase() == TaskPhase.ASSIGNED
+                && state.run() == run
+                && state.worker().equals(worker);
+    }
+
+    boolean isAssigned() {
+        return state.phase() == TaskPhase.ASSIGNED;
+    }
+
+    /*
+     * Transitions; each marks the job as changed
+     */
+
+    /** Returns the rack that it was last assigned to, or null. */
+    String rack() {
+        return rack;
+    }
+
+    void assign(WorkerRef worker, String newRack, int run, long nowMs) {
+        rack = newRack;
+        change(new TaskState(TaskPhase.ASSIGNED, run, worker, state.failures(), state.checkpoint()));
+        progress = RunProgress.orderedAt(nowMs);
+        looksAfterStop = 0;
+        pacePercent = FULL_PACE_PERCENT;
+    }
+
+    void finish(TaskPhase phase, int failures, String checkpoint) {
+        String kept = checkpoint.isEmpty() ? state.checkpoint() : checkpoint;
+        change(new TaskState(phase, state.run(), state.worker(), failures, kept));
+        progress = RunProgress.NONE;
+    }
+
+    void observe(RunProgress seen) {
+        progress = seen;
+    }
+
+    /** Returns the share at which the current run was last told to work. */
+    int pacePercent() {
+        return pacePercent;
+    }
+
+    boolean isAtFullPace() {
+        return pacePercent == FULL_PACE_PERCENT;
+    }
+
+    void setPacePercent(int percent) {
+        pacePercent = percent;
+    }
+
+    /** Counts one more look at the worker after a confirmed stop and returns the count. */
+    int countLookAfterStop() {
+        looksAfterStop++;
+        return looksAfterStop;
+    }
+
+    void avoid(WorkerRef worker) {
+        avoided = worker;
+    }
+
+    void restore(TaskState restored) {
+        state = restored;
+        progress = RunProgress.NONE;
+    }
+
+    private void change(TaskState changed) {
+        state = changed;
+        job.markChanged();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -0,0 +1,147 @@
+package org.fulmarreach.core.jobs;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+import org.fulmarreach.core.model.Resources;
+
+/**
+ * What the leader knows of the worker beside one guard: its last report, the tasks assigned to it and how reliable it
+ * has been. Not thread-safe.
+ */
+final class WorkerView {
+    private final String guard;
+    private final Set<JobTask> assigned = new LinkedHashSet<>();
+    private Resources reserved = Resources.NONE;
+    private int fillMilliCores;
+    private int servingTasks;
+    private WorkerReport report;
+    private long reportedAtMs;
+    private long grantedAtMs;
+    private int faultsInRow;
+    private long suspectUntilMs;
+
+    WorkerView(String guard, long grantedAtMs) {
+        this.guard = guard;
+        this.grantedAtMs = grantedAtMs;
+    }
+
+    String guard() {
+        return guard;
+    }
+
+    /** Returns the last report, or null before the first. */
+    WorkerReport report() {
+        return report;
+    }
+
+    Set<JobTask> assigned() {
+        return assigned;
+    }
+
+    /** Returns what the assigned tasks take of the capacity. */
+    Resources reserved() {
+        return reserved;
+    }
+
+    /** Returns the processors that the assigned filling tasks could use, in thousandths of a core. */
+    int fillMilliCores() {
+        return fillMilliCores;
+    }
+
+    int servingTasks() {
+        return servingTasks;
+    }
+
+    /** Returns when the last grant was sent to the guard. */
+    long grantedAtMs() {
+        return grantedAtMs;
+    }
+
+    void grant(long nowMs) {
+        grantedAtMs = Math.max(grantedAtMs, nowMs);
+    }
+
+    void accept(WorkerReport newReport, long nowMs) {
+        report = newReport;
+        reportedAtMs = nowMs;
+    }
+
+    /** Tells whether new work may go there now. */
+    boolean isUsable(String service, long nowMs) {
+        return report != null
+                && report.reachable()
+                && !report.draining()
+                && report.service().equals(service)
+                && nowMs - reportedAtMs <= JobTimes.GUARD_SILENCE_MS
+                && nowMs >= suspectUntilMs;
+    }
+
+    boolean isSilent(long nowMs) {
+        return nowMs - reportedAtMs > JobTimes.GUARD_SILENCE_MS;
+    }
+
+    int countOfStep(JobTask task) {
+        int count = 0;
+        for (JobTask other : assigned) {
+            TaskName name = other.name();
+            if (name.jobId().equals(task.name().jobId())
+                    && name.step() == task.name().step()
+                    && name.occurrence() == task.name().occurrence()) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Returns the rack: a worker lists its kind first and its rack second. */
+    String rack() {
+        return report.labels().size() > 1 ? report.labels().get(1) : "";
+    }
+
+    /*
+     * Assignment
+     */
+
+    void add(JobTask task) {
+        if (assigned.add(task)) {
+            reserved = reserved.plus(task.step().reserved());
+            fillMilliCores += fillOf(task);
+            servingTasks += task.step().isServing() ? 1 : 0;
+        }
+    }
+
+    void remove(JobTask task) {
+        if (assigned.remove(task)) {
+            reserved = reserved.minus(task.step().reserved());
+            fillMilliCores -= fillOf(task);
+            servingTasks -= task.step().isServing() ? 1 : 0;
+        }
+    }
+
+    private static int fillOf(JobTask task) {
+        return task.step().fillsIdleCapacity() ? task.step().demand().milliCores() : 0;
+    }
+
+    /*
+     * Reliability
+     */
+
+    int faultsInRow() {
+        return faultsInRow;
+    }
+
+    void noteSuccess() {
+        faultsInRow = 0;
+    }
+
+    /** Notes that a run went wrong here; returns true if the worker is now left alone for a while. */
+    boolean noteFault(int faultsToSuspect, long nowMs) {
+        faultsInRow++;
+        if (faultsInRow >= faultsToSuspect && nowMs >= suspectUntilMs) {
+            suspectUntilMs = nowMs + JobTimes.SUSPICION_MS;
+            return true;
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
@@ -0,0 +1,142 @@
+package org.fulmarreach.daemon;
+
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.logging.Level;
+
+import org.fulmarreach.core.exc.Result;
+import org.fulmarreach.entry.jobs.JobsNode;
+import org.fulmarreach.guard.jobs.RelayNode;
+import org.fulmarreach.platform.node.NodeSettings;
+import org.fulmarreach.platform.node.NodeSettingsReader;
+import org.fulmarreach.runtime.log.BoundedLogHandler;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.log.RuntimeEvent;
+import org.fulmarreach.runtime.util.MonotonicClock;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import sun.misc.Signal;
+
+/**
+ * Main class of the daemon on the users' platform: {@code fulmard entry} or {@code fulmard guard}, with the settings
+ * file that the platform writes. Exit codes: 0 after a planned stop, 2 for wrong settings, 1 for a part that failed.
+ */
+public final class NodeMain {
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_BAD_SETTINGS = 2;
+
+    /** Kept of the time between SIGTERM and SIGKILL for the end of the process itself. */
+    private static final long EXIT_MARGIN_MS = 400;
+
+    private NodeMain() {}
+
+    /** Starts the daemon. */
+    public static void main(String[] args) {
+        System.setProperty("java.util.logging.manager", DrainLogManager.class.getName());
+        ArgumentParser parser = constructParser();
+        Namespace parsed;
+        try {
+            parsed = parser.parseArgs(args);
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(EXIT_BAD_SETTINGS);
+            return;
+        }
+        String file = parsed.getString("settings");
+        if (file == null) {
+            System.err.println("No settings file. Remedy: set " + NodeSettingsReader.PATH_VARIABLE + " or --settings.");
+            System.exit(EXIT_BAD_SETTINGS);
+            return;
+        }
+        switch (NodeSettingsReader.read(Path.of(file))) {
+            case Result.Err<NodeSettings>(var problem) -> {
+                System.err.println("Settings are refused: " + problem.message() + "\n" + problem.remedy());
+                System.exit(EXIT_BAD_SETTINGS);
+            }
+            case Result.Ok<NodeSettings>(var settings) ->
+                run(parsed.getString("role"), settings, Path.of(file), parsed.getLong("exit_after_ms"));
+        }
+    }
+
+    private static ArgumentParser constructParser() {
+        ArgumentParser parser = ArgumentParsers.newFor("fulmard")
+                .build()
+                .defaultHelp(true)
+                .description("fulmarreach on a platform that keeps the log and writes the settings of each process.");
+        parser.addArgument("role").choices("entry", "guard").help("what this process is");
+        parser.addArgument("--settings")
+                .setDefault(System.getenv(NodeSettingsReader.PATH_VARIABLE))
+                .help("settings file as JSON; default from " + NodeSettingsReader.PATH_VARIABLE);
+        parser.addArgument("--exit-after-ms")
+                .type(Long.class)
+                .setDefault(0L)
+                .help("end after this time; the build uses it to record the classes that a start needs");
+        return parser;
+    }
+
+    private static void run(String role, NodeSettings settings, Path file, long exitAfterMs) {
+        BoundedLogHandler handler = BoundedLogHandler.install(Level.INFO);
+        EventLog log = new EventLog(settings.node());
+        CompletionStage<?> stopped;
+        if (role.equals("entry")) {
+            JobsNode node = JobsNode.start(
+                    settings, MonotonicClock.system(), log, new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+            stopped = node.whenStopped();
+            long boundMs = settings.bounds().stopGraceMs() - EXIT_MARGIN_MS;
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node, boundMs, log, handler), "drain"));
+        } else {
+            stopped = RelayNode.start(settings, MonotonicClock.system(), log).whenStopped();
+            // A guard has nothing to hand over: its worker runs on under its lease, which the next process extends.
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(log, handler), "stop"));
+        }
+        Signal.handle(new Signal("HUP"), signal -> reload(file, settings, log));
+        log.emit(RuntimeEvent.STARTED, "role", role, "zone", settings.zone(), "address", settings.ipAddress());
+        stopped.thenRunAsync(() -> System.exit(EXIT_FAILED), task -> new Thread(task, "exit").start());
+        if (exitAfterMs > 0) {
+            CompletableFuture.delayedExecutor(exitAfterMs, TimeUnit.MILLISECONDS)
+                    .execute(() -> System.exit(0));
+        }
+    }
+
+    private static void drain(JobsNode node, long boundMs, EventLog log, BoundedLogHandler handler) {
+        log.emit(RuntimeEvent.DRAINING, "timeoutMs", boundMs);
+        try {
+            node.drain().toCompletableFuture().get(boundMs, TimeUnit.MILLISECONDS);
+            log.emit(RuntimeEvent.STOPPED);
+        } catch (TimeoutException e) {
+            log.emit(RuntimeEvent.DRAIN_TIMEOUT, "timeoutMs", boundMs);
+        } catch (ExecutionException e) {
+            log.emit(RuntimeEvent.DRAIN_TIMEOUT, "cause", e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        handler.flush();
+        // After its hooks the JVM would exit with 143, the code of a process that SIGTERM has ended.
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static void stop(EventLog log, BoundedLogHandler handler) {
+        log.emit(RuntimeEvent.STOPPED);
+        handler.flush();
+        Runtime.getRuntime().halt(0);
+    }
+
+    /** Addresses and bounds of a running process stay; what else changed is picked up by the next start. */
+    private static void reload(Path file, NodeSettings inForce, EventLog log) {
+        switch (NodeSettingsReader.read(file)) {
+            case Result.Ok<NodeSettings>(var read) ->
+                log.emit(RuntimeEvent.SETTINGS_RELOADED, "changed", !read.equals(inForce), "applied", "at next start");
+            case Result.Err<NodeSettings>(var problem) ->
+                log.emit(RuntimeEvent.SETTINGS_REFUSED, "reason", problem.message());
+        }
+    }
+}
--- a/entry/src/main/java/org/fulmarreach/entry/http/EntryHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/http/EntryHttp.java
@@ -10,10 +10,14 @@
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.fulmarreach.core.exc.ErrorCode;
+import org.fulmarreach.core.exc.Problem;
+import org.fulmarreach.entry.EntryEvent;
 import org.fulmarreach.entry.calls.CallService;
 import org.fulmarreach.runtime.cfg.Setting;
 import org.fulmarreach.runtime.cfg.Settings;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.HttpListener;
 
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -65,14 +69,14 @@
                 system,
                 settings.address(Setting.HTTP),
                 maxConnections,
-                log,
-                request -> count(running, callEndpoint, request));
+                request -> count(running, callEndpoint, request),
+                (request, failure) -> answerFailure(log, request, failure));
         CompletionStage<ServerBinding> operators = HttpListener.bind(
                 system,
                 settings.address(Setting.OPERATOR_HTTP),
                 MAX_OPERATOR_CONNECTIONS,
-                log,
-                operatorEndpoint::handle);
+                operatorEndpoint::handle,
+                (request, failure) -> answerFailure(log, request, failure));
         return callers.thenCombine(operators, EntryHttp::new);
     }
 
@@ -96,6 +100,14 @@
         return operators.localAddress();
     }
 
+    private static HttpResponse answerFailure(EventLog log, HttpRequest request, Throwable failure) {
+        log.emit(EntryEvent.REQUEST_FAILED, "path", request.getUri().path(), "reason", failure);
+        return JsonBodies.toError(
+                500,
+                null,
+                Problem.of(ErrorCode.INVARIANT_VIOLATED, "the entry failed to answer; its log names the cause"));
+    }
+
     private static CompletionStage<HttpResponse> count(
             AtomicInteger running, CallEndpoint endpoint, HttpRequest request) {
         running.incrementAndGet();
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/GuardSessions.java
@@ -0,0 +1,93 @@
+package org.fulmarreach.entry.jobs;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.fulmarreach.core.jobs.JobOrder;
+import org.fulmarreach.core.jobs.WorkerRef;
+import org.fulmarreach.protocol.io.GuardMessages;
+import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.FrameLink;
+
+/** Connections of guards to the leader. Belongs to one actor and is called on it only. */
+final class GuardSessions {
+    private final EventLog log;
+    private final Map<String, Session> byGuard = new HashMap<>();
+
+    GuardSessions(EventLog log) {
+        this.log = log;
+    }
+
+    private record Session(FrameLink link, long tickMs, WorkerRef worker) {}
+
+    /** Notes a report; its tick is echoed by the grants that follow. */
+    void onReport(String guard, FrameLink link, long tickMs, WorkerRef worker) {
+        Session before = byGuard.put(guard, new Session(link, tickMs, worker));
+        if (before == null || before.link() != link) {
+            log.emit(JobEvent.GUARD_JOINED, "guard", guard, "remote", link.remoteAddress());
+            if (before != null) {
+                before.link().close();
+            }
+        }
+    }
+
+    /** Forgets a connection that has ended. */
+    void onClosed(FrameLink link, String reason) {
+        byGuard.entrySet().removeIf(entry -> {
+            boolean closed = entry.getValue().link() == link;
+            if (closed) {
+                log.emit(JobEvent.GUARD_LEFT, "guard", entry.getKey(), "reason", reason);
+            }
+            return closed;
+        });
+    }
+
+    /** Sends a grant without orders. */
+    void grant(String guard, long term) {
+        Session session = byGuard.get(guard);
+        if (session != null && session.worker() != null) {
+            session.link()
+                    .send(
+                            0,
+                            Body.leaderOrders(
+                                    GuardMessages.toThrift(term, session.tickMs(), session.worker(), List.of())));
+        }
+    }
+
+    /**
+     * Sends orders, and with them a grant, to the guards that have a session. Others are left out: what is still needed
+     * is sent again once their guard reports.
+     *
+     * @return the guards that were sent a grant
+     */
+    List<String> send(long term, List<JobOrder> orders) {
+        Map<WorkerRef, List<JobOrder>> byWorker = new LinkedHashMap<>();
+        for (JobOrder order : orders) {
+            byWorker.computeIfAbsent(order.worker(), worker -> new ArrayList<>())
+                    .add(order);
+        }
+        List<String> granted = new ArrayList<>();
+        byWorker.forEach((worker, each) -> {
+            Session session = byGuard.get(worker.guard());
+            if (session != null) {
+                session.link().send(0, Body.leaderOrders(GuardMessages.toThrift(term, session.tickMs(), worker, each)));
+                granted.add(worker.guard());
+            }
+        });
+        return granted;
+    }
+
+    /** Closes all connections. */
+    void close() {
+        byGuard.values().forEach(session -> session.link().close());
+        byGuard.clear();
+    }
+
+    int size() {
+        return byGuard.size();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -0,0 +1,161 @@
+package org.fulmarreach.entry.jobs;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.SystemMaterializer;
+import org.fulmarreach.core.jobs.JobTimes;
+import org.fulmarreach.platform.ingress.JobCodec;
+import org.fulmarreach.platform.node.NodeSettings;
+import org.fulmarreach.platform.store.HttpStoreClient;
+import org.fulmarreach.runtime.cfg.Address;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.FrameTransport;
+import org.fulmarreach.runtime.net.HttpListener;
+import org.fulmarreach.runtime.net.LinkSettings;
+import org.fulmarreach.runtime.util.ActorSystems;
+import org.fulmarreach.runtime.util.MonotonicClock;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/** A running entry on the users' platform: its actor and its listeners. Thread-safe. */
+public final class JobsNode {
+    /** The platform asks once a second and takes an entry out of rotation after two misses. */
+    private static final long LEAVE_ROTATION_MS = 2_300;
+
+    private static final Duration FINISH_BOUND = Duration.ofMillis(2_500);
+    private static final int THREADS = 2;
+    private static final int MAX_CONNECTIONS = 2_000;
+    private static final int MAX_OPERATOR_CONNECTIONS = 16;
+
+    /** Guards report every 500 ms; three missed reports close a session. */
+    private static final int SILENCE_TIMEOUT_MS = 1_600;
+
+    private static final long RESIGN_BOUND_MS = 600;
+
+    private final ActorSystem<JobsCommand> system;
+    private final JobsHttp http;
+    private final CompletableFuture<ServerBinding> callers;
+
+    private JobsNode(ActorSystem<JobsCommand> system, JobsHttp http, CompletableFuture<ServerBinding> callers) {
+        this.system = system;
+        this.http = http;
+        this.callers = callers;
+    }
+
+    /**
+     * Starts an entry.
+     *
+     * @param settings settings of the process
+     * @param clock monotonic clock
+     * @param log events
+     * @param meters metrics, served at {@code /metrics} on the second internal port
+     */
+    public static JobsNode start(
+            NodeSettings settings, MonotonicClock clock, EventLog log, PrometheusMeterRegistry meters) {
+        Address store = Address.parse(settings.storeAddress());
+        Address guards = new Address(settings.ipAddress(), settings.firstInternalPort());
+        AtomicReference<JobsCommand.View> view = new AtomicReference<>(new JobsCommand.View(null, false));
+        JobTimes times =
+                new JobTimes(settings.bounds().leaseMs(), settings.bounds().statusRetentionMs());
+        // The actor system runs the store's connections, and the actor needs the store: it is handed over on creation.
+        ActorSystem<JobsCommand> system = ActorSystems.construct(
+                org.apache.pekko.actor.typed.javadsl.Behaviors.setup(context -> JobsActor.create(
+                        new HttpStoreClient(context.getSystem(), store.host(), store.port()),
+                        new JobsActor.Identity(settings.node(), guards.toString()),
+                        times,
+                        clock,
+                        log,
+                        view,
+                        new Random(settings.node().hashCode()))),
+                "entry",
+                THREADS);
+        Materializer materializer = SystemMaterializer.get(system).materializer();
+        JobsHttp http = new JobsHttp(system::tell, view, materializer, clock, log, meters);
+        FrameTransport transport =
+                new FrameTransport(system, LinkSettings.DEFAULT.withSilenceTimeoutMs(SILENCE_TIMEOUT_MS), log);
+        transport.bind(guards.host(), guards.port(), () -> event -> system.tell(new JobsCommand.GuardLink(event)));
+        bind(system, settings.readinessAddress(), MAX_OPERATOR_CONNECTIONS, log, request -> readiness(http, request));
+        bind(
+                system,
+                new Address(settings.ipAddress(), settings.firstInternalPort() + 1).toString(),
+                MAX_OPERATOR_CONNECTIONS,
+                log,
+                request -> operate(system, meters, request));
+        CompletionStage<ServerBinding> callers =
+                bind(system, settings.callerAddress(), MAX_CONNECTIONS, log, http::handle);
+        return new JobsNode(system, http, callers.toCompletableFuture());
+    }
+
+    /**
+     * Stops: leaves the rotation, gives up leadership, answers what is under way, and ends.
+     *
+     * @return completed when nothing is left to do
+     */
+    public CompletionStage<?> drain() {
+        CompletableFuture<Void> resigned = new CompletableFuture<>();
+        http.close();
+        system.tell(new JobsCommand.Drain(resigned));
+        resigned.completeOnTimeout(null, RESIGN_BOUND_MS, TimeUnit.MILLISECONDS);
+        return CompletableFuture.supplyAsync(
+                        () -> null, CompletableFuture.delayedExecutor(LEAVE_ROTATION_MS, TimeUnit.MILLISECONDS))
+                .thenCompose(ignored -> resigned)
+                .thenCompose(ignored -> callers)
+                .thenCompose(binding -> binding.terminate(FINISH_BOUND));
+    }
+
+    /** Completes when the actor has stopped, which it only does after a failure. */
+    public CompletionStage<?> whenStopped() {
+        return system.getWhenTerminated();
+    }
+
+    /*
+     * Helpers
+     */
+
+    private static CompletionStage<ServerBinding> bind(
+            ActorSystem<?> system,
+            String address,
+            int maxConnections,
+            EventLog log,
+            java.util.function.Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
+        return HttpListener.bind(system, Address.parse(address), maxConnections, handler, (request, failure) -> {
+            log.emit(JobEvent.REQUEST_REFUSED, "id", request.getUri().path(), "status", 500, "reason", failure);
+            return HttpResponse.create().withStatus(500);
+        });
+    }
+
+    private static CompletionStage<HttpResponse> readiness(JobsHttp http, HttpRequest request) {
+        boolean asked = request.getUri().path().equals(JobCodec.READINESS_PATH);
+        return CompletableFuture.completedFuture(
+                asked ? http.readiness() : HttpResponse.create().withStatus(404));
+    }
+
+    private static CompletionStage<HttpResponse> operate(
+            ActorSystem<JobsCommand> system, PrometheusMeterRegistry meters, HttpRequest request) {
+        return switch (request.getUri().path()) {
+            case "/metrics" -> CompletableFuture.completedFuture(text(meters.scrape()));
+            case "/state" -> {
+                CompletableFuture<String> answer = new CompletableFuture<>();
+                system.tell(new JobsCommand.Describe(answer));
+                yield answer.thenApply(JobsNode::text);
+            }
+            default -> CompletableFuture.completedFuture(HttpResponse.create().withStatus(404));
+        };
+    }
+
+    private static HttpResponse text(String body) {
+        return HttpResponse.create().withEntity(ContentTypes.TEXT_PLAIN_UTF8, body.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
@@ -0,0 +1,179 @@
+package org.fulmarreach.guard.jobs;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.SystemMaterializer;
+import org.fulmarreach.core.exc.FrameException;
+import org.fulmarreach.platform.node.NodeSettings;
+import org.fulmarreach.platform.store.HttpStoreClient;
+import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.ReadResult;
+import org.fulmarreach.platform.store.StoreClient;
+import org.fulmarreach.platform.store.TopicPartition;
+import org.fulmarreach.platform.worker.HeartbeatCodec;
+import org.fulmarreach.platform.worker.HttpWorkerCalls;
+import org.fulmarreach.protocol.io.JobRecords;
+import org.fulmarreach.protocol.io.JobTopics;
+import org.fulmarreach.runtime.cfg.Address;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.FrameTransport;
+import org.fulmarreach.runtime.net.HttpListener;
+import org.fulmarreach.runtime.net.LinkEvent;
+import org.fulmarreach.runtime.net.LinkSettings;
+import org.fulmarreach.runtime.util.ActorSystems;
+import org.fulmarreach.runtime.util.MonotonicClock;
+
+/** A running guard on the users' platform: its relay and the listener for its worker's heartbeats. Thread-safe. */
+public final class RelayNode {
+    private static final int THREADS = 2;
+    private static final int MAX_CONNECTIONS = 64;
+    private static final long BODY_TIMEOUT_MS = 1_000;
+    private static final long MAX_BODY_BYTES = 64 * 1024;
+
+    /** The leader answers each report, at least every 500 ms; three missed answers close a session. */
+    private static final LinkSettings LINKS = new LinkSettings(1_600, 500, 4 << 20, 8 << 20);
+
+    private final ActorSystem<RelayCommand> system;
+
+    private RelayNode(ActorSystem<RelayCommand> system) {
+        this.system = system;
+    }
+
+    /**
+     * Starts a guard.
+     *
+     * @param settings settings of the process
+     * @param clock monotonic clock
+     * @param log events
+     */
+    public static RelayNode start(NodeSettings settings, MonotonicClock clock, EventLog log) {
+        Address workerAddress = Address.parse(settings.workerAddress());
+        Address storeAddress = Address.parse(settings.storeAddress());
+        ActorSystem<RelayCommand> system = ActorSystems.construct(
+                Behaviors.setup(context -> {
+                    StoreClient store =
+                            new HttpStoreClient(context.getSystem(), storeAddress.host(), storeAddress.port());
+                    return WorkerRelay.create(
+                            new HttpWorkerCalls(context.getSystem(), workerAddress.host(), workerAddress.port()),
+                            new NetworkLinks(new FrameTransport(context.getSystem(), LINKS, log), store, log),
+                            entryAddresses(settings),
+                            settings.node(),
+                            settings.bounds().leaseMs(),
+                            clock,
+                            log,
+                            new Random(settings.node().hashCode()));
+                }),
+                "guard",
+                THREADS);
+        Materializer materializer = SystemMaterializer.get(system).materializer();
+        HttpListener.bind(
+                system,
+                Address.parse(settings.heartbeatAddress()),
+                MAX_CONNECTIONS,
+                request -> receive(system, materializer, log, request),
+                (request, failure) -> {
+                    log.emit(
+                            RelayEvent.HEARTBEAT_REFUSED,
+                            "path",
+                            request.getUri().path(),
+                            "reason",
+                            failure);
+                    return HttpResponse.create().withStatus(500);
+                });
+        return new RelayNode(system);
+    }
+
+    /** Completes when the relay has stopped, which it only does after a failure. */
+    public CompletionStage<?> whenStopped() {
+        return system.getWhenTerminated();
+    }
+
+    /*
+     * Helpers
+     */
+
+    /** Entries use the same internal port on every VM; the seeds name them by another port. */
+    private static List<String> entryAddresses(NodeSettings settings) {
+        List<String> addresses = new ArrayList<>();
+        for (String seed : settings.seeds()) {
+            addresses.add(new Address(Address.parse(seed).host(), settings.firstInternalPort()).toString());
+        }
+        return addresses;
+    }
+
+    private static CompletionStage<HttpResponse> receive(
+            ActorSystem<RelayCommand> system, Materializer materializer, EventLog log, HttpRequest request) {
+        String path = request.getUri().path();
+        Optional<String> leaver = HeartbeatCodec.findLeaver(path);
+        if (leaver.isPresent()) {
+            request.discardEntityBytes(materializer);
+            system.tell(new RelayCommand.Left(leaver.get()));
+            return CompletableFuture.completedFuture(HttpResponse.create());
+        }
+        Optional<String> reporter = HeartbeatCodec.findReporter(path);
+        if (reporter.isEmpty()) {
+            request.discardEntityBytes(materializer);
+            return CompletableFuture.completedFuture(HttpResponse.create().withStatus(404));
+        }
+        return request.entity()
+                .toStrict(BODY_TIMEOUT_MS, MAX_BODY_BYTES, materializer)
+                .thenApply(strict -> {
+                    try {
+                        system.tell(new RelayCommand.Beat(HeartbeatCodec.decode(
+                                reporter.get(), strict.getData().toArrayUnsafe())));
+                        return HttpResponse.create().withEntity(ContentTypes.APPLICATION_JSON, "{}");
+                    } catch (IOException e) {
+                        log.emit(RelayEvent.HEARTBEAT_REFUSED, "worker", reporter.get(), "reason", e.getMessage());
+                        return HttpResponse.create().withStatus(400);
+                    }
+                });
+    }
+
+    private record NetworkLinks(FrameTransport transport, StoreClient store, EventLog log)
+            implements WorkerRelay.Links {
+        @Override
+        public void connect(String address, Consumer<LinkEvent> listener) {
+            Address parsed = Address.parse(address);
+            transport.connect(parsed.host(), parsed.port(), listener);
+        }
+
+        @Override
+        public void findLeader(Consumer<String> answer) {
+            TopicPartition partition = new TopicPartition(JobTopics.TOPIC, JobTopics.LEADER_HINT_PART);
+            store.readNewest(partition).thenAccept(result -> answer.accept(findAddress(result)));
+        }
+
+        private String findAddress(ReadResult result) {
+            if (result instanceof ReadResult.Records read) {
+                for (KeyedRecord each : read.records()) {
+                    if (each.key().equals(JobTopics.LEADER_KEY) && !each.isRemoval()) {
+                        return decodeAddress(each);
+                    }
+                }
+            }
+            return "";
+        }
+
+        private String decodeAddress(KeyedRecord each) {
+            try {
+                return JobRecords.decodeState(each.value()).getLeader().getAddress();
+            } catch (FrameException e) {
+                log.emit(RelayEvent.LEADER_SOUGHT, "reason", e.getMessage());
+                return "";
+            }
+        }
+    }
+}
--- /dev/null
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerOrder.java
@@ -0,0 +1,57 @@
+package org.fulmarreach.guard.jobs;
+
+import org.fulmarreach.platform.worker.WorkerCalls.RunStartCall;
+
+/** An order that is being carried out at the worker. */
+sealed interface WorkerOrder {
+    /** Returns the name of the task. */
+    String task();
+
+    /** Returns the number of the run. */
+    int run();
+
+    /** Returns how often it was sent before. */
+    int attempt();
+
+    /** Returns the same order, sent once more. */
+    WorkerOrder again();
+
+    /** Returns what identifies the run. */
+    default String key() {
+        return task() + "#" + run();
+    }
+
+    /** Starts a run. */
+    record Start(RunStartCall call, int attempt) implements WorkerOrder {
+        @Override
+        public String task() {
+            return call.task();
+        }
+
+        @Override
+        public int run() {
+            return call.run();
+        }
+
+        @Override
+        public WorkerOrder again() {
+            return new Start(call, attempt + 1);
+        }
+    }
+
+    /** Stops a run. */
+    record Stop(String task, int run, int attempt) implements WorkerOrder {
+        @Override
+        public WorkerOrder again() {
+            return new Stop(task, run, attempt + 1);
+        }
+    }
+
+    /** Sets the share at which a run works. */
+    record Pace(String task, int run, int percent, int attempt) implements WorkerOrder {
+        @Override
+        public WorkerOrder again() {
+            return new Pace(task, run, percent, attempt + 1);
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/GuardMessages.java
@@ -0,0 +1,98 @@
+package org.fulmarreach.protocol.io;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fulmarreach.core.jobs.JobOrder;
+import org.fulmarreach.core.jobs.RunEnd;
+import org.fulmarreach.core.jobs.WorkerRef;
+import org.fulmarreach.core.jobs.WorkerReport;
+import org.fulmarreach.protocol.thrift.EndedRun;
+import org.fulmarreach.protocol.thrift.LeaderOrders;
+import org.fulmarreach.protocol.thrift.PaceRun;
+import org.fulmarreach.protocol.thrift.RunStatus;
+import org.fulmarreach.protocol.thrift.StartRun;
+import org.fulmarreach.protocol.thrift.StopRun;
+import org.fulmarreach.protocol.thrift.WorkerStatus;
+
+/** Messages between a guard and the leader. Stateless and thread-safe. */
+public final class GuardMessages {
+    private GuardMessages() {}
+
+    /** Converts a report. */
+    public static WorkerStatus toThrift(WorkerReport report) {
+        List<RunStatus> running = new ArrayList<>();
+        for (WorkerReport.Running run : report.running()) {
+            running.add(new RunStatus(run.task(), run.run(), run.checkpoint(), run.percent(), run.usage()));
+        }
+        List<EndedRun> ended = new ArrayList<>();
+        for (WorkerReport.Ended end : report.ended()) {
+            ended.add(
+                    new EndedRun(end.number(), end.task(), end.run(), end.how().name(), end.checkpoint()));
+        }
+        return new WorkerStatus(
+                JobRecords.toThrift(report.ref()),
+                report.service(),
+                report.zone(),
+                JobRecords.toThrift(report.capacity()),
+                report.labels(),
+                report.draining(),
+                report.reachable(),
+                report.leaseLapsed(),
+                running,
+                ended,
+                report.lookNumber());
+    }
+
+    /** Converts a report. */
+    public static WorkerReport fromThrift(WorkerStatus status) {
+        List<WorkerReport.Running> running = new ArrayList<>();
+        for (RunStatus run : status.getRunning()) {
+            running.add(new WorkerReport.Running(
+                    run.getTask(), run.getRun(), run.getCheckpoint(), run.getPercent(), run.getUsage()));
+        }
+        List<WorkerReport.Ended> ended = new ArrayList<>();
+        for (EndedRun end : status.getEnded()) {
+            ended.add(new WorkerReport.Ended(
+                    end.getNumber(), end.getTask(), end.getRun(), RunEnd.valueOf(end.getHow()), end.getCheckpoint()));
+        }
+        return new WorkerReport(
+                JobRecords.fromThrift(status.getRef()),
+                status.getServiceName(),
+                status.getZone(),
+                JobRecords.fromThrift(status.getCapacity()),
+                status.getLabels(),
+                status.isDraining(),
+                status.isReachable(),
+                status.isLeaseLapsed(),
+                running,
+                ended,
+                status.getLookNumber());
+    }
+
+    /**
+     * Constructs the message with the orders for one worker.
+     *
+     * @param term term of the leader
+     * @param echoedTickMs tick of the guard's last report, from which the grant counts
+     * @param worker lifetime of the worker
+     * @param orders orders for that lifetime; none for a grant alone
+     */
+    public static LeaderOrders toThrift(long term, long echoedTickMs, WorkerRef worker, List<JobOrder> orders) {
+        List<StartRun> starts = new ArrayList<>();
+        List<StopRun> stops = new ArrayList<>();
+        List<PaceRun> paces = new ArrayList<>();
+        long acknowledged = 0;
+        for (JobOrder order : orders) {
+            switch (order) {
+                case JobOrder.Start start ->
+                    starts.add(new StartRun(start.task().toString(), start.run(), start.payload(), start.checkpoint()));
+                case JobOrder.Stop stop -> stops.add(new StopRun(stop.task(), stop.run()));
+                case JobOrder.Pace pace -> paces.add(new PaceRun(pace.task().toString(), pace.run(), pace.percent()));
+                case JobOrder.Acknowledge acknowledge ->
+                    acknowledged = Math.max(acknowledged, acknowledge.upToNumber());
+            }
+        }
+        return new LeaderOrders(term, echoedTickMs, JobRecords.toThrift(worker), starts, stops, paces, acknowledged);
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -0,0 +1,191 @@
+package org.fulmarreach.protocol.io;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.fulmarreach.core.exc.FrameException;
+import org.fulmarreach.core.jobs.JobSnapshot;
+import org.fulmarreach.core.jobs.JobSpec;
+import org.fulmarreach.core.jobs.JobStep;
+import org.fulmarreach.core.jobs.TaskPhase;
+import org.fulmarreach.core.jobs.TaskState;
+import org.fulmarreach.core.jobs.WorkerRef;
+import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.protocol.thrift.JobCancelled;
+import org.fulmarreach.protocol.thrift.JobLeader;
+import org.fulmarreach.protocol.thrift.JobProgress;
+import org.fulmarreach.protocol.thrift.JobRequest;
+import org.fulmarreach.protocol.thrift.JobState;
+import org.fulmarreach.protocol.thrift.JobSubmitted;
+import org.fulmarreach.protocol.thrift.JobTaskState;
+import org.fulmarreach.protocol.thrift.JobWorkerRef;
+
+/** Records of jobs in the log. Stateless and thread-safe; malformed bytes throw {@link FrameException}. */
+public final class JobRecords {
+    private static final int NO_WORKER = -1;
+
+    private JobRecords() {}
+
+    /*
+     * Requests of callers
+     */
+
+    /** Encodes a submitted job; its id is the key of the record. */
+    public static byte[] encode(JobSpec job) {
+        List<org.fulmarreach.protocol.thrift.JobStep> steps = new ArrayList<>();
+        for (JobStep step : job.steps()) {
+            steps.add(toThrift(step));
+        }
+        return ThriftBytes.encode(JobRequest.submitted(new JobSubmitted(
+                job.queue(),
+                job.payload(),
+                steps,
+                job.firstRunMs(),
+                job.intervalMs(),
+                job.repetitions(),
+                job.acceptedAtMs())));
+    }
+
+    /** Encodes a cancellation. */
+    public static byte[] encodeCancellation(long cancelledAtMs) {
+        return ThriftBytes.encode(JobRequest.cancelled(new JobCancelled(cancelledAtMs)));
+    }
+
+    /** Decodes a submitted job. */
+    public static JobSpec decodeJob(String id, byte[] bytes) {
+        JobRequest request = ThriftBytes.decode(bytes, new JobRequest());
+        if (!request.isSetSubmitted()) {
+            throw new FrameException("record of job " + id + " holds no submission");
+        }
+        JobSubmitted submitted = request.getSubmitted();
+        List<JobStep> steps = new ArrayList<>();
+        for (org.fulmarreach.protocol.thrift.JobStep step : submitted.getSteps()) {
+            steps.add(fromThrift(step));
+        }
+        return new JobSpec(
+                id,
+                submitted.getQueue(),
+                submitted.getPayload(),
+                steps,
+                submitted.getFirstRunMs(),
+                submitted.getIntervalMs(),
+                submitted.getRepetitions(),
+                submitted.getAcceptedAtMs());
+    }
+
+    /*
+     * Progress and leadership
+     */
+
+    /** Encodes the progress of a job. */
+    public static byte[] encode(JobSnapshot snapshot) {
+        Map<WorkerRef, Integer> workers = new LinkedHashMap<>();
+        List<JobTaskState> tasks = new ArrayList<>();
+        for (TaskState task : snapshot.tasks()) {
+            int worker = NO_WORKER;
+            if (task.worker() != null) {
+                worker = workers.computeIfAbsent(task.worker(), ref -> workers.size());
+            }
+            JobTaskState state = new JobTaskState();
+            state.setPhase(task.phase().ordinal());
+            state.setRun(task.run());
+            state.setWorker(worker);
+            state.setFailures(task.failures());
+            if (!task.checkpoint().isEmpty()) {
+                state.setCheckpoint(task.checkpoint());
+            }
+            tasks.add(state);
+        }
+        List<JobWorkerRef> refs = new ArrayList<>();
+        workers.keySet().forEach(ref -> refs.add(toThrift(ref)));
+        return ThriftBytes.encode(JobState.progress(new JobProgress(refs, tasks, snapshot.settledAtMs())));
+    }
+
+    /** Encodes who leads. */
+    public static byte[] encodeLeader(long term, String node, String address) {
+        return ThriftBytes.encode(JobState.leader(new JobLeader(term, node, address)));
+    }
+
+    /** Decodes a record of the partition of progress. */
+    public static JobState decodeState(byte[] bytes) {
+        return ThriftBytes.decode(bytes, new JobState());
+    }
+
+    /** Converts progress. */
+    public static JobSnapshot fromThrift(JobProgress progress) {
+        List<WorkerRef> workers = new ArrayList<>();
+        progress.getWorkers().forEach(ref -> workers.add(fromThrift(ref)));
+        List<TaskState> tasks = new ArrayList<>();
+        for (JobTaskState state : progress.getTasks()) {
+            boolean known = state.getWorker() >= 0 && state.getWorker() < workers.size();
+            tasks.add(new TaskState(
+                    TaskPhase.of(state.getPhase()),
+                    state.getRun(),
+                    known ? workers.get(state.getWorker()) : null,
+                    state.getFailures(),
+                    state.isSetCheckpoint() ? state.getCheckpoint() : ""));
+        }
+        return new JobSnapshot(tasks, progress.getSettledAtMs());
+    }
+
+    /** Converts the lifetime of a worker. */
+    public static JobWorkerRef toThrift(WorkerRef ref) {
+        return new JobWorkerRef(ref.guard(), ref.id(), ref.bornMs());
+    }
+
+    /** Converts the lifetime of a worker. */
+    public static WorkerRef fromThrift(JobWorkerRef ref) {
+        return new WorkerRef(ref.getGuard(), ref.getId(), ref.getBornMs());
+    }
+
+    static org.fulmarreach.protocol.thrift.Resources toThrift(Resources resources) {
+        return new org.fulmarreach.protocol.thrift.Resources(
+                resources.milliCores(), resources.memoryMb(), resources.accelerators());
+    }
+
+    static Resources fromThrift(org.fulmarreach.protocol.thrift.Resources resources) {
+        return new Resources(resources.getMilliCores(), resources.getMemoryMb(), resources.getAccelerators());
+    }
+
+    private static org.fulmarreach.protocol.thrift.JobStep toThrift(JobStep step) {
+        return new org.fulmarreach.protocol.thrift.JobStep(
+                step.taskCount(),
+                toThrift(step.demand()),
+                step.estimatedMs(),
+                step.after(),
+                step.checkpoints(),
+                step.gang(),
+                step.rackLocal(),
+                step.requiredLabel(),
+                step.dataRack(),
+                step.maxPerWorker(),
+                step.speculative(),
+                step.longRunning(),
+                step.image(),
+                step.targetLatencyMs(),
+                step.fillsIdleCapacity(),
+                step.maxAbsent());
+    }
+
+    private static JobStep fromThrift(org.fulmarreach.protocol.thrift.JobStep step) {
+        return new JobStep(
+                step.getTaskCount(),
+                fromThrift(step.getDemand()),
+                step.getEstimatedMs(),
+                step.getAfter(),
+                step.isCheckpoints(),
+                step.isGang(),
+                step.isRackLocal(),
+                step.getRequiredLabel(),
+                step.getDataRack(),
+                step.getMaxPerWorker(),
+                step.isSpeculative(),
+                step.isLongRunning(),
+                step.getImage(),
+                step.getTargetLatencyMs(),
+                step.isFillsIdleCapacity(),
+                step.getMaxAbsent());
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobTopics.java
@@ -0,0 +1,63 @@
+package org.fulmarreach.protocol.io;
+
+/** Partitions and keys of the topic that holds jobs. Stateless. */
+public final class JobTopics {
+    /** Name of the topic; the store keeps the newest record of each key of a topic with this prefix. */
+    public static final String TOPIC = "keyed.jobs";
+
+    /** Partition of submitted jobs and cancellations; any entry writes. */
+    public static final int REQUESTS_PART = 0;
+
+    /** Partition of the progress of jobs and the leader's term; the leader writes, and candidates. */
+    public static final int PROGRESS_PART = 1;
+
+    /** Partition with a copy of the leader's address, for guards, which need not read all progress. */
+    public static final int LEADER_HINT_PART = 2;
+
+    /** Key of the leader's term. */
+    public static final String LEADER_KEY = "leader";
+
+    /** Producer name of the leader's sequence of appends. */
+    public static final String LEADER_PRODUCER = "leader";
+
+    private static final String JOB_PREFIX = "j/";
+    private static final String CANCEL_PREFIX = "c/";
+    private static final String PROGRESS_PREFIX = "s/";
+
+    private JobTopics() {}
+
+    /** Returns the key of a submitted job. */
+    public static String jobKey(String jobId) {
+        return JOB_PREFIX + jobId;
+    }
+
+    /** Returns the key of a cancellation. */
+    public static String cancelKey(String jobId) {
+        return CANCEL_PREFIX + jobId;
+    }
+
+    /** Returns the key of a job's progress. */
+    public static String progressKey(String jobId) {
+        return PROGRESS_PREFIX + jobId;
+    }
+
+    /** Tells whether a key is that of a submitted job. */
+    public static boolean isJob(String key) {
+        return key.startsWith(JOB_PREFIX);
+    }
+
+    /** Tells whether a key is that of a cancellation. */
+    public static boolean isCancel(String key) {
+        return key.startsWith(CANCEL_PREFIX);
+    }
+
+    /** Tells whether a key is that of a job's progress. */
+    public static boolean isProgress(String key) {
+        return key.startsWith(PROGRESS_PREFIX);
+    }
+
+    /** Returns the id of the job that a key with a prefix belongs to. */
+    public static String jobId(String key) {
+        return key.substring(JOB_PREFIX.length());
+    }
+}
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/Body.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/Body.java
@@ -36,6 +36,9 @@
   private static final org.apache.thrift.protocol.TField CONFIRM_OUTAGE_RESULT_FIELD_DESC = new org.apache.thrift.protocol.TField("confirmOutageResult", org.apache.thrift.protocol.TType.STRUCT, (short)25);
   private static final org.apache.thrift.protocol.TField FENCE_LEADER_FIELD_DESC = new org.apache.thrift.protocol.TField("fenceLeader", org.apache.thrift.protocol.TType.STRUCT, (short)26);
   private static final org.apache.thrift.protocol.TField FENCE_LEADER_RESULT_FIELD_DESC = new org.apache.thrift.protocol.TField("fenceLeaderResult", org.apache.thrift.protocol.TType.STRUCT, (short)27);
+  private static final org.apache.thrift.protocol.TField GUARD_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("guardReport", org.apache.thrift.protocol.TType.STRUCT, (short)28);
+  private static final org.apache.thrift.protocol.TField LEADER_ORDERS_FIELD_DESC = new org.apache.thrift.protocol.TField("leaderOrders", org.apache.thrift.protocol.TType.STRUCT, (short)29);
+  private static final org.apache.thrift.protocol.TField LEADER_HINT_FIELD_DESC = new org.apache.thrift.protocol.TField("leaderHint", org.apache.thrift.protocol.TType.STRUCT, (short)30);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -65,7 +68,10 @@
     CONFIRM_OUTAGE((short)24, "confirmOutage"),
     CONFIRM_OUTAGE_RESULT((short)25, "confirmOutageResult"),
     FENCE_LEADER((short)26, "fenceLeader"),
-    FENCE_LEADER_RESULT((short)27, "fenceLeaderResult");
+    FENCE_LEADER_RESULT((short)27, "fenceLeaderResult"),
+    GUARD_REPORT((short)28, "guardReport"),
+    LEADER_ORDERS((short)29, "leaderOrders"),
+    LEADER_HINT((short)30, "leaderHint");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -135,6 +141,12 @@
           return FENCE_LEADER;
         case 27: // FENCE_LEADER_RESULT
           return FENCE_LEADER_RESULT;
+        case 28: // GUARD_REPORT
+          return GUARD_REPORT;
+        case 29: // LEADER_ORDERS
+          return LEADER_ORDERS;
+        case 30: // LEADER_HINT
+          return LEADER_HINT;
         default:
           return null;
       }
@@ -234,6 +246,12 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, FenceLeader.class)));
     tmpMap.put(_Fields.FENCE_LEADER_RESULT, new org.apache.thrift.meta_data.FieldMetaData("fenceLeaderResult", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, FenceLeaderResult.class)));
+    tmpMap.put(_Fields.GUARD_REPORT, new org.apache.thrift.meta_data.FieldMetaData("guardReport", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, GuardReport.class)));
+    tmpMap.put(_Fields.LEADER_ORDERS, new org.apache.thrift.meta_data.FieldMetaData("leaderOrders", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LeaderOrders.class)));
+    tmpMap.put(_Fields.LEADER_HINT, new org.apache.thrift.meta_data.FieldMetaData("leaderHint", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LeaderHint.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Body.class, metaDataMap);
   }
@@ -416,6 +434,24 @@
     return x;
   }
 
+  public static Body guardReport(GuardReport value) {
+    Body x = new Body();
+    x.setGuardReport(value);
+    return x;
+  }
+
+  public static Body leaderOrders(LeaderOrders value) {
+    Body x = new Body();
+    x.setLeaderOrders(value);
+    return x;
+  }
+
+  public static Body leaderHint(LeaderHint value) {
+    Body x = new Body();
+    x.setLeaderHint(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -555,6 +591,21 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type FenceLeaderResult for field 'fenceLeaderResult', but got " + value.getClass().getSimpleName());
+      case GUARD_REPORT:
+        if (value instanceof GuardReport) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type GuardReport for field 'guardReport', but got " + value.getClass().getSimpleName());
+      case LEADER_ORDERS:
+        if (value instanceof LeaderOrders) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type LeaderOrders for field 'leaderOrders', but got " + value.getClass().getSimpleName());
+      case LEADER_HINT:
+        if (value instanceof LeaderHint) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type LeaderHint for field 'leaderHint', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -835,6 +886,36 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case GUARD_REPORT:
+          if (field.type == GUARD_REPORT_FIELD_DESC.type) {
+            GuardReport guardReport;
+            guardReport = new GuardReport();
+            guardReport.read(iprot);
+            return guardReport;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case LEADER_ORDERS:
+          if (field.type == LEADER_ORDERS_FIELD_DESC.type) {
+            LeaderOrders leaderOrders;
+            leaderOrders = new LeaderOrders();
+            leaderOrders.read(iprot);
+            return leaderOrders;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case LEADER_HINT:
+          if (field.type == LEADER_HINT_FIELD_DESC.type) {
+            LeaderHint leaderHint;
+            leaderHint = new LeaderHint();
+            leaderHint.read(iprot);
+            return leaderHint;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -955,6 +1036,18 @@
         FenceLeaderResult fenceLeaderResult = (FenceLeaderResult)value_;
         fenceLeaderResult.write(oprot);
         return;
+      case GUARD_REPORT:
+        GuardReport guardReport = (GuardReport)value_;
+        guardReport.write(oprot);
+        return;
+      case LEADER_ORDERS:
+        LeaderOrders leaderOrders = (LeaderOrders)value_;
+        leaderOrders.write(oprot);
+        return;
+      case LEADER_HINT:
+        LeaderHint leaderHint = (LeaderHint)value_;
+        leaderHint.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -1100,6 +1193,21 @@
           fenceLeaderResult = new FenceLeaderResult();
           fenceLeaderResult.read(iprot);
           return fenceLeaderResult;
+        case GUARD_REPORT:
+          GuardReport guardReport;
+          guardReport = new GuardReport();
+          guardReport.read(iprot);
+          return guardReport;
+        case LEADER_ORDERS:
+          LeaderOrders leaderOrders;
+          leaderOrders = new LeaderOrders();
+          leaderOrders.read(iprot);
+          return leaderOrders;
+        case LEADER_HINT:
+          LeaderHint leaderHint;
+          leaderHint = new LeaderHint();
+          leaderHint.read(iprot);
+          return leaderHint;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -1219,6 +1327,18 @@
         FenceLeaderResult fenceLeaderResult = (FenceLeaderResult)value_;
         fenceLeaderResult.write(oprot);
         return;
+      case GUARD_REPORT:
+        GuardReport guardReport = (GuardReport)value_;
+        guardReport.write(oprot);
+        return;
+      case LEADER_ORDERS:
+        LeaderOrders leaderOrders = (LeaderOrders)value_;
+        leaderOrders.write(oprot);
+        return;
+      case LEADER_HINT:
+        LeaderHint leaderHint = (LeaderHint)value_;
+        leaderHint.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -1281,6 +1401,12 @@
         return FENCE_LEADER_FIELD_DESC;
       case FENCE_LEADER_RESULT:
         return FENCE_LEADER_RESULT_FIELD_DESC;
+      case GUARD_REPORT:
+        return GUARD_REPORT_FIELD_DESC;
+      case LEADER_ORDERS:
+        return LEADER_ORDERS_FIELD_DESC;
+      case LEADER_HINT:
+        return LEADER_HINT_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -1654,6 +1780,45 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.FENCE_LEADER_RESULT");
   }
 
+  public GuardReport getGuardReport() {
+    if (getSetField() == _Fields.GUARD_REPORT) {
+      return (GuardReport)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'guardReport' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setGuardReport(GuardReport value) {
+    setField_ = _Fields.GUARD_REPORT;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.GUARD_REPORT");
+  }
+
+  public LeaderOrders getLeaderOrders() {
+    if (getSetField() == _Fields.LEADER_ORDERS) {
+      return (LeaderOrders)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'leaderOrders' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setLeaderOrders(LeaderOrders value) {
+    setField_ = _Fields.LEADER_ORDERS;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.LEADER_ORDERS");
+  }
+
+  public LeaderHint getLeaderHint() {
+    if (getSetField() == _Fields.LEADER_HINT) {
+      return (LeaderHint)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'leaderHint' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setLeaderHint(LeaderHint value) {
+    setField_ = _Fields.LEADER_HINT;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.LEADER_HINT");
+  }
+
   public boolean isSetHello() {
     return setField_ == _Fields.HELLO;
   }
@@ -1789,6 +1954,21 @@
   }
 
 
+  public boolean isSetGuardReport() {
+    return setField_ == _Fields.GUARD_REPORT;
+  }
+
+
+  public boolean isSetLeaderOrders() {
+    return setField_ == _Fields.LEADER_ORDERS;
+  }
+
+
+  public boolean isSetLeaderHint() {
+    return setField_ == _Fields.LEADER_HINT;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof Body) {
       return equals((Body)other);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/BudgetSnapshot.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/BudgetSnapshot.java
@@ -643,14 +643,14 @@
           case 1: // TOTALS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list136 = iprot.readListBegin();
-                struct.totals = new java.util.ArrayList<PeriodTotal>(_list136.size);
-                @org.apache.thrift.annotation.Nullable PeriodTotal _elem137;
-                for (int _i138 = 0; _i138 < _list136.size; ++_i138)
+                org.apache.thrift.protocol.TList _list224 = iprot.readListBegin();
+                struct.totals = new java.util.ArrayList<PeriodTotal>(_list224.size);
+                @org.apache.thrift.annotation.Nullable PeriodTotal _elem225;
+                for (int _i226 = 0; _i226 < _list224.size; ++_i226)
                 {
-                  _elem137 = new PeriodTotal();
-                  _elem137.read(iprot);
-                  struct.totals.add(_elem137);
+                  _elem225 = new PeriodTotal();
+                  _elem225.read(iprot);
+                  struct.totals.add(_elem225);
                 }
                 iprot.readListEnd();
               }
@@ -711,9 +711,9 @@
         oprot.writeFieldBegin(TOTALS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.totals.size()));
-          for (PeriodTotal _iter139 : struct.totals)
+          for (PeriodTotal _iter227 : struct.totals)
           {
-            _iter139.write(oprot);
+            _iter227.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -769,9 +769,9 @@
       if (struct.isSetTotals()) {
         {
           oprot.writeI32(struct.totals.size());
-          for (PeriodTotal _iter140 : struct.totals)
+          for (PeriodTotal _iter228 : struct.totals)
           {
-            _iter140.write(oprot);
+            _iter228.write(oprot);
           }
         }
       }
@@ -795,14 +795,14 @@
       java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list141 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.totals = new java.util.ArrayList<PeriodTotal>(_list141.size);
-          @org.apache.thrift.annotation.Nullable PeriodTotal _elem142;
-          for (int _i143 = 0; _i143 < _list141.size; ++_i143)
+          org.apache.thrift.protocol.TList _list229 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.totals = new java.util.ArrayList<PeriodTotal>(_list229.size);
+          @org.apache.thrift.annotation.Nullable PeriodTotal _elem230;
+          for (int _i231 = 0; _i231 < _list229.size; ++_i231)
           {
-            _elem142 = new PeriodTotal();
-            _elem142.read(iprot);
-            struct.totals.add(_elem142);
+            _elem230 = new PeriodTotal();
+            _elem230.read(iprot);
+            struct.totals.add(_elem230);
           }
         }
         struct.setTotalsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/PeriodTotal.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/PeriodTotal.java
@@ -503,13 +503,13 @@
           case 3: // IDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list128 = iprot.readListBegin();
-                struct.ids = new java.util.ArrayList<java.lang.String>(_list128.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem129;
-                for (int _i130 = 0; _i130 < _list128.size; ++_i130)
+                org.apache.thrift.protocol.TList _list216 = iprot.readListBegin();
+                struct.ids = new java.util.ArrayList<java.lang.String>(_list216.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem217;
+                for (int _i218 = 0; _i218 < _list216.size; ++_i218)
                 {
-                  _elem129 = iprot.readString();
-                  struct.ids.add(_elem129);
+                  _elem217 = iprot.readString();
+                  struct.ids.add(_elem217);
                 }
                 iprot.readListEnd();
               }
@@ -544,9 +544,9 @@
         oprot.writeFieldBegin(IDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.ids.size()));
-          for (java.lang.String _iter131 : struct.ids)
+          for (java.lang.String _iter219 : struct.ids)
           {
-            oprot.writeString(_iter131);
+            oprot.writeString(_iter219);
           }
           oprot.writeListEnd();
         }
@@ -590,9 +590,9 @@
       if (struct.isSetIds()) {
         {
           oprot.writeI32(struct.ids.size());
-          for (java.lang.String _iter132 : struct.ids)
+          for (java.lang.String _iter220 : struct.ids)
           {
-            oprot.writeString(_iter132);
+            oprot.writeString(_iter220);
           }
         }
       }
@@ -612,13 +612,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list133 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.ids = new java.util.ArrayList<java.lang.String>(_list133.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem134;
-          for (int _i135 = 0; _i135 < _list133.size; ++_i135)
+          org.apache.thrift.protocol.TList _list221 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.ids = new java.util.ArrayList<java.lang.String>(_list221.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem222;
+          for (int _i223 = 0; _i223 < _list221.size; ++_i223)
           {
-            _elem134 = iprot.readString();
-            struct.ids.add(_elem134);
+            _elem222 = iprot.readString();
+            struct.ids.add(_elem222);
           }
         }
         struct.setIdsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/RulesPublish.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/RulesPublish.java
@@ -695,13 +695,13 @@
           case 3: // REMOVED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list88 = iprot.readListBegin();
-                struct.removed = new java.util.ArrayList<java.lang.String>(_list88.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem89;
-                for (int _i90 = 0; _i90 < _list88.size; ++_i90)
+                org.apache.thrift.protocol.TList _list176 = iprot.readListBegin();
+                struct.removed = new java.util.ArrayList<java.lang.String>(_list176.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem177;
+                for (int _i178 = 0; _i178 < _list176.size; ++_i178)
                 {
-                  _elem89 = iprot.readString();
-                  struct.removed.add(_elem89);
+                  _elem177 = iprot.readString();
+                  struct.removed.add(_elem177);
                 }
                 iprot.readListEnd();
               }
@@ -713,13 +713,13 @@
           case 4: // ADDED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list91 = iprot.readListBegin();
-                struct.added = new java.util.ArrayList<java.lang.String>(_list91.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem92;
-                for (int _i93 = 0; _i93 < _list91.size; ++_i93)
+                org.apache.thrift.protocol.TList _list179 = iprot.readListBegin();
+                struct.added = new java.util.ArrayList<java.lang.String>(_list179.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem180;
+                for (int _i181 = 0; _i181 < _list179.size; ++_i181)
                 {
-                  _elem92 = iprot.readString();
-                  struct.added.add(_elem92);
+                  _elem180 = iprot.readString();
+                  struct.added.add(_elem180);
                 }
                 iprot.readListEnd();
               }
@@ -764,9 +764,9 @@
         oprot.writeFieldBegin(REMOVED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.removed.size()));
-          for (java.lang.String _iter94 : struct.removed)
+          for (java.lang.String _iter182 : struct.removed)
           {
-            oprot.writeString(_iter94);
+            oprot.writeString(_iter182);
           }
           oprot.writeListEnd();
         }
@@ -776,9 +776,9 @@
         oprot.writeFieldBegin(ADDED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.added.size()));
-          for (java.lang.String _iter95 : struct.added)
+          for (java.lang.String _iter183 : struct.added)
           {
-            oprot.writeString(_iter95);
+            oprot.writeString(_iter183);
           }
           oprot.writeListEnd();
         }
@@ -833,18 +833,18 @@
       if (struct.isSetRemoved()) {
         {
           oprot.writeI32(struct.removed.size());
-          for (java.lang.String _iter96 : struct.removed)
+          for (java.lang.String _iter184 : struct.removed)
           {
-            oprot.writeString(_iter96);
+            oprot.writeString(_iter184);
           }
         }
       }
       if (struct.isSetAdded()) {
         {
           oprot.writeI32(struct.added.size());
-          for (java.lang.String _iter97 : struct.added)
+          for (java.lang.String _iter185 : struct.added)
           {
-            oprot.writeString(_iter97);
+            oprot.writeString(_iter185);
           }
         }
       }
@@ -867,26 +867,26 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list98 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.removed = new java.util.ArrayList<java.lang.String>(_list98.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem99;
-          for (int _i100 = 0; _i100 < _list98.size; ++_i100)
+          org.apache.thrift.protocol.TList _list186 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.removed = new java.util.ArrayList<java.lang.String>(_list186.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem187;
+          for (int _i188 = 0; _i188 < _list186.size; ++_i188)
           {
-            _elem99 = iprot.readString();
-            struct.removed.add(_elem99);
+            _elem187 = iprot.readString();
+            struct.removed.add(_elem187);
           }
         }
         struct.setRemovedIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list101 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.added = new java.util.ArrayList<java.lang.String>(_list101.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem102;
-          for (int _i103 = 0; _i103 < _list101.size; ++_i103)
+          org.apache.thrift.protocol.TList _list189 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.added = new java.util.ArrayList<java.lang.String>(_list189.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem190;
+          for (int _i191 = 0; _i191 < _list189.size; ++_i191)
           {
-            _elem102 = iprot.readString();
-            struct.added.add(_elem102);
+            _elem190 = iprot.readString();
+            struct.added.add(_elem190);
           }
         }
         struct.setAddedIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/RulesSnapshot.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/RulesSnapshot.java
@@ -704,13 +704,13 @@
           case 2: // LINES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list104 = iprot.readListBegin();
-                struct.lines = new java.util.ArrayList<java.lang.String>(_list104.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem105;
-                for (int _i106 = 0; _i106 < _list104.size; ++_i106)
+                org.apache.thrift.protocol.TList _list192 = iprot.readListBegin();
+                struct.lines = new java.util.ArrayList<java.lang.String>(_list192.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem193;
+                for (int _i194 = 0; _i194 < _list192.size; ++_i194)
                 {
-                  _elem105 = iprot.readString();
-                  struct.lines.add(_elem105);
+                  _elem193 = iprot.readString();
+                  struct.lines.add(_elem193);
                 }
                 iprot.readListEnd();
               }
@@ -722,14 +722,14 @@
           case 3: // BINDINGS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list107 = iprot.readListBegin();
-                struct.bindings = new java.util.ArrayList<NameBinding>(_list107.size);
-                @org.apache.thrift.annotation.Nullable NameBinding _elem108;
-                for (int _i109 = 0; _i109 < _list107.size; ++_i109)
+                org.apache.thrift.protocol.TList _list195 = iprot.readListBegin();
+                struct.bindings = new java.util.ArrayList<NameBinding>(_list195.size);
+                @org.apache.thrift.annotation.Nullable NameBinding _elem196;
+                for (int _i197 = 0; _i197 < _list195.size; ++_i197)
                 {
-                  _elem108 = new NameBinding();
-                  _elem108.read(iprot);
-                  struct.bindings.add(_elem108);
+                  _elem196 = new NameBinding();
+                  _elem196.read(iprot);
+                  struct.bindings.add(_elem196);
                 }
                 iprot.readListEnd();
               }
@@ -741,14 +741,14 @@
           case 4: // RECENT_PUBLISHES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list110 = iprot.readListBegin();
-                struct.recentPublishes = new java.util.ArrayList<PublishResult>(_list110.size);
-                @org.apache.thrift.annotation.Nullable PublishResult _elem111;
-                for (int _i112 = 0; _i112 < _list110.size; ++_i112)
+                org.apache.thrift.protocol.TList _list198 = iprot.readListBegin();
+                struct.recentPublishes = new java.util.ArrayList<PublishResult>(_list198.size);
+                @org.apache.thrift.annotation.Nullable PublishResult _elem199;
+                for (int _i200 = 0; _i200 < _list198.size; ++_i200)
                 {
-                  _elem111 = new PublishResult();
-                  _elem111.read(iprot);
-                  struct.recentPublishes.add(_elem111);
+                  _elem199 = new PublishResult();
+                  _elem199.read(iprot);
+                  struct.recentPublishes.add(_elem199);
                 }
                 iprot.readListEnd();
               }
@@ -788,9 +788,9 @@
         oprot.writeFieldBegin(LINES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.lines.size()));
-          for (java.lang.String _iter113 : struct.lines)
+          for (java.lang.String _iter201 : struct.lines)
           {
-            oprot.writeString(_iter113);
+            oprot.writeString(_iter201);
           }
           oprot.writeListEnd();
         }
@@ -800,9 +800,9 @@
         oprot.writeFieldBegin(BINDINGS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.bindings.size()));
-          for (NameBinding _iter114 : struct.bindings)
+          for (NameBinding _iter202 : struct.bindings)
           {
-            _iter114.write(oprot);
+            _iter202.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -812,9 +812,9 @@
         oprot.writeFieldBegin(RECENT_PUBLISHES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.recentPublishes.size()));
-          for (PublishResult _iter115 : struct.recentPublishes)
+          for (PublishResult _iter203 : struct.recentPublishes)
           {
-            _iter115.write(oprot);
+            _iter203.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -864,27 +864,27 @@
       if (struct.isSetLines()) {
         {
           oprot.writeI32(struct.lines.size());
-          for (java.lang.String _iter116 : struct.lines)
+          for (java.lang.String _iter204 : struct.lines)
           {
-            oprot.writeString(_iter116);
+            oprot.writeString(_iter204);
           }
         }
       }
       if (struct.isSetBindings()) {
         {
           oprot.writeI32(struct.bindings.size());
-          for (NameBinding _iter117 : struct.bindings)
+          for (NameBinding _iter205 : struct.bindings)
           {
-            _iter117.write(oprot);
+            _iter205.write(oprot);
           }
         }
       }
       if (struct.isSetRecentPublishes()) {
         {
           oprot.writeI32(struct.recentPublishes.size());
-          for (PublishResult _iter118 : struct.recentPublishes)
+          for (PublishResult _iter206 : struct.recentPublishes)
           {
-            _iter118.write(oprot);
+            _iter206.write(oprot);
           }
         }
       }
@@ -903,41 +903,41 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.lines = new java.util.ArrayList<java.lang.String>(_list119.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem120;
-          for (int _i121 = 0; _i121 < _list119.size; ++_i121)
+          org.apache.thrift.protocol.TList _list207 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.lines = new java.util.ArrayList<java.lang.String>(_list207.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem208;
+          for (int _i209 = 0; _i209 < _list207.size; ++_i209)
           {
-            _elem120 = iprot.readString();
-            struct.lines.add(_elem120);
+            _elem208 = iprot.readString();
+            struct.lines.add(_elem208);
           }
         }
         struct.setLinesIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list122 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.bindings = new java.util.ArrayList<NameBinding>(_list122.size);
-          @org.apache.thrift.annotation.Nullable NameBinding _elem123;
-          for (int _i124 = 0; _i124 < _list122.size; ++_i124)
+          org.apache.thrift.protocol.TList _list210 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.bindings = new java.util.ArrayList<NameBinding>(_list210.size);
+          @org.apache.thrift.annotation.Nullable NameBinding _elem211;
+          for (int _i212 = 0; _i212 < _list210.size; ++_i212)
           {
-            _elem123 = new NameBinding();
-            _elem123.read(iprot);
-            struct.bindings.add(_elem123);
+            _elem211 = new NameBinding();
+            _elem211.read(iprot);
+            struct.bindings.add(_elem211);
           }
         }
         struct.setBindingsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list125 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.recentPublishes = new java.util.ArrayList<PublishResult>(_list125.size);
-          @org.apache.thrift.annotation.Nullable PublishResult _elem126;
-          for (int _i127 = 0; _i127 < _list125.size; ++_i127)
+          org.apache.thrift.protocol.TList _list213 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.recentPublishes = new java.util.ArrayList<PublishResult>(_list213.size);
+          @org.apache.thrift.annotation.Nullable PublishResult _elem214;
+          for (int _i215 = 0; _i215 < _list213.size; ++_i215)
           {
-            _elem126 = new PublishResult();
-            _elem126.read(iprot);
-            struct.recentPublishes.add(_elem126);
+            _elem214 = new PublishResult();
+            _elem214.read(iprot);
+            struct.recentPublishes.add(_elem214);
           }
         }
         struct.setRecentPublishesIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkBatch.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkBatch.java
@@ -513,14 +513,14 @@
           case 3: // DECISIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list192 = iprot.readListBegin();
-                struct.decisions = new java.util.ArrayList<WorkDecision>(_list192.size);
-                @org.apache.thrift.annotation.Nullable WorkDecision _elem193;
-                for (int _i194 = 0; _i194 < _list192.size; ++_i194)
+                org.apache.thrift.protocol.TList _list280 = iprot.readListBegin();
+                struct.decisions = new java.util.ArrayList<WorkDecision>(_list280.size);
+                @org.apache.thrift.annotation.Nullable WorkDecision _elem281;
+                for (int _i282 = 0; _i282 < _list280.size; ++_i282)
                 {
-                  _elem193 = new WorkDecision();
-                  _elem193.read(iprot);
-                  struct.decisions.add(_elem193);
+                  _elem281 = new WorkDecision();
+                  _elem281.read(iprot);
+                  struct.decisions.add(_elem281);
                 }
                 iprot.readListEnd();
               }
@@ -557,9 +557,9 @@
         oprot.writeFieldBegin(DECISIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.decisions.size()));
-          for (WorkDecision _iter195 : struct.decisions)
+          for (WorkDecision _iter283 : struct.decisions)
           {
-            _iter195.write(oprot);
+            _iter283.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -603,9 +603,9 @@
       if (struct.isSetDecisions()) {
         {
           oprot.writeI32(struct.decisions.size());
-          for (WorkDecision _iter196 : struct.decisions)
+          for (WorkDecision _iter284 : struct.decisions)
           {
-            _iter196.write(oprot);
+            _iter284.write(oprot);
           }
         }
       }
@@ -625,14 +625,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list197 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.decisions = new java.util.ArrayList<WorkDecision>(_list197.size);
-          @org.apache.thrift.annotation.Nullable WorkDecision _elem198;
-          for (int _i199 = 0; _i199 < _list197.size; ++_i199)
+          org.apache.thrift.protocol.TList _list285 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.decisions = new java.util.ArrayList<WorkDecision>(_list285.size);
+          @org.apache.thrift.annotation.Nullable WorkDecision _elem286;
+          for (int _i287 = 0; _i287 < _list285.size; ++_i287)
           {
-            _elem198 = new WorkDecision();
-            _elem198.read(iprot);
-            struct.decisions.add(_elem198);
+            _elem286 = new WorkDecision();
+            _elem286.read(iprot);
+            struct.decisions.add(_elem286);
           }
         }
         struct.setDecisionsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkClaim.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkClaim.java
@@ -513,13 +513,13 @@
           case 3: // WITNESSES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list144 = iprot.readListBegin();
-                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list144.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem145;
-                for (int _i146 = 0; _i146 < _list144.size; ++_i146)
+                org.apache.thrift.protocol.TList _list232 = iprot.readListBegin();
+                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list232.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem233;
+                for (int _i234 = 0; _i234 < _list232.size; ++_i234)
                 {
-                  _elem145 = iprot.readString();
-                  struct.witnesses.add(_elem145);
+                  _elem233 = iprot.readString();
+                  struct.witnesses.add(_elem233);
                 }
                 iprot.readListEnd();
               }
@@ -556,9 +556,9 @@
         oprot.writeFieldBegin(WITNESSES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.witnesses.size()));
-          for (java.lang.String _iter147 : struct.witnesses)
+          for (java.lang.String _iter235 : struct.witnesses)
           {
-            oprot.writeString(_iter147);
+            oprot.writeString(_iter235);
           }
           oprot.writeListEnd();
         }
@@ -602,9 +602,9 @@
       if (struct.isSetWitnesses()) {
         {
           oprot.writeI32(struct.witnesses.size());
-          for (java.lang.String _iter148 : struct.witnesses)
+          for (java.lang.String _iter236 : struct.witnesses)
           {
-            oprot.writeString(_iter148);
+            oprot.writeString(_iter236);
           }
         }
       }
@@ -624,13 +624,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list149 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list149.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem150;
-          for (int _i151 = 0; _i151 < _list149.size; ++_i151)
+          org.apache.thrift.protocol.TList _list237 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list237.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem238;
+          for (int _i239 = 0; _i239 < _list237.size; ++_i239)
           {
-            _elem150 = iprot.readString();
-            struct.witnesses.add(_elem150);
+            _elem238 = iprot.readString();
+            struct.witnesses.add(_elem238);
           }
         }
         struct.setWitnessesIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkEntry.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkEntry.java
@@ -879,13 +879,13 @@
           case 6: // FAILED_VMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list152 = iprot.readListBegin();
-                struct.failedVms = new java.util.ArrayList<java.lang.String>(_list152.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem153;
-                for (int _i154 = 0; _i154 < _list152.size; ++_i154)
+                org.apache.thrift.protocol.TList _list240 = iprot.readListBegin();
+                struct.failedVms = new java.util.ArrayList<java.lang.String>(_list240.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem241;
+                for (int _i242 = 0; _i242 < _list240.size; ++_i242)
                 {
-                  _elem153 = iprot.readString();
-                  struct.failedVms.add(_elem153);
+                  _elem241 = iprot.readString();
+                  struct.failedVms.add(_elem241);
                 }
                 iprot.readListEnd();
               }
@@ -949,9 +949,9 @@
         oprot.writeFieldBegin(FAILED_VMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.failedVms.size()));
-          for (java.lang.String _iter155 : struct.failedVms)
+          for (java.lang.String _iter243 : struct.failedVms)
           {
-            oprot.writeString(_iter155);
+            oprot.writeString(_iter243);
           }
           oprot.writeListEnd();
         }
@@ -1023,9 +1023,9 @@
       if (struct.isSetFailedVms()) {
         {
           oprot.writeI32(struct.failedVms.size());
-          for (java.lang.String _iter156 : struct.failedVms)
+          for (java.lang.String _iter244 : struct.failedVms)
           {
-            oprot.writeString(_iter156);
+            oprot.writeString(_iter244);
           }
         }
       }
@@ -1061,13 +1061,13 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list157 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.failedVms = new java.util.ArrayList<java.lang.String>(_list157.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem158;
-          for (int _i159 = 0; _i159 < _list157.size; ++_i159)
+          org.apache.thrift.protocol.TList _list245 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.failedVms = new java.util.ArrayList<java.lang.String>(_list245.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem246;
+          for (int _i247 = 0; _i247 < _list245.size; ++_i247)
           {
-            _elem158 = iprot.readString();
-            struct.failedVms.add(_elem158);
+            _elem246 = iprot.readString();
+            struct.failedVms.add(_elem246);
           }
         }
         struct.setFailedVmsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkPredecessor.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkPredecessor.java
@@ -498,13 +498,13 @@
           case 2: // WITNESSES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list160 = iprot.readListBegin();
-                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list160.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem161;
-                for (int _i162 = 0; _i162 < _list160.size; ++_i162)
+                org.apache.thrift.protocol.TList _list248 = iprot.readListBegin();
+                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list248.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem249;
+                for (int _i250 = 0; _i250 < _list248.size; ++_i250)
                 {
-                  _elem161 = iprot.readString();
-                  struct.witnesses.add(_elem161);
+                  _elem249 = iprot.readString();
+                  struct.witnesses.add(_elem249);
                 }
                 iprot.readListEnd();
               }
@@ -544,9 +544,9 @@
         oprot.writeFieldBegin(WITNESSES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.witnesses.size()));
-          for (java.lang.String _iter163 : struct.witnesses)
+          for (java.lang.String _iter251 : struct.witnesses)
           {
-            oprot.writeString(_iter163);
+            oprot.writeString(_iter251);
           }
           oprot.writeListEnd();
         }
@@ -590,9 +590,9 @@
       if (struct.isSetWitnesses()) {
         {
           oprot.writeI32(struct.witnesses.size());
-          for (java.lang.String _iter164 : struct.witnesses)
+          for (java.lang.String _iter252 : struct.witnesses)
           {
-            oprot.writeString(_iter164);
+            oprot.writeString(_iter252);
           }
         }
       }
@@ -611,13 +611,13 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list165 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list165.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem166;
-          for (int _i167 = 0; _i167 < _list165.size; ++_i167)
+          org.apache.thrift.protocol.TList _list253 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list253.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem254;
+          for (int _i255 = 0; _i255 < _list253.size; ++_i255)
           {
-            _elem166 = iprot.readString();
-            struct.witnesses.add(_elem166);
+            _elem254 = iprot.readString();
+            struct.witnesses.add(_elem254);
           }
         }
         struct.setWitnessesIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkSnapshot.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkSnapshot.java
@@ -866,14 +866,14 @@
           case 3: // ENTRIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list168 = iprot.readListBegin();
-                struct.entries = new java.util.ArrayList<WorkEntry>(_list168.size);
-                @org.apache.thrift.annotation.Nullable WorkEntry _elem169;
-                for (int _i170 = 0; _i170 < _list168.size; ++_i170)
+                org.apache.thrift.protocol.TList _list256 = iprot.readListBegin();
+                struct.entries = new java.util.ArrayList<WorkEntry>(_list256.size);
+                @org.apache.thrift.annotation.Nullable WorkEntry _elem257;
+                for (int _i258 = 0; _i258 < _list256.size; ++_i258)
                 {
-                  _elem169 = new WorkEntry();
-                  _elem169.read(iprot);
-                  struct.entries.add(_elem169);
+                  _elem257 = new WorkEntry();
+                  _elem257.read(iprot);
+                  struct.entries.add(_elem257);
                 }
                 iprot.readListEnd();
               }
@@ -893,13 +893,13 @@
           case 5: // WITNESSES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list171 = iprot.readListBegin();
-                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list171.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem172;
-                for (int _i173 = 0; _i173 < _list171.size; ++_i173)
+                org.apache.thrift.protocol.TList _list259 = iprot.readListBegin();
+                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list259.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem260;
+                for (int _i261 = 0; _i261 < _list259.size; ++_i261)
                 {
-                  _elem172 = iprot.readString();
-                  struct.witnesses.add(_elem172);
+                  _elem260 = iprot.readString();
+                  struct.witnesses.add(_elem260);
                 }
                 iprot.readListEnd();
               }
@@ -919,14 +919,14 @@
           case 7: // PREDECESSORS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list174 = iprot.readListBegin();
-                struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list174.size);
-                @org.apache.thrift.annotation.Nullable WorkPredecessor _elem175;
-                for (int _i176 = 0; _i176 < _list174.size; ++_i176)
+                org.apache.thrift.protocol.TList _list262 = iprot.readListBegin();
+                struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list262.size);
+                @org.apache.thrift.annotation.Nullable WorkPredecessor _elem263;
+                for (int _i264 = 0; _i264 < _list262.size; ++_i264)
                 {
-                  _elem175 = new WorkPredecessor();
-                  _elem175.read(iprot);
-                  struct.predecessors.add(_elem175);
+                  _elem263 = new WorkPredecessor();
+                  _elem263.read(iprot);
+                  struct.predecessors.add(_elem263);
                 }
                 iprot.readListEnd();
               }
@@ -963,9 +963,9 @@
         oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.entries.size()));
-          for (WorkEntry _iter177 : struct.entries)
+          for (WorkEntry _iter265 : struct.entries)
           {
-            _iter177.write(oprot);
+            _iter265.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -978,9 +978,9 @@
         oprot.writeFieldBegin(WITNESSES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.witnesses.size()));
-          for (java.lang.String _iter178 : struct.witnesses)
+          for (java.lang.String _iter266 : struct.witnesses)
           {
-            oprot.writeString(_iter178);
+            oprot.writeString(_iter266);
           }
           oprot.writeListEnd();
         }
@@ -993,9 +993,9 @@
         oprot.writeFieldBegin(PREDECESSORS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.predecessors.size()));
-          for (WorkPredecessor _iter179 : struct.predecessors)
+          for (WorkPredecessor _iter267 : struct.predecessors)
           {
-            _iter179.write(oprot);
+            _iter267.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1051,9 +1051,9 @@
       if (struct.isSetEntries()) {
         {
           oprot.writeI32(struct.entries.size());
-          for (WorkEntry _iter180 : struct.entries)
+          for (WorkEntry _iter268 : struct.entries)
           {
-            _iter180.write(oprot);
+            _iter268.write(oprot);
           }
         }
       }
@@ -1063,9 +1063,9 @@
       if (struct.isSetWitnesses()) {
         {
           oprot.writeI32(struct.witnesses.size());
-          for (java.lang.String _iter181 : struct.witnesses)
+          for (java.lang.String _iter269 : struct.witnesses)
           {
-            oprot.writeString(_iter181);
+            oprot.writeString(_iter269);
           }
         }
       }
@@ -1075,9 +1075,9 @@
       if (struct.isSetPredecessors()) {
         {
           oprot.writeI32(struct.predecessors.size());
-          for (WorkPredecessor _iter182 : struct.predecessors)
+          for (WorkPredecessor _iter270 : struct.predecessors)
           {
-            _iter182.write(oprot);
+            _iter270.write(oprot);
           }
         }
       }
@@ -1097,14 +1097,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list183 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.entries = new java.util.ArrayList<WorkEntry>(_list183.size);
-          @org.apache.thrift.annotation.Nullable WorkEntry _elem184;
-          for (int _i185 = 0; _i185 < _list183.size; ++_i185)
+          org.apache.thrift.protocol.TList _list271 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.entries = new java.util.ArrayList<WorkEntry>(_list271.size);
+          @org.apache.thrift.annotation.Nullable WorkEntry _elem272;
+          for (int _i273 = 0; _i273 < _list271.size; ++_i273)
           {
-            _elem184 = new WorkEntry();
-            _elem184.read(iprot);
-            struct.entries.add(_elem184);
+            _elem272 = new WorkEntry();
+            _elem272.read(iprot);
+            struct.entries.add(_elem272);
           }
         }
         struct.setEntriesIsSet(true);
@@ -1115,13 +1115,13 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list186 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list186.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem187;
-          for (int _i188 = 0; _i188 < _list186.size; ++_i188)
+          org.apache.thrift.protocol.TList _list274 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list274.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem275;
+          for (int _i276 = 0; _i276 < _list274.size; ++_i276)
           {
-            _elem187 = iprot.readString();
-            struct.witnesses.add(_elem187);
+            _elem275 = iprot.readString();
+            struct.witnesses.add(_elem275);
           }
         }
         struct.setWitnessesIsSet(true);
@@ -1132,14 +1132,14 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list189 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list189.size);
-          @org.apache.thrift.annotation.Nullable WorkPredecessor _elem190;
-          for (int _i191 = 0; _i191 < _list189.size; ++_i191)
+          org.apache.thrift.protocol.TList _list277 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list277.size);
+          @org.apache.thrift.annotation.Nullable WorkPredecessor _elem278;
+          for (int _i279 = 0; _i279 < _list277.size; ++_i279)
           {
-            _elem190 = new WorkPredecessor();
-            _elem190.read(iprot);
-            struct.predecessors.add(_elem190);
+            _elem278 = new WorkPredecessor();
+            _elem278.read(iprot);
+            struct.predecessors.add(_elem278);
           }
         }
         struct.setPredecessorsIsSet(true);
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -245,6 +245,101 @@
 
 struct Failure { 1: string code, 2: string message }
 
+/** One step of a job: tasks of the same shape. */
+struct JobStep {
+  1: i32 taskCount,
+  2: Resources demand,
+  3: i64 estimatedMs,
+  /** Numbers of earlier steps that must be done first. */
+  4: list<i32> after,
+  5: bool checkpoints,
+  6: bool gang,
+  7: bool rackLocal,
+  8: string requiredLabel,
+  9: string dataRack,
+  /** Bound on tasks of the step on one worker; 0 for none. */
+  10: i32 maxPerWorker,
+  11: bool speculative,
+  12: bool longRunning,
+  13: string image,
+  14: i32 targetLatencyMs,
+  15: bool fillsIdleCapacity,
+  16: i32 maxAbsent
+}
+/** Records of the topic of jobs, partition of requests; the key is the job's id. */
+struct JobSubmitted {
+  1: string queue,
+  2: string payload,
+  3: list<JobStep> steps,
+  4: i64 firstRunMs,
+  5: i64 intervalMs,
+  6: i32 repetitions,
+  7: i64 acceptedAtMs
+}
+struct JobCancelled { 1: i64 cancelledAtMs }
+union JobRequest { 1: JobSubmitted submitted, 2: JobCancelled cancelled }
+
+/** Records of the partition of progress; the key is the job's id, or "leader". */
+struct JobTaskState {
+  1: i32 phase,
+  2: i32 run,
+  /** Index into the workers of the record; -1 for none. */
+  3: i32 worker,
+  4: i32 failures,
+  5: string checkpoint
+}
+struct JobWorkerRef { 1: string guard, 2: string id, 3: i64 bornMs }
+struct JobProgress { 1: list<JobWorkerRef> workers, 2: list<JobTaskState> tasks, 3: i64 settledAtMs }
+struct JobLeader { 1: i64 term, 2: string node, 3: string address }
+union JobState { 1: JobProgress progress, 2: JobLeader leader }
+
+/** One run that a worker lists as running. */
+struct RunStatus { 1: string task, 2: i32 run, 3: string checkpoint, 4: i32 percent, 5: i64 usage }
+/** One run that a worker lists as ended; numbers rise from 1 in each lifetime of the worker. */
+struct EndedRun { 1: i64 number, 2: string task, 3: i32 run, 4: string how, 5: string checkpoint }
+/** Outcome of an order that the worker answered. */
+struct OrderOutcome { 1: string task, 2: i32 run, 3: bool start, 4: string outcome }
+struct WorkerStatus {
+  1: JobWorkerRef ref,
+  2: string serviceName,
+  3: string zone,
+  4: Resources capacity,
+  5: list<string> labels,
+  6: bool draining,
+  /** False while the worker does not answer its guard. */
+  7: bool reachable,
+  /** True when the guard knows that the lease of everything on the worker has run out. */
+  8: bool leaseLapsed,
+  9: list<RunStatus> running,
+  10: list<EndedRun> ended,
+  /** Number of the worker's answer that the lists come from. */
+  11: i64 lookNumber
+}
+/** Sent by a guard to the leader; the first one opens the session. */
+struct GuardReport {
+  1: string guard,
+  2: i64 tickMs,
+  3: optional WorkerStatus worker,
+  4: list<OrderOutcome> outcomes,
+  /** Highest term of which the guard knows. */
+  5: i64 term
+}
+struct StartRun { 1: string task, 2: i32 run, 3: string payload, 4: string checkpoint }
+struct StopRun { 1: string task, 2: i32 run }
+struct PaceRun { 1: string task, 2: i32 run, 3: i32 percent }
+/** Sent by the leader to a guard; grants the worker's lease up to a bound after the echoed tick. */
+struct LeaderOrders {
+  1: i64 term,
+  2: i64 echoedTickMs,
+  3: JobWorkerRef worker,
+  4: list<StartRun> starts,
+  5: list<StopRun> stops,
+  6: list<PaceRun> paces,
+  7: i64 acknowledgedEnd
+}
+/** Answer of an entry that does not lead. */
+struct LeaderHint { 1: i64 term, 2: string address }
+
 union Body {
   1: Hello hello,
   2: Heartbeat heartbeat,
@@ -272,7 +367,10 @@
   24: ConfirmOutage confirmOutage,
   25: ConfirmOutageResult confirmOutageResult,
   26: FenceLeader fenceLeader,
-  27: FenceLeaderResult fenceLeaderResult
+  27: FenceLeaderResult fenceLeaderResult,
+  28: GuardReport guardReport,
+  29: LeaderOrders leaderOrders,
+  30: LeaderHint leaderHint
 }
 
 /** The unit on the wire. An answer carries the correlation id of its request; one-way messages carry 0. */
--- a/runtime/src/main/java/org/fulmarreach/runtime/log/RuntimeEvent.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/log/RuntimeEvent.java
@@ -15,6 +15,10 @@
     /** Drain took too long. */
     DRAIN_TIMEOUT(
             1005, Level.WARNING, "The drain bound passed with work left; raise drain-timeout-ms if it is too short."),
+    /** Log queue full. */
+    LOG_LINES_DROPPED(1006, Level.WARNING, "Log lines were dropped because standard output did not keep up."),
+    /** SIGHUP. */
+    SETTINGS_RELOADED(1007, Level.INFO, "The settings file was read again; what changed is named."),
     /** New connection. */
     CONNECTION_OPENED(1101, Level.FINE, "A connection to another process was opened."),
     /** Connection ended. */
--- a/entry/src/main/java/org/fulmarreach/entry/http/HttpListener.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/HttpListener.java
@@ -1,7 +1,8 @@
-package org.fulmarreach.entry.http;
+package org.fulmarreach.runtime.net;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -10,16 +11,12 @@
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.settings.ServerSettings;
-import org.fulmarreach.core.exc.ErrorCode;
-import org.fulmarreach.core.exc.Problem;
-import org.fulmarreach.entry.EntryEvent;
 import org.fulmarreach.runtime.cfg.Address;
-import org.fulmarreach.runtime.log.EventLog;
 
 import com.typesafe.config.ConfigFactory;
 
-/** Binds one HTTP listener with its limits. */
-final class HttpListener {
+/** Binds one HTTP listener with its limits. Stateless. */
+public final class HttpListener {
     /**
      * Limits of the parser are above those of the endpoints, which answer with JSON; what is over these as well gets a
      * plain answer of the library.
@@ -49,16 +46,26 @@
 
     private HttpListener() {}
 
-    static CompletionStage<ServerBinding> bind(
+    /**
+     * Binds a listener.
+     *
+     * @param system actor system that runs it
+     * @param address where it listens
+     * @param maxConnections bound on open connections
+     * @param handler answers requests
+     * @param onFailure gives the answer where the handler failed
+     * @return the binding, once it listens
+     */
+    public static CompletionStage<ServerBinding> bind(
             ActorSystem<?> system,
             Address address,
             int maxConnections,
-            EventLog log,
-            Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
+            Function<HttpRequest, CompletionStage<HttpResponse>> handler,
+            BiFunction<HttpRequest, Throwable, HttpResponse> onFailure) {
         ServerSettings settings = ServerSettings.create(ConfigFactory.parseString(SETTINGS.formatted(maxConnections))
                 .withFallback(system.settings().config()));
         org.apache.pekko.japi.function.Function<HttpRequest, CompletionStage<HttpResponse>> answering =
-                request -> answer(request, log, handler);
+                request -> answer(request, handler).exceptionally(failure -> onFailure.apply(request, failure));
         return Http.get(system)
                 .newServerAt(address.host(), address.port())
                 .withSettings(settings)
@@ -66,19 +73,11 @@
     }
 
     private static CompletionStage<HttpResponse> answer(
-            HttpRequest request, EventLog log, Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
-        CompletionStage<HttpResponse> response;
+            HttpRequest request, Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
         try {
-            response = handler.apply(request);
+            return handler.apply(request);
         } catch (RuntimeException e) {
-            response = CompletableFuture.failedFuture(e);
+            return CompletableFuture.failedFuture(e);
         }
-        return response.exceptionally(failure -> {
-            log.emit(EntryEvent.REQUEST_FAILED, "path", request.getUri().path(), "reason", failure);
-            return JsonBodies.toError(
-                    500,
-                    null,
-                    Problem.of(ErrorCode.INVARIANT_VIOLATED, "the entry failed to answer; its log names the cause"));
-        });
     }
 }
