Let filling tasks use what serving ones leave idle, without harm

Ruled out: lack of processors (serving tasks use about 0.42 of what they reserve).

Change: pressure adds up (tail = base / (1 - pressure)), with a factor by pair of images that is learned from changes of measured usage; placement predicts it, paces are computed from it, and serving tasks of an image are kept together. Jobs that can still be on time go first.

Two candidates that asked for the same epoch were both told that they had won, since the store takes a second append with the same producer and epoch for a repeat. A term is now won by a condition alone, and opens its epoch after that.

--- a/core/src/main/java/org/fulmarreach/core/jobs/FillPacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/FillPacer.java
@@ -8,29 +8,40 @@
 import org.fulmarreach.core.jobs.DecisionLog.Decision;
 
 /**
- * Slows filling tasks down while a serving task on the same worker is near its target latency. The share falls by half
- * at a time and rises in small steps, so that it settles below the share that does harm. Not thread-safe.
+ * Slows filling tasks down while a serving task on the same worker is near its target latency, each by its part in the
+ * disturbance, and releases them when there is room again. Not thread-safe.
  */
 final class FillPacer {
     /** Share of the target at which filling tasks are slowed; leaves room for the lag of the measurement. */
-    private static final double SLOW_AT = 0.8;
+    private static final double SLOW_AT = 0.85;
 
-    /** Share of the target below which they are released again. */
-    private static final double RELEASE_BELOW = 0.5;
+    /** Share of the target that slowing and releasing aim at. */
+    private static final double AIM_AT = 0.7;
+
+    /** Share of the target below which filling tasks are released again. */
+    private static final double RELEASE_BELOW = 0.6;
+
+    /** A task that disturbs less than this share of the worst one is left alone. */
+    private static final double SMALL_PART = 0.25;
 
     private static final int FULL_PERCENT = 100;
+
+    /** Below this share a task gains more by being moved. */
     private static final int MIN_PERCENT = 10;
-    private static final int RELEASE_STEP_PERCENT = 20;
+
+    /** Released tasks gain at most this at a time, since the model may be wrong. */
+    private static final int MAX_RELEASE_PERCENT = 40;
 
     /** The tail figure covers the last half second, so a change shows only after that. */
-    private static final long INTERVAL_MS = 600;
+    private static final long INTERVAL_MS = 550;
 
+    private final InterferenceModel model;
     private final Decisions decisions;
     private final DecisionLog log;
-    private final Map<String, Integer> percents = new HashMap<>();
     private final Map<String, Long> changedAtMs = new HashMap<>();
 
-    FillPacer(Decisions decisions, DecisionLog log) {
+    FillPacer(InterferenceModel model, Decisions decisions, DecisionLog log) {
+        this.model = model;
         this.decisions = decisions;
         this.log = log;
     }
@@ -40,53 +51,120 @@
             return;
         }
         List<JobTask> filling = new ArrayList<>();
-        double worst = 0;
+        JobTask worst = null;
+        Map<String, Double> pressures = new HashMap<>();
+        Map<String, Double> shares = new HashMap<>();
         for (JobTask task : worker.assigned()) {
             if (task.step().fillsIdleCapacity() && task.progress().isSeen()) {
                 filling.add(task);
+                shares.merge(task.step().image(), worker.share(task.progress().usage()), Double::sum);
+            } else if (task.tail() > 0) {
+                worst = worst == null || task.tail() > worst.tail() ? task : worst;
+                pressures.merge(task.step().image(), pressure(task), Math::max);
             }
-            if (task.step().isServing()) {
-                worst = Math.max(
-                        worst, (double) task.progress().usage() / task.step().targetLatencyMs());
+        }
+        model.learn(worker.guard(), new InterferenceModel.Look(shares, pressures));
+        worker.notePressures(pressures);
+        if (filling.isEmpty() || nowMs - changedAtMs.getOrDefault(worker.guard(), nowMs - INTERVAL_MS) < INTERVAL_MS) {
+            return;
+        }
+        if (worst == null) {
+            setPaces(worker, filling, FULL_PERCENT, 0, nowMs);
+        } else if (worst.tail() > SLOW_AT) {
+            slow(worker, filling, worst, nowMs);
+        } else if (worst.tail() < RELEASE_BELOW) {
+            release(worker, filling, worst, nowMs);
+        }
+    }
+
+    /*
+     * Helpers
+     */
+
+    private double pressure(JobTask serving) {
+        return model.pressure(
+                serving.step().image(),
+                serving.progress().usage(),
+                serving.step().targetLatencyMs());
+    }
+
+    private double aim(JobTask serving) {
+        return model.pressureAt(serving.step().image(), AIM_AT, serving.step().targetLatencyMs());
+    }
+
+    /** Pressure of a filling task on a serving one at its present pace. */
+    private double part(WorkerView worker, JobTask filling, JobTask serving) {
+        return model.factor(filling.step().image(), serving.step().image())
+                * worker.share(filling.step().demand().milliCores())
+                * filling.pacePercent()
+                / FULL_PERCENT;
+    }
+
+    private void slow(WorkerView worker, List<JobTask> filling, JobTask worst, long nowMs) {
+        double largest = 0;
+        for (JobTask task : filling) {
+            largest = Math.max(largest, part(worker, task, worst));
+        }
+        List<JobTask> blamed = new ArrayList<>();
+        double total = 0;
+        for (JobTask task : filling) {
+            double part = part(worker, task, worst);
+            if (part >= SMALL_PART * largest && task.pacePercent() > 0) {
+                blamed.add(task);
+                total += part;
             }
         }
-        int percent = percents.getOrDefault(worker.guard(), FULL_PERCENT);
-        int wanted = choosePercent(worker, worst, percent, nowMs);
-        if (wanted != percent) {
-            percents.put(worker.guard(), wanted);
+        double excess = pressure(worst) - aim(worst);
+        double scale = total <= excess ? 0 : 1 - excess / total;
+        for (JobTask task : blamed) {
+            int percent = (int) (task.pacePercent() * scale);
+            setPace(task, percent < MIN_PERCENT ? 0 : percent, worst.tail());
+        }
+        if (!blamed.isEmpty()) {
             changedAtMs.put(worker.guard(), nowMs);
         }
+    }
+
+    private void release(WorkerView worker, List<JobTask> filling, JobTask worst, long nowMs) {
+        double room = aim(worst) - pressure(worst);
         for (JobTask task : filling) {
-            if (task.pacePercent() != wanted) {
-                task.setPacePercent(wanted);
-                decisions.now(new JobOrder.Pace(
-                        task.state().worker(), task.name(), task.state().run(), wanted));
-                log.decided(
-                        Decision.PACE_CHANGED,
-                        task.name().toString(),
-                        "run",
-                        task.state().run(),
-                        "percent",
-                        wanted,
-                        "worstShareOfTarget",
-                        worst);
+            if (task.pacePercent() < FULL_PERCENT) {
+                double factor = model.factor(task.step().image(), worst.step().image());
+                double perPercent = factor * worker.share(task.step().demand().milliCores()) / FULL_PERCENT;
+                int gain = perPercent * MAX_RELEASE_PERCENT <= room ? MAX_RELEASE_PERCENT : (int) (room / perPercent);
+                int percent = Math.min(FULL_PERCENT, task.pacePercent() + gain);
+                room -= perPercent * (percent - task.pacePercent());
+                if (percent >= MIN_PERCENT && percent != task.pacePercent()) {
+                    setPace(task, percent, worst.tail());
+                    changedAtMs.put(worker.guard(), nowMs);
+                }
             }
         }
     }
 
-    private int choosePercent(WorkerView worker, double worst, int percent, long nowMs) {
-        if (worker.servingTasks() == 0) {
-            return FULL_PERCENT;
-        }
-        if (nowMs - changedAtMs.getOrDefault(worker.guard(), nowMs - INTERVAL_MS) < INTERVAL_MS) {
-            return percent;
-        }
-        if (worst >= 1) {
-            return 0;
-        }
-        if (worst > SLOW_AT) {
-            return percent <= MIN_PERCENT ? 0 : percent / 2;
+    private void setPaces(WorkerView worker, List<JobTask> filling, int percent, double tail, long nowMs) {
+        for (JobTask task : filling) {
+            if (task.pacePercent() != percent) {
+                setPace(task, percent, tail);
+                changedAtMs.put(worker.guard(), nowMs);
+            }
         }
-        return worst < RELEASE_BELOW ? Math.min(FULL_PERCENT, percent + RELEASE_STEP_PERCENT) : percent;
+    }
+
+    private void setPace(JobTask task, int percent, double tail) {
+        task.setPacePercent(percent);
+        decisions.now(new JobOrder.Pace(
+                task.state().worker(), task.name(), task.state().run(), percent));
+        log.decided(
+                Decision.PACE_CHANGED,
+                task.name().toString(),
+                "run",
+                task.state().run(),
+                "image",
+                task.step().image(),
+                "percent",
+                percent,
+                "worstShareOfTarget",
+                tail);
     }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -28,6 +29,7 @@
     private final RunTracker runs;
     private final RunMover mover;
     private final FillPacer pacer;
+    private final Placement placement;
     private JobConfig config;
 
     /**
@@ -46,7 +48,9 @@
         this.log = log;
         this.runs = new RunTracker(book, decisions, log);
         this.mover = new RunMover(decisions, log);
-        this.pacer = new FillPacer(decisions, log);
+        InterferenceModel model = new InterferenceModel();
+        this.pacer = new FillPacer(model, decisions, log);
+        this.placement = new Placement(model);
         for (Job job : book.jobs()) {
             adopt(job, nowMs);
         }
@@ -103,8 +107,11 @@
     public void tick(long nowMs, long unixMs) {
         expireLeases(nowMs);
         List<Job> ordered = new ArrayList<>(active);
-        ordered.sort(Comparator.<Job>comparingInt(job -> priority(job))
-                .thenComparingLong(job -> job.spec().acceptedAtMs()));
+        Map<Job, JobUrgency.Rank> ranks = new HashMap<>();
+        for (Job job : ordered) {
+            ranks.put(job, JobUrgency.rank(job, queue(job), unixMs));
+        }
+        ordered.sort(Comparator.comparing(ranks::get));
         for (Job job : ordered) {
             step(job, nowMs, unixMs);
         }
@@ -238,7 +245,8 @@
             }
             return;
         }
-        String service = service(job);
+        JobQueue queue = queue(job);
+        String service = queue == null ? null : queue.service();
         for (int occurrence = 0; occurrence < job.spec().occurrences(); occurrence++) {
             if (job.spec().dueMs(occurrence) > unixMs) {
                 break;
@@ -262,7 +270,7 @@
         }
         for (JobTask task : tasks) {
             if (task.state().phase() == TaskPhase.PENDING) {
-                WorkerView worker = Placement.choose(task, service, workers.values(), nowMs);
+                WorkerView worker = placement.choose(task, service, workers.values(), nowMs);
                 if (worker == null) {
                     // Tasks of a step are alike, so the next one finds no place either.
                     return;
@@ -279,7 +287,7 @@
             if (task.state().phase() != TaskPhase.PENDING) {
                 break;
             }
-            WorkerView worker = Placement.choose(task, service, workers.values(), nowMs);
+            WorkerView worker = placement.choose(task, service, workers.values(), nowMs);
             if (worker == null) {
                 break;
             }
@@ -333,15 +341,12 @@
         }
     }
 
-    private int priority(Job job) {
-        return config.findByName(job.spec().queue()).map(JobQueue::priority).orElse(Integer.MAX_VALUE);
-    }
-
-    private String service(Job job) {
-        return config.findByName(job.spec().queue()).map(JobQueue::service).orElse(null);
+    private JobQueue queue(Job job) {
+        return config.findByName(job.spec().queue()).orElse(null);
     }
 
     private int maxAttempts(Job job) {
-        return config.findByName(job.spec().queue()).map(JobQueue::maxAttempts).orElse(Integer.MAX_VALUE);
+        JobQueue queue = queue(job);
+        return queue == null ? Integer.MAX_VALUE : queue.maxAttempts();
     }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -48,6 +48,11 @@
         return progress;
     }
 
+    /** Returns the tail latency of a serving task at work as a share of its target; 0 for any other task. */
+    double tail() {
+        return step.isServing() && progress.isSeen() ? (double) progress.usage() / step.targetLatencyMs() : 0;
+    }
+
     /** Returns the worker on which the last run went wrong, or null. */
     public WorkerRef avoided() {
         return avoided;
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -5,16 +5,37 @@
 import org.fulmarreach.core.model.Resources;
 
 /**
- * Chooses the worker for a task. Hard conditions come first: label, room, bound per worker, no filling task beside a
- * serving one. Among the workers left the lowest score wins. Stateless.
+ * Chooses the worker for a task. Hard conditions come first: label, room and bound per worker, and for a filling task
+ * idle processors and serving tasks that can bear it. Among the workers left the lowest score wins. Not thread-safe.
  */
 final class Placement {
     /**
-     * Filling tasks share what others leave. Beyond this share of the worker all of them would slow down, so that
-     * waiting for an end costs less.
+     * Filling tasks share what others leave. Beyond this share of it all of them would slow down, so that waiting for
+     * an end costs less.
      */
     private static final double MAX_FILL = 1.0;
 
+    /** Share of its reserved processors that a serving task uses at most times; the rest is idle. */
+    private static final double SERVING_USE = 0.55;
+
+    /** Share of a target latency that a serving task may be predicted to reach beside a new filling one. */
+    private static final double MAX_TAIL = 0.75;
+
+    /** Load of a serving task swings within seconds, so at least this pressure is expected of it. */
+    private static final double USUAL_PRESSURE = 0.45;
+
+    /** Weight of the pressure beside a filling task against the load of its worker. */
+    private static final double PRESSURE_WEIGHT = 1;
+
+    /**
+     * Serving tasks of one image are kept together: a filling image that disturbs them then still finds workers on
+     * which nobody minds. This outweighs any difference in load.
+     */
+    private static final double MIXED_PENALTY = 2;
+
+    /** Fills workers one after the other with serving tasks, so that some stay free of them. */
+    private static final double SERVING_BONUS = 1;
+
     /** Work off its data's rack, or off the rack of its step, takes longer; this outweighs any difference in load. */
     private static final double REMOTE_PENALTY = 1.5;
 
@@ -24,13 +45,15 @@
     /** Keeps a second attempt off the worker of the first one while another worker has room. */
     private static final double AVOIDED_PENALTY = 4;
 
-    /** Serving tasks are packed, so that most workers stay free for filling tasks. */
-    private static final double SERVING_BONUS = 0.4;
+    private final InterferenceModel model;
 
-    private Placement() {}
+    /** Constructs a placement that keeps apart what is known to disturb. */
+    Placement(InterferenceModel model) {
+        this.model = model;
+    }
 
     /** Returns the best worker for a task of {@code service}, or null if none can take it now. */
-    static WorkerView choose(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
+    WorkerView choose(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         WorkerView best = null;
         double bestScore = Double.MAX_VALUE;
         for (WorkerView worker : workers) {
@@ -45,7 +68,7 @@
         return best;
     }
 
-    private static boolean hasRoom(JobTask task, WorkerView worker) {
+    private boolean hasRoom(JobTask task, WorkerView worker) {
         JobStep step = task.step();
         Resources capacity = worker.report().capacity();
         if (!worker.reserved().plus(step.reserved()).fitsInto(capacity)) {
@@ -57,27 +80,70 @@
         if (step.maxPerWorker() > 0 && worker.countOfStep(task) >= step.maxPerWorker()) {
             return false;
         }
-        return !step.fillsIdleCapacity() || hasIdleProcessors(step, worker, capacity);
+        return !step.fillsIdleCapacity() || mayFill(step, worker, capacity);
     }
 
-    private static boolean hasIdleProcessors(JobStep step, WorkerView worker, Resources capacity) {
-        if (worker.servingTasks() > 0) {
+    private boolean mayFill(JobStep step, WorkerView worker, Resources capacity) {
+        if (predictExcess(step, worker) > 0) {
             return false;
         }
-        double used = worker.reserved().milliCores()
-                + worker.fillMilliCores()
-                + step.demand().milliCores();
-        return worker.fillMilliCores() == 0 || used <= MAX_FILL * capacity.milliCores();
+        double filled = worker.fillMilliCores() + step.demand().milliCores();
+        return worker.fillMilliCores() == 0 || filled <= MAX_FILL * idleMilliCores(worker, capacity);
+    }
+
+    /** Returns the processors that neither firm tasks nor, at most times, serving tasks use. */
+    private static double idleMilliCores(WorkerView worker, Resources capacity) {
+        double busy = worker.reserved().milliCores() - (1 - SERVING_USE) * worker.servingMilliCores();
+        return Math.max(1, capacity.milliCores() - busy);
+    }
+
+    /**
+     * Predicts how far the pressure on the serving tasks of a worker would go beyond what they can bear if a filling
+     * task came; negative while there is room.
+     */
+    private double predictExcess(JobStep filling, WorkerView worker) {
+        double worst = -1;
+        for (JobTask serving : worker.assigned()) {
+            if (serving.step().isServing()) {
+                String image = serving.step().image();
+                double pressure = Math.max(USUAL_PRESSURE, worker.pressure(image))
+                        + model.factor(filling.image(), image)
+                                * worker.share(filling.demand().milliCores());
+                for (JobTask other : worker.assigned()) {
+                    if (other.step().fillsIdleCapacity() && !other.progress().isSeen()) {
+                        pressure += model.factor(other.step().image(), image)
+                                * worker.share(other.step().demand().milliCores());
+                    }
+                }
+                double limit = model.pressureAt(image, MAX_TAIL, serving.step().targetLatencyMs());
+                worst = Math.max(worst, pressure - limit);
+            }
+        }
+        return worst;
+    }
+
+    /** Tells whether serving tasks of another image are there. */
+    private static boolean isMixed(JobStep serving, WorkerView worker) {
+        for (JobTask other : worker.assigned()) {
+            if (other.step().isServing() && !other.step().image().equals(serving.image())) {
+                return true;
+            }
+        }
+        return false;
     }
 
-    private static double score(JobTask task, WorkerView worker) {
+    private double score(JobTask task, WorkerView worker) {
         JobStep step = task.step();
         double capacity = Math.max(1, worker.report().capacity().milliCores());
         double fill = worker.fillMilliCores() / capacity;
         double firm = worker.reserved().milliCores() / capacity;
         double score = firm + fill + worker.faultsInRow() * FAULT_PENALTY;
-        if (step.isServing()) {
-            score += fill > 0 ? 1 + fill : 0;
+        if (step.fillsIdleCapacity()) {
+            score = worker.fillMilliCores()
+                    / idleMilliCores(worker, worker.report().capacity());
+            score += PRESSURE_WEIGHT * predictExcess(step, worker) + worker.faultsInRow() * FAULT_PENALTY;
+        } else if (step.isServing()) {
+            score += isMixed(step, worker) ? MIXED_PENALTY : 0;
             score -= worker.servingTasks() > 0 ? SERVING_BONUS : 0;
         }
         if (worker.report().ref().equals(task.avoided())) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -32,8 +32,12 @@
         Set<JobTask> listed = new HashSet<>();
         long lastEnd = 0;
         for (WorkerReport.Ended end : report.ended()) {
-            applyEnd(report.ref(), worker, end, maxAttempts, nowMs);
             lastEnd = Math.max(lastEnd, end.number());
+            if (!worker.noteEnd(report.ref(), end.number())) {
+                // Listed again because the acknowledgement has not reached the worker yet.
+                continue;
+            }
+            applyEnd(report.ref(), worker, end, maxAttempts, nowMs);
         }
         if (lastEnd > 0) {
             decisions.acknowledge(report.ref(), lastEnd);
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -1,6 +1,7 @@
 package org.fulmarreach.core.jobs;
 
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 
 import org.fulmarreach.core.model.Resources;
@@ -15,9 +16,13 @@
     private Resources reserved = Resources.NONE;
     private int fillMilliCores;
     private int servingTasks;
+    private int servingMilliCores;
+    private Map<String, Double> pressures = Map.of();
     private WorkerReport report;
     private long reportedAtMs;
     private long grantedAtMs;
+    private WorkerRef endsOf;
+    private long lastEnd;
     private int faultsInRow;
     private long suspectUntilMs;
 
@@ -53,6 +58,26 @@
         return servingTasks;
     }
 
+    /** Returns the processors that the assigned serving tasks reserve, in thousandths of a core. */
+    int servingMilliCores() {
+        return servingMilliCores;
+    }
+
+    /** Returns an amount of thousandths of a core as a share of the worker's processors. */
+    double share(double milliCores) {
+        return milliCores / Math.max(1, report.capacity().milliCores());
+    }
+
+    /** Notes the pressure on the serving images here, as the last look told it. */
+    void notePressures(Map<String, Double> newPressures) {
+        pressures = newPressures;
+    }
+
+    /** Returns the pressure on a serving image; 0 if it was not seen here. */
+    double pressure(String serving) {
+        return pressures.getOrDefault(serving, 0.0);
+    }
+
     /** Returns when the last grant was sent to the guard. */
     long grantedAtMs() {
         return grantedAtMs;
@@ -77,6 +102,19 @@
                 && nowMs >= suspectUntilMs;
     }
 
+    /** Notes that an end was taken up; returns false if it was before. */
+    boolean noteEnd(WorkerRef ref, long number) {
+        if (!ref.equals(endsOf)) {
+            endsOf = ref;
+            lastEnd = 0;
+        }
+        if (number <= lastEnd) {
+            return false;
+        }
+        lastEnd = number;
+        return true;
+    }
+
     boolean isSilent(long nowMs) {
         return nowMs - reportedAtMs > JobTimes.GUARD_SILENCE_MS;
     }
@@ -108,6 +146,7 @@
             reserved = reserved.plus(task.step().reserved());
             fillMilliCores += fillOf(task);
             servingTasks += task.step().isServing() ? 1 : 0;
+            servingMilliCores += servingOf(task);
         }
     }
 
@@ -116,9 +155,14 @@
             reserved = reserved.minus(task.step().reserved());
             fillMilliCores -= fillOf(task);
             servingTasks -= task.step().isServing() ? 1 : 0;
+            servingMilliCores -= servingOf(task);
         }
     }
 
+    private static int servingOf(JobTask task) {
+        return task.step().isServing() ? task.step().demand().milliCores() : 0;
+    }
+
     private static int fillOf(JobTask task) {
         return task.step().fillsIdleCapacity() ? task.step().demand().milliCores() : 0;
     }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
@@ -5,8 +5,8 @@
 import org.fulmarreach.protocol.thrift.JobLeader;
 
 /**
- * Decides when an entry asks for the next term. Terms are granted by the store, so a wrong time costs a change of leader
- * at most. Belongs to one actor and is called on it only.
+ * Decides when an entry asks for the next term. Terms are granted by the store, so a wrong time costs a change of
+ * leader at most. Belongs to one actor and is called on it only.
  */
 final class Election {
     /** Longer than three keep-alives of a leader and the delay of a slow store. */
@@ -65,6 +65,11 @@
         return !pending && silentForMs(nowMs) >= patienceMs;
     }
 
+    /** Tells whether an append of this entry waits for its answer. */
+    boolean isPending() {
+        return pending;
+    }
+
     /** Begins to ask; returns the term to ask for. */
     long begin() {
         pending = true;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -163,6 +163,7 @@
                 }
             }
             case JobsCommand.ElectionEnded ended -> onElectionEnded(ended);
+            case JobsCommand.TermBegun begun -> onTermBegun(begun);
             case JobsCommand.GuardLink link -> onGuardLink(link.event());
             case JobsCommand.Tick tick -> onTick();
             case JobsCommand.FlushDue due -> {
@@ -352,8 +353,8 @@
             log.emit(
                     JobEvent.LEADER_SEEN, "term", seen.getTerm(), "node", seen.getNode(), "address", seen.getAddress());
         }
-        if (won && leading == null && !draining) {
-            lead(seen.getTerm());
+        if (won && !election.isPending()) {
+            beginTerm(seen.getTerm(), progress.nextOffset());
         }
     }
 
@@ -429,7 +430,7 @@
         store.append(
                         JobPartitions.PROGRESS,
                         List.of(leaderRecord(term)),
-                        new AppendCondition.NewEpoch(JobTopics.LEADER_PRODUCER, term, progress.nextOffset()))
+                        new AppendCondition.AtEnd(progress.nextOffset()))
                 .thenAccept(result -> self.tell(new JobsCommand.ElectionEnded(term, result)));
     }
 
@@ -439,14 +440,50 @@
     }
 
     private void onElectionEnded(JobsCommand.ElectionEnded ended) {
-        election.end(clock.nowMs());
-        if (ended.result() instanceof AppendResult.Appended && leading == null && !draining) {
-            lead(ended.term());
-        } else if (leading == null) {
-            log.emit(JobEvent.ELECTION_LOST, "term", ended.term(), "result", ended.result());
+        if (ended.result() instanceof AppendResult.Appended appended) {
+            beginTerm(ended.term(), appended.endOffset());
+        } else {
+            // An append without an answer may still win; then the log names this entry.
+            endElection(ended.term(), ended.result());
+        }
+    }
+
+    /**
+     * Opens the epoch of a term that this entry has won. Only its winner knows the term, so nobody else uses the epoch.
+     * The condition keeps records of the former leader from slipping in between.
+     */
+    private void beginTerm(long term, long expectedEnd) {
+        if (leading != null || draining) {
+            return;
+        }
+        var self = getContext().getSelf();
+        store.append(
+                        JobPartitions.PROGRESS,
+                        List.of(leaderRecord(term)),
+                        new AppendCondition.NewEpoch(JobTopics.LEADER_PRODUCER, term, expectedEnd))
+                .thenAccept(result -> self.tell(new JobsCommand.TermBegun(term, expectedEnd, result)));
+    }
+
+    private void onTermBegun(JobsCommand.TermBegun begun) {
+        switch (begun.result()) {
+            case AppendResult.Appended appended -> {
+                election.end(clock.nowMs());
+                if (leading == null && !draining) {
+                    lead(begun.term());
+                }
+            }
+            case AppendResult.Unknown unknown -> beginTerm(begun.term(), begun.expectedEnd());
+            case AppendResult.Refused refused -> endElection(begun.term(), refused);
+            case AppendResult.Superseded superseded -> endElection(begun.term(), superseded);
+            case AppendResult.OutOfSequence gap -> endElection(begun.term(), gap);
         }
     }
 
+    private void endElection(long term, AppendResult result) {
+        election.end(clock.nowMs());
+        log.emit(JobEvent.ELECTION_LOST, "term", term, "result", result);
+    }
+
     private void lead(long term) {
         progress.pause();
         election.observe(new JobLeader(term, identity.node(), identity.guardAddress()));
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -96,6 +96,9 @@
     /** An append that asks for a term has ended. */
     record ElectionEnded(long term, AppendResult result) implements JobsCommand {}
 
+    /** The first append of a term that was won has ended. */
+    record TermBegun(long term, long expectedEnd, AppendResult result) implements JobsCommand {}
+
     /*
      * From guards and timers
      */
