--- /dev/null
+++ b/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
@@ -0,0 +1,231 @@
+package org.fulmarreach.core.jobs;
+
+import java.util.List;
+
+import org.fulmarreach.core.model.Resources;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Decisions of a leader about single jobs, on a small pool under virtual time. */
+class JobSchedulerTest {
+    private static final JobConfig CONFIG = new JobConfig(
+            1, List.of(new JobQueue("q", "h", "/q/", FakeWorker.SERVICE, 0, 2, 3_000, 400, 1.5)), 1_000_000);
+
+    private PoolEmulator pool;
+
+    @BeforeEach
+    void start() {
+        pool = new PoolEmulator(1, 0, 0, CONFIG);
+        pool.addWorker(0, new Resources(4_000, 8_000, 0));
+        pool.addWorker(1, new Resources(4_000, 8_000, 0));
+        pool.run(1_000);
+    }
+
+    @Test
+    void stepWaitsForItsPredecessor() {
+        submit(
+                "job",
+                List.of(
+                        step(2).build(),
+                        TestSteps.of(1, size(), 500, List.of(0)).build()),
+                500,
+                900,
+                500);
+        pool.run(800);
+        assertEquals(0, job("job").tasksOf(0, 1).get(0).state().run(), "started before both predecessors were done");
+        pool.run(1_500);
+        assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
+    }
+
+    @Test
+    void taskOfALostWorkerGoesOnFromItsCheckpoint() {
+        submit("job", List.of(step(1).build()), 3_000);
+        pool.run(1_500);
+        FakeWorker first = workerOf("job");
+        first.restart();
+        pool.run(1_000);
+        TaskState state = job("job").tasks().get(0).state();
+        assertEquals(2, state.run());
+        assertNotEquals("", state.checkpoint());
+        pool.run(2_000);
+        assertTrue(pool.latencyMs("job") > 0 && pool.latencyMs("job") < 4_200, "took " + pool.latencyMs("job"));
+    }
+
+    /** Without a lease that has run out, the worker may still be at work. */
+    @Test
+    void taskOfASilentWorkerIsNotRestartedBeforeItsLeaseIsOver() {
+        submit("job", List.of(step(1).build()), 20_000);
+        pool.run(1_500);
+        pool.silence(workerOf("job"));
+        pool.run(5_900);
+        assertEquals(1, job("job").tasks().get(0).state().run(), "restarted before the lease of 6 s was over");
+        pool.run(1_500);
+        assertEquals(2, job("job").tasks().get(0).state().run(), "not restarted after the lease");
+    }
+
+    @Test
+    void taskThatFailsOftenEnoughFailsItsJob() {
+        pool.workers.values().forEach(worker -> worker.failing = true);
+        submit("job", List.of(step(1).build()), 500);
+        pool.run(20_000);
+        assertEquals(JobStatus.FAILED, job("job").acknowledgedStatus());
+        assertEquals(2, job("job").tasks().get(0).state().run(), "runs of a task that may fail twice");
+    }
+
+    @Test
+    void secondAttemptAvoidsTheWorkerOfTheFirst() {
+        pool.workers.get("guard-0").failing = true;
+        for (int i = 0; i < 4; i++) {
+            submit("job-" + i, List.of(step(1).build()), 500);
+        }
+        pool.run(6_000);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(JobStatus.COMPLETED, job("job-" + i).acknowledgedStatus());
+        }
+    }
+
+    @Test
+    void taskThatStandsStillIsMoved() {
+        pool.workers.get("guard-0").standing = true;
+        for (int i = 0; i < 4; i++) {
+            submit("job-" + i, List.of(step(1).build()), 500);
+        }
+        pool.run(8_000);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(JobStatus.COMPLETED, job("job-" + i).acknowledgedStatus());
+        }
+    }
+
+    @Test
+    void cancelledJobStopsAndStartsNothing() {
+        submit(
+                "job",
+                List.of(
+                        step(2).build(),
+                        TestSteps.of(4, size(), 500, List.of(0)).build()),
+                500,
+                500,
+                1,
+                1,
+                1,
+                1);
+        pool.run(200);
+        pool.cancel("job");
+        pool.run(1_000);
+        assertEquals(JobStatus.CANCELLED, job("job").acknowledgedStatus());
+        pool.workers.values().forEach(worker -> assertEquals(0, worker.runningTasks()));
+        assertEquals(0, job("job").tasksOf(0, 1).get(0).state().run());
+    }
+
+    @Test
+    void workerIsNeverGivenMoreThanItHolds() {
+        submit(
+                "job",
+                List.of(TestSteps.of(20, new Resources(1_500, 100, 0), 400, List.of())
+                        .build()),
+                times(20, 400));
+        for (int i = 0; i < 100; i++) {
+            pool.run(PoolEmulator.STEP_MS);
+            pool.workers.values().forEach(worker -> assertTrue(worker.runningTasks() <= 2));
+        }
+        assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
+    }
+
+    @Test
+    void tasksPerWorkerStayWithinTheirBound() {
+        submit("job", List.of(step(4).atMostPerWorker(1).build()), times(4, 700));
+        for (int i = 0; i < 40; i++) {
+            pool.run(PoolEmulator.STEP_MS);
+            pool.workers.values().forEach(worker -> assertTrue(worker.runningTasks() <= 1));
+        }
+    }
+
+    @Test
+    void gangStartsOnlyWhole() {
+        submit(
+                "job",
+                List.of(TestSteps.of(5, new Resources(2_000, 100, 0), 400, List.of())
+                        .gang()
+                        .build()),
+                times(5, 400));
+        pool.run(2_000);
+        job("job").tasks().forEach(task -> assertEquals(0, task.state().run(), "only four of five members fit"));
+        submit(
+                "fits",
+                List.of(TestSteps.of(4, new Resources(2_000, 100, 0), 400, List.of())
+                        .gang()
+                        .build()),
+                times(4, 400));
+        pool.run(1_500);
+        assertEquals(JobStatus.COMPLETED, job("fits").acknowledgedStatus());
+    }
+
+    @Test
+    void occurrenceDoesNotStartBeforeItIsDue() {
+        JobSpec spec = new JobSpec("job", "q", "", List.of(step(1).build()), pool.nowMs + 1_000, 1_000, 2, pool.nowMs);
+        pool.submit(spec, List.of(200L, 200L));
+        pool.run(900);
+        assertEquals(0, job("job").tasks().get(0).state().run());
+        pool.run(600);
+        assertEquals(JobStatus.RUNNING, job("job").acknowledgedStatus());
+        assertEquals(0, job("job").tasks().get(1).state().run(), "second occurrence before its time");
+        pool.run(1_500);
+        assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
+    }
+
+    @Test
+    void drainingWorkerGetsNothingNew() {
+        pool.workers.get("guard-0").draining = true;
+        pool.run(600);
+        submit("job", List.of(step(4).build()), times(4, 300));
+        pool.run(200);
+        assertEquals(0, pool.workers.get("guard-0").runningTasks());
+        assertFalse(job("job").tasks().get(0).state().worker().guard().equals("guard-0"));
+    }
+
+    @Test
+    void newLeaderAdoptsWhatRuns() {
+        submit("job", List.of(step(1).build()), 4_000);
+        pool.run(1_000);
+        pool.replaceLeader();
+        pool.run(5_000);
+        assertEquals(1, job("job").tasks().get(0).state().run(), "the run that was at work was not adopted");
+        assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
+    }
+
+    /*
+     * Helpers
+     */
+
+    private static Resources size() {
+        return new Resources(1_000, 1_000, 0);
+    }
+
+    private static TestSteps step(int count) {
+        return TestSteps.of(count, size(), 500, List.of());
+    }
+
+    private static long[] times(int count, long ms) {
+        long[] work = new long[count];
+        java.util.Arrays.fill(work, ms);
+        return work;
+    }
+
+    private void submit(String id, List<JobStep> steps, long... workMs) {
+        List<Long> work = java.util.Arrays.stream(workMs).boxed().toList();
+        pool.submit(new JobSpec(id, "q", "", steps, 0, 0, 0, pool.nowMs), work);
+    }
+
+    private Job job(String id) {
+        return pool.book.find(id).orElseThrow();
+    }
+
+    private FakeWorker workerOf(String id) {
+        return pool.workers.get(job(id).tasks().get(0).state().worker().guard());
+    }
+}
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 
 import org.fulmarreach.core.model.Resources;
 
@@ -30,7 +32,9 @@
     private final Random random;
     private final double disturbingShare;
     private final double disturbingFactor;
-    private final JobScheduler scheduler;
+    private final JobConfig config;
+    private final Set<FakeWorker> silent = new HashSet<>();
+    private JobScheduler scheduler;
     long nowMs = 1_000_000;
     double servingEarned;
     double servingOwed;
@@ -39,6 +43,7 @@
         this.random = new Random(seed);
         this.disturbingShare = disturbingShare;
         this.disturbingFactor = disturbingFactor;
+        this.config = config;
         this.scheduler = new JobScheduler(book, config, new JobTimes(6_000, 120_000), DecisionLog.NONE, nowMs);
     }
 
@@ -67,7 +72,7 @@
             for (FakeWorker worker : ordered) {
                 worker.advance(nowMs, STEP_MS);
                 boolean due = (nowMs / STEP_MS + ordered.indexOf(worker)) % (REPORT_MS / STEP_MS) == 0;
-                if (due || worker.hasUnacknowledgedEnds()) {
+                if (!silent.contains(worker) && (due || worker.hasUnacknowledgedEnds())) {
                     scheduler.report(worker.report(), nowMs);
                     scheduler.granted(worker.ref().guard(), nowMs);
                 }
@@ -77,6 +82,23 @@
         }
     }
 
+    /** Cuts the guard of a worker off from the leader; the worker runs on. */
+    void silence(FakeWorker worker) {
+        silent.add(worker);
+    }
+
+    void cancel(String jobId) {
+        book.cancel(jobId);
+        scheduler.takeUp(book.find(jobId).orElseThrow());
+        decide();
+    }
+
+    /** Lets another leader go on from what the log holds. */
+    void replaceLeader() {
+        book.rollBack();
+        scheduler = new JobScheduler(book, config, new JobTimes(6_000, 120_000), DecisionLog.NONE, nowMs);
+    }
+
     /** Returns when a job was done, in milliseconds after its submission; -1 if it is not. */
     long latencyMs(String jobId) {
         Long done = doneAtMs.get(jobId);
