Follow a new leader while the old one cannot write, keep checkpoints in the log

Ruled out: a lost connection of the guards (all sessions were alive), a late election (1.7 s).

Changes: the leader says how old its last acknowledged write is; a guard that sees over 1.8 s asks the store and goes where it points. A checkpoint that was listed is written with the next change of its job, so that it outlives the leader (866 core-seconds of work were thrown away).

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -92,8 +92,12 @@
         progress = RunProgress.NONE;
     }
 
+    /** Notes what was seen of the run. A new checkpoint is written with the next change of the job. */
     void observe(RunProgress seen) {
         progress = seen;
+        if (isAssigned() && !seen.checkpoint().isEmpty()) {
+            state = new TaskState(state.phase(), state.run(), state.worker(), state.failures(), seen.checkpoint());
+        }
     }
 
     /** Returns the share at which the current run was last told to work. */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
@@ -108,7 +108,9 @@
      */
     void consider(long end) {
         long silentForMs = clock.nowMs() - silentSinceMs;
-        long patienceMs = leader.getNode().isEmpty() ? delayMs : delayMs + LEADER_SILENCE_MS;
+        // A leader of this name that is not this process was its former life, and is gone.
+        boolean vacant = leader.getNode().isEmpty() || leader.getNode().equals(identity.node());
+        long patienceMs = vacant ? delayMs : delayMs + LEADER_SILENCE_MS;
         if (pending || silentForMs < patienceMs) {
             return;
         }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/GuardSessions.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/GuardSessions.java
@@ -47,14 +47,14 @@
     }
 
     /** Sends a grant without orders. */
-    void grant(String guard, long term) {
+    void grant(String guard, long term, long writeAgeMs) {
         Session session = byGuard.get(guard);
         if (session != null && session.worker() != null) {
             session.link()
                     .send(
                             0,
-                            Body.leaderOrders(
-                                    GuardMessages.toThrift(term, session.tickMs(), session.worker(), List.of())));
+                            Body.leaderOrders(GuardMessages.toThrift(
+                                    term, session.tickMs(), session.worker(), List.of(), writeAgeMs)));
         }
     }
 
@@ -64,7 +64,7 @@
      *
      * @return the guards that were sent a grant
      */
-    List<String> send(long term, List<JobOrder> orders) {
+    List<String> send(long term, List<JobOrder> orders, long writeAgeMs) {
         Map<WorkerRef, List<JobOrder>> byWorker = new LinkedHashMap<>();
         for (JobOrder order : orders) {
             byWorker.computeIfAbsent(order.worker(), worker -> new ArrayList<>())
@@ -74,7 +74,11 @@
         byWorker.forEach((worker, each) -> {
             Session session = byGuard.get(worker.guard());
             if (session != null) {
-                session.link().send(0, Body.leaderOrders(GuardMessages.toThrift(term, session.tickMs(), worker, each)));
+                session.link()
+                        .send(
+                                0,
+                                Body.leaderOrders(
+                                        GuardMessages.toThrift(term, session.tickMs(), worker, each, writeAgeMs)));
                 granted.add(worker.guard());
             }
         });
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -93,7 +93,7 @@
         long nowMs = clock.nowMs();
         scheduler.report(report, nowMs);
         if (mayGrant()) {
-            sessions.grant(report.ref().guard(), term);
+            sessions.grant(report.ref().guard(), term, silenceMs());
             scheduler.granted(report.ref().guard(), nowMs);
         }
         if (decide) {
@@ -155,7 +155,7 @@
     private void send(List<JobOrder> orders) {
         if (!orders.isEmpty() && mayGrant()) {
             long nowMs = clock.nowMs();
-            sessions.send(term, orders).forEach(guard -> scheduler.granted(guard, nowMs));
+            sessions.send(term, orders, silenceMs()).forEach(guard -> scheduler.granted(guard, nowMs));
         }
     }
 
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/LeaderFinder.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/LeaderFinder.java
@@ -34,10 +34,9 @@
         told = address;
     }
 
-    /** Starts over after a session has ended. */
+    /** Starts over after a session has ended; an address that was told since stays. */
     void restart() {
         attempts = 0;
-        told = "";
     }
 
     /** Returns the address to try next; empty to ask the store. */
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
@@ -38,6 +38,8 @@
     LEADER_FOUND(4120, Level.INFO, "A leader took this guard's session."),
     /** Leader lost. */
     LEADER_LOST(4121, Level.WARNING, "The session with the leader ended; the guard looks for it."),
+    /** Other leader. */
+    LEADER_DOUBTED(4123, Level.INFO, "The leader cannot write and the store names another one; the guard goes there."),
     /** No leader. */
     LEADER_SOUGHT(4122, Level.FINE, "An address was tried in search of the leader.");
 
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -1,11 +1,8 @@
 package org.fulmarreach.guard.jobs;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
-import java.util.Set;
 import java.util.function.Consumer;
 
 import org.apache.pekko.actor.typed.Behavior;
@@ -25,7 +22,6 @@
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.GuardReport;
 import org.fulmarreach.protocol.thrift.LeaderOrders;
-import org.fulmarreach.protocol.thrift.OrderOutcome;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameLink;
 import org.fulmarreach.runtime.net.LinkEvent;
@@ -53,8 +49,15 @@
     private static final long PORT_CLOSED_MS = 700;
 
     private static final int REPORT_INTERVAL_MS = 500;
-    private static final int MAX_ATTEMPTS = 6;
-    private static final int RETRY_MS = 60;
+
+    /** A leader that could not write for this long may have been replaced: others wait 1.5 s before they ask. */
+    private static final long LEADER_WRITE_AGE_MS = 1_800;
+
+    /** Pause between two questions to the store about the leader. */
+    private static final long DOUBT_INTERVAL_MS = 700;
+
+    /** Keeps a worker that answers at once from being asked without pause. */
+    private static final int QUICK_PAUSE_MS = 60;
 
     private final WorkerCalls worker;
     private final Links links;
@@ -63,9 +66,7 @@
     private final String guard;
     private final MonotonicClock clock;
     private final EventLog log;
-    private final List<OrderOutcome> outcomes = new ArrayList<>();
-    private final Set<String> starting = new HashSet<>();
-    private final Set<String> withdrawn = new HashSet<>();
+    private final OrderBoard board;
     private WorkerBeat beat;
     private WorkerRef ref;
     private WorkerLook look = new WorkerLook("", 0, 0, List.of(), List.of());
@@ -81,6 +82,7 @@
     private boolean accepted;
     private long linkAttempt;
     private long reportedAtMs;
+    private long doubtedAtMs;
 
     /** Ways out of the process that the relay needs. */
     public interface Links {
@@ -119,6 +121,7 @@
         this.guard = guard;
         this.clock = clock;
         this.log = log;
+        this.board = new OrderBoard(worker, lease, context, clock, log);
         timers.startTimerWithFixedDelay(new RelayCommand.Tick(), TICK);
         issueLook();
         seek();
@@ -162,8 +165,16 @@
             case RelayCommand.Left left -> onLeft(left.workerId());
             case RelayCommand.Looked message -> onLooked(message.result(), message.sentAtMs());
             case RelayCommand.LookDue due -> issueLook();
-            case RelayCommand.OrderDone done -> onOrderDone(done.order(), done.result());
-            case RelayCommand.OrderDue due -> send(due.order());
+            case RelayCommand.OrderDone done -> {
+                if (ref != null && board.onDone(target(), done.order(), done.result())) {
+                    report();
+                }
+            }
+            case RelayCommand.OrderDue due -> {
+                if (ref != null) {
+                    board.send(target(), due.order());
+                }
+            }
             case RelayCommand.EntryLink link -> onEntryLink(link.attempt(), link.event());
             case RelayCommand.SeekDue due -> seek();
             case RelayCommand.LeaderNamed named -> onLeaderNamed(named.address());
@@ -230,9 +241,7 @@
         failedLooks = 0;
         portClosedSinceMs = 0;
         lapseReported = false;
-        starting.clear();
-        withdrawn.clear();
-        outcomes.clear();
+        board.clear();
     }
 
     private boolean isReachable() {
@@ -262,7 +271,7 @@
         }
         if (nowMs - sentAtMs < 1 && look.ended().isEmpty() && isReachable()) {
             // The worker answers waiting looks only when something happened, so an answer at once is rare.
-            schedule(RETRY_MS, new RelayCommand.LookDue());
+            schedule(QUICK_PAUSE_MS, new RelayCommand.LookDue());
         } else if (!isReachable() || failedLooks > 0) {
             schedule(SILENT_PAUSE_MS, new RelayCommand.LookDue());
         } else if (look.ended().isEmpty()) {
@@ -340,6 +349,11 @@
             return;
         }
         term = orders.getTerm();
+        if (orders.getWriteAgeMs() > LEADER_WRITE_AGE_MS && clock.nowMs() - doubtedAtMs > DOUBT_INTERVAL_MS) {
+            doubtedAtMs = clock.nowMs();
+            var self = getContext().getSelf();
+            links.findLeader(named -> self.tell(new RelayCommand.LeaderNamed(named)));
+        }
         lease.grant(orders.getEchoedTickMs());
         if (orders.getAcknowledgedEnd() > acknowledgedEnd) {
             acknowledgedEnd = orders.getAcknowledgedEnd();
@@ -348,109 +362,21 @@
         orders.getStarts()
                 .forEach(start -> start(new WorkerCalls.RunStartCall(
                         start.getTask(), start.getRun(), start.getPayload(), start.getCheckpoint())));
-        orders.getStops().forEach(stop -> stop(stop.getTask(), stop.getRun()));
-        orders.getPaces()
-                .forEach(pace -> send(new WorkerOrder.Pace(pace.getTask(), pace.getRun(), pace.getPercent(), 0)));
+        orders.getStops().forEach(stop -> board.stop(target(), stop.getTask(), stop.getRun()));
+        orders.getPaces().forEach(pace -> board.pace(target(), pace.getTask(), pace.getRun(), pace.getPercent()));
     }
 
     private void start(WorkerCalls.RunStartCall call) {
-        WorkerOrder order = new WorkerOrder.Start(call, 0);
         if (beat != null && beat.draining()) {
-            log.emit(RelayEvent.START_REFUSED, "id", call.task(), "run", call.run(), "reason", "draining");
-            outcomes.add(new OrderOutcome(call.task(), call.run(), true, "draining"));
+            board.refuse(call, "draining");
             report();
-        } else if (starting.add(order.key())) {
-            send(order);
-        }
-    }
-
-    private void stop(String task, int run) {
-        WorkerOrder order = new WorkerOrder.Stop(task, run, 0);
-        withdrawn.add(order.key());
-        starting.remove(order.key());
-        send(order);
-    }
-
-    private void send(WorkerOrder order) {
-        if (ref == null) {
-            return;
-        }
-        var self = getContext().getSelf();
-        long nowMs = clock.nowMs();
-        var call = switch (order) {
-            case WorkerOrder.Start start -> {
-                if (withdrawn.contains(order.key()) || !lease.isGranted(nowMs)) {
-                    // Withdrawn, or without a lease: the leader sends it again if it still wants it.
-                    starting.remove(order.key());
-                    yield null;
-                }
-                yield worker.start(ref.id(), start.call(), lease.take(nowMs), term);
-            }
-            case WorkerOrder.Stop stop -> worker.stop(ref.id(), stop.task(), stop.run(), term);
-            case WorkerOrder.Pace pace -> worker.pace(ref.id(), pace.task(), pace.run(), pace.percent(), term);
-        };
-        if (call != null) {
-            call.thenAccept(result -> self.tell(new RelayCommand.OrderDone(order, result)));
-        }
-    }
-
-    private void onOrderDone(WorkerOrder order, CallResult<Void> result) {
-        switch (result) {
-            case CallResult.Done<Void> done -> onOrderTaken(order);
-            case CallResult.Refused<Void> refused -> onOrderRefused(order, refused.reason());
-            case CallResult.Unanswered<Void> silent -> {
-                boolean again = order.attempt() + 1 < MAX_ATTEMPTS && isReachable();
-                log.emit(
-                        order instanceof WorkerOrder.Start ? RelayEvent.START_UNANSWERED : RelayEvent.STOP_FAILED,
-                        "id",
-                        order.task(),
-                        "run",
-                        order.run(),
-                        "attempt",
-                        order.attempt(),
-                        "again",
-                        again,
-                        "reason",
-                        silent.reason());
-                if (again) {
-                    schedule(RETRY_MS, new RelayCommand.OrderDue(order.again()));
-                } else {
-                    starting.remove(order.key());
-                }
-            }
-        }
-    }
-
-    private void onOrderTaken(WorkerOrder order) {
-        RelayEvent event = switch (order) {
-            case WorkerOrder.Start start -> RelayEvent.START_DONE;
-            case WorkerOrder.Stop stop -> RelayEvent.STOP_DONE;
-            case WorkerOrder.Pace pace -> RelayEvent.PACE_DONE;
-        };
-        log.emit(event, "id", order.task(), "run", order.run(), "attempt", order.attempt(), "term", term);
-        starting.remove(order.key());
-        if (order instanceof WorkerOrder.Stop) {
-            outcomes.add(new OrderOutcome(order.task(), order.run(), false, "done"));
+        } else {
+            board.start(target(), call);
         }
     }
 
-    private void onOrderRefused(WorkerOrder order, String reason) {
-        boolean start = order instanceof WorkerOrder.Start;
-        log.emit(
-                start ? RelayEvent.START_REFUSED : RelayEvent.STOP_FAILED,
-                "id",
-                order.task(),
-                "run",
-                order.run(),
-                "reason",
-                reason,
-                "term",
-                term);
-        boolean wanted = starting.remove(order.key());
-        if (start && wanted) {
-            outcomes.add(new OrderOutcome(order.task(), order.run(), true, reason));
-            report();
-        }
+    private OrderBoard.Target target() {
+        return new OrderBoard.Target(ref.id(), term, isReachable());
     }
 
     /*
@@ -472,6 +398,11 @@
 
     private void onLeaderNamed(String address) {
         if (leader != null) {
+            if (!address.isEmpty() && !address.equals(leader.remoteAddress())) {
+                log.emit(RelayEvent.LEADER_DOUBTED, "former", leader.remoteAddress(), "address", address, "term", term);
+                finder.tell(address);
+                leader.close();
+            }
             return;
         }
         if (address.isEmpty()) {
@@ -555,10 +486,10 @@
         message.setGuard(guard);
         message.setTickMs(nowMs);
         message.setTerm(term);
-        message.setOutcomes(List.copyOf(outcomes));
+        message.setOutcomes(board.outcomes());
         if (beat != null && ref != null && ref.id().equals(beat.id()) && ref.bornMs() == beat.bornMs()) {
             message.setWorker(GuardMessages.toThrift(describeWorker(nowMs)));
-            outcomes.clear();
+            board.clearOutcomes();
         }
         reportedAtMs = nowMs;
         leader.send(0, Body.guardReport(message));
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/GuardMessages.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/GuardMessages.java
@@ -77,8 +77,10 @@
      * @param echoedTickMs tick of the guard's last report, from which the grant counts
      * @param worker lifetime of the worker
      * @param orders orders for that lifetime; none for a grant alone
+     * @param writeAgeMs time since the store last acknowledged a write of the leader, in milliseconds
      */
-    public static LeaderOrders toThrift(long term, long echoedTickMs, WorkerRef worker, List<JobOrder> orders) {
+    public static LeaderOrders toThrift(
+            long term, long echoedTickMs, WorkerRef worker, List<JobOrder> orders, long writeAgeMs) {
         List<StartRun> starts = new ArrayList<>();
         List<StopRun> stops = new ArrayList<>();
         List<PaceRun> paces = new ArrayList<>();
@@ -93,6 +95,7 @@
                     acknowledged = Math.max(acknowledged, acknowledge.upToNumber());
             }
         }
-        return new LeaderOrders(term, echoedTickMs, JobRecords.toThrift(worker), starts, stops, paces, acknowledged);
+        return new LeaderOrders(
+                term, echoedTickMs, JobRecords.toThrift(worker), starts, stops, paces, acknowledged, writeAgeMs);
     }
 }
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/LeaderOrders.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/LeaderOrders.java
@@ -20,6 +20,7 @@
   private static final org.apache.thrift.protocol.TField STOPS_FIELD_DESC = new org.apache.thrift.protocol.TField("stops", org.apache.thrift.protocol.TType.LIST, (short)5);
   private static final org.apache.thrift.protocol.TField PACES_FIELD_DESC = new org.apache.thrift.protocol.TField("paces", org.apache.thrift.protocol.TType.LIST, (short)6);
   private static final org.apache.thrift.protocol.TField ACKNOWLEDGED_END_FIELD_DESC = new org.apache.thrift.protocol.TField("acknowledgedEnd", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField WRITE_AGE_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("writeAgeMs", org.apache.thrift.protocol.TType.I64, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LeaderOrdersStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LeaderOrdersTupleSchemeFactory();
@@ -31,6 +32,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<StopRun> stops; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<PaceRun> paces; // required
   private long acknowledgedEnd; // required
+  private long writeAgeMs; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -40,7 +42,11 @@
     STARTS((short)4, "starts"),
     STOPS((short)5, "stops"),
     PACES((short)6, "paces"),
-    ACKNOWLEDGED_END((short)7, "acknowledgedEnd");
+    ACKNOWLEDGED_END((short)7, "acknowledgedEnd"),
+    /**
+     * Time since the store last acknowledged a write of the leader; if it is long, another entry may lead.
+     */
+    WRITE_AGE_MS((short)8, "writeAgeMs");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -70,6 +76,8 @@
           return PACES;
         case 7: // ACKNOWLEDGED_END
           return ACKNOWLEDGED_END;
+        case 8: // WRITE_AGE_MS
+          return WRITE_AGE_MS;
         default:
           return null;
       }
@@ -116,6 +124,7 @@
   private static final int __TERM_ISSET_ID = 0;
   private static final int __ECHOEDTICKMS_ISSET_ID = 1;
   private static final int __ACKNOWLEDGEDEND_ISSET_ID = 2;
+  private static final int __WRITEAGEMS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -137,6 +146,8 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PaceRun.class))));
     tmpMap.put(_Fields.ACKNOWLEDGED_END, new org.apache.thrift.meta_data.FieldMetaData("acknowledgedEnd", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.WRITE_AGE_MS, new org.apache.thrift.meta_data.FieldMetaData("writeAgeMs", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LeaderOrders.class, metaDataMap);
   }
@@ -151,7 +162,8 @@
     java.util.List<StartRun> starts,
     java.util.List<StopRun> stops,
     java.util.List<PaceRun> paces,
-    long acknowledgedEnd)
+    long acknowledgedEnd,
+    long writeAgeMs)
   {
     this();
     this.term = term;
@@ -164,6 +176,8 @@
     this.paces = paces;
     this.acknowledgedEnd = acknowledgedEnd;
     setAcknowledgedEndIsSet(true);
+    this.writeAgeMs = writeAgeMs;
+    setWriteAgeMsIsSet(true);
   }
 
   /**
@@ -198,6 +212,7 @@
       this.paces = __this__paces;
     }
     this.acknowledgedEnd = other.acknowledgedEnd;
+    this.writeAgeMs = other.writeAgeMs;
   }
 
   @Override
@@ -217,6 +232,8 @@
     this.paces = null;
     setAcknowledgedEndIsSet(false);
     this.acknowledgedEnd = 0;
+    setWriteAgeMsIsSet(false);
+    this.writeAgeMs = 0;
   }
 
   public long getTerm() {
@@ -436,6 +453,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ACKNOWLEDGEDEND_ISSET_ID, value);
   }
 
+  /**
+   * Time since the store last acknowledged a write of the leader; if it is long, another entry may lead.
+   */
+  public long getWriteAgeMs() {
+    return this.writeAgeMs;
+  }
+
+  /**
+   * Time since the store last acknowledged a write of the leader; if it is long, another entry may lead.
+   */
+  public LeaderOrders setWriteAgeMs(long writeAgeMs) {
+    this.writeAgeMs = writeAgeMs;
+    setWriteAgeMsIsSet(true);
+    return this;
+  }
+
+  public void unsetWriteAgeMs() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WRITEAGEMS_ISSET_ID);
+  }
+
+  /** Returns true if field writeAgeMs is set (has been assigned a value) and false otherwise */
+  public boolean isSetWriteAgeMs() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WRITEAGEMS_ISSET_ID);
+  }
+
+  public void setWriteAgeMsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WRITEAGEMS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -495,6 +541,14 @@
       }
       break;
 
+    case WRITE_AGE_MS:
+      if (value == null) {
+        unsetWriteAgeMs();
+      } else {
+        setWriteAgeMs((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -523,6 +577,9 @@
     case ACKNOWLEDGED_END:
       return getAcknowledgedEnd();
 
+    case WRITE_AGE_MS:
+      return getWriteAgeMs();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -549,6 +606,8 @@
       return isSetPaces();
     case ACKNOWLEDGED_END:
       return isSetAcknowledgedEnd();
+    case WRITE_AGE_MS:
+      return isSetWriteAgeMs();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -629,6 +688,15 @@
         return false;
     }
 
+    boolean this_present_writeAgeMs = true;
+    boolean that_present_writeAgeMs = true;
+    if (this_present_writeAgeMs || that_present_writeAgeMs) {
+      if (!(this_present_writeAgeMs && that_present_writeAgeMs))
+        return false;
+      if (this.writeAgeMs != that.writeAgeMs)
+        return false;
+    }
+
     return true;
   }
 
@@ -658,6 +726,8 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(acknowledgedEnd);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(writeAgeMs);
+
     return hashCode;
   }
 
@@ -739,6 +809,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetWriteAgeMs(), other.isSetWriteAgeMs());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWriteAgeMs()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.writeAgeMs, other.writeAgeMs);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -806,6 +886,10 @@
     sb.append("acknowledgedEnd:");
     sb.append(this.acknowledgedEnd);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("writeAgeMs:");
+    sb.append(this.writeAgeMs);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -828,7 +912,8 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
-      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default
+      // constructor.
       __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
@@ -946,6 +1031,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 8: // WRITE_AGE_MS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.writeAgeMs = iprot.readI64();
+              struct.setWriteAgeMsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1012,6 +1105,9 @@
       oprot.writeFieldBegin(ACKNOWLEDGED_END_FIELD_DESC);
       oprot.writeI64(struct.acknowledgedEnd);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(WRITE_AGE_MS_FIELD_DESC);
+      oprot.writeI64(struct.writeAgeMs);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1052,7 +1148,10 @@
       if (struct.isSetAcknowledgedEnd()) {
         optionals.set(6);
       }
-      oprot.writeBitSet(optionals, 7);
+      if (struct.isSetWriteAgeMs()) {
+        optionals.set(7);
+      }
+      oprot.writeBitSet(optionals, 8);
       if (struct.isSetTerm()) {
         oprot.writeI64(struct.term);
       }
@@ -1092,12 +1191,15 @@
       if (struct.isSetAcknowledgedEnd()) {
         oprot.writeI64(struct.acknowledgedEnd);
       }
+      if (struct.isSetWriteAgeMs()) {
+        oprot.writeI64(struct.writeAgeMs);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, LeaderOrders struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(7);
+      java.util.BitSet incoming = iprot.readBitSet(8);
       if (incoming.get(0)) {
         struct.term = iprot.readI64();
         struct.setTermIsSet(true);
@@ -1157,6 +1259,10 @@
         struct.acknowledgedEnd = iprot.readI64();
         struct.setAcknowledgedEndIsSet(true);
       }
+      if (incoming.get(7)) {
+        struct.writeAgeMs = iprot.readI64();
+        struct.setWriteAgeMsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -335,7 +335,9 @@
   4: list<StartRun> starts,
   5: list<StopRun> stops,
   6: list<PaceRun> paces,
-  7: i64 acknowledgedEnd
+  7: i64 acknowledgedEnd,
+  /** Time since the store last acknowledged a write of the leader; if it is long, another entry may lead. */
+  8: i64 writeAgeMs
 }
 /** Answer of an entry that does not lead. */
 struct LeaderHint { 1: i64 term, 2: string address }
