Do not place a task again because a start was refused as old

A refusal as old, or after a call without an answer, proves nothing. The run is withdrawn by a stop, and the worker's lists decide. startThatIsRefusedAsOldIsNotPlacedAgain fails without it.

--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -18,6 +18,12 @@
      */
     private static final int LOOKS_AFTER_STOP = 2;
 
+    /** Reason of a worker for refusing a run that is not higher than one that ended there. */
+    private static final String OLD = "old";
+
+    /** Outcome of a start that was refused after an earlier call for it had got no answer. */
+    private static final String UNCERTAIN = "uncertain";
+
     private final JobBook book;
     private final Decisions decisions;
     private final DecisionLog log;
@@ -66,6 +72,10 @@
             return;
         }
         log.decided(Decision.START_REFUSED, name, "run", run, "worker", ref.id(), "outcome", outcome);
+        if (outcome.equals(OLD) || outcome.equals(UNCERTAIN)) {
+            withdraw(task, nowMs);
+            return;
+        }
         release(task, worker);
         task.avoid(ref);
         task.finish(TaskPhase.PENDING, task.state().failures(), "");
@@ -76,6 +86,18 @@
         }
     }
 
+    /**
+     * Stops a run that may have begun, or may begin later. A worker refuses a start as old also when that very run has
+     * ended there, so its lists decide what became of it.
+     */
+    private void withdraw(JobTask task, long nowMs) {
+        if (!task.progress().isSeen() && task.progress().stopOrderedAtMs() == 0) {
+            task.observe(task.progress().withStopOrdered(nowMs));
+            decisions.now(new JobOrder.Stop(
+                    task.state().worker(), task.name().toString(), task.state().run()));
+        }
+    }
+
     /** Gives up a run that can be at work nowhere. */
     void lose(JobTask task, WorkerView worker, String reason) {
         log.decided(
@@ -227,7 +249,7 @@
                 if (task.countLookAfterStop() >= LOOKS_AFTER_STOP) {
                     lose(task, worker, "never begun, withdrawn");
                 }
-            } else if (nowMs - progress.orderedAtMs() > JobTimes.START_GIVE_UP_MS) {
+            } else if (progress.stopOrderedAtMs() > 0 || nowMs - progress.orderedAtMs() > JobTimes.START_GIVE_UP_MS) {
                 if (nowMs - progress.stopOrderedAtMs() > JobTimes.STOP_RETRY_MS) {
                     task.observe(progress.withStopOrdered(nowMs));
                     decisions.now(new JobOrder.Stop(
--- a/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
@@ -188,6 +188,18 @@
         assertFalse(job("job").tasks().get(0).state().worker().guard().equals("guard-0"));
     }
 
+    /** A repeated start is refused as old after that very run has ended; the task must not run twice then. */
+    @Test
+    void startThatIsRefusedAsOldIsNotPlacedAgain() {
+        submit("job", List.of(step(1).build()), 300);
+        TaskState state = job("job").tasks().get(0).state();
+        pool.answerStart(job("job").tasks().get(0), "old");
+        pool.run(2_000);
+        assertEquals(1, job("job").tasks().get(0).state().run());
+        assertEquals(state.worker(), job("job").tasks().get(0).state().worker());
+        assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
+    }
+
     @Test
     void newLeaderAdoptsWhatRuns() {
         submit("job", List.of(step(1).build()), 4_000);
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -93,6 +93,14 @@
         decide();
     }
 
+    /** Hands in an answer to the start of a task's current run, as a repeated call may get it after the run's end. */
+    void answerStart(JobTask task, String outcome) {
+        FakeWorker worker = workers.get(task.state().worker().guard());
+        worker.advance(nowMs, 1_000);
+        scheduler.outcome(worker.ref(), task.name().toString(), task.state().run(), true, outcome, nowMs);
+        decide();
+    }
+
     /** Lets another leader go on from what the log holds. */
     void replaceLeader() {
         book.rollBack();
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/OrderBoard.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/OrderBoard.java
@@ -29,6 +29,7 @@
     private final List<OrderOutcome> outcomes = new ArrayList<>();
     private final Set<String> starting = new HashSet<>();
     private final Set<String> withdrawn = new HashSet<>();
+    private final Set<String> unanswered = new HashSet<>();
 
     OrderBoard(
             WorkerCalls worker,
@@ -65,6 +66,7 @@
     void clear() {
         starting.clear();
         withdrawn.clear();
+        unanswered.clear();
         outcomes.clear();
     }
 
@@ -132,6 +134,7 @@
      */
 
     private void retry(Target target, WorkerOrder order, String reason) {
+        unanswered.add(order.key());
         boolean again = order.attempt() + 1 < MAX_ATTEMPTS && target.reachable();
         log.emit(
                 order instanceof WorkerOrder.Start ? RelayEvent.START_UNANSWERED : RelayEvent.STOP_FAILED,
@@ -180,7 +183,9 @@
                 target.term());
         boolean wanted = starting.remove(order.key());
         if (start && wanted) {
-            outcomes.add(new OrderOutcome(order.task(), order.run(), true, reason));
+            // A call that got no answer may still be carried out, so this refusal alone proves nothing.
+            boolean certain = !unanswered.contains(order.key());
+            outcomes.add(new OrderOutcome(order.task(), order.run(), true, certain ? reason : "uncertain"));
         }
         return start && wanted;
     }
