Ignore a former lifetime's reports, keep jobs of a removed queue running

- A heartbeat that was delayed may arrive after its sender has crashed and another lifetime has begun.
The guard took it as the newer one where it had learned of the new lifetime from a look, and the leader would have counted the living worker's tasks as lost.
- A job whose queue was removed from the configuration was never placed again.

reportOfAFormerLifetimeIsIgnored and jobGoesOnAfterItsQueueIsRemoved fail without the change of the core; heartbeatOfAFormerLifetimeIsIgnored guards the relay, but also passed before (the wrong lifetime stood only until the next look).

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -30,6 +30,7 @@
     private final RunMover mover;
     private final FillPacer pacer;
     private final Placement placement;
+    private final Map<String, JobQueue> knownQueues = new HashMap<>();
     private JobConfig config;
 
     /**
@@ -43,7 +44,7 @@
      */
     public JobScheduler(JobBook book, JobConfig config, JobTimes times, DecisionLog log, long nowMs) {
         this.book = book;
-        this.config = config;
+        configure(config);
         this.times = times;
         this.log = log;
         this.runs = new RunTracker(book, decisions, log);
@@ -63,6 +64,7 @@
     /** Puts another configuration in force. */
     public void configure(JobConfig newConfig) {
         config = newConfig;
+        newConfig.queues().forEach(queue -> knownQueues.put(queue.name(), queue));
     }
 
     /** Takes up a job that was added to the book, or cancelled in it, after the term began. */
@@ -73,6 +75,19 @@
     /** Takes up the report of a guard; the caller sends it a grant in return. */
     public void report(WorkerReport report, long nowMs) {
         WorkerView worker = workers.computeIfAbsent(report.ref().guard(), guard -> new WorkerView(guard, nowMs));
+        if (worker.report() != null
+                && report.ref().bornMs() < worker.report().ref().bornMs()) {
+            log.decided(
+                    Decision.WORKER_CHANGED,
+                    report.ref().id(),
+                    "bornMs",
+                    report.ref().bornMs(),
+                    "newestBornMs",
+                    worker.report().ref().bornMs(),
+                    "outcome",
+                    "report of a former lifetime ignored");
+            return;
+        }
         noteWorkerChange(worker, report);
         worker.accept(report, nowMs);
         for (JobTask task : List.copyOf(worker.assigned())) {
@@ -341,8 +356,9 @@
         }
     }
 
+    /** Returns the newest configuration of a job's queue; jobs of a queue that was removed go on as before. */
     private JobQueue queue(Job job) {
-        return config.findByName(job.spec().queue()).orElse(null);
+        return knownQueues.get(job.spec().queue());
     }
 
     private int maxAttempts(Job job) {
--- a/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
@@ -200,6 +200,33 @@
         assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
     }
 
+    /** A delayed report must not make the tasks of the living worker count as lost. */
+    @Test
+    void reportOfAFormerLifetimeIsIgnored() {
+        WorkerReport former = pool.workers.get("guard-0").report();
+        pool.workers.values().forEach(FakeWorker::restart);
+        pool.run(600);
+        submit("job", List.of(step(4).build()), times(4, 3_000));
+        pool.run(1_000);
+        pool.deliver(former);
+        pool.run(500);
+        job("job").tasks().forEach(task -> assertEquals(1, task.state().run()));
+    }
+
+    @Test
+    void jobGoesOnAfterItsQueueIsRemoved() {
+        submit(
+                "job",
+                List.of(
+                        step(1).build(),
+                        TestSteps.of(1, size(), 500, List.of(0)).build()),
+                500,
+                500);
+        pool.configure(new JobConfig(2, List.of(), 1_000_000));
+        pool.run(2_500);
+        assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
+    }
+
     @Test
     void newLeaderAdoptsWhatRuns() {
         submit("job", List.of(step(1).build()), 4_000);
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -101,6 +101,16 @@
         decide();
     }
 
+    void deliver(WorkerReport report) {
+        scheduler.report(report, nowMs);
+        decide();
+    }
+
+    void configure(JobConfig newConfig) {
+        scheduler.configure(newConfig);
+        decide();
+    }
+
     /** Lets another leader go on from what the log holds. */
     void replaceLeader() {
         book.rollBack();
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -189,8 +189,8 @@
 
     private void onBeat(WorkerBeat newBeat) {
         boolean sameLife = beat != null && beat.id().equals(newBeat.id()) && beat.bornMs() == newBeat.bornMs();
-        boolean late =
-                beat != null && (sameLife ? newBeat.number() <= beat.number() : newBeat.bornMs() < beat.bornMs());
+        // A heartbeat may arrive after its sender has crashed and another lifetime has begun at the same address.
+        boolean late = sameLife && newBeat.number() <= beat.number() || ref != null && newBeat.bornMs() < ref.bornMs();
         if (late) {
             log.emit(
                     RelayEvent.HEARTBEAT_REFUSED,
@@ -198,8 +198,8 @@
                     newBeat.id(),
                     "number",
                     newBeat.number(),
-                    "newest",
-                    beat.number(),
+                    "bornMs",
+                    newBeat.bornMs(),
                     "reason",
                     "older than a former one");
             return;
--- /dev/null
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -0,0 +1,245 @@
+package org.fulmarreach.guard.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.awaitility.Awaitility;
+import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.platform.worker.CallResult;
+import org.fulmarreach.platform.worker.WorkerBeat;
+import org.fulmarreach.platform.worker.WorkerCalls;
+import org.fulmarreach.platform.worker.WorkerLook;
+import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.Frame;
+import org.fulmarreach.protocol.thrift.JobWorkerRef;
+import org.fulmarreach.protocol.thrift.LeaderOrders;
+import org.fulmarreach.protocol.thrift.StartRun;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.FrameLink;
+import org.fulmarreach.runtime.net.LinkEvent;
+import org.fulmarreach.runtime.util.ActorSystems;
+import org.fulmarreach.runtime.util.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** A guard's relay between a worker and entries made by hand. */
+class WorkerRelayTest {
+    private static final Duration BOUND = Duration.ofSeconds(10);
+
+    private final FakeCalls worker = new FakeCalls();
+    private final FakeEntries entries = new FakeEntries();
+    private final ActorSystem<RelayCommand> relay = ActorSystems.construct(
+            WorkerRelay.create(
+                    worker,
+                    entries,
+                    List.of(),
+                    "guard",
+                    6_000,
+                    MonotonicClock.system(),
+                    new EventLog("guard"),
+                    new Random(1)),
+            "relay",
+            1);
+
+    @AfterEach
+    void stop() {
+        relay.terminate();
+    }
+
+    @Test
+    void reportsItsWorkerAndStartsWhatItIsTold() {
+        relay.tell(new RelayCommand.Beat(beat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        order(link, 1, 1_000, start("job.0.0.0"), 0);
+        Awaitility.await().atMost(BOUND).until(() -> worker.started.contains("job.0.0.0"));
+    }
+
+    /** A heartbeat may arrive after its sender has crashed and a new lifetime has begun at its address. */
+    @Test
+    void heartbeatOfAFormerLifetimeIsIgnored() {
+        relay.tell(new RelayCommand.Beat(beat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        worker.bornMs = 2_000;
+        int looks = worker.looks.get();
+        Awaitility.await().atMost(BOUND).until(() -> worker.looks.get() >= looks + 3);
+        int before = link.reports().size();
+        relay.tell(new RelayCommand.Beat(beat(1_000, 9, false)));
+        relay.tell(new RelayCommand.Beat(beat(2_000, 1, false)));
+        Awaitility.await().atMost(BOUND).until(() -> link.reports().size() >= before + 2);
+        link.reports().subList(before, link.reports().size()).forEach(ref -> assertEquals(2_000, ref.getBornMs()));
+    }
+
+    @Test
+    void drainingWorkerIsToldToStartNothing() {
+        relay.tell(new RelayCommand.Beat(beat(1_000, 1, true)));
+        FakeLink link = awaitReport();
+        order(link, 1, 1_000, start("job.0.0.0"), 0);
+        Awaitility.await().atMost(BOUND).until(() -> link.outcomes().contains("draining"));
+        assertTrue(worker.started.isEmpty());
+    }
+
+    @Test
+    void ordersOfAnOlderTermAreIgnored() {
+        relay.tell(new RelayCommand.Beat(beat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        order(link, 5, 1_000, start("new.0.0.0"), 0);
+        order(link, 4, 1_000, start("old.0.0.0"), 0);
+        order(link, 5, 1_000, start("newer.0.0.0"), 0);
+        Awaitility.await().atMost(BOUND).until(() -> worker.started.contains("newer.0.0.0"));
+        assertEquals(List.of("new.0.0.0", "newer.0.0.0"), worker.started);
+    }
+
+    /** A leader that cannot write went on granting leases, and guards stayed with it for five seconds. */
+    @Test
+    void leaderThatCannotWriteIsLeftForTheOneThatTheStoreNames() {
+        relay.tell(new RelayCommand.Beat(beat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        order(link, 1, 1_000, List.of(), 0);
+        entries.leader = "10.0.0.2:1";
+        order(link, 1, 1_000, List.of(), 2_500);
+        Awaitility.await().atMost(BOUND).until(() -> entries.dialled.contains("10.0.0.2:1"));
+    }
+
+    /*
+     * Helpers
+     */
+
+    private FakeLink awaitReport() {
+        Awaitility.await()
+                .atMost(BOUND)
+                .until(() -> !entries.links.isEmpty()
+                        && !entries.links.get(0).reports().isEmpty());
+        return entries.links.get(0);
+    }
+
+    private void order(FakeLink link, long term, long bornMs, List<StartRun> starts, long writeAgeMs) {
+        LeaderOrders orders = new LeaderOrders(
+                term,
+                MonotonicClock.system().nowMs(),
+                new JobWorkerRef("guard", "w", bornMs),
+                starts,
+                List.of(),
+                List.of(),
+                0,
+                writeAgeMs);
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(orders))));
+    }
+
+    private static List<StartRun> start(String task) {
+        return List.of(new StartRun(task, 1, "text", ""));
+    }
+
+    private static WorkerBeat beat(long bornMs, long number, boolean draining) {
+        return new WorkerBeat("w", bornMs, "s", "z", new Resources(1, 1, 0), List.of(), draining, number);
+    }
+
+    /** Worker that takes every order. */
+    private static final class FakeCalls implements WorkerCalls {
+        private final List<String> started = new CopyOnWriteArrayList<>();
+        private final AtomicInteger looks = new AtomicInteger();
+        private volatile long bornMs = 1_000;
+
+        @Override
+        public CompletionStage<CallResult<Void>> start(
+                String workerId, RunStartCall start, long leaseUntilMs, long term) {
+            started.add(start.task());
+            return CompletableFuture.completedFuture(new CallResult.Done<>(null));
+        }
+
+        @Override
+        public CompletionStage<CallResult<Void>> stop(String workerId, String task, int run, long term) {
+            return CompletableFuture.completedFuture(new CallResult.Done<>(null));
+        }
+
+        @Override
+        public CompletionStage<CallResult<Void>> pace(String workerId, String task, int run, int percent, long term) {
+            return CompletableFuture.completedFuture(new CallResult.Done<>(null));
+        }
+
+        @Override
+        public CompletionStage<CallResult<WorkerLook>> look(
+                long leaseUntilMs, long term, long acknowledgedEnd, int waitMs) {
+            looks.incrementAndGet();
+            return CompletableFuture.supplyAsync(
+                    () -> new CallResult.Done<>(new WorkerLook("w", bornMs, 1, List.of(), List.of())),
+                    CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    /** Entries at every address; the store names one of them as leader. */
+    private static final class FakeEntries implements WorkerRelay.Links {
+        private final List<FakeLink> links = new CopyOnWriteArrayList<>();
+        private final List<String> dialled = new CopyOnWriteArrayList<>();
+        private volatile String leader = "10.0.0.1:1";
+
+        @Override
+        public void connect(String address, Consumer<LinkEvent> listener) {
+            dialled.add(address);
+            FakeLink link = new FakeLink(address, listener);
+            links.add(link);
+            listener.accept(new LinkEvent.Opened(link));
+        }
+
+        @Override
+        public void findLeader(Consumer<String> answer) {
+            answer.accept(leader);
+        }
+    }
+
+    /** Connection that keeps what it is sent. */
+    private static final class FakeLink implements FrameLink {
+        private final String address;
+        private final Consumer<LinkEvent> listener;
+        private final List<Body> sent = new CopyOnWriteArrayList<>();
+
+        FakeLink(String address, Consumer<LinkEvent> listener) {
+            this.address = address;
+            this.listener = listener;
+        }
+
+        List<JobWorkerRef> reports() {
+            List<JobWorkerRef> refs = new ArrayList<>();
+            for (Body body : sent) {
+                if (body.getGuardReport().isSetWorker()) {
+                    refs.add(body.getGuardReport().getWorker().getRef());
+                }
+            }
+            return refs;
+        }
+
+        List<String> outcomes() {
+            List<String> outcomes = new ArrayList<>();
+            for (Body body : sent) {
+                body.getGuardReport().getOutcomes().forEach(outcome -> outcomes.add(outcome.getOutcome()));
+            }
+            return outcomes;
+        }
+
+        @Override
+        public void send(long correlationId, Body body) {
+            sent.add(body);
+        }
+
+        @Override
+        public void close() {
+            listener.accept(new LinkEvent.Closed(this, "closed"));
+        }
+
+        @Override
+        public String remoteAddress() {
+            return address;
+        }
+    }
+}
