--- a/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
@@ -25,6 +25,7 @@
     private long lastEnd;
     private long lookNumber;
     double speed = 1;
+    int roomRefusals;
     boolean failing;
     boolean standing;
     boolean reachable = true;
@@ -135,6 +136,7 @@
             used = used.plus(run.step.reserved());
         }
         if (!used.fitsInto(capacity)) {
+            roomRefusals++;
             return "room";
         }
         double done = start.checkpoint().isEmpty() ? 0 : Double.parseDouble(start.checkpoint());
--- a/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
@@ -133,6 +133,7 @@
             pool.run(PoolEmulator.STEP_MS);
             pool.workers.values().forEach(worker -> assertTrue(worker.runningTasks() <= 2));
         }
+        pool.workers.values().forEach(worker -> assertEquals(0, worker.roomRefusals, "starts that did not fit"));
         assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
     }
 
@@ -235,6 +236,35 @@
         pool.workers.values().forEach(worker -> assertFalse(worker.hasUnacknowledgedEnds()));
     }
 
+    /** Ends may be listed late; that of an earlier run says nothing about the current one. */
+    @Test
+    void endOfAnEarlierRunDoesNotEndTheCurrentOne() {
+        FakeWorker worker = pool.workers.get("guard-0");
+        pool.workers.get("guard-1").draining = true;
+        pool.run(600);
+        submit("job", List.of(step(1).build()), 5_000);
+        worker.failing = true;
+        pool.run(PoolEmulator.STEP_MS);
+        worker.failing = false;
+        pool.run(1_000);
+        assertEquals(2, job("job").tasks().get(0).state().run());
+        WorkerReport now = worker.report();
+        pool.deliver(new WorkerReport(
+                now.ref(),
+                now.service(),
+                now.zone(),
+                now.capacity(),
+                now.labels(),
+                false,
+                true,
+                false,
+                now.running(),
+                List.of(new WorkerReport.Ended(99, "job.0.0.0", 1, RunEnd.STOPPED, "")),
+                now.lookNumber()));
+        assertEquals(TaskPhase.ASSIGNED, job("job").tasks().get(0).state().phase());
+        assertEquals(2, job("job").tasks().get(0).state().run());
+    }
+
     @Test
     void newLeaderAdoptsWhatRuns() {
         submit("job", List.of(step(1).build()), 4_000);
