Attribute disturbance to pairs of images, count room at pace

The former estimator walked with the noise of single looks, so the pacer stopped every filling task for a tail that own load or one pair explained (27 of 45 slowed at a time, up to 23 at zero), and the slowed ones filled the room, so that 120 tasks waited while 300 of 800 cores were idle.

Figures were swept under virtual time (PoolEmulator with 25% of pairs at 1.7, figures of usage 8% off, phases of load by task).

--- a/core/src/main/java/org/fulmarreach/core/jobs/FillPacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/FillPacer.java
@@ -1,6 +1,7 @@
 package org.fulmarreach.core.jobs;
 
 import java.util.ArrayList;
+import java.util.DoubleSummaryStatistics;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,22 +13,22 @@
  * disturbance, and releases them when there is room again. Not thread-safe.
  */
 final class FillPacer {
-    /** Share of the target at which filling tasks are slowed; leaves room for the lag of the measurement. */
-    private static final double SLOW_AT = 0.8;
+    /** Share of the target at which filling tasks that disturb are slowed; leaves room for the lag of the reading. */
+    private static final double SLOW_AT = 0.9;
 
-    /** Share of the target that slowing and releasing aim at. */
-    private static final double AIM_AT = 0.65;
+    /** Share of the target from which every filling task is slowed, however little it disturbs. */
+    private static final double SLOW_ALL_AT = 1.0;
 
-    /** Share of the target below which filling tasks are released again. */
-    private static final double RELEASE_BELOW = 0.55;
+    /** Share of the target that slowing and releasing aim at. */
+    private static final double AIM_AT = 0.8;
 
-    /** A task that disturbs less than this share of the worst one is left alone. */
-    private static final double SMALL_PART = 0.25;
+    /** Pressure of one task below which slowing it down hardly helps: less than the error of a reading. */
+    private static final double SMALL_PART = 0.04;
 
     private static final int FULL_PERCENT = 100;
 
     /** Below this share a task gains more by being moved. */
-    private static final int MIN_PERCENT = 10;
+    private static final int MIN_PERCENT = 30;
 
     /** Released tasks gain at most this at a time, since the model may be wrong. */
     private static final int MAX_RELEASE_PERCENT = 40;
@@ -52,7 +53,7 @@
         }
         List<JobTask> filling = new ArrayList<>();
         JobTask worst = null;
-        Map<String, Double> pressures = new HashMap<>();
+        Map<String, DoubleSummaryStatistics> pressures = new HashMap<>();
         Map<String, Double> shares = new HashMap<>();
         for (JobTask task : worker.assigned()) {
             if (task.step().fillsIdleCapacity() && task.progress().isSeen()) {
@@ -60,11 +61,19 @@
                 shares.merge(task.step().image(), worker.share(task.progress().usage()), Double::sum);
             } else if (task.tail() > 0) {
                 worst = worst == null || task.tail() > worst.tail() ? task : worst;
-                pressures.merge(task.step().image(), pressure(task), Math::max);
+                pressures
+                        .computeIfAbsent(task.step().image(), image -> new DoubleSummaryStatistics())
+                        .accept(pressure(task));
             }
         }
-        model.learn(worker.guard(), new InterferenceModel.Look(shares, pressures));
-        worker.notePressures(pressures);
+        Map<String, Double> means = new HashMap<>();
+        Map<String, Double> highest = new HashMap<>();
+        pressures.forEach((image, figures) -> {
+            means.put(image, figures.getAverage());
+            highest.put(image, figures.getMax());
+        });
+        model.learn(worker.guard(), new InterferenceModel.Look(nowMs, shares, means));
+        worker.notePressures(highest);
         if (filling.isEmpty() || nowMs - changedAtMs.getOrDefault(worker.guard(), nowMs - INTERVAL_MS) < INTERVAL_MS) {
             return;
         }
@@ -72,7 +81,7 @@
             setPaces(worker, filling, FULL_PERCENT, 0, nowMs);
         } else if (worst.tail() > SLOW_AT) {
             slow(worker, filling, worst, nowMs);
-        } else if (worst.tail() < RELEASE_BELOW) {
+        } else if (worst.tail() < AIM_AT) {
             release(worker, filling, worst, nowMs);
         }
     }
@@ -101,15 +110,12 @@
     }
 
     private void slow(WorkerView worker, List<JobTask> filling, JobTask worst, long nowMs) {
-        double largest = 0;
-        for (JobTask task : filling) {
-            largest = Math.max(largest, part(worker, task, worst));
-        }
+        double smallest = worst.tail() >= SLOW_ALL_AT ? 0 : SMALL_PART;
         List<JobTask> blamed = new ArrayList<>();
         double total = 0;
         for (JobTask task : filling) {
             double part = part(worker, task, worst);
-            if (part >= SMALL_PART * largest && task.pacePercent() > 0) {
+            if (part > smallest) {
                 blamed.add(task);
                 total += part;
             }
@@ -118,7 +124,7 @@
         double scale = total <= excess ? 0 : 1 - excess / total;
         for (JobTask task : blamed) {
             int percent = (int) (task.pacePercent() * scale);
-            setPace(task, percent < MIN_PERCENT ? 0 : percent, worst.tail());
+            setPace(worker, task, percent < MIN_PERCENT ? 0 : percent, worst.tail());
         }
         if (!blamed.isEmpty()) {
             changedAtMs.put(worker.guard(), nowMs);
@@ -135,7 +141,7 @@
                 int percent = Math.min(FULL_PERCENT, task.pacePercent() + gain);
                 room -= perPercent * (percent - task.pacePercent());
                 if (percent >= MIN_PERCENT && percent != task.pacePercent()) {
-                    setPace(task, percent, worst.tail());
+                    setPace(worker, task, percent, worst.tail());
                     changedAtMs.put(worker.guard(), nowMs);
                 }
             }
@@ -145,14 +151,14 @@
     private void setPaces(WorkerView worker, List<JobTask> filling, int percent, double tail, long nowMs) {
         for (JobTask task : filling) {
             if (task.pacePercent() != percent) {
-                setPace(task, percent, tail);
+                setPace(worker, task, percent, tail);
                 changedAtMs.put(worker.guard(), nowMs);
             }
         }
     }
 
-    private void setPace(JobTask task, int percent, double tail) {
-        task.setPacePercent(percent);
+    private void setPace(WorkerView worker, JobTask task, int percent, double tail) {
+        worker.setPace(task, percent);
         decisions.now(new JobOrder.Pace(
                 task.state().worker(), task.name(), task.state().run(), percent));
         log.decided(
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTimes.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTimes.java
@@ -25,6 +25,9 @@
      */
     static final long STALL_MS = 1_800;
 
+    /** The same for a task that was slowed down and has a checkpoint, so that a move costs it about half a second. */
+    static final long PACED_MOVE_MS = 1_000;
+
     /** The same for a task that was slowed down and has no checkpoint: half a period of the usual swings of load. */
     static final long PACED_STALL_MS = 5_000;
 
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 import org.fulmarreach.core.model.Resources;
 
@@ -12,19 +14,25 @@
  */
 final class Placement {
     /**
-     * Filling tasks share what others leave. Beyond this share of it all of them would slow down, so that waiting for
-     * an end costs less.
+     * Filling tasks share what others leave; they use less than they ask for, and some are slowed down. Well beyond
+     * this share of it all of them would slow down, so that waiting for an end costs less.
      */
-    private static final double MAX_FILL = 1.0;
+    private static final double MAX_FILL = 1.3;
 
     /** Share of its reserved processors that a serving task uses at most times; the rest is idle. */
-    private static final double SERVING_USE = 0.55;
+    private static final double SERVING_USE = 0.45;
 
-    /** Share of a target latency that a serving task may be predicted to reach beside a new filling one. */
+    /** Share of a target latency that a serving task may be predicted to reach beside filling ones at full pace. */
     private static final double MAX_TAIL = 0.8;
 
-    /** Load of a serving task swings within seconds, so at least this pressure is expected of it. */
-    private static final double USUAL_PRESSURE = 0.55;
+    /** Load of a serving task swings by half, and of several on a worker one is mostly near its peak. */
+    private static final double LOAD_SWING = 0.2;
+
+    /** While a tail is over this share of its target, only filling tasks come that hardly disturb it. */
+    private static final double BUSY_TAIL = 0.8;
+
+    /** Pressure of one filling task that hardly disturbs: less than the error of a reading. */
+    private static final double SMALL_PART = 0.04;
 
     /** Weight of the pressure beside a filling task against the load of its worker. */
     private static final double PRESSURE_WEIGHT = 1;
@@ -117,29 +125,37 @@
 
     /**
      * Predicts how far the pressure on the serving tasks of a worker would go beyond what they can bear if a filling
-     * task came; negative while there is room.
+     * task came and all worked at full pace; negative while there is room.
      */
     private double predictExcess(JobStep filling, WorkerView worker) {
         double worst = -1;
+        Set<String> seen = new HashSet<>();
         for (JobTask serving : worker.assigned()) {
-            if (serving.step().isServing()) {
-                String image = serving.step().image();
-                double pressure = Math.max(USUAL_PRESSURE, worker.pressure(image))
-                        + model.factor(filling.image(), image)
-                                * worker.share(filling.demand().milliCores());
+            String image = serving.step().image();
+            if (serving.step().isServing() && seen.add(image)) {
+                int targetMs = serving.step().targetLatencyMs();
+                double part = part(filling, image, worker);
+                double pressure = model.ownPressure(image) + LOAD_SWING + part;
                 for (JobTask other : worker.assigned()) {
-                    if (other.step().fillsIdleCapacity() && !other.progress().isSeen()) {
-                        pressure += model.factor(other.step().image(), image)
-                                * worker.share(other.step().demand().milliCores());
-                    }
+                    pressure += part(other.step(), image, worker);
+                }
+                worst = Math.max(worst, pressure - model.pressureAt(image, MAX_TAIL, targetMs));
+                if (part > SMALL_PART && worker.pressure(image) > model.pressureAt(image, BUSY_TAIL, targetMs)) {
+                    return part;
                 }
-                double limit = model.pressureAt(image, MAX_TAIL, serving.step().targetLatencyMs());
-                worst = Math.max(worst, pressure - limit);
             }
         }
         return worst;
     }
 
+    /** Returns the pressure of a filling task at full pace on a serving image; 0 for any other task. */
+    private double part(JobStep filling, String serving, WorkerView worker) {
+        return filling.fillsIdleCapacity()
+                ? model.factor(filling.image(), serving)
+                        * worker.share(filling.demand().milliCores())
+                : 0;
+    }
+
     /** Tells whether serving tasks of another image are there. */
     private static boolean isMixed(JobStep serving, WorkerView worker) {
         for (JobTask other : worker.assigned()) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunMover.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunMover.java
@@ -90,8 +90,10 @@
         if (task.step().longRunning()) {
             return JobTimes.WARM_UP_MS;
         }
-        boolean keepsWork = task.isAtFullPace() || !task.progress().checkpoint().isEmpty();
-        return keepsWork ? JobTimes.STALL_MS : JobTimes.PACED_STALL_MS;
+        if (task.isAtFullPace()) {
+            return JobTimes.STALL_MS;
+        }
+        return task.progress().checkpoint().isEmpty() ? JobTimes.PACED_STALL_MS : JobTimes.PACED_MOVE_MS;
     }
 
     private static boolean isStalled(JobTask task, long nowMs) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -11,6 +11,8 @@
  * has been. Not thread-safe.
  */
 final class WorkerView {
+    private static final int FULL_PERCENT = 100;
+
     private final String guard;
     private final Set<JobTask> assigned = new LinkedHashSet<>();
     private Resources reserved = Resources.NONE;
@@ -49,7 +51,7 @@
         return reserved;
     }
 
-    /** Returns the processors that the assigned filling tasks could use, in thousandths of a core. */
+    /** Returns the processors that the assigned filling tasks could use at their pace, in thousandths of a core. */
     int fillMilliCores() {
         return fillMilliCores;
     }
@@ -164,7 +166,16 @@
     }
 
     private static int fillOf(JobTask task) {
-        return task.step().fillsIdleCapacity() ? task.step().demand().milliCores() : 0;
+        return task.step().fillsIdleCapacity()
+                ? task.step().demand().milliCores() * task.pacePercent() / FULL_PERCENT
+                : 0;
+    }
+
+    /** Notes that an assigned filling task is told to work at another share. */
+    void setPace(JobTask task, int percent) {
+        fillMilliCores -= fillOf(task);
+        task.setPacePercent(percent);
+        fillMilliCores += fillOf(task);
     }
 
     /*
--- a/core/src/test/java/org/fulmarreach/core/jobs/ColocationLoadTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/ColocationLoadTest.java
@@ -26,6 +26,11 @@
     /** Highest floor of a whole day there. */
     private static final double DAY_FLOOR = 0.44;
 
+    private static final int SEEDS = 8;
+
+    /** The usual rate of batch jobs times 1.4, as in the bursts of the deployments. */
+    private static final double BURST_PER_SECOND = 1.2;
+
     private static final JobConfig CONFIG = new JobConfig(
             1,
             List.of(
@@ -35,6 +40,7 @@
             1_000_000);
 
     private final Map<String, List<String>> submitted = new HashMap<>();
+    private double batchPerSecond = 0.84;
     private int jobs;
 
     @Test
@@ -46,6 +52,28 @@
         assertTrue(pool.servingEarned / pool.servingOwed >= CLASS_FLOOR, report(pool));
     }
 
+    /**
+     * A burst of batch work where a quarter of the pairs of images disturb, as measured on the deployments. Guards
+     * against slowing down or moving everybody for a tail that one pair explains, and against slowed tasks that keep
+     * others out.
+     */
+    @Test
+    void batchWorkIsOnTimeInABurstWhereFewPairsDisturb() {
+        double onTime = 0;
+        double serving = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            ColocationLoadTest load = new ColocationLoadTest();
+            load.batchPerSecond = BURST_PER_SECOND;
+            PoolEmulator pool = load.play(seed, 0.25, 1.7);
+            assertEquals(
+                    List.of(), pool.overTargetTooLong, "serving tasks over target for 4 s because of filling ones");
+            onTime += load.onTimeShare(pool, "batch") / SEEDS;
+            serving += pool.servingEarned / pool.servingOwed / SEEDS;
+        }
+        assertTrue(onTime >= DAY_FLOOR, "batch on time " + onTime);
+        assertTrue(serving >= DAY_FLOOR, "serving " + serving);
+    }
+
     @Test
     void batchWorkIsOnTimeWhereNothingDisturbs() {
         PoolEmulator pool = play(7, 0, 0);
@@ -69,7 +97,7 @@
                 if (random.nextDouble() < 0.312) {
                     submit(pool, random, "basket");
                 }
-                if (random.nextDouble() < 0.084) {
+                if (random.nextDouble() < batchPerSecond / 10) {
                     submit(pool, random, "batch");
                 }
                 pool.run(100);
--- a/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 
 import org.fulmarreach.core.model.Resources;
 
@@ -15,6 +16,10 @@
     static final String SERVICE = "service";
     private static final double MAX_PRESSURE = 0.97;
 
+    /** Figures of usage are rough: up to this part too high or too low. */
+    private static final double READING_ERROR = 0.08;
+
+    private final Random readings = new Random(1);
     private final Interference interference;
     private final Resources capacity;
     private final List<String> labels;
@@ -31,11 +36,11 @@
     boolean reachable = true;
     boolean draining;
 
-    /** Answers how images disturb each other and how loaded a serving image is. */
+    /** Answers how images disturb each other and how loaded a serving task is. */
     interface Interference {
         double factor(String filling, String serving);
 
-        double load(String serving, long nowMs);
+        double load(String servingTask, long nowMs);
 
         long workMs(TaskName task, JobStep step);
     }
@@ -172,7 +177,7 @@
             if (run.step.fillsIdleCapacity()) {
                 wanted += cores * run.pacePercent / 100;
             } else {
-                busy += cores * (run.step.isServing() ? interference.load(run.step.image(), nowMs) : 1);
+                busy += cores * (run.step.isServing() ? interference.load(run.task.toString(), nowMs) : 1);
             }
         }
         double share = wanted == 0 ? 1 : Math.min(1, Math.max(0, capacity.milliCores() - busy) / wanted);
@@ -195,7 +200,7 @@
     }
 
     private double tail(Run serving, long nowMs) {
-        double pressure = interference.load(serving.step.image(), nowMs) + disturbance(serving);
+        double pressure = interference.load(serving.task.toString(), nowMs) + disturbance(serving);
         return baseMs(serving) / (1 - Math.min(MAX_PRESSURE, pressure));
     }
 
@@ -224,7 +229,7 @@
         if (run.tailMs <= run.step.targetLatencyMs()) {
             return 1;
         }
-        double alone = baseMs(run) / (1 - Math.min(MAX_PRESSURE, interference.load(run.step.image(), nowMs)));
+        double alone = baseMs(run) / (1 - Math.min(MAX_PRESSURE, interference.load(run.task.toString(), nowMs)));
         return alone <= run.step.targetLatencyMs() ? -3 : 0;
     }
 
@@ -232,7 +237,8 @@
         lookNumber++;
         List<WorkerReport.Running> running = new ArrayList<>();
         for (Run run : runs.values()) {
-            long usage = Math.round(run.step.isServing() ? run.tailMs : run.usedMilliCores);
+            double figure = run.step.isServing() ? run.tailMs : run.usedMilliCores;
+            long usage = Math.round(figure * (1 + READING_ERROR * (2 * readings.nextDouble() - 1)));
             running.add(
                     new WorkerReport.Running(run.task.toString(), run.number, checkpoint(run), run.percent(), usage));
         }
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -17,6 +17,9 @@
 final class PoolEmulator implements FakeWorker.Interference {
     static final int STEP_MS = 50;
     private static final int REPORT_MS = 500;
+    /** Factor of a pair that hardly disturbs, as measured on the deployments. */
+    private static final double USUAL_FACTOR = 0.12;
+
     private static final double USUAL_LOAD = 0.42;
     private static final double SWING = 0.5;
     private static final int SWING_PERIOD_MS = 10_000;
@@ -179,12 +182,13 @@
     @Override
     public double factor(String filling, String serving) {
         return factors.computeIfAbsent(
-                filling + "/" + serving, pair -> random.nextDouble() < disturbingShare ? disturbingFactor : 0.3);
+                filling + "/" + serving,
+                pair -> random.nextDouble() < disturbingShare ? disturbingFactor : USUAL_FACTOR);
     }
 
     @Override
-    public double load(String serving, long atMs) {
-        double phase = 2 * Math.PI * ((double) atMs / SWING_PERIOD_MS + serving.hashCode() % 10 / 10.0);
+    public double load(String servingTask, long atMs) {
+        double phase = 2 * Math.PI * ((double) atMs / SWING_PERIOD_MS + servingTask.hashCode() % 10 / 10.0);
         return USUAL_LOAD * (1 + SWING * Math.sin(phase));
     }
 
