Send no start that is no longer wanted, repeat one for a second at most

Two ways lead there: a start leaves the leader after an append that was retried for seconds, though the job was cancelled meanwhile; and a guard repeated an unanswered start six times, for 2.8 s, without hearing from the leader.

Change: the leader drops starts of runs that are not current, that were withdrawn or whose job has settled at the time of sending; a guard tries a start twice, and the leader repeats one that it still wants every second.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -159,6 +159,21 @@
         return decisions.takeImmediate();
     }
 
+    /**
+     * Tells whether an order is still wanted. The append that a start waits for may take seconds, and its job may have
+     * been cancelled, or its run withdrawn, in the meantime.
+     */
+    public boolean isWanted(JobOrder order) {
+        if (!(order instanceof JobOrder.Start start)) {
+            return true;
+        }
+        JobTask task = book.findTask(start.task().toString());
+        return task != null
+                && task.isCurrent(start.worker(), start.run())
+                && !task.job().status().isFinal()
+                && task.progress().stopOrderedAtMs() == 0;
+    }
+
     /** Returns the number of jobs that are not settled. */
     public int activeJobs() {
         return active.size();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -178,9 +178,10 @@
     }
 
     private void send(List<JobOrder> orders) {
-        if (!orders.isEmpty() && mayGrant()) {
+        List<JobOrder> wanted = orders.stream().filter(scheduler::isWanted).toList();
+        if (!wanted.isEmpty() && mayGrant()) {
             long nowMs = clock.nowMs();
-            sessions.send(term, orders, silenceMs()).forEach(guard -> scheduler.granted(guard, nowMs));
+            sessions.send(term, wanted, silenceMs()).forEach(guard -> scheduler.granted(guard, nowMs));
         }
     }
 
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/OrderBoard.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/OrderBoard.java
@@ -19,6 +19,10 @@
  */
 final class OrderBoard {
     private static final int MAX_ATTEMPTS = 6;
+
+    /** The leader repeats a start that it still wants every second, so a guard does not go on for longer by itself. */
+    private static final int MAX_START_ATTEMPTS = 2;
+
     private static final int RETRY_MS = 60;
 
     private final WorkerCalls worker;
@@ -135,7 +139,8 @@
 
     private void retry(Target target, WorkerOrder order, String reason) {
         unanswered.add(order.key());
-        boolean again = order.attempt() + 1 < MAX_ATTEMPTS && target.reachable();
+        int attempts = order instanceof WorkerOrder.Start ? MAX_START_ATTEMPTS : MAX_ATTEMPTS;
+        boolean again = order.attempt() + 1 < attempts && target.reachable();
         log.emit(
                 order instanceof WorkerOrder.Start ? RelayEvent.START_UNANSWERED : RelayEvent.STOP_FAILED,
                 "id",
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -66,6 +66,21 @@
         Awaitility.await().atMost(BOUND).until(() -> worker.started.contains("job.0.0.0"));
     }
 
+    /**
+     * A guard that goes on by itself may start a task seconds after its job was cancelled; the leader repeats a start
+     * that it still wants.
+     */
+    @Test
+    void unansweredStartIsNotRepeatedForSeconds() {
+        worker.answering = false;
+        relay.tell(new RelayCommand.Beat(beat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        order(link, 1, 1_000, start("job.0.0.0"), 0);
+        Awaitility.await().atMost(BOUND).until(() -> worker.started.size() == 2);
+        Awaitility.await().pollDelay(Duration.ofMillis(500)).atMost(BOUND).until(() -> worker.looks.get() > 5);
+        assertEquals(2, worker.started.size());
+    }
+
     /** A heartbeat may arrive after its sender has crashed and a new lifetime has begun at its address. */
     @Test
     void heartbeatOfAFormerLifetimeIsIgnored() {
@@ -150,12 +165,14 @@
         private final List<String> started = new CopyOnWriteArrayList<>();
         private final AtomicInteger looks = new AtomicInteger();
         private volatile long bornMs = 1_000;
+        private volatile boolean answering = true;
 
         @Override
         public CompletionStage<CallResult<Void>> start(
                 String workerId, RunStartCall start, long leaseUntilMs, long term) {
             started.add(start.task());
-            return CompletableFuture.completedFuture(new CallResult.Done<>(null));
+            return CompletableFuture.completedFuture(
+                    answering ? new CallResult.Done<>(null) : new CallResult.Unanswered<>("no answer", false));
         }
 
         @Override
