Give room first to jobs of which the least is left

Change: among jobs that can still be on time, and among late ones, those come first of which the smallest part of the work is left. The emulator now takes 300 ms to begin a task and saves every 500 ms.

--- a/core/src/test/java/org/fulmarreach/core/jobs/ColocationLoadTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/ColocationLoadTest.java
@@ -28,6 +28,12 @@
 
     private static final int SEEDS = 8;
 
+    /** Orders take 100 to 200 ms on the deployments, and a checkpoint is restored within 100 ms. */
+    private static final int BEGIN_MS = 300;
+
+    /** The deployments save every 0.5 s of work. */
+    private static final int CHECKPOINT_MS = 500;
+
     /** The usual rate of batch jobs times 1.4, as in the bursts of the deployments. */
     private static final double BURST_PER_SECOND = 1.2;
 
@@ -87,6 +93,10 @@
             int cores = i % 3 == 2 ? 96_000 : 64_000;
             pool.addWorker(i, new Resources(cores, 4L * cores, 0));
         }
+        pool.workers.values().forEach(worker -> {
+            worker.beginMs = BEGIN_MS;
+            worker.checkpointMs = CHECKPOINT_MS;
+        });
         pool.run(1_000);
         for (int i = 0; i < 10; i++) {
             submit(pool, random, "standing");
--- a/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
@@ -30,6 +30,13 @@
     private long lastEnd;
     private long lookNumber;
     double speed = 1;
+
+    /** Time between a start and the first work: the order on its way, and a checkpoint that is restored. */
+    int beginMs;
+
+    /** Work between two checkpoints. */
+    int checkpointMs = 1;
+
     int roomRefusals;
     boolean failing;
     boolean standing;
@@ -52,11 +59,13 @@
         final JobStep step;
         final long workMs;
         double doneMs;
+        int waitMs;
         int pacePercent = 100;
         double usedMilliCores;
         double tailMs;
 
-        Run(TaskName task, int number, JobStep step, long workMs, double doneMs) {
+        Run(TaskName task, int number, JobStep step, long workMs, double doneMs, int waitMs) {
+            this.waitMs = waitMs;
             this.task = task;
             this.number = number;
             this.step = step;
@@ -145,7 +154,8 @@
             return "room";
         }
         double done = start.checkpoint().isEmpty() ? 0 : Double.parseDouble(start.checkpoint());
-        runs.put(name, new Run(start.task(), start.run(), step, interference.workMs(start.task(), step), done));
+        runs.put(
+                name, new Run(start.task(), start.run(), step, interference.workMs(start.task(), step), done, beginMs));
         return null;
     }
 
@@ -164,8 +174,9 @@
         ended.add(new WorkerReport.Ended(lastEnd, run.task.toString(), run.number, how, checkpoint(run)));
     }
 
-    private static String checkpoint(Run run) {
-        return run.step.checkpoints() && run.doneMs > 0 ? Double.toString(run.doneMs) : "";
+    private String checkpoint(Run run) {
+        double saved = Math.floor(run.doneMs / checkpointMs) * checkpointMs;
+        return run.step.checkpoints() && saved > 0 ? Double.toString(saved) : "";
     }
 
     /** Lets time pass. */
@@ -185,7 +196,9 @@
             boolean fills = run.step.fillsIdleCapacity();
             double rate = fills ? share * run.pacePercent / 100 : 1;
             run.usedMilliCores = fills ? run.step.demand().milliCores() * rate : 0;
-            run.doneMs += standing ? 0 : rate * stepMs * speed;
+            boolean begun = run.waitMs <= 0;
+            run.waitMs -= stepMs;
+            run.doneMs += standing || !begun ? 0 : rate * stepMs * speed;
         }
         for (Run run : List.copyOf(runs.values())) {
             if (run.step.isServing()) {
--- a/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
@@ -68,6 +68,31 @@
         assertEquals(2, job("job").tasks().get(0).state().run(), "not restarted after the lease");
     }
 
+    /** The append that a start waits for may take seconds. */
+    @Test
+    void startOfAJobThatWasCancelledMeanwhileIsNoLongerWanted() {
+        submit("job", List.of(step(1).build()), 5_000);
+        JobTask task = job("job").tasks().get(0);
+        JobOrder start = new JobOrder.Start(
+                task.state().worker(), task.name(), task.state().run(), "", "");
+        assertTrue(pool.isWanted(start));
+        pool.cancel("job");
+        assertFalse(pool.isWanted(start));
+    }
+
+    /** Work that was put into a job is worth nothing until all of it is done. */
+    @Test
+    void jobOfWhichLessIsLeftGoesFirst() {
+        JobQueue queue = CONFIG.findByName("q").orElseThrow();
+        submit("begun", List.of(step(2).build()), 500, 5_000);
+        pool.run(1_000);
+        submit("fresh", List.of(step(2).build()), 5_000, 5_000);
+        JobUrgency.Rank begun = JobUrgency.rank(job("begun"), queue, pool.nowMs);
+        JobUrgency.Rank fresh = JobUrgency.rank(job("fresh"), queue, pool.nowMs);
+        assertTrue(begun.leftPermille() < fresh.leftPermille(), begun + " " + fresh);
+        assertTrue(begun.prospect() != fresh.prospect() || begun.compareTo(fresh) < 0, begun + " " + fresh);
+    }
+
     @Test
     void taskThatFailsOftenEnoughFailsItsJob() {
         pool.workers.values().forEach(worker -> worker.failing = true);
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -104,6 +104,10 @@
         decide();
     }
 
+    boolean isWanted(JobOrder order) {
+        return scheduler.isWanted(order);
+    }
+
     void deliver(WorkerReport report) {
         scheduler.report(report, nowMs);
         decide();
