Ask for a vacant term before the read under way ends

Change: while the log names nobody, or this node's former life, each tick (100 ms) considers the election. With another node's name nothing changes: a record of that node is still waited for. Ruled out: guards (all had started by 39.16 s) and the load of the log (0.3 s) as the cause of the gap.

Test: loneEntryLeadsBeforeItsFirstReadEnds, red before (no leader in 10 s while reads are held).

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
@@ -66,6 +66,11 @@
         return !leader.getNode().isEmpty() && !leader.getNode().equals(identity.node());
     }
 
+    /** Tells whether nobody leads: no name is in the log, or that of this node, whose former life is gone. */
+    boolean isVacant() {
+        return leader.getNode().isEmpty() || leader.getNode().equals(identity.node());
+    }
+
     /** Returns the record that names this entry as leader. */
     KeyedRecord recordOf(long term) {
         return new KeyedRecord(
@@ -108,9 +113,7 @@
      */
     void consider(long end) {
         long silentForMs = clock.nowMs() - silentSinceMs;
-        // A leader of this name that is not this process was its former life, and is gone.
-        boolean vacant = leader.getNode().isEmpty() || leader.getNode().equals(identity.node());
-        long patienceMs = vacant ? delayMs : delayMs + LEADER_SILENCE_MS;
+        long patienceMs = isVacant() ? delayMs : delayMs + LEADER_SILENCE_MS;
         if (pending || silentForMs < patienceMs) {
             return;
         }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -462,6 +462,9 @@
         writer.expire();
         if (leading != null) {
             leading.decide();
+        } else if (election.isVacant()) {
+            // Nobody's record has to be waited for, so the term is asked for before the read under way ends.
+            considerElection(progress.isFailing());
         }
         publishView();
     }
@@ -506,7 +509,6 @@
 
     private void onGuardReport(FrameLink link, GuardReport message) {
         if (leading == null || message.getTerm() > leading.term()) {
-            boolean other = !election.leader().getNode().equals(identity.node());
             return;
         }
         WorkerReport report = message.isSetWorker() ? GuardMessages.fromThrift(message.getWorker()) : null;
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.AppendResult;
@@ -20,12 +21,15 @@
  * entries may share it. Thread-safe.
  */
 final class FakeStore implements StoreClient {
+    private static final int MAX_WAIT_MS = 20;
+
     private final Map<TopicPartition, List<KeyedRecord>> logs = new HashMap<>();
     private final Map<String, Long> epochs = new HashMap<>();
     private final Map<String, Long> sequences = new HashMap<>();
     private final Map<String, AppendResult> answers = new HashMap<>();
     private boolean losingAnswers;
     private boolean refusing;
+    private boolean holdingReads;
 
     /** From now on appends are carried out, or not, without an answer. */
     synchronized void loseAnswers(boolean lose) {
@@ -37,6 +41,11 @@
         refusing = refuse;
     }
 
+    /** From now on reads that find nothing never end. */
+    synchronized void holdReads() {
+        holdingReads = true;
+    }
+
     synchronized List<KeyedRecord> records(TopicPartition partition) {
         return List.copyOf(log(partition));
     }
@@ -55,10 +64,12 @@
     public synchronized CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, int waitMs) {
         List<KeyedRecord> log = log(partition);
         ReadResult result = new ReadResult.Records(List.copyOf(log.subList((int) fromOffset, log.size())), log.size());
+        if (holdingReads && fromOffset >= log.size()) {
+            return new CompletableFuture<>();
+        }
+        int delayMs = 1 + Math.min(waitMs, MAX_WAIT_MS);
         return CompletableFuture.supplyAsync(
-                () -> result,
-                CompletableFuture.delayedExecutor(
-                        Math.min(waitMs, 20) + 1L, java.util.concurrent.TimeUnit.MILLISECONDS));
+                () -> result, CompletableFuture.delayedExecutor(delayMs, TimeUnit.MILLISECONDS));
     }
 
     @Override
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -69,6 +69,15 @@
         Awaitility.await().atMost(Duration.ofSeconds(5)).until(() -> leads(entries.get(1)));
     }
 
+    /** After a loss of all processes nobody's record is waited for; a read that waits must not delay the election. */
+    @Test
+    void loneEntryLeadsBeforeItsFirstReadEnds() throws Exception {
+        putConfig();
+        store.holdReads();
+        start("entry-0", new Random(1));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+    }
+
     @Test
     void acceptedJobIsKnownAtEveryEntry() throws Exception {
         putConfig();
