--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -7,8 +7,10 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
 
 import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -71,7 +73,7 @@
                 new JobTimes(settings.bounds().leaseMs(), settings.bounds().statusRetentionMs());
         // The actor system runs the store's connections, and the actor needs the store: it is handed over on creation.
         ActorSystem<JobsCommand> system = ActorSystems.construct(
-                org.apache.pekko.actor.typed.javadsl.Behaviors.setup(context -> JobsActor.create(
+                Behaviors.setup(context -> JobsActor.create(
                         new HttpStoreClient(context.getSystem(), store.host(), store.port()),
                         new JobsActor.Identity(settings.node(), guards.toString()),
                         times,
@@ -129,7 +131,7 @@
             String address,
             int maxConnections,
             EventLog log,
-            java.util.function.Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
+            Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
         return HttpListener.bind(system, Address.parse(address), maxConnections, handler, (request, failure) -> {
             log.emit(JobEvent.REQUEST_REFUSED, "id", request.getUri().path(), "status", 500, "reason", failure);
             return HttpResponse.create().withStatus(500);
