--- a/core/src/test/java/org/fulmarreach/core/jobs/ColocationLoadTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/ColocationLoadTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Consumer;
 
 import org.fulmarreach.core.model.Resources;
 import org.junit.jupiter.api.Test;
@@ -45,8 +46,9 @@
                     new JobQueue("standing", "h", "/s/", FakeWorker.SERVICE, 0, 3, 3_000, 2_500, 2.2)),
             1_000_000);
 
-    private final Map<String, List<String>> submitted = new HashMap<>();
-    private double batchPerSecond = 0.84;
+    final Map<String, List<String>> submitted = new HashMap<>();
+    private final Map<Integer, Consumer<PoolEmulator>> events = new HashMap<>();
+    double batchPerSecond = 0.84;
     private int jobs;
 
     @Test
@@ -86,6 +88,11 @@
         assertTrue(onTimeShare(pool, "batch") >= DAY_FLOOR, report(pool));
     }
 
+    /** Lets something happen at a second of the load. */
+    void at(int second, Consumer<PoolEmulator> event) {
+        events.put(second, event);
+    }
+
     PoolEmulator play(long seed, double disturbingShare, double disturbingFactor) {
         PoolEmulator pool = new PoolEmulator(seed, disturbingShare, disturbingFactor, CONFIG);
         Random random = new Random(seed);
@@ -103,6 +110,7 @@
             pool.run(100);
         }
         for (int second = 0; second < 40; second++) {
+            events.getOrDefault(second, unused -> {}).accept(pool);
             for (int part = 0; part < 10; part++) {
                 if (random.nextDouble() < 0.312) {
                     submit(pool, random, "basket");
@@ -117,7 +125,7 @@
         return pool;
     }
 
-    private void submit(PoolEmulator pool, Random random, String queue) {
+    void submit(PoolEmulator pool, Random random, String queue) {
         int steps = queue.equals("standing") ? 1 : 1 + random.nextInt(queue.equals("basket") ? 2 : 3);
         List<JobStep> made = new ArrayList<>();
         List<Long> work = new ArrayList<>();
@@ -186,7 +194,7 @@
         return (double) done / submitted.get(queue).size();
     }
 
-    private String report(PoolEmulator pool) {
+    String report(PoolEmulator pool) {
         return "basket on time " + onTimeShare(pool, "basket") + ", batch on time " + onTimeShare(pool, "batch")
                 + " done " + doneShare(pool, "batch") + ", serving " + pool.servingEarned / pool.servingOwed;
     }
--- a/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
@@ -50,6 +50,9 @@
         double load(String servingTask, long nowMs);
 
         long workMs(TaskName task, JobStep step);
+
+        /** Tells whether every run of a task fails by its own fault, halfway through its work. */
+        boolean fails(TaskName task);
     }
 
     /** A run at work. */
@@ -204,7 +207,8 @@
             if (run.step.isServing()) {
                 run.tailMs = tail(run, nowMs);
             }
-            if (failing && !run.step.isServing()) {
+            boolean faulty = interference.fails(run.task) && 2 * run.doneMs >= run.workMs;
+            if (!run.step.isServing() && (failing || faulty)) {
                 end(run, RunEnd.FAILED);
             } else if (!run.step.longRunning() && run.doneMs >= run.workMs) {
                 end(run, RunEnd.DONE);
--- /dev/null
+++ b/core/src/test/java/org/fulmarreach/core/jobs/HeavyDayTest.java
@@ -0,0 +1,122 @@
+package org.fulmarreach.core.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * The load of the order service on its heaviest days: what callers still get while it is disturbed. Each test names the
+ * pattern that it plays; bounds are the highest floors of the standard days for a whole day and for a kind of request.
+ */
+class HeavyDayTest {
+    private static final double DAY_FLOOR = 0.44;
+    private static final double CLASS_FLOOR = 0.17;
+
+    /** Pairs of images that disturb, and how much, as measured on the deployments. */
+    private static final double DISTURBING_SHARE = 0.25;
+
+    private static final double DISTURBING_FACTOR = 1.7;
+    private static final long SEED = 3;
+
+    private final ColocationLoadTest load = new ColocationLoadTest();
+
+    /** Poison: many jobs that can never be done. Guards against runs that fail taking the room of the others. */
+    @Test
+    void jobsThatCannotBeDoneEndAsFailedAndLeaveRoomForOthers() {
+        List<String> poison = new ArrayList<>();
+        for (int second = 8; second < 14; second++) {
+            load.at(second, pool -> {
+                int before = load.submitted.get("batch").size();
+                load.submit(pool, new Random(SEED), "batch");
+                List<String> batch = load.submitted.get("batch");
+                String id = batch.remove(before);
+                poison.add(id);
+                pool.faultyJobs.add(id);
+            });
+        }
+        PoolEmulator pool = play();
+        for (String id : poison) {
+            assertEquals(JobStatus.FAILED, pool.book.find(id).orElseThrow().acknowledgedStatus(), id);
+        }
+        assertServed(pool, DAY_FLOOR);
+    }
+
+    /** Cancellation wave: half of the open batch jobs at once. Guards against runs that go on for nobody. */
+    @Test
+    void cancelledJobsStopAndGiveTheirRoomBack() {
+        List<String> cancelled = new ArrayList<>();
+        load.at(15, pool -> {
+            List<String> batch = load.submitted.get("batch");
+            for (int i = batch.size() - 1; i >= 0; i -= 2) {
+                if (pool.latencyMs(batch.get(i)) < 0) {
+                    cancelled.add(batch.get(i));
+                    pool.cancel(batch.remove(i));
+                }
+            }
+        });
+        load.at(17, pool -> {
+            for (String id : cancelled) {
+                for (JobTask task : pool.book.find(id).orElseThrow().tasks()) {
+                    String name = task.name().toString();
+                    assertTrue(
+                            pool.workers.values().stream().noneMatch(worker -> worker.runs(name)),
+                            name + " runs 2 s after its job was cancelled");
+                }
+            }
+        });
+        PoolEmulator pool = play();
+        assertTrue(!cancelled.isEmpty(), "no job was open");
+        assertServed(pool, DAY_FLOOR);
+    }
+
+    /** Herd kill: all workers lose what they run, and the leader is replaced. */
+    @Test
+    void lossOfAllWorkersAndTheLeaderCostsOnlyTheWorkSinceTheLastCheckpoint() {
+        load.at(18, pool -> {
+            pool.workers.values().forEach(FakeWorker::restart);
+            pool.replaceLeader();
+        });
+        assertServed(play(), CLASS_FLOOR);
+    }
+
+    /** Loss of the leader alone, three times: what runs goes on, and nothing runs twice. */
+    @Test
+    void newLeaderTakesOverWhatRuns() {
+        for (int second : new int[] {10, 16, 22}) {
+            load.at(second, PoolEmulator::replaceLeader);
+        }
+        assertServed(play(), CLASS_FLOOR);
+    }
+
+    /** A third of the workers drain within seconds, as when they are replaced one after the other. */
+    @Test
+    void workersThatLeaveGiveTheirTasksToOthers() {
+        load.at(12, pool -> drain(pool, true));
+        load.at(20, pool -> drain(pool, false));
+        assertServed(play(), CLASS_FLOOR);
+    }
+
+    private static void drain(PoolEmulator pool, boolean draining) {
+        int number = 0;
+        for (FakeWorker worker : pool.workers.values()) {
+            worker.draining = draining && number++ % 3 == 0;
+        }
+    }
+
+    private PoolEmulator play() {
+        return load.play(SEED, DISTURBING_SHARE, DISTURBING_FACTOR);
+    }
+
+    private void assertServed(PoolEmulator pool, double batchFloor) {
+        assertEquals(List.of(), List.copyOf(pool.runTwice), "tasks that ran on two workers at once");
+        assertEquals(List.of(), pool.overTargetTooLong, "serving tasks over target for 4 s because of filling ones");
+        assertTrue(load.onTimeShare(pool, "basket") >= DAY_FLOOR, load.report(pool));
+        assertTrue(load.onTimeShare(pool, "batch") >= batchFloor, load.report(pool));
+        assertTrue(pool.servingEarned / pool.servingOwed >= DAY_FLOOR, load.report(pool));
+    }
+}
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -37,6 +37,8 @@
     private final double disturbingFactor;
     private final JobConfig config;
     private final Set<FakeWorker> silent = new HashSet<>();
+    final Set<String> faultyJobs = new HashSet<>();
+    final Set<String> runTwice = new HashSet<>();
     private JobScheduler scheduler;
     long nowMs = 1_000_000;
     double servingEarned;
@@ -154,6 +156,10 @@
                 doneAtMs.putIfAbsent(job.spec().id(), nowMs);
             }
             for (JobTask task : job.tasks()) {
+                String name = task.name().toString();
+                if (ordered.stream().filter(worker -> worker.runs(name)).count() > 1) {
+                    runTwice.add(name);
+                }
                 if (task.step().isServing()) {
                     observeServing(task);
                 }
@@ -196,6 +202,11 @@
         return USUAL_LOAD * (1 + SWING * Math.sin(phase));
     }
 
+    @Override
+    public boolean fails(TaskName task) {
+        return faultyJobs.contains(task.jobId());
+    }
+
     @Override
     public long workMs(TaskName task, JobStep step) {
         return workMs.getOrDefault(task.toString(), 1L);
