Give a job with nothing at work room even where it disturbs

Placement refuses a filling task on every worker where it would disturb; when its image is known to disturb all serving images, no worker is left, for ever.

Change: after 1.5 s with nothing at work, a job gets room alone on a worker whose serving tasks are below half of their target; the pacer then slows it when they rise.

Ruled out: doing so at once and on the least disturbed worker; under virtual time serving tasks are then over target for more than 4 s.

Test: HeavyDayTest.jobThatDisturbsEverywhereStillGetsToWork, red before ("second never got to work"). All 107 tests of core pass.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.WeakHashMap;
 
 import org.fulmarreach.core.model.Resources;
 
@@ -55,7 +56,14 @@
     /** Keeps a second attempt off the worker of the first one while another worker has room. */
     private static final double AVOIDED_PENALTY = 4;
 
+    /** A job with nothing at work for this long gets room even where it disturbs; callers expect work within 3 s. */
+    private static final long MAX_IDLE_MS = 1_500;
+
+    /** Share of their target below which serving tasks bear a disturbing neighbour until it is slowed down. */
+    private static final double CALM_TAIL = 0.5;
+
     private final InterferenceModel model;
+    private final Map<Job, Long> idleSinceMs = new WeakHashMap<>();
     private final Map<String, Integer> fullFor = new HashMap<>();
 
     /** Constructs a placement that keeps apart what is known to disturb. */
@@ -68,8 +76,55 @@
         fullFor.clear();
     }
 
-    /** Returns the best worker for a task of {@code service}, or null if none can take it now. */
+    /**
+     * Returns the best worker for a task of {@code service}, or null if none can take it now. A filling task that would
+     * disturb on every worker gets room only after its job has had nothing at work for a while, alone on a worker with
+     * calm serving tasks, so that no job waits for ever; the pacer then keeps it from doing harm.
+     */
     WorkerView choose(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
+        WorkerView best = chooseUndisturbing(task, service, workers, nowMs);
+        if (best != null || hasAssignedTask(task.job())) {
+            idleSinceMs.remove(task.job());
+            return best;
+        }
+        long idleMs = nowMs - idleSinceMs.computeIfAbsent(task.job(), unused -> nowMs);
+        if (!task.step().fillsIdleCapacity() || idleMs < MAX_IDLE_MS) {
+            return null;
+        }
+        double least = Double.MAX_VALUE;
+        for (WorkerView worker : workers) {
+            boolean calm = worker.fillMilliCores() == 0 && isCalm(worker);
+            if (calm && worker.isUsable(service, nowMs) && hasFirmRoom(task, worker)) {
+                double excess = predictExcess(task.step(), worker);
+                if (excess < least) {
+                    best = worker;
+                    least = excess;
+                }
+            }
+        }
+        return best;
+    }
+
+    /** Tells whether all serving tasks of a worker are well below their targets. */
+    private boolean isCalm(WorkerView worker) {
+        for (JobTask serving : worker.assigned()) {
+            if (serving.step().isServing() && serving.tail() > CALM_TAIL) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean hasAssignedTask(Job job) {
+        for (JobTask task : job.tasks()) {
+            if (task.isAssigned()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private WorkerView chooseUndisturbing(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         JobStep step = task.step();
         int milliCores = step.demand().milliCores();
         boolean filling = step.fillsIdleCapacity();
@@ -95,6 +150,13 @@
     }
 
     private boolean hasRoom(JobTask task, WorkerView worker) {
+        JobStep step = task.step();
+        return hasFirmRoom(task, worker)
+                && (!step.fillsIdleCapacity()
+                        || mayFill(step, worker, worker.report().capacity()));
+    }
+
+    private static boolean hasFirmRoom(JobTask task, WorkerView worker) {
         JobStep step = task.step();
         Resources capacity = worker.report().capacity();
         if (!worker.reserved().plus(step.reserved()).fitsInto(capacity)) {
@@ -103,10 +165,7 @@
         if (!step.requiredLabel().isEmpty() && !worker.report().labels().contains(step.requiredLabel())) {
             return false;
         }
-        if (step.maxPerWorker() > 0 && worker.countOfStep(task) >= step.maxPerWorker()) {
-            return false;
-        }
-        return !step.fillsIdleCapacity() || mayFill(step, worker, capacity);
+        return step.maxPerWorker() == 0 || worker.countOfStep(task) < step.maxPerWorker();
     }
 
     private boolean mayFill(JobStep step, WorkerView worker, Resources capacity) {
--- a/core/src/test/java/org/fulmarreach/core/jobs/HeavyDayTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/HeavyDayTest.java
@@ -1,9 +1,11 @@
 package org.fulmarreach.core.jobs;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 
+import org.fulmarreach.core.model.Resources;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -101,6 +103,38 @@
         assertServed(play(), CLASS_FLOOR);
     }
 
+    /**
+     * A filling image that is known to disturb the serving one on every worker. Its jobs may be slow, but one that
+     * never gets to work is lost for its caller.
+     */
+    @Test
+    void jobThatDisturbsEverywhereStillGetsToWork() {
+        JobQueue queue = new JobQueue("q", "h", "/q/", FakeWorker.SERVICE, 0, 2, 3_000, 400, 1.5);
+        PoolEmulator pool = new PoolEmulator(SEED, 1, 6, new JobConfig(1, List.of(queue), 1_000_000));
+        Resources size = new Resources(64_000, 256_000, 0);
+        pool.addWorker(0, size);
+        pool.addWorker(1, size);
+        pool.run(1_000);
+        Resources half = new Resources(13_000, 26_000, 0);
+        submit(pool, "standing", TestSteps.of(8, half, 0, List.of()).serving("serve", 18), 1);
+        pool.run(3_000);
+        Resources demand = new Resources(7_000, 13_000, 0);
+        submit(pool, "first", TestSteps.of(2, demand, 2_000, List.of()).filling("fill"), 2_000);
+        pool.run(20_000);
+        submit(pool, "second", TestSteps.of(2, demand, 2_000, List.of()).filling("fill"), 2_000);
+        pool.run(20_000);
+        for (String id : List.of("first", "second")) {
+            int run = pool.book.find(id).orElseThrow().tasks().get(0).state().run();
+            assertTrue(run > 0, id + " never got to work");
+        }
+    }
+
+    private static void submit(PoolEmulator pool, String id, TestSteps steps, long taskMs) {
+        JobStep step = steps.build();
+        JobSpec spec = new JobSpec(id, "q", "", List.of(step), 0, 0, 0, pool.nowMs);
+        pool.submit(spec, Collections.nCopies(step.taskCount(), taskMs));
+    }
+
     private static void drain(PoolEmulator pool, boolean draining) {
         int number = 0;
         for (FakeWorker worker : pool.workers.values()) {
