--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -30,6 +30,7 @@
     private boolean losingAnswers;
     private boolean refusing;
     private boolean holdingReads;
+    private TopicPartition silenced;
 
     /** From now on appends are carried out, or not, without an answer. */
     synchronized void loseAnswers(boolean lose) {
@@ -46,6 +47,11 @@
         holdingReads = true;
     }
 
+    /** From now on reads of a partition get no answer, as on a connection that went silent. */
+    synchronized void silenceReads(TopicPartition partition) {
+        silenced = partition;
+    }
+
     synchronized List<KeyedRecord> records(TopicPartition partition) {
         return List.copyOf(log(partition));
     }
@@ -64,7 +70,7 @@
     public synchronized CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, int waitMs) {
         List<KeyedRecord> log = log(partition);
         ReadResult result = new ReadResult.Records(List.copyOf(log.subList((int) fromOffset, log.size())), log.size());
-        if (holdingReads && fromOffset >= log.size()) {
+        if (partition.equals(silenced) || holdingReads && fromOffset >= log.size()) {
             return new CompletableFuture<>();
         }
         int delayMs = 1 + Math.min(waitMs, MAX_WAIT_MS);
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -15,11 +16,21 @@
 import org.fulmarreach.core.jobs.JobStatus;
 import org.fulmarreach.core.jobs.JobStep;
 import org.fulmarreach.core.jobs.JobTimes;
+import org.fulmarreach.core.jobs.WorkerRef;
+import org.fulmarreach.core.jobs.WorkerReport;
 import org.fulmarreach.core.model.Resources;
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.platform.store.TopicPartition;
+import org.fulmarreach.protocol.io.GuardMessages;
+import org.fulmarreach.protocol.io.JobRecords;
+import org.fulmarreach.protocol.io.JobTopics;
+import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.Frame;
+import org.fulmarreach.protocol.thrift.GuardReport;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.FrameLink;
+import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.util.ActorSystems;
 import org.fulmarreach.runtime.util.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
@@ -34,6 +45,13 @@
             {"version":7,"routes":[{"name":"q","host":"h","path_prefix":"/q/","service":"s","max_attempts":2}],
              "services":[],"limits":{}}""";
 
+    private static final Resources SMALL = new Resources(100, 100, 0);
+    private static final Resources LARGE = new Resources(1_000, 1_000, 0);
+    private static final Resources ROOM_FOR_BOTH = new Resources(1_100, 1_100, 0);
+
+    /** Time after an acknowledged cancellation from which on the platform accepts no start. */
+    private static final long CANCEL_BOUND_MS = 3_000;
+
     private final FakeStore store = new FakeStore();
     private final List<ActorSystem<JobsCommand>> entries = new ArrayList<>();
 
@@ -135,10 +153,66 @@
                 .until(() -> describe(entries.get(0)).contains("config=7"));
     }
 
+    /**
+     * A leader whose reads of the requests went silent while its appends went on started jobs whose cancellation another
+     * entry had acknowledged seconds before.
+     */
+    @Test
+    void leaderThatCannotReadCancellationsStartsNothing() throws Exception {
+        putConfig();
+        start("entry-0", new Random(1));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        FakeLink guard = new FakeLink();
+        report(entries.get(0), guard);
+        submit(entries.get(0), "job-1");
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> guard.starts().contains("job-1.0.0.0"));
+
+        store.silenceReads(JobPartitions.REQUESTS);
+        submit(entries.get(0), "job-2", LARGE);
+        store.append(
+                JobPartitions.REQUESTS,
+                List.of(new KeyedRecord(JobTopics.cancelKey("job-2"), JobRecords.encodeCancellation(1))),
+                new AppendCondition.None());
+        Thread.sleep(CANCEL_BOUND_MS);
+        reportCapacity(entries.get(0), guard, ROOM_FOR_BOTH);
+        Awaitility.await()
+                .during(Duration.ofMillis(1_500))
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> !guard.starts().contains("job-2.0.0.0"));
+    }
+
     /*
      * Helpers
      */
 
+    private static void report(ActorSystem<JobsCommand> entry, FakeLink link) {
+        reportCapacity(entry, link, SMALL);
+    }
+
+    private static void reportCapacity(ActorSystem<JobsCommand> entry, FakeLink link, Resources capacity) {
+        WorkerReport worker = new WorkerReport(
+                new WorkerRef("guard", "worker", 1),
+                "s",
+                "z",
+                capacity,
+                List.of("kind", "rack"),
+                false,
+                true,
+                false,
+                List.of(),
+                List.of(),
+                1);
+        GuardReport report = new GuardReport();
+        report.setGuard("guard");
+        report.setTickMs(nowMs());
+        report.setTerm(0);
+        report.setOutcomes(List.of());
+        report.setWorker(GuardMessages.toThrift(worker));
+        entry.tell(new JobsCommand.GuardLink(new LinkEvent.Received(link, new Frame(0, Body.guardReport(report)))));
+    }
+
     private void putConfig() {
         putConfig(CONFIG);
     }
@@ -187,29 +261,22 @@
     }
 
     private static JobSpec job(String id) {
-        JobStep step = new JobStep(
-                1,
-                new Resources(100, 100, 0),
-                100,
-                List.of(),
-                false,
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                false,
-                "",
-                0,
-                false,
-                0);
+        return job(id, SMALL);
+    }
+
+    private static JobSpec job(String id, Resources demand) {
+        JobStep step =
+                new JobStep(1, demand, 100, List.of(), false, false, false, "", "", 0, false, false, "", 0, false, 0);
         return new JobSpec(id, "q", "text", List.of(step), 0, 0, 0, System.currentTimeMillis());
     }
 
     private static WriteOutcome submit(ActorSystem<JobsCommand> entry, String id) throws Exception {
+        return submit(entry, id, SMALL);
+    }
+
+    private static WriteOutcome submit(ActorSystem<JobsCommand> entry, String id, Resources demand) throws Exception {
         CompletableFuture<WriteOutcome> outcome = new CompletableFuture<>();
-        entry.tell(new JobsCommand.Submit(job(id), nowMs() + 3_000, outcome));
+        entry.tell(new JobsCommand.Submit(job(id, demand), nowMs() + 3_000, outcome));
         return outcome.get(5, TimeUnit.SECONDS);
     }
 
@@ -218,4 +285,30 @@
         entry.tell(new JobsCommand.Query(id, answer));
         return answer.get(5, TimeUnit.SECONDS);
     }
+
+    /** Connection to a guard that keeps what it is sent. */
+    private static final class FakeLink implements FrameLink {
+        private final List<Body> sent = new CopyOnWriteArrayList<>();
+
+        List<String> starts() {
+            List<String> starts = new ArrayList<>();
+            sent.forEach(body -> body.getLeaderOrders().getStarts().forEach(start -> starts.add(start.getTask())));
+            return starts;
+        }
+
+        @Override
+        public void send(long correlationId, Body body) {
+            sent.add(body);
+        }
+
+        @Override
+        public void close() {
+            // Nothing is held open.
+        }
+
+        @Override
+        public String remoteAddress() {
+            return "127.0.0.1:2";
+        }
+    }
 }
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -38,6 +38,9 @@
 class WorkerRelayTest {
     private static final Duration BOUND = Duration.ofSeconds(10);
 
+    /** Time after an acknowledged cancellation from which on the platform accepts no start. */
+    private static final long CANCEL_BOUND_MS = 3_000;
+
     private final FakeCalls worker = new FakeCalls();
     private final FakeEntries entries = new FakeEntries();
     private final ActorSystem<RelayCommand> relay = ActorSystems.construct(
@@ -81,6 +84,19 @@
         assertEquals(2, worker.started.size());
     }
 
+    /** A start that was held up on its way for seconds began after its job's cancellation had been acknowledged. */
+    @Test
+    void startThatWasHeldUpIsNotCarriedOut() {
+        relay.tell(new RelayCommand.Beat(beat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        order(link, 1, 1_000, start("fresh.0.0.0"), 0, 0);
+        Awaitility.await().atMost(BOUND).until(() -> worker.started.contains("fresh.0.0.0"));
+        order(link, 1, 1_000, start("late.0.0.0"), 0, CANCEL_BOUND_MS);
+        order(link, 1, 1_000, start("fresh.0.0.1"), 0, 0);
+        Awaitility.await().atMost(BOUND).until(() -> worker.started.contains("fresh.0.0.1"));
+        assertEquals(List.of("fresh.0.0.0", "fresh.0.0.1"), worker.started);
+    }
+
     /** A heartbeat may arrive after its sender has crashed and a new lifetime has begun at its address. */
     @Test
     void heartbeatOfAFormerLifetimeIsIgnored() {
@@ -140,9 +156,13 @@
     }
 
     private void order(FakeLink link, long term, long bornMs, List<StartRun> starts, long writeAgeMs) {
+        order(link, term, bornMs, starts, writeAgeMs, 0);
+    }
+
+    private void order(FakeLink link, long term, long bornMs, List<StartRun> starts, long writeAgeMs, long heldUpMs) {
         LeaderOrders orders = new LeaderOrders(
                 term,
-                MonotonicClock.system().nowMs(),
+                MonotonicClock.system().nowMs() - heldUpMs,
                 new JobWorkerRef("guard", "w", bornMs),
                 starts,
                 List.of(),
