Start nothing on old knowledge of cancellations

Cause: any entry stores a cancellation; the leader learns of it by a waiting read of 2 s, whose loss is noticed after 3 s and tried again after 0.1 s. Appends and orders use other connections and go on meanwhile, so a leader whose reads went silent starts cancelled jobs for longer than the 3 s that the platform allows. Class: an action on knowledge whose age nobody bounds.

Evidence: JobsActorTest.leaderThatCannotReadCancellationsStartsNothing was red before (the start was sent 3 s after the cancellation was stored) and is green now, one run each.

Change: the leader reads requests with a wait of 0.5 s and holds starts while the last answer is older than a third of the platform's cancel bound (read from the settings, 3 s if absent); they leave, if still wanted, with the next answer. The age counts from the arrival of the answer, not from its turn in the actor's queue.

Ruled out: reading before each start (one more call for each decision); cancellations by way of the leader (an entry could not acknowledge them while it does not reach the leader).

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTimes.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTimes.java
@@ -5,8 +5,10 @@
  *
  * @param leaseMs bound on the lease of everything on a worker, from the platform's settings
  * @param statusRetentionMs how long the state of a settled job is kept, from the platform's settings
+ * @param cancelMs time after an acknowledged cancellation from which on no task of its job may start, from the
+ *     platform's settings
  */
-public record JobTimes(long leaseMs, long statusRetentionMs) {
+public record JobTimes(long leaseMs, long statusRetentionMs, long cancelMs) {
     /** A leader that cannot write grants leases for this long after its last acknowledged write. */
     public static final long GRANT_WITHOUT_STORE_MS = 8_000;
 
@@ -40,12 +42,23 @@
     /** A worker on which runs fail or stall in a row is left alone for this long, then tried again. */
     static final long SUSPICION_MS = 4_000;
 
+    /** Share of {@link #cancelMs} that the leader's knowledge of cancellations may be old when a start leaves. */
+    private static final int KNOWLEDGE_PART = 3;
+
     /** A worker's clock may be slow by 2%. */
     private static final int CLOCK_DRIFT_PERCENT = 2;
 
     /** Covers the delay between the end of a lease and its effect. */
     private static final long LEASE_MARGIN_MS = 300;
 
+    /**
+     * Returns the greatest age of the leader's knowledge of cancellations with which starts may leave, in milliseconds.
+     * The rest of the bound is for the way to the worker.
+     */
+    public long maxKnowledgeAgeMs() {
+        return cancelMs / KNOWLEDGE_PART;
+    }
+
     /** Time after the last grant at which nothing can run on the worker any more. */
     long lapseMs() {
         return leaseMs + leaseMs * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN_MS;
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -49,7 +49,7 @@
         this.disturbingShare = disturbingShare;
         this.disturbingFactor = disturbingFactor;
         this.config = config;
-        this.scheduler = new JobScheduler(book, config, new JobTimes(6_000, 120_000), DecisionLog.NONE, nowMs);
+        this.scheduler = new JobScheduler(book, config, new JobTimes(6_000, 120_000, 3_000), DecisionLog.NONE, nowMs);
     }
 
     void addWorker(int number, Resources capacity) {
@@ -123,7 +123,7 @@
     /** Lets another leader go on from what the log holds. */
     void replaceLeader() {
         book.rollBack();
-        scheduler = new JobScheduler(book, config, new JobTimes(6_000, 120_000), DecisionLog.NONE, nowMs);
+        scheduler = new JobScheduler(book, config, new JobTimes(6_000, 120_000, 3_000), DecisionLog.NONE, nowMs);
     }
 
     /** Returns when a job was done, in milliseconds after its submission; -1 if it is not. */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -62,6 +62,8 @@
     LEADER_SEEN(4034, Level.INFO, "The log names a leader."),
     /** Resigned. */
     LEADER_RESIGNED(4035, Level.INFO, "This entry gave up its term because it stops."),
+    STARTS_HELD(
+            4036, Level.WARNING, "Starts wait, since cancellations could not be read for a while; check the store."),
     /** Store lost. */
     STORE_LOST(4040, Level.WARNING, "The store does not answer; check the platform. Accepted work goes on."),
     /** Store back. */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -53,6 +53,13 @@
     private static final long UNREADY_AFTER_MS = 1_500;
 
     private static final LogTail.Times REQUEST_TIMES = new LogTail.Times(2_000, 20);
+
+    /**
+     * The leader starts nothing on knowledge of cancellations that is older than a second, so its reads end before that
+     * also when the store needs 240 ms for each.
+     */
+    private static final LogTail.Times LEADER_REQUEST_TIMES = new LogTail.Times(500, 20);
+
     private static final LogTail.Times PROGRESS_TIMES = new LogTail.Times(500, 120);
     private static final LogTail.Times CONFIG_TIMES = new LogTail.Times(2_000, 0);
 
@@ -150,7 +157,7 @@
             case JobsCommand.Query query -> onQuery(query);
             case JobsCommand.CountWaiting count -> count.reply().complete(book.countWaiting(count.queue()));
             case JobsCommand.Describe describe -> describe.reply().complete(describe());
-            case JobsCommand.TailRead read -> read.tail().onRead(read.generation(), read.result());
+            case JobsCommand.TailRead read -> read.tail().onRead(read.generation(), read.result(), read.answeredAtMs());
             case JobsCommand.TailDue due -> due.tail().onDue(due.generation());
             case JobsCommand.Refreshed refreshed -> onRefreshed(refreshed);
             case JobsCommand.RequestsWritten written -> writer.onWritten(written.result());
@@ -281,7 +288,7 @@
      */
 
     private LogTail follow(TopicPartition partition, LogTail.Times tailTimes, Consumer<LogTail.Update> consumer) {
-        return new LogTail(partition, store, getContext(), log, tailTimes, consumer);
+        return new LogTail(partition, store, getContext(), log, clock, tailTimes, consumer);
     }
 
     private void onRequests(LogTail.Update update) {
@@ -289,6 +296,9 @@
             readableAtMs = clock.nowMs();
         }
         update.records().forEach(this::foldRequest);
+        if (leading != null && !update.failed()) {
+            leading.sendHeld();
+        }
         if (!update.records().isEmpty()) {
             decide();
         }
@@ -417,7 +427,16 @@
         election.observe(new JobLeader(term, identity.node(), identity.guardAddress()), progress.nextOffset());
         long nowMs = clock.nowMs();
         JobScheduler scheduler = new JobScheduler(book, configInForce, times, decisionLog, nowMs);
-        leading = new LeaderTerm(term, election.recordOf(term), scheduler, sessions, store, getContext(), clock);
+        requests.change(LEADER_REQUEST_TIMES);
+        leading = new LeaderTerm(
+                term,
+                election.recordOf(term),
+                scheduler,
+                sessions,
+                new CancellationView(requests, times, log),
+                store,
+                getContext(),
+                clock);
         log.emit(
                 JobEvent.LEADER_ELECTED,
                 "term",
@@ -449,6 +468,7 @@
     private void stepDown(String reason) {
         log.emit(JobEvent.LEADER_REPLACED, "term", leading.term(), "reason", reason);
         leading = null;
+        requests.change(REQUEST_TIMES);
         sessions.close();
         book.rollBack();
         election.interruptSilence();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -73,7 +73,7 @@
      */
 
     /** A read of a followed partition has ended. */
-    record TailRead(LogTail tail, long generation, ReadResult result) implements JobsCommand {}
+    record TailRead(LogTail tail, long generation, ReadResult result, long answeredAtMs) implements JobsCommand {}
 
     /** The next read of a followed partition is due. */
     record TailDue(LogTail tail, long generation) implements JobsCommand {}
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -69,8 +69,10 @@
         Address store = Address.parse(settings.storeAddress());
         Address guards = new Address(settings.ipAddress(), settings.firstInternalPort());
         AtomicReference<JobsCommand.View> view = new AtomicReference<>(new JobsCommand.View(null, false));
-        JobTimes times =
-                new JobTimes(settings.bounds().leaseMs(), settings.bounds().statusRetentionMs());
+        JobTimes times = new JobTimes(
+                settings.bounds().leaseMs(),
+                settings.bounds().statusRetentionMs(),
+                settings.bounds().cancelMs());
         // The actor system runs the store's connections, and the actor needs the store: it is handed over on creation.
         ActorSystem<JobsCommand> system = ActorSystems.construct(
                 Behaviors.setup(context -> JobsActor.create(
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -38,6 +38,7 @@
     private final KeyedRecord self;
     private final JobScheduler scheduler;
     private final GuardSessions sessions;
+    private final CancellationView cancellations;
     private final StoreClient store;
     private final ActorContext<JobsCommand> context;
     private final MonotonicClock clock;
@@ -56,12 +57,14 @@
      * Constructs a term that was just won.
      *
      * @param self record of the leader's key
+     * @param cancellations holds starts back while cancellations may be unknown
      */
     LeaderTerm(
             long term,
             KeyedRecord self,
             JobScheduler scheduler,
             GuardSessions sessions,
+            CancellationView cancellations,
             StoreClient store,
             ActorContext<JobsCommand> context,
             MonotonicClock clock) {
@@ -69,6 +72,7 @@
         this.self = self;
         this.scheduler = scheduler;
         this.sessions = sessions;
+        this.cancellations = cancellations;
         this.store = store;
         this.context = context;
         this.clock = clock;
@@ -133,6 +137,11 @@
         flush();
     }
 
+    /** Sends the starts that waited for knowledge of cancellations, unless their jobs have been cancelled. */
+    void sendHeld() {
+        send(cancellations.takeHeld());
+    }
+
     void onFlushDue() {
         flushScheduled = false;
         flush();
@@ -178,7 +187,8 @@
     }
 
     private void send(List<JobOrder> orders) {
-        List<JobOrder> wanted = orders.stream().filter(scheduler::isWanted).toList();
+        List<JobOrder> wanted =
+                cancellations.admit(orders.stream().filter(scheduler::isWanted).toList());
         if (!wanted.isEmpty() && mayGrant()) {
             long nowMs = clock.nowMs();
             sessions.send(term, wanted, silenceMs()).forEach(guard -> scheduler.granted(guard, nowMs));
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
@@ -10,6 +10,7 @@
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.platform.store.TopicPartition;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.util.MonotonicClock;
 
 /**
  * Follows a partition of the store: reads the newest record of each key, then everything appended after that. It
@@ -23,13 +24,15 @@
     private final StoreClient store;
     private final ActorContext<JobsCommand> context;
     private final EventLog log;
-    private final Times times;
+    private final MonotonicClock clock;
     private final Consumer<Update> consumer;
+    private Times times;
     private long generation;
     private boolean loaded;
     private boolean paused;
     private long nextOffset;
     private int backoffMs;
+    private long readAtMs;
 
     /**
      * Constructs a tail that does nothing until {@link #reload}.
@@ -41,12 +44,15 @@
             StoreClient store,
             ActorContext<JobsCommand> context,
             EventLog log,
+            MonotonicClock clock,
             Times times,
             Consumer<Update> consumer) {
         this.partition = partition;
         this.store = store;
         this.context = context;
         this.log = log;
+        this.clock = clock;
+        this.readAtMs = clock.nowMs();
         this.times = times;
         this.consumer = consumer;
     }
@@ -81,6 +87,22 @@
         return nextOffset;
     }
 
+    /**
+     * Returns how long ago the store last answered, in milliseconds. What was appended before that is known here.
+     */
+    long ageMs() {
+        return clock.nowMs() - readAtMs;
+    }
+
+    /** Reads with other times from now on; a read under way is given up. */
+    void change(Times newTimes) {
+        times = newTimes;
+        if (loaded && !paused) {
+            generation++;
+            issue();
+        }
+    }
+
     /** Starts over with the newest records. */
     void reload() {
         generation++;
@@ -101,12 +123,13 @@
         }
     }
 
-    void onRead(long readGeneration, ReadResult result) {
+    void onRead(long readGeneration, ReadResult result, long answeredAtMs) {
         if (readGeneration != generation || paused) {
             return;
         }
         switch (result) {
             case ReadResult.Records read -> {
+                readAtMs = answeredAtMs;
                 noteRegained();
                 boolean first = !loaded;
                 loaded = true;
@@ -156,7 +179,7 @@
         long issued = generation;
         var self = context.getSelf();
         var read = loaded ? store.read(partition, nextOffset, times.waitMs()) : store.readNewest(partition);
-        read.thenAccept(result -> self.tell(new JobsCommand.TailRead(this, issued, result)));
+        read.thenAccept(result -> self.tell(new JobsCommand.TailRead(this, issued, result, clock.nowMs())));
     }
 
     private void noteLost(String reason) {
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -154,8 +154,8 @@
     }
 
     /**
-     * A leader whose reads of the requests went silent while its appends went on started jobs whose cancellation another
-     * entry had acknowledged seconds before.
+     * A leader whose reads of the requests went silent while its appends went on started jobs that another entry had
+     * acknowledged as cancelled seconds before.
      */
     @Test
     void leaderThatCannotReadCancellationsStartsNothing() throws Exception {
@@ -229,7 +229,7 @@
                 JobsActor.create(
                         store,
                         new JobsActor.Identity(node, "127.0.0.1:1"),
-                        new JobTimes(6_000, 120_000),
+                        new JobTimes(6_000, 120_000, CANCEL_BOUND_MS),
                         MonotonicClock.system(),
                         new EventLog(node),
                         new AtomicReference<>(new JobsCommand.View(null, false)),
