Drop starts that were held up on their way to the worker

Cause: a guard carried out a start however old it was, as long as the lease of 6 s held. A start that waited in a connection or in the guard's own queue for over 3 s began after its job's cancellation had been acknowledged.

Change: a start is valid for half of the cancel bound after the guard's clock reading that it answers, checked before each call to the worker, repeats included. It is dropped without an outcome, since an earlier copy may have reached the worker; the leader repeats or withdraws it.

Ruled out: an outcome for the leader, after which it would place the task again at once: two runs could then meet.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTimes.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTimes.java
@@ -45,6 +45,9 @@
     /** Share of {@link #cancelMs} that the leader's knowledge of cancellations may be old when a start leaves. */
     private static final int KNOWLEDGE_PART = 3;
 
+    /** Share of {@link #cancelMs} that a start may take from the leader to the worker's connection. */
+    private static final int TRANSIT_PART = 2;
+
     /** A worker's clock may be slow by 2%. */
     private static final int CLOCK_DRIFT_PERCENT = 2;
 
@@ -53,12 +56,17 @@
 
     /**
      * Returns the greatest age of the leader's knowledge of cancellations with which starts may leave, in milliseconds.
-     * The rest of the bound is for the way to the worker.
+     * Together with {@link #startValidMs} it leaves a sixth of the bound for the call to the worker.
      */
     public long maxKnowledgeAgeMs() {
         return cancelMs / KNOWLEDGE_PART;
     }
 
+    /** Returns how long after the report that it answers a guard may send a start to its worker, in milliseconds. */
+    public long startValidMs() {
+        return cancelMs / TRANSIT_PART;
+    }
+
     /** Time after the last grant at which nothing can run on the worker any more. */
     long lapseMs() {
         return leaseMs + leaseMs * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN_MS;
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/OrderBoard.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/OrderBoard.java
@@ -79,8 +79,13 @@
         outcomes.add(new OrderOutcome(call.task(), call.run(), true, reason));
     }
 
-    void start(Target target, WorkerCalls.RunStartCall call) {
-        WorkerOrder order = new WorkerOrder.Start(call, 0);
+    /**
+     * Sends a start, unless it is under way already.
+     *
+     * @param validUntilMs monotonic time up to which it may be sent
+     */
+    void start(Target target, WorkerCalls.RunStartCall call, long validUntilMs) {
+        WorkerOrder order = new WorkerOrder.Start(call, 0, validUntilMs);
         if (starting.add(order.key())) {
             send(target, order);
         }
@@ -107,6 +112,20 @@
                     starting.remove(order.key());
                     yield null;
                 }
+                if (nowMs > start.validUntilMs()) {
+                    log.emit(
+                            RelayEvent.START_EXPIRED,
+                            "id",
+                            order.task(),
+                            "run",
+                            order.run(),
+                            "attempt",
+                            order.attempt(),
+                            "lateMs",
+                            nowMs - start.validUntilMs());
+                    starting.remove(order.key());
+                    yield null;
+                }
                 yield worker.start(target.workerId(), start.call(), lease.take(nowMs), target.term());
             }
             case WorkerOrder.Stop stop -> worker.stop(target.workerId(), stop.task(), stop.run(), target.term());
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
@@ -25,6 +25,8 @@
     /** Start refused. */
     START_REFUSED(4111, Level.INFO, "The worker, or the guard for it, did not take a start."),
     /** Start without answer. */
+    START_EXPIRED(
+            4117, Level.WARNING, "A start was held up on its way and is dropped; the leader repeats it if needed."),
     START_UNANSWERED(4112, Level.WARNING, "The worker gave no answer to a start; it is sent again."),
     /** Stop carried out. */
     STOP_DONE(4113, Level.INFO, "The worker took a stop."),
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerOrder.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerOrder.java
@@ -21,8 +21,14 @@
         return task() + "#" + run();
     }
 
-    /** Starts a run. */
-    record Start(RunStartCall call, int attempt) implements WorkerOrder {
+    /**
+     * Starts a run.
+     *
+     * @param call what the worker is told
+     * @param attempt how often it was sent before
+     * @param validUntilMs monotonic time up to which it may be sent; its job may be cancelled meanwhile
+     */
+    record Start(RunStartCall call, int attempt, long validUntilMs) implements WorkerOrder {
         @Override
         public String task() {
             return call.task();
@@ -35,7 +41,7 @@
 
         @Override
         public WorkerOrder again() {
-            return new Start(call, attempt + 1);
+            return new Start(call, attempt + 1, validUntilMs);
         }
     }
 
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -11,6 +11,7 @@
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
 import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+import org.fulmarreach.core.jobs.JobTimes;
 import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.core.jobs.WorkerReport;
 import org.fulmarreach.platform.worker.CallResult;
@@ -64,6 +65,7 @@
     private final LeaderFinder finder;
     private final WorkerLease lease;
     private final String guard;
+    private final long startValidMs;
     private final MonotonicClock clock;
     private final EventLog log;
     private final OrderBoard board;
@@ -109,7 +111,7 @@
             Links links,
             List<String> entries,
             String guard,
-            long leaseMs,
+            JobTimes times,
             MonotonicClock clock,
             EventLog log,
             Random random) {
@@ -117,8 +119,9 @@
         this.worker = worker;
         this.links = links;
         this.finder = new LeaderFinder(entries, random);
-        this.lease = new WorkerLease(leaseMs, clock.nowMs());
+        this.lease = new WorkerLease(times.leaseMs(), clock.nowMs());
         this.guard = guard;
+        this.startValidMs = times.startValidMs();
         this.clock = clock;
         this.log = log;
         this.board = new OrderBoard(worker, lease, context, clock, log);
@@ -134,7 +137,7 @@
      * @param links ways out of the process
      * @param entries {@code host:port} of entries; may be stale
      * @param guard node name of this guard
-     * @param leaseMs bound on the lease of everything on the worker, in milliseconds
+     * @param times bounds on leases and on the age of starts
      * @param clock monotonic clock
      * @param log events
      * @param random spreads guards over time
@@ -144,12 +147,12 @@
             Links links,
             List<String> entries,
             String guard,
-            long leaseMs,
+            JobTimes times,
             MonotonicClock clock,
             EventLog log,
             Random random) {
-        return Behaviors.setup(context -> Behaviors.withTimers(timers ->
-                new WorkerRelay(context, timers, worker, links, entries, guard, leaseMs, clock, log, random)));
+        return Behaviors.setup(context -> Behaviors.withTimers(
+                timers -> new WorkerRelay(context, timers, worker, links, entries, guard, times, clock, log, random)));
     }
 
     @Override
@@ -360,18 +363,20 @@
             issueLook();
         }
         orders.getStarts()
-                .forEach(start -> start(new WorkerCalls.RunStartCall(
-                        start.getTask(), start.getRun(), start.getPayload(), start.getCheckpoint())));
+                .forEach(start -> start(
+                        new WorkerCalls.RunStartCall(
+                                start.getTask(), start.getRun(), start.getPayload(), start.getCheckpoint()),
+                        orders.getEchoedTickMs() + startValidMs));
         orders.getStops().forEach(stop -> board.stop(target(), stop.getTask(), stop.getRun()));
         orders.getPaces().forEach(pace -> board.pace(target(), pace.getTask(), pace.getRun(), pace.getPercent()));
     }
 
-    private void start(WorkerCalls.RunStartCall call) {
+    private void start(WorkerCalls.RunStartCall call, long validUntilMs) {
         if (beat != null && beat.draining()) {
             board.refuse(call, "draining");
             report();
         } else {
-            board.start(target(), call);
+            board.start(target(), call, validUntilMs);
         }
     }
 
