--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
@@ -39,7 +39,12 @@
 
 /** A running guard on the users' platform: its relay and the listener for its worker's heartbeats. Thread-safe. */
 public final class RelayNode {
-    private static final int THREADS = 2;
+    /** A guard has less than one core, so that more threads only add switches between them. */
+    private static final int THREADS = 1;
+
+    /** Each tick of the timers wakes a thread up; no timer of a guard needs to be more exact. */
+    private static final int TICK_MS = 50;
+
     private static final int MAX_CONNECTIONS = 64;
     private static final long BODY_TIMEOUT_MS = 1_000;
     private static final long MAX_BODY_BYTES = 64 * 1024;
@@ -81,7 +86,8 @@
                             new Random(settings.node().hashCode()));
                 }),
                 "guard",
-                THREADS);
+                THREADS,
+                TICK_MS);
         Materializer materializer = SystemMaterializer.get(system).materializer();
         HttpListener.bind(
                 system,
--- /dev/null
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/RelayCostTest.java
@@ -0,0 +1,142 @@
+package org.fulmarreach.guard.jobs;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.awaitility.Awaitility;
+import org.fulmarreach.platform.node.NodeSettings;
+import org.fulmarreach.runtime.cfg.Address;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.HttpListener;
+import org.fulmarreach.runtime.util.ActorSystems;
+import org.fulmarreach.runtime.util.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What a guard costs while its worker has nothing to do. Reads the counters that Linux keeps for each thread. */
+class RelayCostTest {
+    private static final String HOST = InetAddress.getLoopbackAddress().getHostAddress();
+    private static final int WORKER_WAIT_MS = 500;
+    private static final int MEASURED_S = 4;
+
+    /**
+     * Timers of a guard are due about 20 times a second in all; looks, with an answer each, twice. Twice the sum leaves
+     * room for the threads of connections.
+     */
+    private static final int MAX_SWITCHES_PER_S = 100;
+
+    private final AtomicInteger looks = new AtomicInteger();
+    private ActorSystem<Void> worker;
+    private int workerPort;
+
+    @BeforeEach
+    void startWorker() throws IOException {
+        worker = ActorSystems.construct(Behaviors.<Void>empty(), "worker", 1);
+        workerPort = findPort();
+        HttpListener.bind(worker, new Address(HOST, workerPort), 16, this::answer, (request, failure) -> {
+            throw new IllegalStateException(failure);
+        });
+    }
+
+    @AfterEach
+    void stop() {
+        worker.terminate();
+    }
+
+    /** Guards that woke up hundreds of times a second took the processors of a deployment with 72 of them. */
+    @Test
+    void guardOfAnIdleWorkerHardlyWakesUp() throws Exception {
+        int store = findPort();
+        RelayNode.start(settings(findPort(), store), MonotonicClock.system(), new EventLog("guard"));
+        Awaitility.await().until(() -> looks.get() > 4);
+        long before = countSwitches();
+        Thread.sleep(TimeUnit.SECONDS.toMillis(MEASURED_S));
+        long perSecond = (countSwitches() - before) / MEASURED_S;
+        assertTrue(perSecond <= MAX_SWITCHES_PER_S, "switches of the guard's threads per second: " + perSecond);
+    }
+
+    /*
+     * Helpers
+     */
+
+    private CompletionStage<HttpResponse> answer(HttpRequest request) {
+        int clockMs = looks.incrementAndGet() * WORKER_WAIT_MS;
+        request.discardEntityBytes(worker);
+        String body = "{\"clock_ms\":" + clockMs + ",\"running\":[],\"ended\":[]}";
+        return CompletableFuture.supplyAsync(
+                () -> HttpResponse.create()
+                        .withEntity(ContentTypes.APPLICATION_JSON, body.getBytes(StandardCharsets.UTF_8)),
+                CompletableFuture.delayedExecutor(WORKER_WAIT_MS, TimeUnit.MILLISECONDS));
+    }
+
+    private NodeSettings settings(int heartbeatPort, int storePort) {
+        return new NodeSettings(
+                "guard",
+                "z",
+                "r",
+                HOST,
+                "",
+                "",
+                new Address(HOST, heartbeatPort).toString(),
+                1,
+                2,
+                List.of(),
+                new Address(HOST, workerPort).toString(),
+                "s",
+                new Address(HOST, storePort).toString(),
+                1_000,
+                1_000,
+                new NodeSettings.Bounds(6_000, 120_000, 6_000, 3_000));
+    }
+
+    private static int findPort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Counts how often threads of the guard's actor system went to sleep so far. */
+    private static long countSwitches() throws IOException {
+        long switches = 0;
+        try (DirectoryStream<Path> threads = Files.newDirectoryStream(Path.of("/proc/self/task"))) {
+            for (Path thread : threads) {
+                switches += countSwitches(thread.resolve("status"));
+            }
+        }
+        return switches;
+    }
+
+    private static long countSwitches(Path status) throws IOException {
+        try {
+            List<String> lines = Files.readAllLines(status);
+            for (String line : lines) {
+                if (lines.get(0).contains("guard-") && line.startsWith("voluntary_ctxt_switches")) {
+                    return Long.parseLong(line.split("\\s+")[1]);
+                }
+            }
+        } catch (NoSuchFileException e) {
+            // A thread of the test has ended since the directory was listed; those of the actor system do not end.
+            return 0;
+        }
+        return 0;
+    }
+}
--- a/runtime/src/main/java/org/fulmarreach/runtime/util/ActorSystems.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/util/ActorSystems.java
@@ -17,7 +17,7 @@
      *
      * @param root behavior of the guardian actor
      * @param name name of the system
-     * @param threads threads of the default dispatcher; the blocking dispatcher gets one
+     * @param threads threads of the dispatcher that all actors share; the blocking dispatcher gets one
      * @param <T> messages of the guardian
      */
     public static <T> ActorSystem<T> construct(Behavior<T> root, String name, int threads) {
@@ -51,10 +51,8 @@
                     executor = "fork-join-executor"
                     fork-join-executor { parallelism-min = %1$d, parallelism-max = %1$d, parallelism-factor = 1.0 }
                   }
-                  actor.internal-dispatcher {
-                    executor = "fork-join-executor"
-                    fork-join-executor { parallelism-min = 1, parallelism-max = 2, parallelism-factor = 1.0 }
-                  }
+                  # No actor here blocks, and a message between threads wakes one up.
+                  actor.internal-dispatcher = "pekko.actor.default-dispatcher"
                   actor.default-blocking-io-dispatcher.thread-pool-executor.fixed-pool-size = 1
                   io.tcp.direct-buffer-size = 16 KiB
                   io.tcp.direct-buffer-pool-limit = 16
