Count looks, not reports, after a confirmed stop

Cause: an unlisted run counted as absent after two reports that followed a confirmed stop. Guards report every 500 ms and after some answers, whether or not the worker has answered a look since, and the report that carries the confirmation holds a look from before it. Step by step: (1) a start is carried out, its answer and that of the look under way are lost, the run ends as done; (2) the leader repeats the start, the worker refuses it as old; (3) the leader withdraws the run, the worker confirms the stop; (4) two reports repeat the look of before (1), since a look without an answer takes up to 0.9 s, and one lost look leaves the worker reachable; (5) the leader gives the run up as never begun and places the task again; (6) the next look lists the end as done, it is stale and acknowledged.

Evidence: DuplicateRunTest on the code before, one run: repeatedReportsOfOneLookDoNotShowThatARunIsAbsent expected TaskState[phase=DONE, run=1, ...] but was TaskState[phase=ASSIGNED, run=2, ...]; runThatTwoLooksAfterTheStopDoNotListIsPlacedAgain expected 1 but was 2. Both pass now, with the 20 tests of JobSchedulerTest.

Change: looks are counted by their number. The look of the first report after the confirmation is the base, two later ones have to leave the run out. A lower number is that of a restarted guard and a new base. The count starts over with a state restored from the log; it outlasted a leader's term before.

Ruled out: a time to wait instead of looks, since a worker may leave calls unanswered for longer than any such time.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -7,6 +7,9 @@
 public final class JobTask {
     private static final int FULL_PACE_PERCENT = 100;
 
+    /** Count of looks before the first report that follows a confirmed stop. */
+    private static final int NOT_COUNTING = -1;
+
     private final Job job;
     private final TaskName name;
     private final JobStep step;
@@ -14,7 +17,8 @@
     private RunProgress progress = RunProgress.NONE;
     private WorkerRef avoided;
     private String rack;
-    private int looksAfterStop;
+    private int looksAfterStop = NOT_COUNTING;
+    private long lastLookNumber;
     private int pacePercent = FULL_PACE_PERCENT;
 
     JobTask(Job job, TaskName name, JobStep step) {
@@ -82,7 +86,7 @@
         rack = newRack;
         change(new TaskState(TaskPhase.ASSIGNED, run, worker, state.failures(), state.checkpoint()));
         progress = RunProgress.orderedAt(nowMs);
-        looksAfterStop = 0;
+        looksAfterStop = NOT_COUNTING;
         pacePercent = FULL_PACE_PERCENT;
     }
 
@@ -113,9 +117,20 @@
         pacePercent = percent;
     }
 
-    /** Counts one more look at the worker after a confirmed stop and returns the count. */
-    int countLookAfterStop() {
-        looksAfterStop++;
+    /**
+     * Takes up the look of a report that follows a confirmed stop. The look of the first such report came before the
+     * stop was confirmed, and reports repeat a look until the worker answers the next one.
+     *
+     * @param lookNumber number of the look; a restarted guard counts anew
+     * @return how many looks were answered after the stop was confirmed
+     */
+    int countLookAfterStop(long lookNumber) {
+        if (looksAfterStop == NOT_COUNTING || lookNumber < lastLookNumber) {
+            looksAfterStop = 0;
+        } else if (lookNumber > lastLookNumber) {
+            looksAfterStop++;
+        }
+        lastLookNumber = lookNumber;
         return looksAfterStop;
     }
 
@@ -126,6 +141,7 @@
     void restore(TaskState restored) {
         state = restored;
         progress = RunProgress.NONE;
+        looksAfterStop = NOT_COUNTING;
     }
 
     private void change(TaskState changed) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -13,8 +13,8 @@
     private static final int FAULTS_TO_SUSPECT = 2;
 
     /**
-     * Looks at the worker that must follow a confirmed stop before an unlisted run counts as absent. The first one may
-     * have been under way when the stop arrived.
+     * Looks that the worker must answer after a confirmed stop before an unlisted run counts as absent. The first one
+     * may have been under way when the stop arrived.
      */
     private static final int LOOKS_AFTER_STOP = 2;
 
@@ -246,7 +246,7 @@
                 continue;
             }
             if (progress.stopConfirmed()) {
-                if (task.countLookAfterStop() >= LOOKS_AFTER_STOP) {
+                if (task.countLookAfterStop(report.lookNumber()) >= LOOKS_AFTER_STOP) {
                     lose(task, worker, "never begun, withdrawn");
                 }
             } else if (progress.stopOrderedAtMs() > 0 || nowMs - progress.orderedAtMs() > JobTimes.START_GIVE_UP_MS) {
--- /dev/null
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -0,0 +1,129 @@
+package org.fulmarreach.core.jobs;
+
+import java.util.List;
+
+import org.fulmarreach.core.model.Resources;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Sequences of reports and answers after which a task must not get a second run. Reports are made by hand. */
+class DuplicateRunTest {
+    private static final JobConfig CONFIG = new JobConfig(
+            1, List.of(new JobQueue("q", "h", "/q/", FakeWorker.SERVICE, 0, 2, 3_000, 400, 1.5)), 1_000_000);
+    private static final JobTimes TIMES = new JobTimes(6_000, 120_000, 3_000);
+    private static final String TASK = "job.0.0.0";
+
+    /** Guards report at least this often, also when their worker has answered no look since. */
+    private static final long REPORT_MS = 500;
+
+    private final JobBook book = new JobBook();
+    private final WorkerRef first = new WorkerRef("guard-0", "worker-0", 1);
+    private final WorkerRef second = new WorkerRef("guard-1", "worker-1", 1);
+    private JobScheduler scheduler;
+    private long nowMs = 1_000_000;
+
+    @BeforeEach
+    void lead() {
+        scheduler = new JobScheduler(book, CONFIG, TIMES, DecisionLog.NONE, nowMs);
+    }
+
+    /** Reports that repeat the look from before the stop hid the end of the run, and the task was started again. */
+    @Test
+    void repeatedReportsOfOneLookDoNotShowThatARunIsAbsent() {
+        submit(step(1).build());
+        report(first, 1, List.of(), List.of());
+        scheduler.outcome(first, TASK, 1, true, "old", nowMs);
+        scheduler.outcome(first, TASK, 1, false, "done", nowMs);
+        for (int i = 0; i < 4; i++) {
+            report(first, 1, List.of(), List.of());
+        }
+        report(first, 2, List.of(), List.of());
+        report(first, 3, List.of(), List.of(end(1, TASK, 1, RunEnd.DONE)));
+        assertEquals(new TaskState(TaskPhase.DONE, 1, first, 0, ""), task(0).state());
+    }
+
+    /** A run that was withdrawn before it began has to go on elsewhere. */
+    @Test
+    void runThatTwoLooksAfterTheStopDoNotListIsPlacedAgain() {
+        submit(step(1).build());
+        report(first, 1, List.of(), List.of());
+        scheduler.outcome(first, TASK, 1, true, "old", nowMs);
+        scheduler.outcome(first, TASK, 1, false, "done", nowMs);
+        report(first, 1, List.of(), List.of());
+        report(first, 2, List.of(), List.of());
+        assertEquals(1, task(0).state().run());
+        report(first, 3, List.of(), List.of());
+        assertEquals(2, task(0).state().run());
+    }
+
+    /** A guard that was restarted counts its looks anew; the task must not wait until it has caught up. */
+    @Test
+    void looksOfARestartedGuardCount() {
+        submit(step(1).build());
+        report(first, 700, List.of(), List.of());
+        scheduler.outcome(first, TASK, 1, true, "old", nowMs);
+        scheduler.outcome(first, TASK, 1, false, "done", nowMs);
+        report(first, 700, List.of(), List.of());
+        report(first, 1, List.of(), List.of());
+        report(first, 2, List.of(), List.of());
+        report(first, 3, List.of(), List.of());
+        assertEquals(2, task(0).state().run());
+    }
+
+    /*
+     * Helpers
+     */
+
+    private static TestSteps step(int count) {
+        return TestSteps.of(count, new Resources(1_000, 1_000, 0), 500, List.of());
+    }
+
+    private static WorkerReport.Ended end(long number, String task, int run, RunEnd how) {
+        return new WorkerReport.Ended(number, task, run, how, "");
+    }
+
+    private static WorkerReport.Running running(String task, int run) {
+        return new WorkerReport.Running(task, run, "", 10, 1_000);
+    }
+
+    /** Submits a job when only the first worker is there, so that it is placed on that one. */
+    private void submit(JobStep step) {
+        report(first, 1, List.of(), List.of());
+        book.submit(new JobSpec("job", "q", "", List.of(step), 0, 0, 0, nowMs));
+        scheduler.takeUp(book.find("job").orElseThrow());
+        decide();
+        assertEquals(first, task(0).state().worker());
+    }
+
+    private void report(WorkerRef ref, long look, List<WorkerReport.Running> running, List<WorkerReport.Ended> ended) {
+        nowMs += REPORT_MS;
+        scheduler.report(
+                new WorkerReport(
+                        ref,
+                        FakeWorker.SERVICE,
+                        "zone",
+                        new Resources(4_000, 8_000, 0),
+                        List.of("a", "rack"),
+                        false,
+                        true,
+                        false,
+                        running,
+                        ended,
+                        look),
+                nowMs);
+        scheduler.granted(ref.guard(), nowMs);
+        decide();
+    }
+
+    private void decide() {
+        scheduler.tick(nowMs, nowMs);
+        scheduler.takeImmediateOrders();
+        scheduler.committed(scheduler.takeBatch());
+    }
+
+    private JobTask task(int index) {
+        return book.find("job").orElseThrow().tasks().get(index);
+    }
+}
