Take a refused start as not begun only if it was the first

Cause: the refusal of any start but `old` released its task at once, though an earlier copy of the same start may have been carried out. The guard marks a refusal as uncertain only after a call without an answer of its own process. Sequences that the code allowed, each ending in a second run: (a) the start is carried out, the look that would list it is lost (one lost look leaves the worker reachable), the leader repeats the start after 1 s and an unhealthy worker answers 503 for that call; (b) the same, and the guard refuses the repeated start by itself since the worker drains now, also when the first call got no answer; (c) the first call got no answer, the guard restarts and knows nothing of it, the repeated start finds no room, the first one is carried out late; (d) the refusal of a repeated start arrives after the run was listed as at work; (e) any of these with a new leader, which does not know what the former one sent.

Evidence: DuplicateRunTest on the code before, one run: 3 of 7 tests red (refusalOfARepeatedStart..., refusalOfAStartWhoseRunIsAtWork..., refusalOfAStartOfAFormerLeader...), each expected TaskState[phase=ASSIGNED, run=1, ...] but was TaskState[phase=ASSIGNED, run=2, ...]. All 7 pass now, with JobSchedulerTest (20), HeavyDayTest (6) and ColocationLoadTest (3).

Change: a run knows whether its start may have been sent more than once, by this leader or a former one. A refusal of such a start, or of one whose run was listed, withdraws the run, and the lists decide. The refusal of the only start still releases its task at once (tested).

Ruled out: counting calls in the guard. It covers (a), (b) and (d), but not a restart of the guard or two leaders; what the leader knows covers all five.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -85,7 +85,7 @@
     void assign(WorkerRef worker, String newRack, int run, long nowMs) {
         rack = newRack;
         change(new TaskState(TaskPhase.ASSIGNED, run, worker, state.failures(), state.checkpoint()));
-        progress = RunProgress.orderedAt(nowMs);
+        progress = RunProgress.firstOrderedAt(nowMs);
         looksAfterStop = NOT_COUNTING;
         pacePercent = FULL_PACE_PERCENT;
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -72,16 +72,17 @@
             return;
         }
         log.decided(Decision.START_REFUSED, name, "run", run, "worker", ref.id(), "outcome", outcome);
-        if (outcome.equals(OLD) || outcome.equals(UNCERTAIN)) {
+        boolean doubtful = outcome.equals(OLD) || outcome.equals(UNCERTAIN);
+        if (doubtful || task.progress().mayHaveBegun()) {
             withdraw(task, nowMs);
-            return;
+        } else {
+            release(task, worker);
+            task.avoid(ref);
+            task.finish(TaskPhase.PENDING, task.state().failures(), "");
+            decisions.change(task.job());
         }
-        release(task, worker);
-        task.avoid(ref);
-        task.finish(TaskPhase.PENDING, task.state().failures(), "");
-        decisions.change(task.job());
         // A worker without room or that leaves is not faulty, only not up to date here.
-        if (!outcome.equals("room") && !outcome.equals("draining")) {
+        if (!doubtful && !outcome.equals("room") && !outcome.equals("draining")) {
             suspect(worker, "start refused: " + outcome, nowMs);
         }
     }
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Sequences of reports and answers after which a task must not get a second run. Reports are made by hand. */
 class DuplicateRunTest {
@@ -72,10 +73,68 @@
         assertEquals(2, task(0).state().run());
     }
 
+    /** The first start was carried out, its listing was lost, and the repeated one met an unhealthy worker. */
+    @Test
+    void refusalOfARepeatedStartDoesNotReleaseItsTask() {
+        for (String reason : List.of("status 503", "room", "draining", "late")) {
+            book.forget("job");
+            lead();
+            submit(step(1).build());
+            waitForRepeatedStart();
+            scheduler.outcome(first, TASK, 1, true, reason, nowMs);
+            report(first, 1, List.of(), List.of());
+            assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state(), reason);
+            report(first, 2, List.of(), List.of(end(1, TASK, 1, RunEnd.DONE)));
+            assertEquals(new TaskState(TaskPhase.DONE, 1, first, 0, ""), task(0).state(), reason);
+        }
+    }
+
+    /** The answer to a repeated start may arrive after the run was listed. */
+    @Test
+    void refusalOfAStartWhoseRunIsAtWorkDoesNotReleaseItsTask() {
+        submit(step(1).build());
+        waitForRepeatedStart();
+        report(first, 2, List.of(running(TASK, 1)), List.of());
+        scheduler.outcome(first, TASK, 1, true, "status 503", nowMs);
+        report(first, 3, List.of(running(TASK, 1)), List.of());
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
+    }
+
+    /** A new leader does not know how often the former one sent a start. */
+    @Test
+    void refusalOfAStartOfAFormerLeaderDoesNotReleaseItsTask() {
+        submit(step(1).build());
+        waitForRepeatedStart();
+        scheduler = new JobScheduler(book, CONFIG, TIMES, DecisionLog.NONE, nowMs);
+        report(first, 1, List.of(), List.of());
+        scheduler.outcome(first, TASK, 1, true, "status 503", nowMs);
+        report(first, 1, List.of(), List.of());
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
+    }
+
+    /** A start that was sent once and refused has begun nowhere, so its task must not wait. */
+    @Test
+    void refusalOfTheOnlyStartReleasesItsTaskAtOnce() {
+        submit(step(1).build());
+        report(second, 1, List.of(), List.of());
+        scheduler.outcome(first, TASK, 1, true, "status 503", nowMs);
+        report(first, 1, List.of(), List.of());
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 2, second, 0, ""), task(0).state());
+    }
+
     /*
      * Helpers
      */
 
+    /** Lets the worker's look be lost until the leader repeats the start. */
+    private void waitForRepeatedStart() {
+        long sentAtMs = task(0).progress().sentAtMs();
+        for (int i = 0; i < 3; i++) {
+            report(first, 1, List.of(), List.of());
+        }
+        assertTrue(task(0).progress().sentAtMs() > sentAtMs, "the start was not repeated");
+    }
+
     private static TestSteps step(int count) {
         return TestSteps.of(count, new Resources(1_000, 1_000, 0), 500, List.of());
     }
