Do not repeat a start at another lifetime of the worker

Cause: a start that waits for its answer, or for its repeat 60 ms later, knows no lifetime. When another lifetime of the worker shows itself the guard forgets its orders, but the answer that comes after that still leads to a repeat, and the repeat names the id of the new lifetime. Step by step: (1) a start is under way to the worker, which goes silent; (2) a heartbeat of the next lifetime arrives, the leader gives the run up and places its task elsewhere; (3) the call is given up after up to 0.8 s (0.4 s for a connection, 0.4 s for the answer) and is sent to the new lifetime, which runs it. Two runs meet until the leader has stopped the stray one.

Evidence: WorkerRelayTest.unansweredStartIsNotRepeatedAtANewLifetime on the code before, one run: expected [former.0.0.0, next.0.0.0] but was [former.0.0.0, former.0.0.0, next.0.0.0]. The 8 tests of the class and the 3 of WorkerLeaseTest pass now, one run.

Change: a start is sent only while the guard has it as under way, which ends with a stop, with its answer and with the lifetime.

Ruled out: the lifetime in each order. It says no more: a leader never orders one run at two lifetimes, so a start that is no longer under way is not wanted.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/OrderBoard.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/OrderBoard.java
@@ -107,8 +107,9 @@
         long nowMs = clock.nowMs();
         var call = switch (order) {
             case WorkerOrder.Start start -> {
-                if (withdrawn.contains(order.key()) || !lease.isGranted(nowMs)) {
-                    // Withdrawn, or without a lease: the leader sends it again if it still wants it.
+                boolean current = starting.contains(order.key()) && !withdrawn.contains(order.key());
+                if (!current || !lease.isGranted(nowMs)) {
+                    // Withdrawn, for a former lifetime of the worker, or without a lease: the leader decides anew.
                     starting.remove(order.key());
                     yield null;
                 }
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -85,6 +85,30 @@
         assertEquals(2, worker.started.size());
     }
 
+    /**
+     * A start for a lifetime that is gone was repeated at the next one. The leader gives the run up with the lifetime
+     * and places its task elsewhere, so that two runs met.
+     */
+    @Test
+    void unansweredStartIsNotRepeatedAtANewLifetime() {
+        CompletableFuture<CallResult<Void>> held = new CompletableFuture<>();
+        worker.heldStart = held;
+        relay.tell(new RelayCommand.Beat(beat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        order(link, 1, 1_000, start("former.0.0.0"), 0);
+        Awaitility.await().atMost(BOUND).until(() -> worker.started.contains("former.0.0.0"));
+        worker.heldStart = null;
+        worker.bornMs = 2_000;
+        relay.tell(new RelayCommand.Beat(beat(2_000, 1, false)));
+        // The clock of a new lifetime is known after a look; nothing is started before that.
+        awaitLooks(3);
+        held.complete(new CallResult.Unanswered<>("no answer", false));
+        awaitLooks(5);
+        order(link, 1, 2_000, start("next.0.0.0"), 0);
+        Awaitility.await().atMost(BOUND).until(() -> worker.started.contains("next.0.0.0"));
+        assertEquals(List.of("former.0.0.0", "next.0.0.0"), worker.started);
+    }
+
     /** A start that was held up on its way for seconds began after its job's cancellation had been acknowledged. */
     @Test
     void startThatWasHeldUpIsNotCarriedOut() {
@@ -156,6 +180,11 @@
         return entries.links.get(0);
     }
 
+    private void awaitLooks(int count) {
+        int before = worker.looks.get();
+        Awaitility.await().atMost(BOUND).until(() -> worker.looks.get() >= before + count);
+    }
+
     private void order(FakeLink link, long term, long bornMs, List<StartRun> starts, long writeAgeMs) {
         order(link, term, bornMs, starts, writeAgeMs, 0);
     }
@@ -187,11 +216,15 @@
         private final AtomicInteger looks = new AtomicInteger();
         private volatile long bornMs = 1_000;
         private volatile boolean answering = true;
+        private volatile CompletableFuture<CallResult<Void>> heldStart;
 
         @Override
         public CompletionStage<CallResult<Void>> start(
                 String workerId, RunStartCall start, long leaseUntilMs, long term) {
             started.add(start.task());
+            if (heldStart != null) {
+                return heldStart;
+            }
             return CompletableFuture.completedFuture(
                     answering ? new CallResult.Done<>(null) : new CallResult.Unanswered<>("no answer", false));
         }
