--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -13,8 +13,8 @@
     private static final int FAULTS_TO_SUSPECT = 2;
 
     /**
-     * Looks at the worker that must follow a confirmed stop before an unlisted run counts as absent. The first one may
-     * have been under way when the stop arrived.
+     * Looks that the worker must answer after a confirmed stop before an unlisted run counts as absent. The first one
+     * may have been under way when the stop arrived.
      */
     private static final int LOOKS_AFTER_STOP = 2;
 
@@ -72,16 +72,17 @@
             return;
         }
         log.decided(Decision.START_REFUSED, name, "run", run, "worker", ref.id(), "outcome", outcome);
-        if (outcome.equals(OLD) || outcome.equals(UNCERTAIN)) {
+        boolean doubtful = outcome.equals(OLD) || outcome.equals(UNCERTAIN);
+        if (doubtful || task.progress().mayHaveBegun()) {
             withdraw(task, nowMs);
-            return;
+        } else {
+            release(task, worker);
+            task.avoid(ref);
+            task.finish(TaskPhase.PENDING, task.state().failures(), "");
+            decisions.change(task.job());
         }
-        release(task, worker);
-        task.avoid(ref);
-        task.finish(TaskPhase.PENDING, task.state().failures(), "");
-        decisions.change(task.job());
         // A worker without room or that leaves is not faulty, only not up to date here.
-        if (!outcome.equals("room") && !outcome.equals("draining")) {
+        if (!doubtful && !outcome.equals("room") && !outcome.equals("draining")) {
             suspect(worker, "start refused: " + outcome, nowMs);
         }
     }
@@ -246,7 +247,7 @@
                 continue;
             }
             if (progress.stopConfirmed()) {
-                if (task.countLookAfterStop() >= LOOKS_AFTER_STOP) {
+                if (task.countLookAfterStop(report.lookNumber()) >= LOOKS_AFTER_STOP) {
                     lose(task, worker, "never begun, withdrawn");
                 }
             } else if (progress.stopOrderedAtMs() > 0 || nowMs - progress.orderedAtMs() > JobTimes.START_GIVE_UP_MS) {
