Measure the leader's decisions on a pool of 72 workers

The emulator of a pool asked each worker for each task in each step, so that its own cost grew with tasks x workers. It now goes over the runs of the workers; what it counts stays the same.

--- a/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 
 import org.fulmarreach.core.model.Resources;
 
@@ -104,6 +105,10 @@
         return runs.containsKey(task);
     }
 
+    Set<String> runningNames() {
+        return runs.keySet();
+    }
+
     int runningTasks() {
         return runs.size();
     }
--- /dev/null
+++ b/core/src/test/java/org/fulmarreach/core/jobs/GrownPool.java
@@ -0,0 +1,187 @@
+package org.fulmarreach.core.jobs;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.fulmarreach.core.model.Resources;
+
+/**
+ * A grown deployment under virtual time: workers of 16 cores, standing tasks that reserve 93% of the processors before
+ * any traffic, then firm small jobs and filling batch jobs. At 72 workers the rates are those of the deployment; for
+ * another number of workers all loads change in proportion.
+ */
+final class GrownPool {
+    static final int WORKERS = 72;
+    private static final Resources WORKER = new Resources(16_000, 64_000, 0);
+
+    private static final int STANDING_JOBS = 24;
+    private static final double SMALL_PER_SECOND = 9.2;
+    private static final double BATCH_PER_SECOND = 2.8;
+
+    /** Orders take 100 to 200 ms on the deployments, and a checkpoint is restored within 100 ms. */
+    private static final int BEGIN_MS = 300;
+
+    /** The deployments save every 0.5 s of work. */
+    private static final int CHECKPOINT_MS = 500;
+
+    /** Pairs of images that disturb, and how much, as measured on the deployments. */
+    private static final double DISTURBING_SHARE = 0.25;
+
+    private static final double DISTURBING_FACTOR = 1.7;
+
+    private static final JobConfig CONFIG = new JobConfig(
+            1,
+            List.of(
+                    new JobQueue("small", "h", "/b/", FakeWorker.SERVICE, 0, 2, 3_000, 400, 1.5),
+                    new JobQueue("batch", "h", "/p/", FakeWorker.SERVICE, 2, 2, 3_000, 1_000, 2.0),
+                    new JobQueue("standing", "h", "/s/", FakeWorker.SERVICE, 0, 3, 3_000, 2_500, 2.2)),
+            1_000_000);
+
+    final PoolEmulator pool;
+    final Map<String, List<String>> submitted = new HashMap<>();
+    private final Random random;
+    private final double size;
+    private int jobs;
+
+    /** Factor on the rate of batch jobs. */
+    double burst = 1;
+
+    GrownPool(long seed, int workers) {
+        random = new Random(seed);
+        size = (double) workers / WORKERS;
+        pool = new PoolEmulator(seed, DISTURBING_SHARE, DISTURBING_FACTOR, CONFIG);
+        for (int i = 0; i < workers; i++) {
+            pool.addWorker(i, WORKER);
+        }
+        pool.workers.values().forEach(worker -> {
+            worker.beginMs = BEGIN_MS;
+            worker.checkpointMs = CHECKPOINT_MS;
+        });
+        pool.run(1_000);
+    }
+
+    /** Submits all standing jobs. */
+    void stand() {
+        long reservable = Math.round(WORKERS * size * WORKER.milliCores() * 0.93);
+        int count = (int) Math.round(STANDING_JOBS * size);
+        for (int i = 0; i < count; i++) {
+            int tasks = 12 + random.nextInt(5);
+            int milliCores = 3_000 + random.nextInt(400);
+            reservable -= (long) tasks * milliCores;
+            if (reservable >= 0) {
+                submit(
+                        "standing",
+                        List.of(TestSteps.of(tasks, new Resources(milliCores, 6_400, 0), 0, List.of())
+                                .serving("serve-" + i % 8, 18)
+                                .build()),
+                        List.of(0L));
+            }
+        }
+    }
+
+    /** Lets traffic arrive for a time. */
+    void load(int seconds) {
+        for (int part = 0; part < seconds * 10; part++) {
+            for (int due = arrivals(SMALL_PER_SECOND); due > 0; due--) {
+                submitSteps("small", random.nextDouble() < 0.6 ? 2 : 1);
+            }
+            for (int due = arrivals(BATCH_PER_SECOND * burst); due > 0; due--) {
+                submitSteps("batch", 1 + random.nextInt(3));
+            }
+            pool.run(100);
+        }
+    }
+
+    /** Returns the share of the jobs of a queue, of those submitted by a time, that were done. */
+    double doneShare(String queue, long submittedBeforeMs) {
+        int done = 0;
+        int all = 0;
+        for (String id : submitted.get(queue)) {
+            if (pool.book.find(id).orElseThrow().spec().acceptedAtMs() < submittedBeforeMs) {
+                all++;
+                done += pool.latencyMs(id) >= 0 ? 1 : 0;
+            }
+        }
+        return (double) done / all;
+    }
+
+    /** Returns the share of the jobs of a queue, of those submitted by a time, that were done on time. */
+    double onTimeShare(String queue, long submittedBeforeMs) {
+        int onTime = 0;
+        int all = 0;
+        for (String id : submitted.get(queue)) {
+            Job job = pool.book.find(id).orElseThrow();
+            if (job.spec().acceptedAtMs() < submittedBeforeMs) {
+                all++;
+                long targetMs =
+                        JobUrgency.targetMs(job.spec(), CONFIG.findByName(queue).orElseThrow());
+                long latencyMs = pool.latencyMs(id);
+                onTime += latencyMs >= 0 && latencyMs <= targetMs ? 1 : 0;
+            }
+        }
+        return (double) onTime / all;
+    }
+
+    /** Returns the jobs of a queue of which no task ever began. */
+    List<String> neverBegun(String queue) {
+        return submitted.get(queue).stream()
+                .filter(id -> pool.book.find(id).orElseThrow().tasks().stream()
+                        .allMatch(task -> task.state().run() == 0))
+                .toList();
+    }
+
+    /** Returns the tasks of standing jobs, and how many of them are at work. */
+    int[] standingAtWork() {
+        int all = 0;
+        int atWork = 0;
+        for (String id : submitted.get("standing")) {
+            for (JobTask task : pool.book.find(id).orElseThrow().tasks()) {
+                all++;
+                atWork += task.isAssigned() && task.progress().isSeen() ? 1 : 0;
+            }
+        }
+        return new int[] {all, atWork};
+    }
+
+    private int arrivals(double perSecond) {
+        double left = perSecond * size / 10;
+        int count = 0;
+        while (left > 0) {
+            count += random.nextDouble() < Math.min(1, left) ? 1 : 0;
+            left -= 1;
+        }
+        return count;
+    }
+
+    private void submitSteps(String queue, int steps) {
+        boolean batch = queue.equals("batch");
+        List<JobStep> made = new ArrayList<>();
+        List<Long> means = new ArrayList<>();
+        String image = "fill-" + random.nextInt(12);
+        for (int i = 0; i < steps; i++) {
+            List<Integer> after = i == 0 ? List.of() : List.of(i - 1);
+            int tasks = batch ? 10 + random.nextInt(21) : 5 + random.nextInt(11);
+            int milliCores = batch ? 1_400 + random.nextInt(800) : 320 + random.nextInt(200);
+            TestSteps step =
+                    TestSteps.of(tasks, new Resources(milliCores, 2L * milliCores, 0), batch ? 2_400 : 1_140, after);
+            made.add((batch ? step.filling(image) : step).build());
+            means.add((long) (made.get(i).estimatedMs() * (0.6 + 0.8 * random.nextDouble())));
+        }
+        submit(queue, made, means);
+    }
+
+    private void submit(String queue, List<JobStep> steps, List<Long> meanMs) {
+        List<Long> workMs = new ArrayList<>();
+        for (int i = 0; i < steps.size(); i++) {
+            for (int task = 0; task < steps.get(i).taskCount(); task++) {
+                workMs.add((long) (meanMs.get(i) * (0.85 + 0.3 * random.nextDouble())));
+            }
+        }
+        String id = queue + "-" + jobs++;
+        submitted.computeIfAbsent(queue, unused -> new ArrayList<>()).add(id);
+        pool.submit(new JobSpec(id, queue, "", steps, 0, 0, 0, pool.nowMs), workMs);
+    }
+}
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -1,5 +1,7 @@
 package org.fulmarreach.core.jobs;
 
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -16,6 +18,7 @@
  */
 final class PoolEmulator implements FakeWorker.Interference {
     static final int STEP_MS = 50;
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
     private static final int REPORT_MS = 500;
     /** Factor of a pair that hardly disturbs, as measured on the deployments. */
     private static final double USUAL_FACTOR = 0.12;
@@ -41,6 +44,17 @@
     final Set<String> runTwice = new HashSet<>();
     private JobScheduler scheduler;
     long nowMs = 1_000_000;
+
+    /** Processor time of the leader's calls, for {@link LeaderCost}; no test depends on it. */
+    long reportCpuNs;
+
+    long tickCpuNs;
+    long batchCpuNs;
+    int reports;
+
+    /** Tells whether two versions of the leader gave the same orders in the same sequence. */
+    int ordersHash;
+
     double servingEarned;
     double servingOwed;
 
@@ -78,7 +92,11 @@
                 worker.advance(nowMs, STEP_MS);
                 boolean due = (nowMs / STEP_MS + ordered.indexOf(worker)) % (REPORT_MS / STEP_MS) == 0;
                 if (!silent.contains(worker) && (due || worker.hasUnacknowledgedEnds())) {
-                    scheduler.report(worker.report(), nowMs);
+                    WorkerReport report = worker.report();
+                    long beganNs = cpuNs();
+                    scheduler.report(report, nowMs);
+                    reportCpuNs += cpuNs() - beganNs;
+                    reports++;
                     scheduler.granted(worker.ref().guard(), nowMs);
                 }
             }
@@ -133,15 +151,25 @@
     }
 
     private void decide() {
+        long beganNs = cpuNs();
         scheduler.tick(nowMs, nowMs);
+        long tickedNs = cpuNs();
+        tickCpuNs += tickedNs - beganNs;
         apply(scheduler.takeImmediateOrders());
+        beganNs = cpuNs();
         JobBatch batch = scheduler.takeBatch();
         scheduler.committed(batch);
+        batchCpuNs += cpuNs() - beganNs;
         apply(batch.orders());
     }
 
+    private static long cpuNs() {
+        return THREADS.getCurrentThreadCpuTime();
+    }
+
     private void apply(List<JobOrder> orders) {
         for (JobOrder order : orders) {
+            ordersHash = 31 * ordersHash + order.hashCode();
             FakeWorker worker = workers.get(order.worker().guard());
             String refused = worker.take(order, book);
             if (refused != null && order instanceof JobOrder.Start start) {
@@ -151,15 +179,19 @@
     }
 
     private void observe() {
+        Set<String> running = new HashSet<>();
+        for (FakeWorker worker : ordered) {
+            for (String name : worker.runningNames()) {
+                if (!running.add(name)) {
+                    runTwice.add(name);
+                }
+            }
+        }
         for (Job job : book.jobs()) {
             if (job.acknowledgedStatus() == JobStatus.COMPLETED) {
                 doneAtMs.putIfAbsent(job.spec().id(), nowMs);
             }
             for (JobTask task : job.tasks()) {
-                String name = task.name().toString();
-                if (ordered.stream().filter(worker -> worker.runs(name)).count() > 1) {
-                    runTwice.add(name);
-                }
                 if (task.step().isServing()) {
                     observeServing(task);
                 }
