--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -135,12 +135,18 @@
         WorkerView best = null;
         double bestScore = Double.MAX_VALUE;
         for (WorkerView worker : workers) {
-            if (worker.isUsable(service, nowMs) && hasRoom(task, worker)) {
-                double score = score(task, worker);
-                if (score < bestScore) {
-                    best = worker;
-                    bestScore = score;
-                }
+            if (!worker.isUsable(service, nowMs) || !hasRoom(task, worker)) {
+                continue;
+            }
+            // The prediction goes over all pairs of tasks on the worker, so it comes after the cheap conditions.
+            double excess = filling ? predictExcess(step, worker) : 0;
+            if (excess > 0) {
+                continue;
+            }
+            double score = score(task, worker, excess);
+            if (score < bestScore) {
+                best = worker;
+                bestScore = score;
             }
         }
         if (best == null && filling) {
@@ -149,11 +155,11 @@
         return best;
     }
 
-    private boolean hasRoom(JobTask task, WorkerView worker) {
+    private static boolean hasRoom(JobTask task, WorkerView worker) {
         JobStep step = task.step();
         return hasFirmRoom(task, worker)
                 && (!step.fillsIdleCapacity()
-                        || mayFill(step, worker, worker.report().capacity()));
+                        || hasIdleRoom(step, worker, worker.report().capacity()));
     }
 
     private static boolean hasFirmRoom(JobTask task, WorkerView worker) {
@@ -168,10 +174,7 @@
         return step.maxPerWorker() == 0 || worker.countOfStep(task) < step.maxPerWorker();
     }
 
-    private boolean mayFill(JobStep step, WorkerView worker, Resources capacity) {
-        if (predictExcess(step, worker) > 0) {
-            return false;
-        }
+    private static boolean hasIdleRoom(JobStep step, WorkerView worker, Resources capacity) {
         double filled = worker.fillMilliCores() + step.demand().milliCores();
         return worker.fillMilliCores() == 0 || filled <= MAX_FILL * idleMilliCores(worker, capacity);
     }
@@ -225,7 +228,7 @@
         return false;
     }
 
-    private double score(JobTask task, WorkerView worker) {
+    private static double score(JobTask task, WorkerView worker, double excess) {
         JobStep step = task.step();
         double capacity = Math.max(1, worker.report().capacity().milliCores());
         double fill = worker.fillMilliCores() / capacity;
@@ -234,7 +237,7 @@
         if (step.fillsIdleCapacity()) {
             score = worker.fillMilliCores()
                     / idleMilliCores(worker, worker.report().capacity());
-            score += PRESSURE_WEIGHT * predictExcess(step, worker) + worker.faultsInRow() * FAULT_PENALTY;
+            score += PRESSURE_WEIGHT * excess + worker.faultsInRow() * FAULT_PENALTY;
         } else if (step.isServing()) {
             score += isMixed(step, worker) ? MIXED_PENALTY : 0;
             score -= worker.servingTasks() > 0 ? SERVING_BONUS : 0;
