Predict the pressure from sums by image instead of all pairs of tasks

Cause: for each serving image on a worker the prediction went over all tasks there. On a worker of the grown pool that is 5 serving tasks and up to 12 filling ones, for each candidate worker of each waiting task.

WorkerView now keeps its serving tasks by image and the sum of the demands of its filling tasks by image, both changed only where a task comes or goes.

Conclusion: the cost of a candidate depends on the images on it, not on its tasks.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.WeakHashMap;
@@ -191,41 +190,32 @@
      */
     private double predictExcess(JobStep filling, WorkerView worker) {
         double worst = -1;
-        Set<String> seen = new HashSet<>();
-        for (JobTask serving : worker.assigned()) {
-            String image = serving.step().image();
-            if (serving.step().isServing() && seen.add(image)) {
-                int targetMs = serving.step().targetLatencyMs();
-                double part = part(filling, image, worker);
-                double pressure = model.ownPressure(image) + LOAD_SWING + part;
-                for (JobTask other : worker.assigned()) {
-                    pressure += part(other.step(), image, worker);
-                }
-                worst = Math.max(worst, pressure - model.pressureAt(image, MAX_TAIL, targetMs));
-                if (part > SMALL_PART && worker.pressure(image) > model.pressureAt(image, BUSY_TAIL, targetMs)) {
-                    return part;
-                }
+        for (Map.Entry<String, Set<JobTask>> entry : worker.servingByImage().entrySet()) {
+            String image = entry.getKey();
+            JobTask serving = entry.getValue().iterator().next();
+            int targetMs = serving.step().targetLatencyMs();
+            double part = part(filling.image(), filling.demand().milliCores(), image, worker);
+            double pressure = model.ownPressure(image) + LOAD_SWING + part;
+            for (Map.Entry<String, Integer> fill : worker.fillByImage().entrySet()) {
+                pressure += part(fill.getKey(), fill.getValue(), image, worker);
+            }
+            worst = Math.max(worst, pressure - model.pressureAt(image, MAX_TAIL, targetMs));
+            if (part > SMALL_PART && worker.pressure(image) > model.pressureAt(image, BUSY_TAIL, targetMs)) {
+                return part;
             }
         }
         return worst;
     }
 
-    /** Returns the pressure of a filling task at full pace on a serving image; 0 for any other task. */
-    private double part(JobStep filling, String serving, WorkerView worker) {
-        return filling.fillsIdleCapacity()
-                ? model.factor(filling.image(), serving)
-                        * worker.share(filling.demand().milliCores())
-                : 0;
+    /** Returns the pressure of filling tasks of an image at full pace on a serving image. */
+    private double part(String filling, int milliCores, String serving, WorkerView worker) {
+        return model.factor(filling, serving) * worker.share(milliCores);
     }
 
     /** Tells whether serving tasks of another image are there. */
     private static boolean isMixed(JobStep serving, WorkerView worker) {
-        for (JobTask other : worker.assigned()) {
-            if (other.step().isServing() && !other.step().image().equals(serving.image())) {
-                return true;
-            }
-        }
-        return false;
+        int images = worker.servingByImage().size();
+        return images > 1 || images == 1 && !worker.servingByImage().containsKey(serving.image());
     }
 
     private static double score(JobTask task, WorkerView worker, double excess) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -1,5 +1,6 @@
 package org.fulmarreach.core.jobs;
 
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -19,6 +20,8 @@
     private int fillMilliCores;
     private int servingTasks;
     private int servingMilliCores;
+    private final Map<String, Set<JobTask>> servingByImage = new LinkedHashMap<>();
+    private final Map<String, Integer> fillByImage = new LinkedHashMap<>();
     private Map<String, Double> pressures = Map.of();
     private WorkerReport report;
     private long reportedAtMs;
@@ -65,6 +68,16 @@
         return servingMilliCores;
     }
 
+    /** Returns the assigned serving tasks by image; no image has an empty set. */
+    Map<String, Set<JobTask>> servingByImage() {
+        return servingByImage;
+    }
+
+    /** Returns the processors that the assigned filling tasks could use at full pace, in thousandths of a core. */
+    Map<String, Integer> fillByImage() {
+        return fillByImage;
+    }
+
     /** Returns an amount of thousandths of a core as a share of the worker's processors. */
     double share(double milliCores) {
         return milliCores / Math.max(1, report.capacity().milliCores());
@@ -149,6 +162,14 @@
             fillMilliCores += fillOf(task);
             servingTasks += task.step().isServing() ? 1 : 0;
             servingMilliCores += servingOf(task);
+            if (task.step().isServing()) {
+                servingByImage
+                        .computeIfAbsent(task.step().image(), image -> new LinkedHashSet<>())
+                        .add(task);
+            }
+            if (task.step().fillsIdleCapacity()) {
+                fillByImage.merge(task.step().image(), task.step().demand().milliCores(), Integer::sum);
+            }
         }
     }
 
@@ -158,6 +179,15 @@
             fillMilliCores -= fillOf(task);
             servingTasks -= task.step().isServing() ? 1 : 0;
             servingMilliCores -= servingOf(task);
+            servingByImage.computeIfPresent(task.step().image(), (image, tasks) -> {
+                tasks.remove(task);
+                return tasks.isEmpty() ? null : tasks;
+            });
+            if (task.step().fillsIdleCapacity()) {
+                int taken = task.step().demand().milliCores();
+                fillByImage.computeIfPresent(
+                        task.step().image(), (image, sum) -> sum == taken ? null : (Integer) (sum - taken));
+            }
         }
     }
 
