Count the tasks of a job by phase

Cause: each tick went over all tasks of all active jobs for the state of a job and to see whether any task waits, and the choice of a worker that failed did so for the assigned ones.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Job.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Job.java
@@ -9,6 +9,8 @@
     private final List<JobTask> tasks = new ArrayList<>();
     private final int tasksPerOccurrence;
     private final int[] stepStarts;
+    private final int[] phaseCounts = new int[TaskPhase.values().length];
+    private int begunTasks;
     private boolean cancelled;
     private boolean changed;
     private long settledAtMs;
@@ -34,6 +36,7 @@
                 }
             }
         }
+        phaseCounts[TaskPhase.PENDING.ordinal()] = tasks.size();
     }
 
     /** Returns what its caller submitted. */
@@ -69,17 +72,10 @@
 
     /** Returns its state including changes that are not written yet. */
     public JobStatus status() {
-        boolean allDone = true;
-        boolean begun = false;
-        for (JobTask task : tasks) {
-            TaskState state = task.state();
-            if (state.phase() == TaskPhase.FAILED) {
-                return JobStatus.FAILED;
-            }
-            allDone &= state.phase() == TaskPhase.DONE;
-            begun |= state.run() > 0;
+        if (count(TaskPhase.FAILED) > 0) {
+            return JobStatus.FAILED;
         }
-        return JobStatus.of(allDone, begun, cancelled);
+        return JobStatus.of(count(TaskPhase.DONE) == tasks.size(), begunTasks > 0, cancelled);
     }
 
     /** Returns its durable progress, including changes that are not written yet. */
@@ -89,12 +85,12 @@
 
     /** Tells whether a task waits for a worker, for its predecessors or for its time. */
     boolean hasWaitingTasks() {
-        for (JobTask task : tasks) {
-            if (task.state().phase() == TaskPhase.PENDING) {
-                return true;
-            }
-        }
-        return false;
+        return count(TaskPhase.PENDING) > 0;
+    }
+
+    /** Tells whether a run of one of its tasks was ordered and has not ended. */
+    boolean hasAssignedTasks() {
+        return count(TaskPhase.ASSIGNED) > 0;
     }
 
     /** Tells whether all predecessors of a step are done in an occurrence. */
@@ -167,6 +163,17 @@
         }
     }
 
+    /** Keeps the counts by phase; called with each change of the state of one of its tasks. */
+    void count(TaskState before, TaskState after) {
+        phaseCounts[before.phase().ordinal()]--;
+        phaseCounts[after.phase().ordinal()]++;
+        begunTasks += (after.run() > 0 ? 1 : 0) - (before.run() > 0 ? 1 : 0);
+    }
+
+    private int count(TaskPhase phase) {
+        return phaseCounts[phase.ordinal()];
+    }
+
     void markChanged() {
         changed = true;
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -96,7 +96,7 @@
     void observe(RunProgress seen) {
         progress = seen;
         if (isAssigned() && !seen.checkpoint().isEmpty()) {
-            state = new TaskState(state.phase(), state.run(), state.worker(), state.failures(), seen.checkpoint());
+            replace(new TaskState(state.phase(), state.run(), state.worker(), state.failures(), seen.checkpoint()));
         }
     }
 
@@ -124,12 +124,17 @@
     }
 
     void restore(TaskState restored) {
-        state = restored;
+        replace(restored);
         progress = RunProgress.NONE;
     }
 
     private void change(TaskState changed) {
-        state = changed;
+        replace(changed);
         job.markChanged();
     }
+
+    private void replace(TaskState next) {
+        job.count(state, next);
+        state = next;
+    }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -82,7 +82,7 @@
      */
     WorkerView choose(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         WorkerView best = chooseUndisturbing(task, service, workers, nowMs);
-        if (best != null || hasAssignedTask(task.job())) {
+        if (best != null || task.job().hasAssignedTasks()) {
             idleSinceMs.remove(task.job());
             return best;
         }
@@ -114,15 +114,6 @@
         return true;
     }
 
-    private static boolean hasAssignedTask(Job job) {
-        for (JobTask task : job.tasks()) {
-            if (task.isAssigned()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private WorkerView chooseUndisturbing(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         JobStep step = task.step();
         int milliCores = step.demand().milliCores();
