--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -100,7 +100,7 @@
     void observe(RunProgress seen) {
         progress = seen;
         if (isAssigned() && !seen.checkpoint().isEmpty()) {
-            state = new TaskState(state.phase(), state.run(), state.worker(), state.failures(), seen.checkpoint());
+            replace(new TaskState(state.phase(), state.run(), state.worker(), state.failures(), seen.checkpoint()));
         }
     }
 
@@ -139,13 +139,18 @@
     }
 
     void restore(TaskState restored) {
-        state = restored;
+        replace(restored);
         progress = RunProgress.NONE;
         looksAfterStop = NOT_COUNTING;
     }
 
     private void change(TaskState changed) {
-        state = changed;
+        replace(changed);
         job.markChanged();
     }
+
+    private void replace(TaskState next) {
+        job.count(state, next);
+        state = next;
+    }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.WeakHashMap;
@@ -83,7 +82,7 @@
      */
     WorkerView choose(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         WorkerView best = chooseUndisturbing(task, service, workers, nowMs);
-        if (best != null || hasAssignedTask(task.job())) {
+        if (best != null || task.job().hasAssignedTasks()) {
             idleSinceMs.remove(task.job());
             return best;
         }
@@ -115,15 +114,6 @@
         return true;
     }
 
-    private static boolean hasAssignedTask(Job job) {
-        for (JobTask task : job.tasks()) {
-            if (task.isAssigned()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private WorkerView chooseUndisturbing(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         JobStep step = task.step();
         int milliCores = step.demand().milliCores();
@@ -135,12 +125,18 @@
         WorkerView best = null;
         double bestScore = Double.MAX_VALUE;
         for (WorkerView worker : workers) {
-            if (worker.isUsable(service, nowMs) && hasRoom(task, worker)) {
-                double score = score(task, worker);
-                if (score < bestScore) {
-                    best = worker;
-                    bestScore = score;
-                }
+            if (!worker.isUsable(service, nowMs) || !hasRoom(task, worker)) {
+                continue;
+            }
+            // The prediction goes over all pairs of tasks on the worker, so it comes after the cheap conditions.
+            double excess = filling ? predictExcess(step, worker) : 0;
+            if (excess > 0) {
+                continue;
+            }
+            double score = score(task, worker, excess);
+            if (score < bestScore) {
+                best = worker;
+                bestScore = score;
             }
         }
         if (best == null && filling) {
@@ -149,11 +145,11 @@
         return best;
     }
 
-    private boolean hasRoom(JobTask task, WorkerView worker) {
+    private static boolean hasRoom(JobTask task, WorkerView worker) {
         JobStep step = task.step();
         return hasFirmRoom(task, worker)
                 && (!step.fillsIdleCapacity()
-                        || mayFill(step, worker, worker.report().capacity()));
+                        || hasIdleRoom(step, worker, worker.report().capacity()));
     }
 
     private static boolean hasFirmRoom(JobTask task, WorkerView worker) {
@@ -168,10 +164,7 @@
         return step.maxPerWorker() == 0 || worker.countOfStep(task) < step.maxPerWorker();
     }
 
-    private boolean mayFill(JobStep step, WorkerView worker, Resources capacity) {
-        if (predictExcess(step, worker) > 0) {
-            return false;
-        }
+    private static boolean hasIdleRoom(JobStep step, WorkerView worker, Resources capacity) {
         double filled = worker.fillMilliCores() + step.demand().milliCores();
         return worker.fillMilliCores() == 0 || filled <= MAX_FILL * idleMilliCores(worker, capacity);
     }
@@ -188,44 +181,35 @@
      */
     private double predictExcess(JobStep filling, WorkerView worker) {
         double worst = -1;
-        Set<String> seen = new HashSet<>();
-        for (JobTask serving : worker.assigned()) {
-            String image = serving.step().image();
-            if (serving.step().isServing() && seen.add(image)) {
-                int targetMs = serving.step().targetLatencyMs();
-                double part = part(filling, image, worker);
-                double pressure = model.ownPressure(image) + LOAD_SWING + part;
-                for (JobTask other : worker.assigned()) {
-                    pressure += part(other.step(), image, worker);
-                }
-                worst = Math.max(worst, pressure - model.pressureAt(image, MAX_TAIL, targetMs));
-                if (part > SMALL_PART && worker.pressure(image) > model.pressureAt(image, BUSY_TAIL, targetMs)) {
-                    return part;
-                }
+        for (Map.Entry<String, Set<JobTask>> entry : worker.servingByImage().entrySet()) {
+            String image = entry.getKey();
+            JobTask serving = entry.getValue().iterator().next();
+            int targetMs = serving.step().targetLatencyMs();
+            double part = part(filling.image(), filling.demand().milliCores(), image, worker);
+            double pressure = model.ownPressure(image) + LOAD_SWING + part;
+            for (Map.Entry<String, Integer> fill : worker.fillByImage().entrySet()) {
+                pressure += part(fill.getKey(), fill.getValue(), image, worker);
+            }
+            worst = Math.max(worst, pressure - model.pressureAt(image, MAX_TAIL, targetMs));
+            if (part > SMALL_PART && worker.pressure(image) > model.pressureAt(image, BUSY_TAIL, targetMs)) {
+                return part;
             }
         }
         return worst;
     }
 
-    /** Returns the pressure of a filling task at full pace on a serving image; 0 for any other task. */
-    private double part(JobStep filling, String serving, WorkerView worker) {
-        return filling.fillsIdleCapacity()
-                ? model.factor(filling.image(), serving)
-                        * worker.share(filling.demand().milliCores())
-                : 0;
+    /** Returns the pressure of filling tasks of an image at full pace on a serving image. */
+    private double part(String filling, int milliCores, String serving, WorkerView worker) {
+        return model.factor(filling, serving) * worker.share(milliCores);
     }
 
     /** Tells whether serving tasks of another image are there. */
     private static boolean isMixed(JobStep serving, WorkerView worker) {
-        for (JobTask other : worker.assigned()) {
-            if (other.step().isServing() && !other.step().image().equals(serving.image())) {
-                return true;
-            }
-        }
-        return false;
+        int images = worker.servingByImage().size();
+        return images > 1 || images == 1 && !worker.servingByImage().containsKey(serving.image());
     }
 
-    private double score(JobTask task, WorkerView worker) {
+    private static double score(JobTask task, WorkerView worker, double excess) {
         JobStep step = task.step();
         double capacity = Math.max(1, worker.report().capacity().milliCores());
         double fill = worker.fillMilliCores() / capacity;
@@ -234,7 +218,7 @@
         if (step.fillsIdleCapacity()) {
             score = worker.fillMilliCores()
                     / idleMilliCores(worker, worker.report().capacity());
-            score += PRESSURE_WEIGHT * predictExcess(step, worker) + worker.faultsInRow() * FAULT_PENALTY;
+            score += PRESSURE_WEIGHT * excess + worker.faultsInRow() * FAULT_PENALTY;
         } else if (step.isServing()) {
             score += isMixed(step, worker) ? MIXED_PENALTY : 0;
             score -= worker.servingTasks() > 0 ? SERVING_BONUS : 0;
