Conclude nothing about other tasks from a refusal with a reason of its own

Cause: when a filling task found no room, all tasks of its image that need as many processors counted as refused for the rest of the pass. That also held where the task was the last of a gang that gives its room back, where its bound per worker, its label or its memory was the reason, and for workers of another service. While such a task waited ahead, jobs of its image got nothing, except for their first task alone on a worker after 1.5 s.

A refusal now counts within one service and image, for tasks that need no less of anything; tasks with a label or a bound per worker tell nothing, and a gang that is taken off again ends what was noted.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -334,7 +334,9 @@
         for (int i = 0; i < chosen.size(); i++) {
             chosen.get(i).remove(tasks.get(i));
         }
-        if (chosen.size() == tasks.size()) {
+        if (chosen.size() < tasks.size()) {
+            placement.noteFreedRoom();
+        } else {
             for (int i = 0; i < tasks.size(); i++) {
                 assign(tasks.get(i), chosen.get(i), run + 1, nowMs);
             }
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -1,7 +1,9 @@
 package org.fulmarreach.core.jobs;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.WeakHashMap;
@@ -63,7 +65,10 @@
 
     private final InterferenceModel model;
     private final Map<Job, Long> idleSinceMs = new WeakHashMap<>();
-    private final Map<String, Integer> fullFor = new HashMap<>();
+    private final Map<Kind, List<Resources>> refused = new HashMap<>();
+
+    /** Tasks between which only the amounts that they ask for decide which of them find room. */
+    private record Kind(String service, String fillingImage) {}
 
     /** Constructs a placement that keeps apart what is known to disturb. */
     Placement(InterferenceModel model) {
@@ -72,7 +77,12 @@
 
     /** Begins a pass over the waiting tasks, during which no room comes free. */
     void beginPass() {
-        fullFor.clear();
+        refused.clear();
+    }
+
+    /** Notes that room came free during the pass, since tasks were taken off again that had been put on trial. */
+    void noteFreedRoom() {
+        refused.clear();
     }
 
     /**
@@ -116,10 +126,8 @@
 
     private WorkerView chooseUndisturbing(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         JobStep step = task.step();
-        int milliCores = step.demand().milliCores();
         boolean filling = step.fillsIdleCapacity();
-        if (filling && fullFor.getOrDefault(step.image(), Integer.MAX_VALUE) <= milliCores) {
-            // A filling task of this image that needs no more found no room in this pass.
+        if (filling && isRefused(step, service)) {
             return null;
         }
         WorkerView best = null;
@@ -140,11 +148,34 @@
             }
         }
         if (best == null && filling) {
-            fullFor.merge(step.image(), milliCores, Math::min);
+            noteRefusal(step, service);
         }
         return best;
     }
 
+    /** Tells whether a task of the same kind that needs no more found no room in this pass. */
+    private boolean isRefused(JobStep step, String service) {
+        for (Resources demand : refused.getOrDefault(kind(step, service), List.of())) {
+            if (demand.fitsInto(step.demand())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Notes a refusal, unless a condition of the step's own may be the reason, which says nothing about others. */
+    private void noteRefusal(JobStep step, String service) {
+        if (step.requiredLabel().isEmpty() && step.maxPerWorker() == 0) {
+            List<Resources> demands = refused.computeIfAbsent(kind(step, service), kind -> new ArrayList<>());
+            demands.removeIf(step.demand()::fitsInto);
+            demands.add(step.demand());
+        }
+    }
+
+    private static Kind kind(JobStep step, String service) {
+        return new Kind(service, step.image());
+    }
+
     private static boolean hasRoom(JobTask task, WorkerView worker) {
         JobStep step = task.step();
         return hasFirmRoom(task, worker)
