Release all members of a gang that is done

Cause: one end `done` completes all members of a gang, but each of them was taken off the worker that reported the end, not off its own. A member on another worker kept its room there for as long as the leader led, was stopped there twice a second without effect, and went back from done to pending when that worker was replaced, lapsed or fell silent. Its job could then neither settle nor go on: a gang starts only when all of its members are pending.

Change: a task knows the worker on which the leader counts it and is released from that one.

Ruled out: releasing a member at its own end, which is stale by then and may never be listed, since its worker may be gone.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -17,6 +17,7 @@
     private RunProgress progress = RunProgress.NONE;
     private WorkerRef avoided;
     private String rack;
+    private WorkerView place;
     private int looksAfterStop = NOT_COUNTING;
     private long lastLookNumber;
     private int pacePercent = FULL_PACE_PERCENT;
@@ -73,6 +74,18 @@
         return state.phase() == TaskPhase.ASSIGNED;
     }
 
+    /** Notes the worker on which the leader counts it, or null for none. */
+    void setPlace(WorkerView worker) {
+        place = worker;
+    }
+
+    /** Takes it off the worker on which it is counted, if there is one. */
+    void release() {
+        if (place != null) {
+            place.remove(this);
+        }
+    }
+
     /*
      * Transitions; each marks the job as changed
      */
@@ -142,6 +155,7 @@
         state = restored;
         progress = RunProgress.NONE;
         looksAfterStop = NOT_COUNTING;
+        place = null;
     }
 
     private void change(TaskState changed) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -76,7 +76,7 @@
         if (doubtful || task.progress().mayHaveBegun()) {
             withdraw(task, nowMs);
         } else {
-            release(task, worker);
+            task.release();
             task.avoid(ref);
             task.finish(TaskPhase.PENDING, task.state().failures(), "");
             decisions.change(task.job());
@@ -110,7 +110,7 @@
                 task.state().worker().id(),
                 "reason",
                 reason);
-        release(task, worker);
+        worker.remove(task);
         task.finish(TaskPhase.PENDING, task.state().failures(), task.progress().checkpoint());
         decisions.change(task.job());
     }
@@ -148,21 +148,21 @@
                 ? task.job().tasksOf(task.name().occurrence(), task.name().step())
                 : List.of(task);
         if (end.how() == RunEnd.DONE && !task.step().longRunning()) {
-            members.forEach(member -> complete(member, worker));
+            members.forEach(RunTracker::complete);
         } else {
             endWithoutSuccess(task, worker, end, members, maxAttempts.applyAsInt(task.job()));
         }
         decisions.change(task.job());
     }
 
-    private void complete(JobTask task, WorkerView worker) {
-        release(task, worker);
+    private static void complete(JobTask task) {
+        task.release();
         task.finish(TaskPhase.DONE, task.state().failures(), "");
     }
 
     private void endWithoutSuccess(
             JobTask task, WorkerView worker, WorkerReport.Ended end, List<JobTask> members, int maxAttempts) {
-        release(task, worker);
+        task.release();
         int failures = task.state().failures() + (end.how() == RunEnd.FAILED ? 1 : 0);
         int counted = failures;
         for (JobTask member : members) {
@@ -262,8 +262,4 @@
             }
         }
     }
-
-    private void release(JobTask task, WorkerView worker) {
-        worker.remove(task);
-    }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -145,6 +145,7 @@
 
     void add(JobTask task) {
         if (assigned.add(task)) {
+            task.setPlace(this);
             reserved = reserved.plus(task.step().reserved());
             fillMilliCores += fillOf(task);
             servingTasks += task.step().isServing() ? 1 : 0;
@@ -154,6 +155,7 @@
 
     void remove(JobTask task) {
         if (assigned.remove(task)) {
+            task.setPlace(null);
             reserved = reserved.minus(task.step().reserved());
             fillMilliCores -= fillOf(task);
             servingTasks -= task.step().isServing() ? 1 : 0;
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -122,6 +122,26 @@
         assertEquals(new TaskState(TaskPhase.ASSIGNED, 2, second, 0, ""), task(0).state());
     }
 
+    /** Members on other workers kept their room there for ever. */
+    @Test
+    void membersOfAGangThatIsDoneAreReleasedOnAllWorkers() {
+        submitGang();
+        report(first, 2, List.of(), List.of(end(1, TASK, 1, RunEnd.DONE)));
+        report(second, 2, List.of(), List.of(end(1, "job.0.0.1", 1, RunEnd.DONE)));
+        for (String line : scheduler.describeWorkers()) {
+            assertTrue(line.contains("tasks=0 "), line);
+        }
+    }
+
+    /** A member that was done was pending again when the worker of another member was replaced. */
+    @Test
+    void memberOfAGangThatIsDoneStaysDoneWhenItsWorkerIsReplaced() {
+        submitGang();
+        report(first, 2, List.of(), List.of(end(1, TASK, 1, RunEnd.DONE)));
+        report(new WorkerRef("guard-1", "worker-2", 2), 1, List.of(), List.of());
+        assertEquals(new TaskState(TaskPhase.DONE, 1, second, 0, ""), task(1).state());
+    }
+
     /*
      * Helpers
      */
@@ -150,10 +170,25 @@
     /** Submits a job when only the first worker is there, so that it is placed on that one. */
     private void submit(JobStep step) {
         report(first, 1, List.of(), List.of());
+        place(step);
+        assertEquals(first, task(0).state().worker());
+    }
+
+    /** Submits a gang of two of which each worker holds one. */
+    private void submitGang() {
+        report(first, 1, List.of(), List.of());
+        report(second, 1, List.of(), List.of());
+        place(TestSteps.of(2, new Resources(3_000, 1_000, 0), 500, List.of())
+                .gang()
+                .build());
+        assertEquals(first, task(0).state().worker());
+        assertEquals(second, task(1).state().worker());
+    }
+
+    private void place(JobStep step) {
         book.submit(new JobSpec("job", "q", "", List.of(step), 0, 0, 0, nowMs));
         scheduler.takeUp(book.find("job").orElseThrow());
         decide();
-        assertEquals(first, task(0).state().worker());
     }
 
     private void report(WorkerRef ref, long look, List<WorkerReport.Running> running, List<WorkerReport.Ended> ended) {
