--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -158,6 +158,7 @@
 
     void add(JobTask task) {
         if (assigned.add(task)) {
+            task.setPlace(this);
             reserved = reserved.plus(task.step().reserved());
             fillMilliCores += fillOf(task);
             servingTasks += task.step().isServing() ? 1 : 0;
@@ -175,6 +176,7 @@
 
     void remove(JobTask task) {
         if (assigned.remove(task)) {
+            task.setPlace(null);
             reserved = reserved.minus(task.step().reserved());
             fillMilliCores -= fillOf(task);
             servingTasks -= task.step().isServing() ? 1 : 0;
