Test that starts which were held back leave with the next answer

Evidence: with sendHeld sending nothing, heldStartLeavesWithTheNextAnswer fails (not fulfilled within 10 seconds) and the other tests of JobsActorTest pass; on this code it passes (2 runs). FakeStore can delay answers to reads for it.

--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -31,6 +31,8 @@
     private boolean refusing;
     private boolean holdingReads;
     private TopicPartition silenced;
+    private TopicPartition delayed;
+    private int answerDelayMs;
 
     /** From now on appends are carried out, or not, without an answer. */
     synchronized void loseAnswers(boolean lose) {
@@ -52,6 +54,12 @@
         silenced = partition;
     }
 
+    /** From now on answers to reads of a partition, as of the time of the read, arrive later by some milliseconds. */
+    synchronized void delayReads(TopicPartition partition, int delayMs) {
+        delayed = partition;
+        answerDelayMs = delayMs;
+    }
+
     synchronized List<KeyedRecord> records(TopicPartition partition) {
         return List.copyOf(log(partition));
     }
@@ -73,7 +81,7 @@
         if (partition.equals(silenced) || holdingReads && fromOffset >= log.size()) {
             return new CompletableFuture<>();
         }
-        int delayMs = 1 + Math.min(waitMs, MAX_WAIT_MS);
+        int delayMs = 1 + Math.min(waitMs, MAX_WAIT_MS) + (partition.equals(delayed) ? answerDelayMs : 0);
         return CompletableFuture.supplyAsync(
                 () -> result, CompletableFuture.delayedExecutor(delayMs, TimeUnit.MILLISECONDS));
     }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -37,6 +37,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 /** Entries on a shared log in memory: who leads, and what callers are told. */
@@ -52,6 +53,12 @@
     /** Time after an acknowledged cancellation from which on the platform accepts no start. */
     private static final long CANCEL_BOUND_MS = 3_000;
 
+    /** Age of the leader's knowledge of cancellations from which on it starts nothing. */
+    private static final long MAX_KNOWLEDGE_AGE_MS = new JobTimes(6_000, 120_000, CANCEL_BOUND_MS).maxKnowledgeAgeMs();
+
+    /** Longer than the knowledge may be old, shorter than a read is waited for. */
+    private static final int SLOW_ANSWER_MS = 1_400;
+
     private final FakeStore store = new FakeStore();
     private final List<ActorSystem<JobsCommand>> entries = new ArrayList<>();
 
@@ -183,6 +190,30 @@
                 .until(() -> !guard.starts().contains("job-2.0.0.0"));
     }
 
+    /** Starts that are held back while the store does not answer must not be lost; guards do not ask for them. */
+    @Test
+    void heldStartLeavesWithTheNextAnswer() throws Exception {
+        putConfig();
+        start("entry-0", new Random(1));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        FakeLink guard = new FakeLink();
+        report(entries.get(0), guard);
+        submit(entries.get(0), "job-1");
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> guard.starts().contains("job-1.0.0.0"));
+
+        submit(entries.get(0), "job-2", LARGE);
+        store.delayReads(JobPartitions.REQUESTS, 2 * SLOW_ANSWER_MS);
+        Thread.sleep(100 + MAX_KNOWLEDGE_AGE_MS + 100);
+        reportCapacity(entries.get(0), guard, ROOM_FOR_BOTH);
+        Thread.sleep(100);
+        assertFalse(guard.starts().contains("job-2.0.0.0"));
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> guard.starts().contains("job-2.0.0.0"));
+    }
+
     /*
      * Helpers
      */
