Show that the age of cancellations leaves out the way of the answer

Cause: LogTail counts the age of what it knows from the arrival of an answer. The store formed that answer up to the time limit of the read earlier (1.5 s for the leader's reads), so starts leave on knowledge of up to 2.5 s where 1 s is allowed. Class: an action on knowledge whose age is not bounded.

--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -190,6 +190,35 @@
                 .until(() -> !guard.starts().contains("job-2.0.0.0"));
     }
 
+    /** Answers that were long on their way counted as new, so jobs started on knowledge twice as old as is allowed. */
+    @Test
+    void ageOfKnowledgeIncludesTheWayOfTheAnswer() throws Exception {
+        putConfig();
+        start("entry-0", new Random(1));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        FakeLink guard = new FakeLink();
+        report(entries.get(0), guard);
+        submit(entries.get(0), "job-1");
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> guard.starts().contains("job-1.0.0.0"));
+
+        submit(entries.get(0), "job-2", LARGE);
+        store.delayReads(JobPartitions.REQUESTS, SLOW_ANSWER_MS);
+        // From here on a read is under way whose answer does not name the cancellation.
+        Thread.sleep(100);
+        store.append(
+                JobPartitions.REQUESTS,
+                List.of(new KeyedRecord(JobTopics.cancelKey("job-2"), JobRecords.encodeCancellation(1))),
+                new AppendCondition.None());
+        Thread.sleep(2 * MAX_KNOWLEDGE_AGE_MS);
+        reportCapacity(entries.get(0), guard, ROOM_FOR_BOTH);
+        Awaitility.await()
+                .during(Duration.ofMillis(1_500))
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> !guard.starts().contains("job-2.0.0.0"));
+    }
+
     /** Starts that are held back while the store does not answer must not be lost; guards do not ask for them. */
     @Test
     void heldStartLeavesWithTheNextAnswer() throws Exception {
