--- a/guard/src/main/java/org/fulmarreach/guard/jobs/OrderBoard.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/OrderBoard.java
@@ -127,7 +127,12 @@
                     starting.remove(order.key());
                     yield null;
                 }
-                yield worker.start(target.workerId(), start.call(), lease.take(nowMs), target.term());
+                yield worker.start(
+                        target.workerId(),
+                        start.call(),
+                        lease.take(nowMs),
+                        target.term(),
+                        start.validUntilMs() - nowMs);
             }
             case WorkerOrder.Stop stop -> worker.stop(target.workerId(), stop.task(), stop.run(), target.term());
             case WorkerOrder.Pace pace ->
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -220,7 +220,7 @@
 
         @Override
         public CompletionStage<CallResult<Void>> start(
-                String workerId, RunStartCall start, long leaseUntilMs, long term) {
+                String workerId, RunStartCall start, long leaseUntilMs, long term, long validForMs) {
             started.add(start.task());
             if (heldStart != null) {
                 return heldStart;
