Count the age of cancellations from what the store had seen

Cause: the age began when an answer arrived. An answer that was 1.4 s on its way counted as new, so starts left on knowledge of up to 2.5 s. While starts were held, tasks went on being placed, withdrawn after 2.5 s and placed again.

Change: the age counts from the issue of a read, plus its wait if the answer is empty. The leader's reads wait 0.25 s, the first of a term not at all, and no task is placed while its start could not leave.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -118,8 +118,12 @@
         }
     }
 
-    /** Decides what time and the inputs since the last call allow. */
-    public void tick(long nowMs, long unixMs) {
+    /**
+     * Decides what time and the inputs since the last call allow.
+     *
+     * @param placing whether waiting tasks may get workers; not while their starts could not leave
+     */
+    public void tick(long nowMs, long unixMs, boolean placing) {
         expireLeases(nowMs);
         placement.beginPass();
         List<Job> ordered = new ArrayList<>();
@@ -134,7 +138,7 @@
         }
         ordered.sort(Comparator.comparing(ranks::get));
         for (Job job : ordered) {
-            step(job, nowMs, unixMs);
+            step(job, nowMs, unixMs, placing);
         }
         forgetOld(unixMs);
     }
@@ -253,7 +257,7 @@
         }
     }
 
-    private void step(Job job, long nowMs, long unixMs) {
+    private void step(Job job, long nowMs, long unixMs, boolean placing) {
         JobStatus status = job.status();
         if (status.isFinal()) {
             boolean stopping = false;
@@ -281,6 +285,9 @@
             }
             return;
         }
+        if (!placing) {
+            return;
+        }
         JobQueue queue = queue(job);
         String service = queue == null ? null : queue.service();
         for (int occurrence = 0; occurrence < job.spec().occurrences(); occurrence++) {
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -212,7 +212,7 @@
     }
 
     private void decide() {
-        scheduler.tick(nowMs, nowMs);
+        scheduler.tick(nowMs, nowMs, true);
         scheduler.takeImmediateOrders();
         scheduler.committed(scheduler.takeBatch());
     }
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -152,7 +152,7 @@
 
     private void decide() {
         long beganNs = cpuNs();
-        scheduler.tick(nowMs, nowMs);
+        scheduler.tick(nowMs, nowMs, true);
         long tickedNs = cpuNs();
         tickCpuNs += tickedNs - beganNs;
         apply(scheduler.takeImmediateOrders());
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/CancellationView.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/CancellationView.java
@@ -62,7 +62,8 @@
         return taken;
     }
 
-    private boolean isFresh() {
+    /** Tells whether starts may leave now. */
+    boolean isFresh() {
         return requests.ageMs() <= times.maxKnowledgeAgeMs();
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -55,10 +55,10 @@
     private static final LogTail.Times REQUEST_TIMES = new LogTail.Times(2_000, 20);
 
     /**
-     * The leader starts nothing on knowledge of cancellations that is older than a second, so its reads end before that
-     * also when the store needs 240 ms for each.
+     * The leader starts nothing on knowledge of cancellations that is older than a second. Two reads fit into it, also
+     * when the store needs 240 ms for each.
      */
-    private static final LogTail.Times LEADER_REQUEST_TIMES = new LogTail.Times(500, 20);
+    private static final LogTail.Times LEADER_REQUEST_TIMES = new LogTail.Times(250, 20);
 
     private static final LogTail.Times PROGRESS_TIMES = new LogTail.Times(500, 120);
     private static final LogTail.Times CONFIG_TIMES = new LogTail.Times(2_000, 0);
@@ -157,7 +157,7 @@
             case JobsCommand.Query query -> onQuery(query);
             case JobsCommand.CountWaiting count -> count.reply().complete(book.countWaiting(count.queue()));
             case JobsCommand.Describe describe -> describe.reply().complete(describe());
-            case JobsCommand.TailRead read -> read.tail().onRead(read.generation(), read.result(), read.answeredAtMs());
+            case JobsCommand.TailRead read -> read.tail().onRead(read.generation(), read.result(), read.knownUpToMs());
             case JobsCommand.TailDue due -> due.tail().onDue(due.generation());
             case JobsCommand.Refreshed refreshed -> onRefreshed(refreshed);
             case JobsCommand.RequestsWritten written -> writer.onWritten(written.result());
@@ -298,8 +298,6 @@
         update.records().forEach(this::foldRequest);
         if (leading != null && !update.failed()) {
             leading.sendHeld();
-        }
-        if (!update.records().isEmpty()) {
             decide();
         }
         publishView();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -132,7 +132,7 @@
     /** Decides and hands out what may leave at once; the rest leaves after the next append. */
     private void decideNow() {
         decidedAtMs = clock.nowMs();
-        scheduler.tick(clock.nowMs(), System.currentTimeMillis());
+        scheduler.tick(clock.nowMs(), System.currentTimeMillis(), cancellations.isFresh());
         send(scheduler.takeImmediateOrders());
         flush();
     }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
@@ -32,7 +32,7 @@
     private boolean paused;
     private long nextOffset;
     private int backoffMs;
-    private long readAtMs;
+    private long knownUpToMs;
 
     /**
      * Constructs a tail that does nothing until {@link #reload}.
@@ -52,7 +52,7 @@
         this.context = context;
         this.log = log;
         this.clock = clock;
-        this.readAtMs = clock.nowMs();
+        this.knownUpToMs = clock.nowMs();
         this.times = times;
         this.consumer = consumer;
     }
@@ -88,10 +88,11 @@
     }
 
     /**
-     * Returns how long ago the store last answered, in milliseconds. What was appended before that is known here.
+     * Returns for how long records may have been in the store without being known here, in milliseconds. The way of the
+     * answers and their wait in the actor's queue are part of it.
      */
     long ageMs() {
-        return clock.nowMs() - readAtMs;
+        return clock.nowMs() - knownUpToMs;
     }
 
     /** Reads with other times from now on; a read under way is given up. */
@@ -99,7 +100,7 @@
         times = newTimes;
         if (loaded && !paused) {
             generation++;
-            issue();
+            issue(0);
         }
     }
 
@@ -123,13 +124,13 @@
         }
     }
 
-    void onRead(long readGeneration, ReadResult result, long answeredAtMs) {
+    void onRead(long readGeneration, ReadResult result, long readKnownUpToMs) {
         if (readGeneration != generation || paused) {
             return;
         }
         switch (result) {
             case ReadResult.Records read -> {
-                readAtMs = answeredAtMs;
+                knownUpToMs = Math.max(knownUpToMs, readKnownUpToMs);
                 noteRegained();
                 boolean first = !loaded;
                 loaded = true;
@@ -176,10 +177,22 @@
     }
 
     private void issue() {
+        issue(times.waitMs());
+    }
+
+    private void issue(int waitMs) {
         long issued = generation;
+        long issuedAtMs = clock.nowMs();
+        int waitedMs = loaded ? waitMs : 0;
         var self = context.getSelf();
-        var read = loaded ? store.read(partition, nextOffset, times.waitMs()) : store.readNewest(partition);
-        read.thenAccept(result -> self.tell(new JobsCommand.TailRead(this, issued, result, clock.nowMs())));
+        var read = loaded ? store.read(partition, nextOffset, waitMs) : store.readNewest(partition);
+        read.thenAccept(result ->
+                self.tell(new JobsCommand.TailRead(this, issued, result, issuedAtMs + findWaitedMs(result, waitedMs))));
+    }
+
+    /** An empty answer shows that the store has waited in vain; one with records may be as old as its read. */
+    private static int findWaitedMs(ReadResult result, int waitedMs) {
+        return result instanceof ReadResult.Records read && read.records().isEmpty() ? waitedMs : 0;
     }
 
     private void noteLost(String reason) {
