Look for room for firm tasks once a pass for equal demands

Cause: a filling task that found no room spared the rest of its image the search in the same pass; for tasks that reserve processors each waiting job looked at all workers again.

Conclusion: room depends on the demand alone for these tasks, apart from a label and a bound per worker, which tell nothing about others and only narrow the search.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -68,7 +68,7 @@
     private final Map<Kind, List<Resources>> refused = new HashMap<>();
 
     /** Tasks between which only the amounts that they ask for decide which of them find room. */
-    private record Kind(String service, String fillingImage) {}
+    private record Kind(String service, boolean filling, String image) {}
 
     /** Constructs a placement that keeps apart what is known to disturb. */
     Placement(InterferenceModel model) {
@@ -127,7 +127,7 @@
     private WorkerView chooseUndisturbing(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         JobStep step = task.step();
         boolean filling = step.fillsIdleCapacity();
-        if (filling && isRefused(step, service)) {
+        if (isRefused(step, service)) {
             return null;
         }
         WorkerView best = null;
@@ -147,7 +147,7 @@
                 bestScore = score;
             }
         }
-        if (best == null && filling) {
+        if (best == null) {
             noteRefusal(step, service);
         }
         return best;
@@ -173,7 +173,9 @@
     }
 
     private static Kind kind(JobStep step, String service) {
-        return new Kind(service, step.image());
+        // The image matters only to filling tasks; the others find room wherever they fit.
+        boolean filling = step.fillsIdleCapacity();
+        return new Kind(service, filling, filling ? step.image() : "");
     }
 
     private static boolean hasRoom(JobTask task, WorkerView worker) {
