Keep room for a long-running task that waits for it

Cause: a long-running task that finds no room ranks first, but smaller tasks behind it took each bit of room that came free in the same pass. As they end one by one, the room for the larger task never came about: standing tasks of a worker that was lost waited as long as small jobs arrived.

While such a task waits, the worker on which least is missing for it takes nothing that ends and ranks behind it. Only workers count on which the task fits beside the long-running ones, so nothing is kept for a task that fits nowhere, nor for a gang.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -66,9 +67,10 @@
     private final InterferenceModel model;
     private final Map<Job, Long> idleSinceMs = new WeakHashMap<>();
     private final Map<Kind, List<Resources>> refused = new HashMap<>();
+    private final Set<WorkerView> kept = new HashSet<>();
 
     /** Tasks between which only the amounts that they ask for decide which of them find room. */
-    private record Kind(String service, boolean filling, String image) {}
+    private record Kind(String service, boolean longRunning, boolean filling, String image) {}
 
     /** Constructs a placement that keeps apart what is known to disturb. */
     Placement(InterferenceModel model) {
@@ -78,6 +80,7 @@
     /** Begins a pass over the waiting tasks, during which no room comes free. */
     void beginPass() {
         refused.clear();
+        kept.clear();
     }
 
     /** Notes that room came free during the pass, since tasks were taken off again that had been put on trial. */
@@ -149,10 +152,36 @@
         }
         if (best == null) {
             noteRefusal(step, service);
+            if (step.longRunning() && !filling && !step.gang()) {
+                // A gang may find room for one task and never for all, so nothing is kept for it.
+                keepRoom(task, service, workers, nowMs);
+            }
         }
         return best;
     }
 
+    /**
+     * Keeps the worker on which least is missing for a long-running task free of tasks that end and rank behind it, for
+     * the rest of the pass. Otherwise smaller tasks take each bit of room that comes free, and the task waits for ever.
+     */
+    private void keepRoom(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
+        WorkerView nearest = null;
+        int least = Integer.MAX_VALUE;
+        for (WorkerView worker : workers) {
+            if (worker.isUsable(service, nowMs) && fits(task, worker, worker.reservedForGood())) {
+                int missing = worker.reserved().milliCores()
+                        - worker.report().capacity().milliCores();
+                if (missing < least) {
+                    nearest = worker;
+                    least = missing;
+                }
+            }
+        }
+        if (nearest != null) {
+            kept.add(nearest);
+        }
+    }
+
     /** Tells whether a task of the same kind that needs no more found no room in this pass. */
     private boolean isRefused(JobStep step, String service) {
         for (Resources demand : refused.getOrDefault(kind(step, service), List.of())) {
@@ -175,20 +204,24 @@
     private static Kind kind(JobStep step, String service) {
         // The image matters only to filling tasks; the others find room wherever they fit.
         boolean filling = step.fillsIdleCapacity();
-        return new Kind(service, filling, filling ? step.image() : "");
+        return new Kind(service, step.longRunning(), filling, filling ? step.image() : "");
     }
 
-    private static boolean hasRoom(JobTask task, WorkerView worker) {
+    private boolean hasRoom(JobTask task, WorkerView worker) {
         JobStep step = task.step();
         return hasFirmRoom(task, worker)
                 && (!step.fillsIdleCapacity()
                         || hasIdleRoom(step, worker, worker.report().capacity()));
     }
 
-    private static boolean hasFirmRoom(JobTask task, WorkerView worker) {
+    private boolean hasFirmRoom(JobTask task, WorkerView worker) {
+        return fits(task, worker, worker.reserved()) && (task.step().longRunning() || !kept.contains(worker));
+    }
+
+    /** Tells whether a task fits on a worker of whose capacity {@code taken} is taken. */
+    private static boolean fits(JobTask task, WorkerView worker, Resources taken) {
         JobStep step = task.step();
-        Resources capacity = worker.report().capacity();
-        if (!worker.reserved().plus(step.reserved()).fitsInto(capacity)) {
+        if (!taken.plus(step.reserved()).fitsInto(worker.report().capacity())) {
             return false;
         }
         if (!step.requiredLabel().isEmpty() && !worker.report().labels().contains(step.requiredLabel())) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -17,6 +17,7 @@
     private final String guard;
     private final Set<JobTask> assigned = new LinkedHashSet<>();
     private Resources reserved = Resources.NONE;
+    private Resources reservedForGood = Resources.NONE;
     private int fillMilliCores;
     private int servingTasks;
     private int servingMilliCores;
@@ -54,6 +55,11 @@
         return reserved;
     }
 
+    /** Returns what the assigned long-running tasks take of the capacity. */
+    Resources reservedForGood() {
+        return reservedForGood;
+    }
+
     /** Returns the processors that the assigned filling tasks could use at their pace, in thousandths of a core. */
     int fillMilliCores() {
         return fillMilliCores;
@@ -159,6 +165,7 @@
     void add(JobTask task) {
         if (assigned.add(task)) {
             reserved = reserved.plus(task.step().reserved());
+            reservedForGood = reservedForGood.plus(lasting(task));
             fillMilliCores += fillOf(task);
             servingTasks += task.step().isServing() ? 1 : 0;
             servingMilliCores += servingOf(task);
@@ -176,6 +183,7 @@
     void remove(JobTask task) {
         if (assigned.remove(task)) {
             reserved = reserved.minus(task.step().reserved());
+            reservedForGood = reservedForGood.minus(lasting(task));
             fillMilliCores -= fillOf(task);
             servingTasks -= task.step().isServing() ? 1 : 0;
             servingMilliCores -= servingOf(task);
@@ -191,6 +199,10 @@
         }
     }
 
+    private static Resources lasting(JobTask task) {
+        return task.step().longRunning() ? task.step().reserved() : Resources.NONE;
+    }
+
     private static int servingOf(JobTask task) {
         return task.step().isServing() ? task.step().demand().milliCores() : 0;
     }
