--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -17,6 +17,7 @@
     private final String guard;
     private final Set<JobTask> assigned = new LinkedHashSet<>();
     private Resources reserved = Resources.NONE;
+    private Resources reservedForGood = Resources.NONE;
     private int fillMilliCores;
     private int servingTasks;
     private int servingMilliCores;
@@ -54,6 +55,11 @@
         return reserved;
     }
 
+    /** Returns what the assigned long-running tasks take of the capacity. */
+    Resources reservedForGood() {
+        return reservedForGood;
+    }
+
     /** Returns the processors that the assigned filling tasks could use at their pace, in thousandths of a core. */
     int fillMilliCores() {
         return fillMilliCores;
@@ -160,6 +166,7 @@
         if (assigned.add(task)) {
             task.setPlace(this);
             reserved = reserved.plus(task.step().reserved());
+            reservedForGood = reservedForGood.plus(lasting(task));
             fillMilliCores += fillOf(task);
             servingTasks += task.step().isServing() ? 1 : 0;
             servingMilliCores += servingOf(task);
@@ -178,6 +185,7 @@
         if (assigned.remove(task)) {
             task.setPlace(null);
             reserved = reserved.minus(task.step().reserved());
+            reservedForGood = reservedForGood.minus(lasting(task));
             fillMilliCores -= fillOf(task);
             servingTasks -= task.step().isServing() ? 1 : 0;
             servingMilliCores -= servingOf(task);
@@ -193,6 +201,10 @@
         }
     }
 
+    private static Resources lasting(JobTask task) {
+        return task.step().longRunning() ? task.step().reserved() : Resources.NONE;
+    }
+
     private static int servingOf(JobTask task) {
         return task.step().isServing() ? task.step().demand().milliCores() : 0;
     }
