--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
@@ -186,8 +186,10 @@
         int waitedMs = loaded ? waitMs : 0;
         var self = context.getSelf();
         var read = loaded ? store.read(partition, nextOffset, waitMs) : store.readNewest(partition);
-        read.thenAccept(result ->
-                self.tell(new JobsCommand.TailRead(this, issued, result, issuedAtMs + findWaitedMs(result, waitedMs))));
+        read.thenAccept(result -> {
+            long knownMs = Math.min(clock.nowMs(), issuedAtMs + findWaitedMs(result, waitedMs));
+            self.tell(new JobsCommand.TailRead(this, issued, result, knownMs));
+        });
     }
 
     /** An empty answer shows that the store has waited in vain; one with records may be as old as its read. */
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -238,6 +238,7 @@
         reportCapacity(entries.get(0), guard, ROOM_FOR_BOTH);
         Thread.sleep(100);
         assertFalse(guard.starts().contains("job-2.0.0.0"));
+        store.delayReads(JobPartitions.REQUESTS, 0);
         Awaitility.await()
                 .atMost(Duration.ofSeconds(10))
                 .until(() -> guard.starts().contains("job-2.0.0.0"));
