Choose ports of the harness that nobody else can take

Cause: the harness asked the kernel for any free port, closed that listener and handed the number to a process that binds it seconds later, and again after each restart. Such a port is of the range from which the kernel serves every outgoing connection and every other listener on any port, in all processes of the machine, and two deployments could be given the same one.

Change: ports lie outside the kernel's range, and the deployment holds each of them on 127.0.0.2 while it lives, against other deployments of any process. A port on which somebody listens is passed over.

Ruled out: trying the start again with another port, since peers and guards know the first one and a restart must keep it; port 0 with the bound address read from the ready line, since entries are told of each other's addresses before they start.

--- a/it/src/main/java/org/fulmarreach/it/Deployment.java
+++ b/it/src/main/java/org/fulmarreach/it/Deployment.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -22,6 +20,7 @@
     private final DeploymentPlan plan;
     private final Path directory;
     private final Http http = new Http();
+    private final ReservedPorts ports = new ReservedPorts();
     private final Map<String, EntryProcess> entries = new LinkedHashMap<>();
     private final Map<String, VmProcess> vms = new LinkedHashMap<>();
     private ManagedProcess store;
@@ -113,6 +112,7 @@
         if (store != null) {
             store.close();
         }
+        ports.close();
     }
 
     /** Kills a VM with everything on it: guard, worker agent with its tasks, and target. */
@@ -268,7 +268,7 @@
         for (DeploymentPlan.Zone zone : plan.zones()) {
             for (int i = 0; i < zone.entries(); i++) {
                 String name = "entry-" + zone.name() + "-" + i;
-                listenPorts.put(name, findFreePort());
+                listenPorts.put(name, ports.reserve());
                 zones.put(name, zone);
             }
         }
@@ -292,8 +292,8 @@
                 dialled.put(name, proxy.awaitReady().path("listen").get(0).asText()));
         listenPorts.forEach((name, port) -> {
             DeploymentPlan.Zone zone = zones.get(name);
-            String caller = "127.0.0.1:" + findFreePort();
-            String operator = "127.0.0.1:" + findFreePort();
+            String caller = "127.0.0.1:" + ports.reserve();
+            String operator = "127.0.0.1:" + ports.reserve();
             List<String> args = new ArrayList<>(List.of("entry", "--id", name));
             args.addAll(List.of("--zone", zone.name(), "--region", zone.region()));
             args.addAll(List.of("--store", "http://" + storeAddress, "--store-region", plan.storeRegion()));
@@ -357,12 +357,4 @@
         ManagedProcess guard = ManagedProcess.start("guard-" + name, directory, "fulmard", args, Map.of());
         vms.put(name, new VmProcess(name, zone, platform, guard, args, worker, target));
     }
-
-    private static int findFreePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- /dev/null
+++ b/it/src/test/java/org/fulmarreach/it/ReservedPortsTest.java
@@ -0,0 +1,68 @@
+package org.fulmarreach.it;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against a child process that cannot bind its port, since another process has taken it meanwhile. */
+class ReservedPortsTest {
+    /** More than the entries of the largest deployment need. */
+    private static final int PORTS = 100;
+
+    /** The kernel gives the ports of its range to outgoing connections of any process. */
+    @Test
+    void portIsNotOneThatTheKernelGivesToConnections() {
+        PortRange ephemeral = PortRange.readEphemeral();
+        try (ReservedPorts ports = new ReservedPorts()) {
+            for (int i = 0; i < PORTS; i++) {
+                int port = ports.reserve();
+                assertFalse(ephemeral.contains(port), port + " is in " + ephemeral);
+            }
+        }
+    }
+
+    /** Several deployments start at once, in this process and in others. */
+    @Test
+    void portIsReservedOnceUntilItIsGivenBack() {
+        Set<Integer> seen = new HashSet<>();
+        try (ReservedPorts first = new ReservedPorts();
+                ReservedPorts second = new ReservedPorts()) {
+            for (int i = 0; i < PORTS; i++) {
+                assertTrue(seen.add(first.reserve()), "reserved twice");
+                assertTrue(seen.add(second.reserve()), "reserved twice");
+            }
+        }
+    }
+
+    /** A listener that did not reserve its port holds it, too. */
+    @Test
+    void portOfAnotherListenerIsPassedOver() throws IOException {
+        int taken;
+        try (ReservedPorts ports = new ReservedPorts()) {
+            taken = ports.reserve();
+        }
+        try (ServerSocket listener = new ServerSocket(taken, 1, InetAddress.getLoopbackAddress());
+                ReservedPorts ports = new ReservedPorts(taken)) {
+            assertNotEquals(listener.getLocalPort(), ports.reserve());
+        }
+    }
+
+    /** A child process binds the port while it is reserved. */
+    @Test
+    void reservedPortCanBeBound() throws IOException {
+        try (ReservedPorts ports = new ReservedPorts()) {
+            int port = ports.reserve();
+            try (ServerSocket listener = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                assertTrue(listener.isBound());
+            }
+        }
+    }
+}
