Take up refused starts before the first report of their worker

What callers saw: none known; found by emulated sequences of lost answers.

Cause: a guard's message holds answers to orders and a report; the answers are taken up first. In its first message to a new leader two refusals of starts make the worker suspected, and the log line for that reads the id from a report that is not there yet. The NullPointerException leaves the actor that owns all that the entry knows of jobs.

Evidence: JobSchedulerTest.refusalsBeforeTheFirstReportToANewLeaderAreTakenUp was red before: NullPointerException, WorkerView.report() is null. It passes now with the other 20 tests of the class, one run. Not shown: what an entry does after such an exception; no process was run for it.

Change: the line names the guard while the worker is not known.

Ruled out: taking up the report first. It changes the order of all decisions about a message for the sake of a log line.

--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -213,9 +213,12 @@
 
     void suspect(WorkerView worker, String reason, long nowMs) {
         if (worker.noteFault(FAULTS_TO_SUSPECT, nowMs)) {
+            // A new leader may be told of refused starts before the first report of their worker.
             log.decided(
                     Decision.WORKER_SUSPECTED,
-                    worker.report().ref().id(),
+                    worker.report() == null
+                            ? worker.guard()
+                            : worker.report().ref().id(),
                     "reason",
                     reason,
                     "faultsInRow",
--- a/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
@@ -226,6 +226,18 @@
         assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
     }
 
+    /** The first message of a guard to a new leader ended the leader's process when it told of two refused starts. */
+    @Test
+    void refusalsBeforeTheFirstReportToANewLeaderAreTakenUp() {
+        pool.workers.get("guard-1").draining = true;
+        pool.run(600);
+        submit("job", List.of(step(2).build()), times(2, 2_000));
+        pool.replaceLeader();
+        job("job").tasks().forEach(task -> pool.answerStart(task, "status 503"));
+        pool.run(JobTimes.SUSPICION_MS + 4_000);
+        assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
+    }
+
     /** A delayed report must not make the tasks of the living worker count as lost. */
     @Test
     void reportOfAFormerLifetimeIsIgnored() {
