Read no trust store at the start

Cause: the HTTP client of Pekko constructs the default TLS context of the JDK also for a plain connection (TLSPlacebo), which reads and parses the certificates of the JDK.

--- a/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
@@ -42,6 +42,9 @@
     /** Starts the daemon. */
     public static void main(String[] args) {
         System.setProperty("java.util.logging.manager", DrainLogManager.class.getName());
+        // The HTTP client constructs a TLS context also for plain connections; without a trust store it does so without
+        // the certificates of the JDK, which take about a tenth of a start to read. Nothing here uses TLS.
+        System.setProperty("javax.net.ssl.trustStore", "NONE");
         ArgumentParser parser = constructParser();
         Namespace parsed;
         try {
