--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -179,6 +179,10 @@
         return active.size();
     }
 
+    Placement placement() {
+        return placement;
+    }
+
     /** Returns one line for each worker, for operators. */
     public List<String> describeWorkers() {
         List<String> lines = new ArrayList<>();
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -68,6 +68,8 @@
     private final Map<Job, Long> idleSinceMs = new WeakHashMap<>();
     private final Map<Kind, List<Resources>> refused = new HashMap<>();
     private final Set<WorkerView> kept = new HashSet<>();
+    private long candidates;
+    private long comparedPairs;
 
     /** Tasks between which only the amounts that they ask for decide which of them find room. */
     private record Kind(String service, boolean longRunning, boolean filling, String image) {}
@@ -88,6 +90,16 @@
         refused.clear();
     }
 
+    /** Returns how often a worker was considered for a task, in all passes so far. */
+    long candidates() {
+        return candidates;
+    }
+
+    /** Returns how often the pressure of one image on another was predicted, in all passes so far. */
+    long comparedPairs() {
+        return comparedPairs;
+    }
+
     /**
      * Returns the best worker for a task of {@code service}, or null if none can take it now. A filling task that would
      * disturb on every worker gets room only after its job has had nothing at work for a while, alone on a worker with
@@ -135,6 +147,7 @@
         }
         WorkerView best = null;
         double bestScore = Double.MAX_VALUE;
+        candidates += workers.size();
         for (WorkerView worker : workers) {
             if (!worker.isUsable(service, nowMs) || !hasRoom(task, worker)) {
                 continue;
@@ -253,6 +266,7 @@
             int targetMs = serving.step().targetLatencyMs();
             double part = part(filling.image(), filling.demand().milliCores(), image, worker);
             double pressure = model.ownPressure(image) + LOAD_SWING + part;
+            comparedPairs += worker.fillByImage().size() + 1;
             for (Map.Entry<String, Integer> fill : worker.fillByImage().entrySet()) {
                 pressure += part(fill.getKey(), fill.getValue(), image, worker);
             }
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -51,6 +51,8 @@
     long tickCpuNs;
     long batchCpuNs;
     int reports;
+    int passes;
+    int startedRuns;
 
     /** Tells whether two versions of the leader gave the same orders in the same sequence. */
     int ordersHash;
@@ -124,6 +126,10 @@
         decide();
     }
 
+    Placement placement() {
+        return scheduler.placement();
+    }
+
     boolean isWanted(JobOrder order) {
         return scheduler.isWanted(order);
     }
@@ -153,6 +159,7 @@
     private void decide() {
         long beganNs = cpuNs();
         scheduler.tick(nowMs, nowMs);
+        passes++;
         long tickedNs = cpuNs();
         tickCpuNs += tickedNs - beganNs;
         apply(scheduler.takeImmediateOrders());
@@ -169,6 +176,7 @@
 
     private void apply(List<JobOrder> orders) {
         for (JobOrder order : orders) {
+            startedRuns += order instanceof JobOrder.Start ? 1 : 0;
             ordersHash = 31 * ordersHash + order.hashCode();
             FakeWorker worker = workers.get(order.worker().guard());
             String refused = worker.take(order, book);
