--- a/core/src/test/java/org/fulmarreach/core/jobs/LostAnswersTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/LostAnswersTest.java
@@ -122,7 +122,7 @@
         }
 
         private void decide() {
-            scheduler.tick(nowMs, nowMs);
+            scheduler.tick(nowMs, nowMs, true);
             send(scheduler.takeImmediateOrders());
             if (inFlight != null && nowMs >= writtenAtMs) {
                 JobBatch written = inFlight;
