--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -239,9 +239,11 @@
         Thread.sleep(100);
         assertFalse(guard.starts().contains("job-2.0.0.0"));
         store.delayReads(JobPartitions.REQUESTS, 0);
-        Awaitility.await()
-                .atMost(Duration.ofSeconds(10))
-                .until(() -> guard.starts().contains("job-2.0.0.0"));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> {
+            // Guards go on reporting; a worker without a report for 1.6 s gets no work.
+            reportCapacity(entries.get(0), guard, ROOM_FOR_BOTH);
+            return guard.starts().contains("job-2.0.0.0");
+        });
     }
 
     /*
