Ignore reports of a former lifetime also in the first report of a term

Cause: only reports of the same term were compared. Change: the runs assigned to the worker count as knowledge of its lifetime. DuplicateRunTest. reportOfAFormerLifetimeDoesNotEndRunsOfTheCurrentOne failed before (run 2 instead of 1).

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -76,15 +76,15 @@
     /** Handles the report of a guard; the caller sends a grant in return. */
     public void onReport(WorkerReport report, long nowMs) {
         WorkerView worker = workers.computeIfAbsent(report.ref().guard(), guard -> new WorkerView(guard, nowMs));
-        if (worker.report() != null
-                && report.ref().startedAtMs() < worker.report().ref().startedAtMs()) {
+        long newestStartMs = worker.newestStartMs();
+        if (report.ref().startedAtMs() < newestStartMs) {
             log.record(
                     Decision.WORKER_CHANGED,
                     report.ref().id(),
                     "bornMs",
                     report.ref().startedAtMs(),
                     "newestBornMs",
-                    worker.report().ref().startedAtMs(),
+                    newestStartMs,
                     "outcome",
                     "ignored report of a former lifetime");
             return;
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -46,6 +46,18 @@
         return report;
     }
 
+    /**
+     * Returns the newest known start of the worker in Unix milliseconds, from its last report and from the runs assigned
+     * to it, which a former leader may have placed; 0 if none is known.
+     */
+    long newestStartMs() {
+        long newestMs = report == null ? 0 : report.ref().startedAtMs();
+        for (JobTask task : assigned) {
+            newestMs = Math.max(newestMs, task.state().worker().startedAtMs());
+        }
+        return newestMs;
+    }
+
     Set<JobTask> assigned() {
         return assigned;
     }
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -118,6 +118,22 @@
         assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
     }
 
+    /**
+     * A restarted guard may first receive a delayed heartbeat of a former lifetime of its worker. A new leader that had
+     * no report of the worker yet took the runs of the present lifetime for lost and started them a second time.
+     */
+    @Test
+    void reportOfAFormerLifetimeDoesNotEndRunsOfTheCurrentOne() {
+        WorkerRef former = new WorkerRef("guard-0", "worker-0", 0);
+        submit(step(1).build());
+        scheduler = new JobScheduler(registry, CONFIG, LIMITS, DecisionLog.NONE, nowMs);
+        report(second, 1, List.of(), List.of());
+        report(former, 1, List.of(), List.of());
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
+        report(first, 2, List.of(running(TASK, 1)), List.of());
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
+    }
+
     /** A run whose only start was refused is not running, so its task must be placed again without delay. */
     @Test
     void refusalOfTheOnlyStartReleasesItsTaskAtOnce() {
