Redirect guards from entries that do not lead; take reports only with all placed jobs known

Entries now name the leader at once, or as soon as the log names the next one. Two tests of JobsActorTest. New leader: a leader whose reads of requests lag took ends of jobs that it did not know as handled, and the next leader ran them again. Lists in reports now count only once the requests stored before the term are read; grants go on.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
@@ -24,6 +24,9 @@
     /** Election timeout: longer than three keep-alive intervals of a leader plus the delay of a slow store. */
     private static final long ELECTION_TIMEOUT_MS = 1_500;
 
+    /** A leader from which the log has had no record for two keep-alive intervals may have failed. */
+    private static final long LEADER_SILENT_MS = 800;
+
     /** Maximum random delay that spreads candidates, so that usually only one of them starts an election. */
     private static final int MAX_JITTER_MS = 200;
 
@@ -72,6 +75,11 @@
         return leader.getNode().isEmpty() || leader.getNode().equals(identity.node());
     }
 
+    /** Tells whether the log has had no record for so long that the leader may have failed. */
+    boolean isLeaderSilent() {
+        return clock.nowMs() - silentSinceMs > LEADER_SILENT_MS;
+    }
+
     /** Returns the record that names this entry as leader. */
     KeyedRecord recordOf(long term) {
         return new KeyedRecord(
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -39,6 +39,7 @@
     GUARD_JOINED(4023, Level.INFO, "A guard opened a session with this leader."),
     GUARD_LEFT(
             4024, Level.INFO, "The session with a guard ended; its worker's lease remains valid for a bounded time."),
+    GUARD_REDIRECTED(4025, Level.INFO, "A guard reported to this entry, which does not lead, and was told the leader."),
     ELECTION_STARTED(
             4030, Level.INFO, "The leader has written nothing for a while; this entry tries to win the next term."),
     LEADER_ELECTED(4031, Level.INFO, "This entry was elected leader."),
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -77,6 +77,7 @@
     private final LogTail config;
     private final RequestWriter writer;
     private final GuardSessions sessions;
+    private final GuardRedirects redirects;
     private JobConfig activeConfig;
     private LeaderTerm leaderTerm;
     private boolean draining;
@@ -111,6 +112,7 @@
         this.decisionLog = (decision, subject, fields) -> emitDecision(log, decision, subject, fields);
         this.writer = new RequestWriter(JobPartitions.REQUESTS, store, context, clock);
         this.sessions = new GuardSessions(log);
+        this.redirects = new GuardRedirects(log);
         this.requests = follow(JobPartitions.REQUESTS, REQUEST_TIMES, this::onRequests);
         this.progress = follow(JobPartitions.PROGRESS, PROGRESS_TIMES, this::onProgress);
         this.config = follow(TopicPartition.OPERATOR, CONFIG_TIMES, this::onConfig);
@@ -355,6 +357,9 @@
             }
         } else if (entry.key().equals(JobTopics.LEADER_KEY) && !entry.isRemoval()) {
             election.onLeaderRecord(JobRecords.decodeState(entry.value()).getLeader(), progress.nextOffset());
+            if (election.hasOtherLeader()) {
+                redirects.redirectWaiting(election.leader());
+            }
         }
     }
 
@@ -431,6 +436,7 @@
                 election.recordOf(term),
                 scheduler,
                 sessions,
+                requests,
                 new CancellationView(requests, limits, log),
                 store,
                 getContext(),
@@ -445,6 +451,7 @@
                 scheduler.activeJobs(),
                 "config",
                 activeConfig.version());
+        redirects.clear();
         // Only a hint: without this record, guards need longer to find the leader.
         store.append(JobPartitions.LEADER_HINT, List.of(election.recordOf(term)), new AppendCondition.None());
         leaderTerm.decide();
@@ -521,12 +528,21 @@
                     received.link().close();
                 }
             }
-            case LinkEvent.Closed closed -> sessions.onClosed(closed.link(), closed.reason());
+            case LinkEvent.Closed closed -> {
+                sessions.onClosed(closed.link(), closed.reason());
+                redirects.onClosed(closed.link());
+            }
         }
     }
 
     private void onGuardReport(FrameLink link, GuardReport message) {
-        if (leaderTerm == null || message.getTerm() > leaderTerm.term()) {
+        if (leaderTerm == null) {
+            redirect(link);
+            return;
+        }
+        if (message.getTerm() > leaderTerm.term()) {
+            // The guard has orders of a later term, which this entry will learn of from the log.
+            redirects.await(link);
             return;
         }
         WorkerReport report = message.isSetWorker() ? GuardMessages.fromThrift(message.getWorker()) : null;
@@ -549,6 +565,15 @@
         leaderTerm.onReport(report, !report.ended().isEmpty() || message.getOutcomesSize() > 0);
     }
 
+    /** Sends a guard to the leader, or lets it wait for the next one if the leader may have failed. */
+    private void redirect(FrameLink link) {
+        if (election.hasOtherLeader() && !election.isLeaderSilent() && !progress.isFailing()) {
+            redirects.redirect(link, election.leader());
+        } else {
+            redirects.await(link);
+        }
+    }
+
     /*
      * Helpers
      */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -38,10 +38,12 @@
     private final KeyedRecord leaderRecord;
     private final JobScheduler scheduler;
     private final GuardSessions sessions;
+    private final LogTail requests;
     private final CancellationView cancellations;
     private final StoreClient store;
     private final ActorContext<JobsCommand> context;
     private final MonotonicClock clock;
+    private final long startedAtMs;
     private long sequence;
     private JobBatch inFlight;
     private List<KeyedRecord> inFlightRecords = List.of();
@@ -64,6 +66,7 @@
             KeyedRecord leaderRecord,
             JobScheduler scheduler,
             GuardSessions sessions,
+            LogTail requests,
             CancellationView cancellations,
             StoreClient store,
             ActorContext<JobsCommand> context,
@@ -72,12 +75,14 @@
         this.leaderRecord = leaderRecord;
         this.scheduler = scheduler;
         this.sessions = sessions;
+        this.requests = requests;
         this.cancellations = cancellations;
         this.store = store;
         this.context = context;
         this.clock = clock;
-        this.acknowledgedAtMs = clock.nowMs();
-        this.appendedAtMs = acknowledgedAtMs;
+        this.startedAtMs = clock.nowMs();
+        this.acknowledgedAtMs = startedAtMs;
+        this.appendedAtMs = startedAtMs;
     }
 
     long term() {
@@ -97,10 +102,23 @@
         return clock.nowMs() - acknowledgedAtMs;
     }
 
-    /** Handles a report and answers it with a grant, unless the store has not acknowledged an append for too long. */
+    /**
+     * Tells whether all jobs that a former leader may have placed are known. Before that, a listed run or end may belong
+     * to a job that this entry has not read yet, and would be stopped or forgotten.
+     */
+    boolean knowsPlacedJobs() {
+        return requests.covers(startedAtMs);
+    }
+
+    /**
+     * Handles a report and answers it with a grant, unless the store has not acknowledged an append for too long. The
+     * lists in the report are ignored until {@link #knowsPlacedJobs}; the guard repeats them.
+     */
     void onReport(WorkerReport report, boolean decide) {
         long nowMs = clock.nowMs();
-        scheduler.onReport(report, nowMs);
+        if (knowsPlacedJobs()) {
+            scheduler.onReport(report, nowMs);
+        }
         if (mayGrant()) {
             sessions.grant(report.ref().guard(), term, writeAgeMs());
             scheduler.onGrantSent(report.ref().guard(), nowMs);
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
@@ -95,6 +95,11 @@
         return clock.nowMs() - knownUpToMs;
     }
 
+    /** Tells whether all records stored before a reading of the monotonic clock have been read. */
+    boolean covers(long clockMs) {
+        return loaded && knownUpToMs >= clockMs;
+    }
+
     /** Changes the timing of reads; the result of a pending read is ignored. */
     void setTimes(Times newTimes) {
         times = newTimes;
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -16,6 +16,7 @@
 import org.fulmarreach.core.jobs.JobStatus;
 import org.fulmarreach.core.jobs.JobStep;
 import org.fulmarreach.core.jobs.JobTimeLimits;
+import org.fulmarreach.core.jobs.RunEnd;
 import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.core.jobs.WorkerReport;
 import org.fulmarreach.core.model.Resources;
@@ -39,6 +40,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Leader election and answers to callers with several entries on a shared in-memory store. */
 class JobsActorTest {
@@ -60,6 +62,9 @@
     /** Longer than the maximum age of the view, shorter than the timeout of a read. */
     private static final int SLOW_ANSWER_MS = 1_400;
 
+    /** Longer than two keep-alive intervals of a leader, shorter than the election timeout. */
+    private static final int FAILED_LEADER_SILENCE_MS = 1_000;
+
     private final FakeStore store = new FakeStore();
     private final List<ActorSystem<JobsCommand>> entries = new ArrayList<>();
 
@@ -247,6 +252,89 @@
         });
     }
 
+    /**
+     * A new leader whose reads of requests lagged took the listed end of a job that it did not know yet as handled. The
+     * guard then let the worker forget the end, and the task was started again once the job was read.
+     */
+    @Test
+    void newLeaderAcknowledgesNoEndsBeforeItHasReadAllRequests() throws Exception {
+        putConfig();
+        start("entry-0", new Random(1));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        start("entry-1", new Random(2));
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> describe(entries.get(1)).contains("leader=entry-0"));
+        store.delayReads(JobPartitions.REQUESTS, SLOW_ANSWER_MS);
+        // By now a read is in flight whose answer does not contain the job.
+        Thread.sleep(100);
+        store.append(
+                JobPartitions.REQUESTS,
+                List.of(new KeyedRecord(JobTopics.jobKey("job-1"), JobRecords.encode(job("job-1")))),
+                new AppendCondition.None());
+        entries.get(0).tell(new JobsCommand.Drain(new CompletableFuture<>()));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> leads(entries.get(1)));
+        FakeLink guard = new FakeLink();
+        WorkerReport.Ended end = new WorkerReport.Ended(1, "job-1.0.0.0", 1, RunEnd.DONE, "");
+        Awaitility.await()
+                .during(Duration.ofMillis(600))
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> {
+                    report(entries.get(1), guard, SMALL, List.of(end));
+                    return guard.acknowledgedEnd() == 0;
+                });
+        assertTrue(guard.grants() > 0, "the lease of the worker is not extended meanwhile");
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> {
+            report(entries.get(1), guard, SMALL, List.of(end));
+            return guard.acknowledgedEnd() == 1;
+        });
+        assertEquals(new JobsCommand.StatusAnswer.Known(JobStatus.COMPLETED), query(entries.get(1), "job-1"));
+    }
+
+    /**
+     * An entry that did not lead left the reports of guards unanswered, so a guard that dialed it noticed only by the
+     * silence of the connection; with two of three entries not leading, a hand-over took up to 12 s.
+     */
+    @Test
+    void guardAtAnEntryThatDoesNotLeadIsToldTheLeader() throws Exception {
+        putConfig();
+        start("entry-0", new Random(1));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        start("entry-1", new Random(2));
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> describe(entries.get(1)).contains("leader=entry-0"));
+        FakeLink guard = new FakeLink();
+        report(entries.get(1), guard);
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(2))
+                .until(() -> guard.leaderHints().equals(List.of("127.0.0.1:1")));
+    }
+
+    /** A guard that lost its leader must not have to search for the next one while the election is under way. */
+    @Test
+    void guardThatReportsBeforeTheElectionIsToldTheNewLeader() throws Exception {
+        putConfig();
+        start("entry-0", new Random(1));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        start("entry-1", new Random(2));
+        start("entry-2", new Random(3));
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> describe(entries.get(1)).contains("leader=entry-0")
+                        && describe(entries.get(2)).contains("leader=entry-0"));
+        entries.remove(0).terminate();
+        Thread.sleep(FAILED_LEADER_SILENCE_MS);
+        List<FakeLink> guards = List.of(new FakeLink(), new FakeLink());
+        report(entries.get(0), guards.get(0));
+        report(entries.get(1), guards.get(1));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        FakeLink atFollower = guards.get(leads(entries.get(0)) ? 1 : 0);
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(2))
+                .until(() -> atFollower.leaderHints().size() == 1);
+    }
+
     /*
      * Helpers
      */
@@ -256,6 +344,11 @@
     }
 
     private static void reportCapacity(ActorSystem<JobsCommand> entry, FakeLink link, Resources capacity) {
+        report(entry, link, capacity, List.of());
+    }
+
+    private static void report(
+            ActorSystem<JobsCommand> entry, FakeLink link, Resources capacity, List<WorkerReport.Ended> ended) {
         WorkerReport worker = new WorkerReport(
                 new WorkerRef("guard", "worker", 1),
                 "s",
@@ -266,7 +359,7 @@
                 true,
                 false,
                 List.of(),
-                List.of(),
+                ended,
                 1);
         GuardReport report = new GuardReport();
         report.setGuard("guard");
@@ -354,12 +447,30 @@
     private static final class FakeLink implements FrameLink {
         private final List<Body> sent = new CopyOnWriteArrayList<>();
 
+        List<String> leaderHints() {
+            return sent.stream()
+                    .filter(Body::isSetLeaderHint)
+                    .map(body -> body.getLeaderHint().getAddress())
+                    .toList();
+        }
+
         List<String> starts() {
             List<String> starts = new ArrayList<>();
             sent.forEach(body -> body.getLeaderOrders().getStarts().forEach(start -> starts.add(start.getTask())));
             return starts;
         }
 
+        long acknowledgedEnd() {
+            return sent.stream()
+                    .mapToLong(body -> body.getLeaderOrders().getAcknowledgedEnd())
+                    .max()
+                    .orElse(0);
+        }
+
+        long grants() {
+            return sent.stream().filter(Body::isSetLeaderOrders).count();
+        }
+
         @Override
         public void send(long correlationId, Body body) {
             sent.add(body);
