Keep pages of a load and limit reads of the store by silence, configuration first

Behind a link of 7 Mbit/s a page of 1 MB takes 1.5 s, so pages were discarded and requested again, which kept the link busy: after a power loss with 1,128 routes no entry had its configuration 45 s later. Found on the way: a read cut off by its size counted as the end of the log. A job behind it was reported as missing (JobsActorTest.jobBehindTheFirstAnswerOfTheStoreIsNotMissing), and the age of the view of cancellations was too low.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -70,6 +70,7 @@
     private final EventLog log;
     private final DecisionLog decisionLog;
     private final AtomicReference<JobsCommand.View> view;
+    private final Random random;
     private final Election election;
     private final JobRegistry registry = new JobRegistry();
     private final LogTail requests;
@@ -80,6 +81,7 @@
     private final GuardRedirects redirects;
     private JobConfig activeConfig;
     private LeaderTerm leaderTerm;
+    private boolean followsJobs;
     private boolean draining;
     private long lastReadAtMs;
     private CompletableFuture<Void> drained;
@@ -104,6 +106,7 @@
             Random random) {
         super(context);
         this.store = store;
+        this.random = random;
         this.identity = identity;
         this.limits = limits;
         this.clock = clock;
@@ -119,8 +122,6 @@
         this.lastReadAtMs = clock.nowMs();
         this.election = new Election(identity, store, context.getSelf(), clock, log, random);
         config.reload();
-        requests.reload();
-        progress.reload();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
     }
 
@@ -260,8 +261,12 @@
             reply.complete(new JobsCommand.StatusAnswer.Unavailable("this entry is still loading the job log"));
             return;
         }
+        refreshFrom(requests.nextOffset(), jobId, reply);
+    }
+
+    private void refreshFrom(long offset, String jobId, CompletableFuture<JobsCommand.StatusAnswer> reply) {
         var self = getContext().getSelf();
-        store.read(JobPartitions.REQUESTS, requests.nextOffset(), 0)
+        store.read(JobPartitions.REQUESTS, offset, 0)
                 .thenAccept(result -> self.tell(new JobsCommand.StatusReadEnded(jobId, result, reply)));
     }
 
@@ -269,12 +274,19 @@
         switch (ended.result()) {
             case ReadResult.Records read -> {
                 read.records().forEach(this::applyRequest);
-                ended.reply()
-                        .complete(registry.find(ended.jobId())
-                                .<JobsCommand.StatusAnswer>map(
-                                        job -> new JobsCommand.StatusAnswer.Known(job.acknowledgedStatus()))
-                                .orElseGet(JobsCommand.StatusAnswer.Missing::new));
+                var known = registry.find(ended.jobId());
+                if (known.isPresent()) {
+                    ended.reply()
+                            .complete(new JobsCommand.StatusAnswer.Known(
+                                    known.get().acknowledgedStatus()));
+                } else if (read.isComplete()) {
+                    ended.reply().complete(new JobsCommand.StatusAnswer.Missing());
+                } else {
+                    refreshFrom(read.nextOffset(), ended.jobId(), ended.reply());
+                }
             }
+            case ReadResult.Page page ->
+                ended.reply().complete(new JobsCommand.StatusAnswer.Unavailable("unexpected answer of the store"));
             case ReadResult.Expired expired -> {
                 requests.reload();
                 ended.reply().complete(new JobsCommand.StatusAnswer.Unavailable("this entry is reloading the job log"));
@@ -289,7 +301,7 @@
      */
 
     private LogTail follow(TopicPartition partition, LogTail.Times tailTimes, Consumer<LogTail.Update> consumer) {
-        return new LogTail(partition, store, getContext(), log, clock, tailTimes, consumer);
+        return new LogTail(partition, store, getContext(), log, clock, tailTimes, random, consumer);
     }
 
     private void onRequests(LogTail.Update update) {
@@ -364,6 +376,12 @@
     }
 
     private void onConfig(LogTail.Update update) {
+        if (!update.failed() && !followsJobs) {
+            // Nothing can be served without the configuration, so on a narrow link its load goes first.
+            followsJobs = true;
+            requests.reload();
+            progress.reload();
+        }
         for (KeyedRecord entry : update.records()) {
             if (entry.key().equals(TopicPartition.CONFIG_KEY) && !entry.isRemoval()) {
                 try {
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
@@ -1,7 +1,9 @@
 package org.fulmarreach.entry.jobs;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.function.Consumer;
 
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
@@ -20,6 +22,12 @@
     private static final int FIRST_BACKOFF_MS = 100;
     private static final int MAX_BACKOFF_MS = 800;
 
+    /** A silent store is noticed after this time in the first attempt. */
+    private static final int FIRST_SILENCE_MS = 1_000;
+
+    /** Further attempts allow for answers that queue behind others on a narrow link. */
+    private static final int NEXT_SILENCE_MS = 2_000;
+
     private final TopicPartition partition;
     private final StoreClient store;
     private final ActorContext<JobsCommand> context;
@@ -33,10 +41,13 @@
     private long nextOffset;
     private int backoffMs;
     private long knownUpToMs;
+    private final Random random;
+    private Load load = new Load();
 
     /**
      * Constructs a tail that reads nothing until {@link #reload}.
      *
+     * @param random source of the jitter of retries, so that entries do not repeat their reads at the same times
      * @param consumer receives each update, on the actor
      */
     LogTail(
@@ -46,6 +57,7 @@
             EventLog log,
             MonotonicClock clock,
             Times times,
+            Random random,
             Consumer<Update> consumer) {
         this.partition = partition;
         this.store = store;
@@ -54,9 +66,18 @@
         this.clock = clock;
         this.knownUpToMs = clock.nowMs();
         this.times = times;
+        this.random = random;
         this.consumer = consumer;
     }
 
+    /** Pages that were read since the last reload; a failed read repeats only its own page. */
+    private static final class Load {
+        private final List<KeyedRecord> records = new ArrayList<>();
+        private String lastKey = "";
+        private long endOffset = Long.MAX_VALUE;
+        private long startedAtMs = Long.MAX_VALUE;
+    }
+
     /**
      * Timing of reads, in milliseconds.
      *
@@ -114,6 +135,7 @@
         generation++;
         loaded = false;
         paused = false;
+        load = new Load();
         startRead();
     }
 
@@ -134,33 +156,25 @@
             return;
         }
         switch (result) {
+            case ReadResult.Page page -> onPage(page, readKnownUpToMs);
             case ReadResult.Records read -> {
-                knownUpToMs = Math.max(knownUpToMs, readKnownUpToMs);
+                if (read.isComplete()) {
+                    knownUpToMs = Math.max(knownUpToMs, readKnownUpToMs);
+                }
                 onReadSucceeded();
-                boolean first = !loaded;
-                loaded = true;
                 nextOffset = read.nextOffset();
-                if (first) {
-                    log.emit(
-                            JobEvent.STORE_LOADED,
-                            "partition",
-                            name(),
-                            "records",
-                            read.records().size(),
-                            "next",
-                            nextOffset);
-                }
                 consumer.accept(new Update(read.records(), false));
-                scheduleRead(first || read.records().isEmpty() ? 0 : times.spacingMs());
+                scheduleRead(read.records().isEmpty() || !read.isComplete() ? 0 : times.spacingMs());
             }
             case ReadResult.Expired expired -> {
                 loaded = false;
+                load = new Load();
                 scheduleRead(0);
             }
             case ReadResult.Failed failed -> {
                 onReadFailed(failed.reason());
                 consumer.accept(new Update(List.of(), true));
-                scheduleRead(backoffMs);
+                scheduleRead(backoffMs / 2 + random.nextInt(backoffMs / 2 + 1));
             }
         }
     }
@@ -169,6 +183,26 @@
      * Helpers
      */
 
+    private void onPage(ReadResult.Page page, long pageKnownUpToMs) {
+        onReadSucceeded();
+        load.records.addAll(page.records());
+        load.lastKey = page.lastKey();
+        load.endOffset = Math.min(load.endOffset, page.endOffset());
+        load.startedAtMs = Math.min(load.startedAtMs, pageKnownUpToMs);
+        if (page.hasMore()) {
+            startRead();
+            return;
+        }
+        Load ended = load;
+        load = new Load();
+        loaded = true;
+        nextOffset = ended.endOffset;
+        knownUpToMs = Math.max(knownUpToMs, ended.startedAtMs);
+        log.emit(JobEvent.STORE_LOADED, "partition", name(), "records", ended.records.size(), "next", nextOffset);
+        consumer.accept(new Update(ended.records, false));
+        scheduleRead(0);
+    }
+
     private void scheduleRead(int delayMs) {
         if (paused) {
             return;
@@ -190,7 +224,10 @@
         long issuedAtMs = clock.nowMs();
         int waitedMs = loaded ? waitMs : 0;
         var self = context.getSelf();
-        var read = loaded ? store.read(partition, nextOffset, waitMs) : store.readNewest(partition);
+        int silenceMs = backoffMs == 0 ? FIRST_SILENCE_MS : NEXT_SILENCE_MS;
+        var read = loaded
+                ? store.read(partition, nextOffset, waitMs)
+                : store.readNewest(partition, load.lastKey, silenceMs);
         read.thenAccept(result -> {
             long knownMs = Math.min(clock.nowMs(), issuedAtMs + storeWaitMs(result, waitedMs));
             self.tell(new JobsCommand.TailRead(this, issued, result, knownMs));
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -33,6 +33,7 @@
     private TopicPartition silenced;
     private TopicPartition delayed;
     private int answerDelayMs;
+    private int maxRecords = Integer.MAX_VALUE;
 
     /** Sets whether the answers to appends are lost; the appends are still executed. */
     synchronized void loseAnswers(boolean lose) {
@@ -60,6 +61,11 @@
         answerDelayMs = delayMs;
     }
 
+    /** Limits how many records the answer to a read contains. */
+    synchronized void limitAnswers(int records) {
+        maxRecords = records;
+    }
+
     synchronized List<KeyedRecord> records(TopicPartition partition) {
         return List.copyOf(log(partition));
     }
@@ -77,7 +83,8 @@
     @Override
     public synchronized CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, int waitMs) {
         List<KeyedRecord> log = log(partition);
-        ReadResult result = new ReadResult.Records(List.copyOf(log.subList((int) fromOffset, log.size())), log.size());
+        int next = (int) Math.min(log.size(), fromOffset + maxRecords);
+        ReadResult result = new ReadResult.Records(List.copyOf(log.subList((int) fromOffset, next)), next, log.size());
         if (partition.equals(silenced) || holdingReads && fromOffset >= log.size()) {
             return new CompletableFuture<>();
         }
@@ -87,12 +94,13 @@
     }
 
     @Override
-    public synchronized CompletionStage<ReadResult> readNewest(TopicPartition partition) {
+    public synchronized CompletionStage<ReadResult> readNewest(
+            TopicPartition partition, String afterKey, int maxSilenceMs) {
         Map<String, KeyedRecord> newest = new LinkedHashMap<>();
         log(partition).forEach(entry -> newest.put(entry.key(), entry));
         newest.values().removeIf(KeyedRecord::isRemoval);
-        return CompletableFuture.completedFuture(new ReadResult.Records(
-                new ArrayList<>(newest.values()), log(partition).size()));
+        return CompletableFuture.completedFuture(new ReadResult.Page(
+                new ArrayList<>(newest.values()), "", false, log(partition).size()));
     }
 
     private AppendResult execute(TopicPartition partition, List<KeyedRecord> records, AppendCondition condition) {
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -127,6 +127,29 @@
         assertEquals(new JobsCommand.StatusAnswer.Missing(), query(entries.get(0), "job-9"));
     }
 
+    /**
+     * An answer of the store holds a limited amount of records. A job behind the first answer was reported as missing,
+     * which callers take as proof that it never runs.
+     */
+    @Test
+    void jobBehindTheFirstAnswerOfTheStoreIsNotMissing() throws Exception {
+        putConfig();
+        start("entry-0", new Random(1));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        store.delayReads(JobPartitions.REQUESTS, SLOW_ANSWER_MS);
+        store.limitAnswers(1);
+        Thread.sleep(100);
+        for (String id : List.of("job-1", "job-2", "job-3")) {
+            store.append(
+                    JobPartitions.REQUESTS,
+                    List.of(new KeyedRecord(JobTopics.jobKey(id), JobRecords.encode(job(id)))),
+                    new AppendCondition.None());
+        }
+        CompletableFuture<JobsCommand.StatusAnswer> answer = new CompletableFuture<>();
+        entries.get(0).tell(new JobsCommand.Query("job-3", answer));
+        assertEquals(new JobsCommand.StatusAnswer.Known(JobStatus.QUEUED), answer.get(10, TimeUnit.SECONDS));
+    }
+
     /** A refusal means that the job never runs, so it requires that no append of the job can have been executed. */
     @Test
     void appendWithoutAnswerIsNeverARefusal() throws Exception {
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
@@ -50,6 +50,9 @@
     private static final long MAX_BODY_BYTES = 64 * 1024;
 
     /** The guard reports at least every 500 ms and the leader answers each; three missed answers end the session. */
+    /** The store answers in 4 ms; a guard without an answer asks an entry next. */
+    private static final int LOOKUP_SILENCE_MS = 1_000;
+
     private static final LinkSettings LINKS = new LinkSettings(1_600, 500, 4 << 20, 8 << 20);
 
     private final ActorSystem<RelayCommand> system;
@@ -163,12 +166,12 @@
         @Override
         public void findLeader(Consumer<String> answer) {
             TopicPartition partition = new TopicPartition(JobTopics.TOPIC, JobTopics.LEADER_HINT_PART);
-            store.readNewest(partition).thenAccept(result -> answer.accept(findAddress(result)));
+            store.readNewest(partition, "", LOOKUP_SILENCE_MS).thenAccept(result -> answer.accept(findAddress(result)));
         }
 
         private String findAddress(ReadResult result) {
-            if (result instanceof ReadResult.Records read) {
-                for (KeyedRecord record : read.records()) {
+            if (result instanceof ReadResult.Page page) {
+                for (KeyedRecord record : page.records()) {
                     if (record.key().equals(JobTopics.LEADER_KEY) && !record.isRemoval()) {
                         return decodeAddress(record);
                     }
