--- a/guard/src/main/java/org/fulmarreach/guard/jobs/OrderDispatcher.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/OrderDispatcher.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.fulmarreach.core.jobs.WorkerReport;
 import org.fulmarreach.platform.worker.CallResult;
 import org.fulmarreach.platform.worker.WorkerCalls;
 import org.fulmarreach.protocol.thrift.OrderOutcome;
@@ -24,8 +27,12 @@
     /** The leader repeats a start that is still needed every second, so the guard itself retries a start only once. */
     private static final int MAX_START_ATTEMPTS = 2;
 
+    /** Delay before the first retry; it doubles with each attempt, so that a worker that recovers is not flooded. */
     private static final int RETRY_DELAY_MS = 60;
 
+    /** The leader withdraws a start 2.5 s after it and repeats its stop every 500 ms, so later orders are new ones. */
+    private static final long KEY_RETENTION_MS = 30_000;
+
     private final WorkerCalls worker;
     private final WorkerLease lease;
     private final ActorContext<RelayCommand> context;
@@ -33,8 +40,10 @@
     private final EventLog log;
     private final List<OrderOutcome> outcomes = new ArrayList<>();
     private final Set<String> pendingStarts = new HashSet<>();
-    private final Set<String> cancelledStarts = new HashSet<>();
-    private final Set<String> unanswered = new HashSet<>();
+    private final Set<String> pendingStops = new HashSet<>();
+    private final Map<String, Integer> newestShares = new HashMap<>();
+    private final RecentKeys cancelledStarts = new RecentKeys(KEY_RETENTION_MS);
+    private final RecentKeys unanswered = new RecentKeys(KEY_RETENTION_MS);
 
     OrderDispatcher(
             WorkerCalls worker,
@@ -70,6 +79,8 @@
     /** Discards all orders and outcomes, because the worker was restarted. */
     void clear() {
         pendingStarts.clear();
+        pendingStops.clear();
+        newestShares.clear();
         cancelledStarts.clear();
         unanswered.clear();
         outcomes.clear();
@@ -92,15 +103,30 @@
         }
     }
 
+    /** Sends a stop, unless a stop of the same run is in flight or will be sent again. */
     void stop(Destination destination, String task, int run) {
         WorkerOrder order = new WorkerOrder.Stop(task, run, 0);
-        cancelledStarts.add(order.key());
+        cancelledStarts.add(order.key(), clock.nowMs());
         pendingStarts.remove(order.key());
-        send(destination, order);
+        if (pendingStops.add(order.key())) {
+            send(destination, order);
+        }
     }
 
+    /** Sets a CPU share; retries of an earlier share of the same run are dropped. */
     void setCpuShare(Destination destination, String task, int run, int percent) {
-        send(destination, new WorkerOrder.SetCpuShare(task, run, percent, 0));
+        WorkerOrder order = new WorkerOrder.SetCpuShare(task, run, percent, 0);
+        newestShares.put(order.key(), percent);
+        send(destination, order);
+    }
+
+    /** Drops the stops of runs whose end the worker lists. */
+    void onEnded(List<WorkerReport.Ended> ended) {
+        for (WorkerReport.Ended end : ended) {
+            String key = WorkerOrder.key(end.task(), end.run());
+            pendingStops.remove(key);
+            newestShares.remove(key);
+        }
     }
 
     void send(Destination destination, WorkerOrder order) {
@@ -136,14 +162,18 @@
                         start.validUntilMs() - nowMs);
             }
             case WorkerOrder.Stop stop ->
-                worker.stop(destination.workerId(), stop.task(), stop.run(), destination.term());
+                pendingStops.contains(order.key())
+                        ? worker.stop(destination.workerId(), stop.task(), stop.run(), destination.term())
+                        : null;
             case WorkerOrder.SetCpuShare setCpuShare ->
-                worker.setCpuShare(
-                        destination.workerId(),
-                        setCpuShare.task(),
-                        setCpuShare.run(),
-                        setCpuShare.percent(),
-                        destination.term());
+                isNewest(setCpuShare)
+                        ? worker.setCpuShare(
+                                destination.workerId(),
+                                setCpuShare.task(),
+                                setCpuShare.run(),
+                                setCpuShare.percent(),
+                                destination.term())
+                        : null;
         };
         if (call != null) {
             call.thenAccept(result -> self.tell(new RelayCommand.OrderCompleted(order, result)));
@@ -169,8 +199,13 @@
      * Helpers
      */
 
+    private boolean isNewest(WorkerOrder.SetCpuShare order) {
+        Integer newest = newestShares.get(order.key());
+        return newest != null && newest == order.percent();
+    }
+
     private void retry(Destination destination, WorkerOrder order, String reason) {
-        unanswered.add(order.key());
+        unanswered.add(order.key(), clock.nowMs());
         int attempts = order instanceof WorkerOrder.Start ? MAX_START_ATTEMPTS : MAX_ATTEMPTS;
         boolean willRetry = order.attempt() + 1 < attempts && destination.reachable();
         log.emit(
@@ -187,11 +222,24 @@
                 reason);
         if (willRetry) {
             context.scheduleOnce(
-                    Duration.ofMillis(RETRY_DELAY_MS),
+                    Duration.ofMillis((long) RETRY_DELAY_MS << order.attempt()),
                     context.getSelf(),
                     new RelayCommand.OrderRetryDue(order.nextAttempt()));
         } else {
-            pendingStarts.remove(order.key());
+            complete(order);
+        }
+    }
+
+    /** Forgets an order that is neither in flight nor will be sent again. */
+    private void complete(WorkerOrder order) {
+        switch (order) {
+            case WorkerOrder.Start start -> pendingStarts.remove(start.key());
+            case WorkerOrder.Stop stop -> pendingStops.remove(stop.key());
+            case WorkerOrder.SetCpuShare setCpuShare -> {
+                if (isNewest(setCpuShare)) {
+                    newestShares.remove(setCpuShare.key());
+                }
+            }
         }
     }
 
@@ -202,7 +250,7 @@
             case WorkerOrder.SetCpuShare setCpuShare -> RelayEvent.PACE_DONE;
         };
         log.emit(event, "id", order.task(), "run", order.run(), "attempt", order.attempt(), "term", destination.term());
-        pendingStarts.remove(order.key());
+        complete(order);
         if (order instanceof WorkerOrder.Stop) {
             outcomes.add(new OrderOutcome(order.task(), order.run(), false, "done"));
         }
@@ -220,7 +268,8 @@
                 reason,
                 "term",
                 destination.term());
-        boolean wasPending = pendingStarts.remove(order.key());
+        boolean wasPending = pendingStarts.contains(order.key());
+        complete(order);
         if (isStart && wasPending) {
             // An earlier unanswered attempt may still start the run, so a refusal alone is not proof.
             boolean certain = !unanswered.contains(order.key());
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerOrder.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerOrder.java
@@ -18,7 +18,12 @@
 
     /** Returns a key that identifies the run within this worker. */
     default String key() {
-        return task() + "#" + run();
+        return key(task(), run());
+    }
+
+    /** Returns the key of a run. */
+    static String key(String task, int run) {
+        return task + "#" + run;
     }
 
     /**
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -308,6 +308,7 @@
         boolean newEnds = !answer.ended().isEmpty() && lastEnd(answer) > lastEnd(snapshot);
         boolean first = !hasSnapshot;
         snapshot = answer;
+        dispatcher.onEnded(answer.ended());
         hasSnapshot = true;
         pollNumber++;
         if (newEnds || first || nowMs - reportedAtMs >= REPORT_INTERVAL_MS / 2) {
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -14,6 +14,8 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.awaitility.Awaitility;
 import org.fulmarreach.core.jobs.JobTimeLimits;
+import org.fulmarreach.core.jobs.RunEnd;
+import org.fulmarreach.core.jobs.WorkerReport;
 import org.fulmarreach.core.model.Resources;
 import org.fulmarreach.platform.worker.CallResult;
 import org.fulmarreach.platform.worker.WorkerCalls;
@@ -23,7 +25,9 @@
 import org.fulmarreach.protocol.thrift.Frame;
 import org.fulmarreach.protocol.thrift.JobWorkerRef;
 import org.fulmarreach.protocol.thrift.LeaderOrders;
+import org.fulmarreach.protocol.thrift.PaceRun;
 import org.fulmarreach.protocol.thrift.StartRun;
+import org.fulmarreach.protocol.thrift.StopRun;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameLink;
 import org.fulmarreach.runtime.net.LinkEvent;
@@ -122,6 +126,61 @@
         assertEquals(List.of("fresh.0.0.0", "fresh.0.0.1"), worker.started);
     }
 
+    /**
+     * The leader repeats a stop every 500 ms until the run has ended. While the worker left calls unanswered, each repeat
+     * and its retries took a connection of their own, so that hundreds of stops waited for four connections.
+     */
+    @Test
+    void repeatedStopIsNotSentTwiceAtOnce() {
+        CompletableFuture<CallResult<Void>> held = new CompletableFuture<>();
+        worker.heldStop = held;
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        for (int i = 0; i < 5; i++) {
+            stop(link, "job.0.0.0");
+        }
+        awaitPolls(3);
+        assertEquals(1, worker.stopped.size());
+        worker.heldStop = null;
+        held.complete(new CallResult.Done<>(null));
+        awaitPolls(1);
+        stop(link, "job.0.0.0");
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.stopped.size() == 2);
+    }
+
+    /** A stop whose run has ended needs no further attempt. */
+    @Test
+    void unansweredStopOfAnEndedRunIsNotRetried() {
+        CompletableFuture<CallResult<Void>> held = new CompletableFuture<>();
+        worker.heldStop = held;
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        stop(link, "job.0.0.0");
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.stopped.size() == 1);
+        worker.ended = List.of(new WorkerReport.Ended(1, "job.0.0.0", 1, RunEnd.STOPPED, ""));
+        awaitPolls(3);
+        held.complete(new CallResult.Unanswered<>("no answer", false));
+        awaitPolls(5);
+        assertEquals(1, worker.stopped.size());
+    }
+
+    /** A retry of an older CPU share overtook the newer share and slowed the task down again. */
+    @Test
+    void unansweredCpuShareIsNotRetriedAfterANewerOne() {
+        CompletableFuture<CallResult<Void>> held = new CompletableFuture<>();
+        worker.heldShare = held;
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        setCpuShare(link, "job.0.0.0", 40);
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.shares.size() == 1);
+        worker.heldShare = null;
+        setCpuShare(link, "job.0.0.0", 90);
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.shares.size() == 2);
+        held.complete(new CallResult.Unanswered<>("no answer", false));
+        awaitPolls(5);
+        assertEquals(List.of(40, 90), worker.shares);
+    }
+
     /** A heartbeat may arrive after its worker has crashed and was restarted at the same address. */
     @Test
     void heartbeatOfFormerLifetimeIsIgnored() {
@@ -203,6 +262,30 @@
         link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(orders))));
     }
 
+    private static void stop(FakeLink link, String task) {
+        LeaderOrders orders = emptyOrders();
+        orders.setStops(List.of(new StopRun(task, 1)));
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(orders))));
+    }
+
+    private static void setCpuShare(FakeLink link, String task, int percent) {
+        LeaderOrders orders = emptyOrders();
+        orders.setPaces(List.of(new PaceRun(task, 1, percent)));
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(orders))));
+    }
+
+    private static LeaderOrders emptyOrders() {
+        return new LeaderOrders(
+                1,
+                MonotonicClock.system().nowMs(),
+                new JobWorkerRef("guard", "w", 1_000),
+                List.of(),
+                List.of(),
+                List.of(),
+                0,
+                0);
+    }
+
     private static List<StartRun> start(String task) {
         return List.of(new StartRun(task, 1, "text", ""));
     }
@@ -217,7 +300,12 @@
         private final AtomicInteger polls = new AtomicInteger();
         private volatile long startedAtMs = 1_000;
         private volatile boolean answering = true;
+        private final List<String> stopped = new CopyOnWriteArrayList<>();
+        private final List<Integer> shares = new CopyOnWriteArrayList<>();
+        private volatile List<WorkerReport.Ended> ended = List.of();
         private volatile CompletableFuture<CallResult<Void>> heldStart;
+        private volatile CompletableFuture<CallResult<Void>> heldStop;
+        private volatile CompletableFuture<CallResult<Void>> heldShare;
 
         @Override
         public CompletionStage<CallResult<Void>> start(
@@ -232,13 +320,15 @@
 
         @Override
         public CompletionStage<CallResult<Void>> stop(String workerId, String task, int run, long term) {
-            return CompletableFuture.completedFuture(new CallResult.Done<>(null));
+            stopped.add(task);
+            return heldStop != null ? heldStop : CompletableFuture.completedFuture(new CallResult.Done<>(null));
         }
 
         @Override
         public CompletionStage<CallResult<Void>> setCpuShare(
                 String workerId, String task, int run, int percent, long term) {
-            return CompletableFuture.completedFuture(new CallResult.Done<>(null));
+            shares.add(percent);
+            return heldShare != null ? heldShare : CompletableFuture.completedFuture(new CallResult.Done<>(null));
         }
 
         @Override
@@ -246,7 +336,7 @@
                 long leaseUntilMs, long term, long acknowledgedEnd, int waitMs) {
             polls.incrementAndGet();
             return CompletableFuture.supplyAsync(
-                    () -> new CallResult.Done<>(new WorkerSnapshot("w", startedAtMs, 1, List.of(), List.of())),
+                    () -> new CallResult.Done<>(new WorkerSnapshot("w", startedAtMs, 1, List.of(), ended)),
                     CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS));
         }
     }
