--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -47,8 +47,8 @@
     }
 
     /**
-     * Returns the newest known start of the worker in Unix milliseconds, from its last report and from the runs assigned
-     * to it, which a former leader may have placed; 0 if none is known.
+     * Returns the newest known start of the worker in Unix milliseconds, from its last report and from the runs
+     * assigned to it, which a former leader may have placed; 0 if none is known.
      */
     long newestStartMs() {
         long newestMs = report == null ? 0 : report.ref().startedAtMs();
@@ -58,6 +58,7 @@
         return newestMs;
     }
 
+    /** Returns the tasks that are assigned to the worker. */
     Set<JobTask> assigned() {
         return assigned;
     }
--- a/daemon/src/main/java/org/fulmarreach/daemon/FulmardMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/FulmardMain.java
@@ -79,11 +79,12 @@
         EventLog log = new EventLog(settings.text(Setting.ID));
         try {
             RunningNode node = settings.role() == Role.ENTRY ? startEntry(settings, log) : startGuard(settings, log);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node, settings, log), "drain"));
+            ExitStatus status = new ExitStatus();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node, settings, status, log), "drain"));
             // Without SIGTERM, an entry stops only if one of its actors fails; a guard also after an operator's drain.
-            int exitCode = settings.role() == Role.ENTRY ? EXIT_FAILED : 0;
+            Runnable exit = settings.role() == Role.ENTRY ? status::exitAfterFailure : () -> System.exit(0);
             // System.exit does not return, so it gets its own thread; the actor system's callbacks must still run.
-            node.whenStopped().thenRunAsync(() -> System.exit(exitCode), task -> new Thread(task, "exit").start());
+            node.whenStopped().thenRunAsync(exit, task -> new Thread(task, "exit").start());
             printReady(settings, node.addresses());
             log.emit(RuntimeEvent.STARTED, "role", settings.role(), "addresses", node.addresses());
         } catch (FulmarreachException e) {
@@ -104,7 +105,7 @@
         }
     }
 
-    private static void drain(RunningNode node, Settings settings, EventLog log) {
+    private static void drain(RunningNode node, Settings settings, ExitStatus status, EventLog log) {
         long timeoutMs = settings.number(Setting.DRAIN_TIMEOUT_MS);
         int exitCode = EXIT_FAILED;
         log.emit(RuntimeEvent.DRAINING, "timeoutMs", timeoutMs);
@@ -121,7 +122,7 @@
         }
         node.close();
         // Without halt, the JVM would exit after its shutdown hooks with 143, the status of a process ended by SIGTERM.
-        Runtime.getRuntime().halt(exitCode);
+        Runtime.getRuntime().halt(status.resolve(exitCode));
     }
 
     private static RunningNode startEntry(Settings settings, EventLog log) {
--- a/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
@@ -31,7 +31,6 @@
  * file that the platform writes. Exit codes: 0 after a stop by SIGTERM, 1 if an actor failed, 2 for invalid settings.
  */
 public final class NodeMain {
-    private static final int EXIT_FAILED = 1;
     private static final int EXIT_BAD_SETTINGS = 2;
 
     /** Part of the time between SIGTERM and SIGKILL that is reserved for the process to exit after the drain. */
@@ -90,28 +89,31 @@
     private static void run(String role, NodeSettings settings, Path file, long exitAfterMs) {
         BoundedLogHandler handler = BoundedLogHandler.install(Level.INFO);
         EventLog log = new EventLog(settings.node());
+        ExitStatus status = new ExitStatus();
         CompletionStage<?> stopped;
         if (role.equals("entry")) {
             JobsNode node = JobsNode.start(
                     settings, MonotonicClock.system(), log, new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
             stopped = node.whenStopped();
             long drainTimeoutMs = settings.bounds().stopGraceMs() - EXIT_MARGIN_MS;
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(node, drainTimeoutMs, log, handler), "drain"));
+            Runtime.getRuntime()
+                    .addShutdownHook(new Thread(() -> drain(node, drainTimeoutMs, status, log, handler), "drain"));
         } else {
             stopped = RelayNode.start(settings, MonotonicClock.system(), log).whenStopped();
             // A guard needs no drain: its worker continues under its lease, which the next guard process renews.
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(log, handler), "stop"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(status, log, handler), "stop"));
         }
         Signal.handle(new Signal("HUP"), signal -> reload(file, settings, log));
         log.emit(RuntimeEvent.STARTED, "role", role, "zone", settings.zone(), "address", settings.ipAddress());
-        stopped.thenRunAsync(() -> System.exit(EXIT_FAILED), task -> new Thread(task, "exit").start());
+        stopped.thenRunAsync(() -> status.exitAfterFailure(), task -> new Thread(task, "exit").start());
         if (exitAfterMs > 0) {
             CompletableFuture.delayedExecutor(exitAfterMs, TimeUnit.MILLISECONDS)
                     .execute(() -> System.exit(0));
         }
     }
 
-    private static void drain(JobsNode node, long drainTimeoutMs, EventLog log, BoundedLogHandler handler) {
+    private static void drain(
+            JobsNode node, long drainTimeoutMs, ExitStatus status, EventLog log, BoundedLogHandler handler) {
         log.emit(RuntimeEvent.DRAINING, "timeoutMs", drainTimeoutMs);
         try {
             node.drain().toCompletableFuture().get(drainTimeoutMs, TimeUnit.MILLISECONDS);
@@ -125,13 +127,13 @@
         }
         handler.flush();
         // Without halt, the JVM would exit after its shutdown hooks with 143, the status of a process ended by SIGTERM.
-        Runtime.getRuntime().halt(0);
+        Runtime.getRuntime().halt(status.resolve(0));
     }
 
-    private static void stop(EventLog log, BoundedLogHandler handler) {
+    private static void stop(ExitStatus status, EventLog log, BoundedLogHandler handler) {
         log.emit(RuntimeEvent.STOPPED);
         handler.flush();
-        Runtime.getRuntime().halt(0);
+        Runtime.getRuntime().halt(status.resolve(0));
     }
 
     /** Reads the settings file again and logs whether it changed. Changes take effect only at the next start. */
--- a/entry/src/main/java/org/fulmarreach/entry/EntryEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/EntryEvent.java
@@ -23,7 +23,7 @@
     RULES_FROM_PEER(2002, Level.WARNING, "The rules came from a peer, because the log service does not answer."),
     RULES_UNREADABLE(2003, Level.WARNING, "The stream of rules cannot be read; check the log service."),
     RULES_RECORD_SKIPPED(2004, Level.SEVERE, "A record of the rules stream could not be decoded and has no effect."),
-    RULES_PUBLISHED(2005, Level.INFO, "Rules that an operator published at this entry are in force."),
+    RULES_PUBLISHED(2005, Level.INFO, "Rules that an operator published, at any entry, are in force."),
     RULES_PUBLISH_REFUSED(2006, Level.INFO, "Rules that an operator published at this entry were refused."),
     RULES_SNAPSHOT_WRITTEN(2007, Level.INFO, "A snapshot of the rules was appended."),
     RULES_SNAPSHOT_MISSING(
@@ -40,7 +40,7 @@
     PART_FAILED(
             3007, Level.SEVERE, "An actor of the entry failed, so the entry stops; report the preceding log lines."),
     BUDGET_RECORD_SKIPPED(3201, Level.SEVERE, "A record of the budget stream could not be decoded and has no effect."),
-    BUDGET_GRANTED(3202, Level.FINE, "A reservation of this entry was granted."),
+    BUDGET_GRANTED(3202, Level.FINE, "A reservation of an entry, named as owner, was granted."),
     BUDGET_REFUSED(3203, Level.WARNING, "A reservation was refused because the budget of the period is used up."),
     BUDGET_EXHAUSTED(3204, Level.WARNING, "A call with a cost was refused, because the purse is empty."),
     BUDGET_UNREADABLE(3205, Level.WARNING, "The stream of the budget cannot be read; the purse is not filled."),
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -26,7 +26,6 @@
 import org.fulmarreach.platform.ingress.JobCodec;
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.KeyedRecord;
-import org.fulmarreach.platform.store.ReadResult;
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.platform.store.TopicPartition;
 import org.fulmarreach.protocol.io.GuardMessages;
@@ -77,6 +76,7 @@
     private final LogTail progress;
     private final LogTail config;
     private final RequestWriter writer;
+    private final StatusQueries queries;
     private final GuardSessions sessions;
     private final GuardRedirects redirects;
     private JobConfig activeConfig;
@@ -119,6 +119,7 @@
         this.requests = follow(JobPartitions.REQUESTS, REQUEST_TIMES, this::onRequests);
         this.progress = follow(JobPartitions.PROGRESS, PROGRESS_TIMES, this::onProgress);
         this.config = follow(TopicPartition.OPERATOR, CONFIG_TIMES, this::onConfig);
+        this.queries = new StatusQueries(registry, requests, store, context.getSelf(), this::applyRequest);
         this.lastReadAtMs = clock.nowMs();
         this.election = new Election(identity, store, context.getSelf(), clock, log, random);
         config.reload();
@@ -157,12 +158,12 @@
         switch (command) {
             case JobsCommand.Submit submit -> onSubmit(submit);
             case JobsCommand.Cancel cancel -> onCancel(cancel);
-            case JobsCommand.Query query -> onQuery(query);
+            case JobsCommand.Query query -> queries.answer(query.jobId(), query.reply());
             case JobsCommand.CountWaiting count -> count.reply().complete(registry.countWaiting(count.queue()));
             case JobsCommand.Describe describe -> describe.reply().complete(describe());
             case JobsCommand.TailRead read -> read.tail().onRead(read.generation(), read.result(), read.knownUpToMs());
             case JobsCommand.TailDue due -> due.tail().onDue(due.generation());
-            case JobsCommand.StatusReadEnded ended -> onStatusReadEnded(ended);
+            case JobsCommand.StatusReadEnded ended -> queries.onReadEnded(ended);
             case JobsCommand.RequestsWritten written -> writer.onWritten(written.result());
             case JobsCommand.WriteDue due -> writer.onDue();
             case JobsCommand.BatchWritten written -> onBatchWritten(written);
@@ -224,7 +225,7 @@
         }
         if (registry.find(id).isEmpty()) {
             CompletableFuture<JobsCommand.StatusAnswer> lookup = new CompletableFuture<>();
-            refresh(id, lookup);
+            queries.answer(id, lookup);
             var self = getContext().getSelf();
             lookup.thenAccept(answer -> {
                 switch (answer) {
@@ -248,54 +249,6 @@
         });
     }
 
-    private void onQuery(JobsCommand.Query query) {
-        registry.find(query.jobId())
-                .ifPresentOrElse(
-                        job -> query.reply().complete(new JobsCommand.StatusAnswer.Known(job.acknowledgedStatus())),
-                        () -> refresh(query.jobId(), query.reply()));
-    }
-
-    /** Reads the log to its end before answering, since another entry may just have stored the job. */
-    private void refresh(String jobId, CompletableFuture<JobsCommand.StatusAnswer> reply) {
-        if (!requests.isLoaded()) {
-            reply.complete(new JobsCommand.StatusAnswer.Unavailable("this entry is still loading the job log"));
-            return;
-        }
-        refreshFrom(requests.nextOffset(), jobId, reply);
-    }
-
-    private void refreshFrom(long offset, String jobId, CompletableFuture<JobsCommand.StatusAnswer> reply) {
-        var self = getContext().getSelf();
-        store.read(JobPartitions.REQUESTS, offset, 0)
-                .thenAccept(result -> self.tell(new JobsCommand.StatusReadEnded(jobId, result, reply)));
-    }
-
-    private void onStatusReadEnded(JobsCommand.StatusReadEnded ended) {
-        switch (ended.result()) {
-            case ReadResult.Records read -> {
-                read.records().forEach(this::applyRequest);
-                var known = registry.find(ended.jobId());
-                if (known.isPresent()) {
-                    ended.reply()
-                            .complete(new JobsCommand.StatusAnswer.Known(
-                                    known.get().acknowledgedStatus()));
-                } else if (read.isComplete()) {
-                    ended.reply().complete(new JobsCommand.StatusAnswer.Missing());
-                } else {
-                    refreshFrom(read.nextOffset(), ended.jobId(), ended.reply());
-                }
-            }
-            case ReadResult.Page page ->
-                ended.reply().complete(new JobsCommand.StatusAnswer.Unavailable("unexpected answer of the store"));
-            case ReadResult.Expired expired -> {
-                requests.reload();
-                ended.reply().complete(new JobsCommand.StatusAnswer.Unavailable("this entry is reloading the job log"));
-            }
-            case ReadResult.Failed failed ->
-                ended.reply().complete(new JobsCommand.StatusAnswer.Unavailable(failed.reason()));
-        }
-    }
-
     /*
      * Log records
      */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -103,8 +103,8 @@
     }
 
     /**
-     * Tells whether all jobs that a former leader may have placed are known. Before that, a listed run or end may belong
-     * to a job that this entry has not read yet, and would be stopped or forgotten.
+     * Tells whether all jobs that a former leader may have placed are known. Before that, a listed run or end may
+     * belong to a job that this entry has not read yet, and would be stopped or forgotten.
      */
     boolean knowsPlacedJobs() {
         return requests.covers(startedAtMs);
--- a/entry/src/main/java/org/fulmarreach/entry/peers/PeerForwards.java
+++ b/entry/src/main/java/org/fulmarreach/entry/peers/PeerForwards.java
@@ -69,7 +69,12 @@
         }
         boolean isIdMismatch = forwarded.request().isBound()
                 && !forwarded.request().requestId().equals(result.getRequestId());
-        forwarded.reply().accept(isIdMismatch ? unknownOutcome(forwarded) : CallResults.fromFrame(result));
+        forwarded
+                .reply()
+                .accept(
+                        isIdMismatch
+                                ? unknownOutcome(forwarded, "the other region answered with another request id")
+                                : CallResults.fromFrame(result));
         return true;
     }
 
@@ -86,7 +91,10 @@
             Forwarded forwarded = iterator.next();
             if (forwarded.link() == link) {
                 iterator.remove();
-                forwarded.reply().accept(unknownOutcome(forwarded));
+                forwarded
+                        .reply()
+                        .accept(unknownOutcome(
+                                forwarded, "the connection to the other region was lost during the call"));
             }
         }
     }
@@ -147,10 +155,8 @@
                         .withRetryAfterMs(RETRY_DELAY_MS));
     }
 
-    private static CallAnswer unknownOutcome(Forwarded forwarded) {
-        Problem problem = Problem.of(
-                        ErrorCode.GUARD_UNREACHABLE, "the connection to the other region was lost during the call")
-                .withRetryAfterMs(RETRY_DELAY_MS);
+    private static CallAnswer unknownOutcome(Forwarded forwarded, String reason) {
+        Problem problem = Problem.of(ErrorCode.GUARD_UNREACHABLE, reason).withRetryAfterMs(RETRY_DELAY_MS);
         return new CallAnswer.Unknown(forwarded.request().requestId(), problem);
     }
 }
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -127,8 +127,8 @@
     }
 
     /**
-     * The leader repeats a stop every 500 ms until the run has ended. While the worker left calls unanswered, each repeat
-     * and its retries took a connection of their own, so that hundreds of stops waited for four connections.
+     * The leader repeats a stop every 500 ms until the run has ended. While the worker left calls unanswered, each
+     * repeat and its retries took a connection of their own, so that hundreds of stops waited for four connections.
      */
     @Test
     void repeatedStopIsNotSentTwiceAtOnce() {
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/CompactBytes.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/CompactBytes.java
@@ -1,7 +1,6 @@
 package org.fulmarreach.protocol.io;
 
 import org.apache.thrift.TBase;
-import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
@@ -21,14 +20,9 @@
         }
     }
 
+    /** Deserializes within the limits of size and nesting of {@link ThriftBytes}. */
     static void read(TBase<?, ?> struct, byte[] bytes) {
-        try {
-            new TDeserializer(new TCompactProtocol.Factory()).deserialize(struct, bytes);
-        } catch (TException | RuntimeException e) {
-            // The generated readers throw unchecked exceptions for some malformed lengths.
-            throw new FrameException(
-                    "cannot deserialize " + struct.getClass().getSimpleName() + " from " + bytes.length + " bytes", e);
-        }
+        ThriftBytes.decode(bytes, struct);
     }
 
     static <T> T require(T value, String field) {
