Forward callers' requests to another entry while the store does not answer this one

Pattern: the store turns a third of the entries away for 9 s, or the link of one is cut (platform_down of some nodes, node_cut). An entry whose appends fail, or have no answer after 500 ms, now hands the record to the leader or a seed over the internal connection; records are idempotent by key, a refusal still means that nothing was stored anywhere, and a forwarded request is not forwarded again. The state page shows what is loaded.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -4,6 +4,7 @@
 
 import org.fulmarreach.core.jobs.DecisionLog.Decision;
 import org.fulmarreach.runtime.log.Event;
+import org.fulmarreach.runtime.log.EventLog;
 
 /** Log events of job handling at the entry. Each constant's description is its documentation. */
 public enum JobEvent implements Event {
@@ -40,6 +41,8 @@
     GUARD_LEFT(
             4024, Level.INFO, "The session with a guard ended; its worker's lease remains valid for a bounded time."),
     GUARD_REDIRECTED(4025, Level.INFO, "A guard reported to this entry, which does not lead, and was told the leader."),
+    REQUEST_FORWARDED(
+            4026, Level.INFO, "The store does not answer this entry; a caller's request went to another one."),
     ELECTION_STARTED(
             4030, Level.INFO, "The leader has written nothing for a while; this entry tries to win the next term."),
     LEADER_ELECTED(4031, Level.INFO, "This entry was elected leader."),
@@ -87,7 +90,16 @@
         return description;
     }
 
-    static JobEvent fromDecision(Decision decision) {
+    /** Logs a decision of the scheduler; the id of its subject is the first field. */
+    static void emitDecision(EventLog log, Decision decision, String subject, Object... fields) {
+        Object[] all = new Object[fields.length + 2];
+        all[0] = "id";
+        all[1] = subject;
+        System.arraycopy(fields, 0, all, 2, fields.length);
+        log.emit(fromDecision(decision), all);
+    }
+
+    private static JobEvent fromDecision(Decision decision) {
         return switch (decision) {
             case RUN_ASSIGNED -> RUN_ASSIGNED;
             case RUN_STARTED -> RUN_STARTED;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -16,7 +16,6 @@
 import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 import org.fulmarreach.core.exc.FrameException;
 import org.fulmarreach.core.jobs.DecisionLog;
-import org.fulmarreach.core.jobs.Job;
 import org.fulmarreach.core.jobs.JobConfig;
 import org.fulmarreach.core.jobs.JobRegistry;
 import org.fulmarreach.core.jobs.JobScheduler;
@@ -32,6 +31,7 @@
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.ForwardedRequest;
 import org.fulmarreach.protocol.thrift.GuardReport;
 import org.fulmarreach.protocol.thrift.JobLeader;
 import org.fulmarreach.protocol.thrift.JobState;
@@ -75,6 +75,7 @@
     private final LogTail requests;
     private final LogTail progress;
     private final LogTail config;
+    private final RequestForwarder forwarder;
     private final RequestWriter writer;
     private final StatusQueries queries;
     private final GuardSessions sessions;
@@ -98,6 +99,7 @@
             ActorContext<JobsCommand> context,
             TimerScheduler<JobsCommand> timers,
             StoreClient store,
+            EntryLinks links,
             Identity identity,
             JobTimeLimits limits,
             MonotonicClock clock,
@@ -112,8 +114,10 @@
         this.clock = clock;
         this.log = log;
         this.view = view;
-        this.decisionLog = (decision, subject, fields) -> emitDecision(log, decision, subject, fields);
-        this.writer = new RequestWriter(JobPartitions.REQUESTS, store, context, clock);
+        this.decisionLog = (decision, subject, fields) -> JobEvent.emitDecision(log, decision, subject, fields);
+        this.forwarder = new RequestForwarder(
+                links, identity.guardAddress(), this::findOtherLeaderAddress, context.getSelf(), clock, log);
+        this.writer = new RequestWriter(JobPartitions.REQUESTS, store, forwarder, context, clock);
         this.sessions = new GuardSessions(log);
         this.redirects = new GuardRedirects(log);
         this.requests = follow(JobPartitions.REQUESTS, REQUEST_TIMES, this::onRequests);
@@ -130,6 +134,7 @@
      * Constructs the behavior.
      *
      * @param store client of the store that holds the log
+     * @param links connections to other entries
      * @param identity identity of this entry
      * @param limits timeouts of job scheduling
      * @param clock monotonic clock
@@ -139,6 +144,7 @@
      */
     public static Behavior<JobsCommand> create(
             StoreClient store,
+            EntryLinks links,
             Identity identity,
             JobTimeLimits limits,
             MonotonicClock clock,
@@ -146,7 +152,7 @@
             AtomicReference<JobsCommand.View> view,
             Random random) {
         return Behaviors.setup(context -> Behaviors.withTimers(
-                timers -> new JobsActor(context, timers, store, identity, limits, clock, log, view, random)));
+                timers -> new JobsActor(context, timers, store, links, identity, limits, clock, log, view, random)));
     }
 
     @Override
@@ -175,6 +181,7 @@
             case JobsCommand.TermAppendEnded ended -> election.onTermAppendEnded(ended);
             case JobsCommand.EpochAppendEnded ended -> onEpochAppendEnded(ended);
             case JobsCommand.GuardLink link -> onGuardLink(link.event());
+            case JobsCommand.ForwardLink link -> forwarder.onLink(link.attempt(), link.event());
             case JobsCommand.Tick tick -> onTick();
             case JobsCommand.FlushDue due -> {
                 if (leaderTerm != null) {
@@ -201,10 +208,6 @@
             submit.reply().complete(new WriteOutcome.Stored());
             return;
         }
-        if (requests.isFailing() && clock.nowMs() - lastReadAtMs > UNREADY_AFTER_MS) {
-            submit.reply().complete(new WriteOutcome.Refused("the store does not answer"));
-            return;
-        }
         KeyedRecord entry = new KeyedRecord(JobTopics.jobKey(id), JobRecords.encode(submit.job()));
         writer.write(entry, submit.deadlineAtMs(), outcome -> {
             if (outcome instanceof WriteOutcome.Stored) {
@@ -249,6 +252,22 @@
         });
     }
 
+    /** Stores a request for an entry that cannot reach the store. */
+    private void onForwardedRequest(FrameLink link, long correlationId, ForwardedRequest request) {
+        KeyedRecord entry = new KeyedRecord(request.getKey(), request.getValue());
+        writer.writeForwarded(entry, clock.nowMs() + request.getTimeoutMs(), outcome -> {
+            if (outcome instanceof WriteOutcome.Stored) {
+                applyRequest(entry);
+                decide();
+            }
+            link.send(correlationId, RequestForwarder.toFrame(outcome));
+        });
+    }
+
+    private String findOtherLeaderAddress() {
+        return election.hasOtherLeader() ? election.leader().getAddress() : "";
+    }
+
     /*
      * Log records
      */
@@ -456,6 +475,7 @@
 
     private void onTick() {
         writer.expire();
+        forwarder.expire();
         if (leaderTerm != null) {
             leaderTerm.decide();
         } else if (election.isVacant()) {
@@ -495,6 +515,9 @@
                 Body body = received.frame().getBody();
                 if (body.isSetGuardReport()) {
                     onGuardReport(received.link(), body.getGuardReport());
+                } else if (body.isSetForwardedRequest()) {
+                    onForwardedRequest(
+                            received.link(), received.frame().getCorrelationId(), body.getForwardedRequest());
                 } else {
                     received.link().close();
                 }
@@ -550,36 +573,22 @@
      */
 
     private String describe() {
-        StringBuilder text = new StringBuilder();
-        text.append("node=").append(identity.node());
-        text.append(" leads=").append(leaderTerm != null);
-        text.append(" leader=").append(election.leader().getNode());
-        text.append(" term=").append(election.leader().getTerm());
-        text.append(" config=").append(activeConfig == null ? "none" : activeConfig.version());
-        text.append(" jobs=").append(registry.jobs().size());
-        text.append(" guards=").append(sessions.size()).append('\n');
+        StateText text = new StateText()
+                .add("node", identity.node())
+                .add("leads", leaderTerm != null)
+                .add("leader", election.leader().getNode())
+                .add("term", election.leader().getTerm())
+                .add("config", activeConfig == null ? "none" : activeConfig.version())
+                .add("configLoaded", config.isLoaded())
+                .add("requestsLoaded", requests.isLoaded())
+                .add("progressLoaded", leaderTerm != null || progress.isLoaded())
+                .add("requestsAgeMs", requests.ageMs())
+                .add("jobs", registry.jobs().size())
+                .add("guards", sessions.size())
+                .endLine();
         if (leaderTerm != null) {
-            leaderTerm
-                    .scheduler()
-                    .describeWorkers()
-                    .forEach(line -> text.append(line).append('\n'));
+            leaderTerm.scheduler().describeWorkers().forEach(text::addLine);
         }
-        for (Job job : registry.jobs()) {
-            text.append(job.spec().id())
-                    .append(" queue=")
-                    .append(job.spec().queue())
-                    .append(" status=")
-                    .append(job.acknowledgedStatus())
-                    .append('\n');
-        }
-        return text.toString();
-    }
-
-    private static void emitDecision(EventLog log, DecisionLog.Decision decision, String subject, Object... fields) {
-        Object[] all = new Object[fields.length + 2];
-        all[0] = "id";
-        all[1] = subject;
-        System.arraycopy(fields, 0, all, 2, fields.length);
-        log.emit(JobEvent.fromDecision(decision), all);
+        return text.addJobs(registry).toString();
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -2,11 +2,13 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -25,6 +27,7 @@
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameTransport;
 import org.fulmarreach.runtime.net.HttpListener;
+import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.net.LinkSettings;
 import org.fulmarreach.runtime.util.ActorSystems;
 import org.fulmarreach.runtime.util.MonotonicClock;
@@ -44,6 +47,9 @@
     /** Guards report every 500 ms; three missed reports close a session. */
     private static final int SILENCE_TIMEOUT_MS = 1_600;
 
+    /** A connection to another entry is closed when it has had no answer for this long. */
+    private static final LinkSettings FORWARD_LINKS = new LinkSettings(2_000, 300, 4 << 20, 8 << 20);
+
     private static final long RESIGN_TIMEOUT_MS = 600;
 
     private final ActorSystem<JobsCommand> system;
@@ -77,6 +83,8 @@
         ActorSystem<JobsCommand> system = ActorSystems.construct(
                 Behaviors.setup(context -> JobsActor.create(
                         new HttpStoreClient(context.getSystem(), store.host(), store.port()),
+                        new NetworkLinks(
+                                new FrameTransport(context.getSystem(), FORWARD_LINKS, log), settings.entryAddresses()),
                         new JobsActor.Identity(settings.node(), guards.toString()),
                         limits,
                         clock,
@@ -162,4 +170,12 @@
     private static HttpResponse text(String body) {
         return HttpResponse.create().withEntity(ContentTypes.TEXT_PLAIN_UTF8, body.getBytes(StandardCharsets.UTF_8));
     }
+
+    private record NetworkLinks(FrameTransport transport, List<String> knownAddresses) implements EntryLinks {
+        @Override
+        public void connect(String address, Consumer<LinkEvent> listener) {
+            Address parsed = Address.parse(address);
+            transport.connect(parsed.host(), parsed.port(), listener);
+        }
+    }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
@@ -22,11 +22,8 @@
     private static final int FIRST_BACKOFF_MS = 100;
     private static final int MAX_BACKOFF_MS = 800;
 
-    /** A silent store is noticed after this time in the first attempt. */
-    private static final int FIRST_SILENCE_MS = 1_000;
-
-    /** Further attempts allow for answers that queue behind others on a narrow link. */
-    private static final int NEXT_SILENCE_MS = 2_000;
+    /** Allows for answers that queue behind others on a narrow link, and for a process that is still busy starting. */
+    private static final int MAX_LOAD_SILENCE_MS = 2_000;
 
     private final TopicPartition partition;
     private final StoreClient store;
@@ -224,10 +221,9 @@
         long issuedAtMs = clock.nowMs();
         int waitedMs = loaded ? waitMs : 0;
         var self = context.getSelf();
-        int silenceMs = backoffMs == 0 ? FIRST_SILENCE_MS : NEXT_SILENCE_MS;
         var read = loaded
                 ? store.read(partition, nextOffset, waitMs)
-                : store.readNewest(partition, load.lastKey, silenceMs);
+                : store.readNewest(partition, load.lastKey, MAX_LOAD_SILENCE_MS);
         read.thenAccept(result -> {
             long knownMs = Math.min(clock.nowMs(), issuedAtMs + storeWaitMs(result, waitedMs));
             self.tell(new JobsCommand.TailRead(this, issued, result, knownMs));
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
@@ -16,8 +16,9 @@
 import org.fulmarreach.runtime.util.MonotonicClock;
 
 /**
- * Appends callers' requests; those that arrive during an append are written together in the next one. Records are
- * idempotent by key, so an append without an answer is retried. Confined to one actor.
+ * Appends callers' requests; those that arrive during an append are written together in the next one. While the store
+ * does not answer or turns this entry away, callers' requests are handed to another entry. Records are idempotent by
+ * key, so an append without an answer is retried. Confined to one actor.
  */
 final class RequestWriter {
     private static final int MAX_RECORDS = 200;
@@ -26,18 +27,32 @@
     /** Delay before an append is retried; the store needs about 4 ms for one. */
     private static final int RETRY_MS = 60;
 
+    /** An append without an answer for this long is handed to another entry, too; a slow store needs 330 ms. */
+    private static final int UNANSWERED_MS = 500;
+
+    /** While the store fails, one append in this time is attempted, so that its return is noticed. */
+    private static final int PROBE_INTERVAL_MS = 500;
+
     private final TopicPartition partition;
     private final StoreClient store;
+    private final RequestForwarder forwarder;
     private final ActorContext<JobsCommand> context;
     private final MonotonicClock clock;
     private final Deque<Write> waiting = new ArrayDeque<>();
     private List<Write> inFlight = List.of();
     private boolean retryDue;
+    private boolean failing;
+    private long appendedAtMs;
 
     RequestWriter(
-            TopicPartition partition, StoreClient store, ActorContext<JobsCommand> context, MonotonicClock clock) {
+            TopicPartition partition,
+            StoreClient store,
+            RequestForwarder forwarder,
+            ActorContext<JobsCommand> context,
+            MonotonicClock clock) {
         this.partition = partition;
         this.store = store;
+        this.forwarder = forwarder;
         this.context = context;
         this.clock = clock;
     }
@@ -49,7 +64,18 @@
      * @param done receives the outcome, on the actor
      */
     void write(KeyedRecord entry, long deadlineAtMs, Consumer<WriteOutcome> done) {
-        waiting.add(new Write(entry, deadlineAtMs, done));
+        Write write = new Write(entry, deadlineAtMs, true, done);
+        if (failing && clock.nowMs() - appendedAtMs < PROBE_INTERVAL_MS) {
+            forward(write);
+        } else {
+            waiting.add(write);
+            flush();
+        }
+    }
+
+    /** Appends a record that another entry has forwarded; it is not forwarded again. */
+    void writeForwarded(KeyedRecord entry, long deadlineAtMs, Consumer<WriteOutcome> done) {
+        waiting.add(new Write(entry, deadlineAtMs, false, done));
         flush();
     }
 
@@ -61,6 +87,7 @@
     void onWritten(AppendResult result) {
         List<Write> written = inFlight;
         inFlight = List.of();
+        failing = !(result instanceof AppendResult.Appended);
         switch (result) {
             case AppendResult.Appended appended -> written.forEach(write -> write.complete(new WriteOutcome.Stored()));
             case AppendResult.Unknown unknown -> {
@@ -75,14 +102,19 @@
         flush();
     }
 
-    /** Completes the requests whose deadline has passed while an append has no answer. */
+    /** Completes the requests whose deadline has passed, and forwards those of an append without an answer. */
     void expire() {
         long nowMs = clock.nowMs();
         waiting.removeIf(write -> write.completeIfExpired(nowMs, "the store did not answer in time"));
-        inFlight.forEach(write -> {
+        boolean unanswered = nowMs - appendedAtMs > UNANSWERED_MS;
+        for (Write write : inFlight) {
             write.undecided = true;
-            write.completeIfExpired(nowMs, "the store did not answer in time");
-        });
+            boolean completed = write.completeIfExpired(nowMs, "the store did not answer in time");
+            if (unanswered && !completed) {
+                failing = true;
+                forward(write);
+            }
+        }
     }
 
     /*
@@ -103,6 +135,7 @@
             bytes += write.entry.value().length;
         }
         inFlight = taken;
+        appendedAtMs = clock.nowMs();
         var self = context.getSelf();
         store.append(partition, records, new AppendCondition.None())
                 .thenAccept(result -> self.tell(new JobsCommand.RequestsWritten(result)));
@@ -112,7 +145,7 @@
     private void refuse(List<Write> written, String reason) {
         List<Write> unresolved = new ArrayList<>();
         for (Write write : written) {
-            if (write.undecided) {
+            if (write.undecided || write.mayForward()) {
                 unresolved.add(write);
             } else {
                 write.complete(new WriteOutcome.Refused("the store refused the append: " + reason));
@@ -123,33 +156,82 @@
 
     private void retryOrGiveUp(List<Write> writes, String reason) {
         long nowMs = clock.nowMs();
-        boolean retry = false;
         for (int i = writes.size() - 1; i >= 0; i--) {
             Write write = writes.get(i);
-            if (!write.completed && !write.completeIfExpired(nowMs, reason)) {
-                waiting.addFirst(write);
-                retry = true;
+            if (write.completed || write.completeIfExpired(nowMs, reason)) {
+                continue;
+            }
+            if (write.mayForward()) {
+                forward(write);
+            } else if (!write.forwarding) {
+                retry(write);
             }
         }
-        if (retry && !retryDue) {
+    }
+
+    private void retry(Write write) {
+        waiting.addFirst(write);
+        if (!retryDue) {
             retryDue = true;
             context.scheduleOnce(Duration.ofMillis(RETRY_MS), context.getSelf(), new JobsCommand.WriteDue());
         }
     }
 
+    private void forward(Write write) {
+        if (!write.mayForward()) {
+            return;
+        }
+        write.forwarded = true;
+        write.forwarding = true;
+        forwarder.forward(write.entry, write.deadlineAtMs, outcome -> onForwarded(write, outcome));
+    }
+
+    private void onForwarded(Write write, WriteOutcome outcome) {
+        write.forwarding = false;
+        if (write.completed) {
+            return;
+        }
+        switch (outcome) {
+            case WriteOutcome.Stored stored -> write.complete(stored);
+            case WriteOutcome.Refused refused -> resolveUnforwarded(write, refused.reason());
+            case WriteOutcome.Undecided undecided -> {
+                write.undecided = true;
+                resolveUnforwarded(write, undecided.reason());
+            }
+            case WriteOutcome.Missing missing -> resolveUnforwarded(write, "unexpected outcome");
+        }
+    }
+
+    /** Handles a request that no other entry has stored: refuses it, unless it may be stored, or still in flight. */
+    private void resolveUnforwarded(Write write, String reason) {
+        if (!write.undecided) {
+            write.complete(new WriteOutcome.Refused("the store does not answer; " + reason));
+        } else if (!inFlight.contains(write) && !write.completeIfExpired(clock.nowMs(), reason)) {
+            retry(write);
+        }
+    }
+
     private static final class Write {
         private final KeyedRecord entry;
         private final long deadlineAtMs;
+        private final boolean forwardable;
         private final Consumer<WriteOutcome> done;
         private boolean undecided;
+        private boolean forwarded;
+        private boolean forwarding;
         private boolean completed;
 
-        Write(KeyedRecord entry, long deadlineAtMs, Consumer<WriteOutcome> done) {
+        Write(KeyedRecord entry, long deadlineAtMs, boolean forwardable, Consumer<WriteOutcome> done) {
             this.entry = entry;
             this.deadlineAtMs = deadlineAtMs;
+            this.forwardable = forwardable;
             this.done = done;
         }
 
+        boolean mayForward() {
+            return forwardable && !forwarded && !completed;
+        }
+
         void complete(WriteOutcome outcome) {
             if (!completed) {
                 completed = true;
--- /dev/null
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/CutStore.java
@@ -0,0 +1,74 @@
+package org.fulmarreach.entry.jobs;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.fulmarreach.platform.store.AppendCondition;
+import org.fulmarreach.platform.store.AppendResult;
+import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.ReadResult;
+import org.fulmarreach.platform.store.StoreClient;
+import org.fulmarreach.platform.store.TopicPartition;
+
+/** One entry's path to a shared store, which can be cut while others reach the store. Thread-safe. */
+final class CutStore implements StoreClient {
+    private static final int TIMEOUT_MS = 1_000;
+
+    private final StoreClient store;
+    private final AtomicReference<Path> path = new AtomicReference<>(Path.OPEN);
+
+    CutStore(StoreClient store) {
+        this.store = store;
+    }
+
+    /** State of the path. */
+    enum Path {
+        OPEN,
+        /** The store turns the entry away with status 503. */
+        REFUSED,
+        /** Calls get no answer and time out. */
+        SILENT
+    }
+
+    void set(Path newPath) {
+        path.set(newPath);
+    }
+
+    @Override
+    public CompletionStage<AppendResult> append(
+            TopicPartition partition, List<KeyedRecord> records, AppendCondition condition) {
+        return switch (path.get()) {
+            case OPEN -> store.append(partition, records, condition);
+            case REFUSED -> CompletableFuture.completedFuture(new AppendResult.Refused("status 503"));
+            case SILENT ->
+                new CompletableFuture<AppendResult>()
+                        .completeOnTimeout(new AppendResult.Unknown("no answer"), TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        };
+    }
+
+    @Override
+    public CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, int waitMs) {
+        return switch (path.get()) {
+            case OPEN -> store.read(partition, fromOffset, waitMs);
+            case REFUSED -> CompletableFuture.completedFuture(new ReadResult.Failed("status 503"));
+            case SILENT -> timedOutRead();
+        };
+    }
+
+    @Override
+    public CompletionStage<ReadResult> readNewest(TopicPartition partition, String afterKey, int maxSilenceMs) {
+        return switch (path.get()) {
+            case OPEN -> store.readNewest(partition, afterKey, maxSilenceMs);
+            case REFUSED -> CompletableFuture.completedFuture(new ReadResult.Failed("status 503"));
+            case SILENT -> timedOutRead();
+        };
+    }
+
+    private static CompletionStage<ReadResult> timedOutRead() {
+        return new CompletableFuture<ReadResult>()
+                .completeOnTimeout(new ReadResult.Failed("no answer"), TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+}
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -408,6 +408,7 @@
         entries.add(ActorSystems.construct(
                 JobsActor.create(
                         store,
+                        new FakeEntryLinks(),
                         new JobsActor.Identity(node, "127.0.0.1:1"),
                         new JobTimeLimits(6_000, 120_000, CANCEL_BOUND_MS),
                         MonotonicClock.system(),
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/NarrowLinkLoadTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/NarrowLinkLoadTest.java
@@ -74,6 +74,7 @@
         return ActorSystems.construct(
                 Behaviors.setup(context -> JobsActor.create(
                         new HttpStoreClient(context.getSystem(), "127.0.0.1", port),
+                        new FakeEntryLinks(),
                         new JobsActor.Identity("entry-0", "127.0.0.1:1"),
                         new JobTimeLimits(6_000, 120_000, 3_000),
                         MonotonicClock.system(),
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
@@ -1,8 +1,6 @@
 package org.fulmarreach.guard.jobs;
 
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -78,7 +76,7 @@
                     return WorkerRelay.create(
                             new HttpWorkerCalls(context.getSystem(), workerAddress.host(), workerAddress.port()),
                             new NetworkLinks(new FrameTransport(context.getSystem(), LINKS, log), store, log),
-                            entryAddresses(settings),
+                            settings.entryAddresses(),
                             settings.node(),
                             new JobTimeLimits(
                                     settings.bounds().leaseMs(),
@@ -118,15 +116,6 @@
      * Helpers
      */
 
-    /** Returns the seeds with the internal port, which all entries share; the seeds themselves name another port. */
-    private static List<String> entryAddresses(NodeSettings settings) {
-        List<String> addresses = new ArrayList<>();
-        for (String seed : settings.seeds()) {
-            addresses.add(new Address(Address.parse(seed).host(), settings.firstInternalPort()).toString());
-        }
-        return addresses;
-    }
-
     private static CompletionStage<HttpResponse> receive(
             ActorSystem<RelayCommand> system, Materializer materializer, EventLog log, HttpRequest request) {
         String path = request.getUri().path();
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/Body.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/Body.java
@@ -39,6 +39,8 @@
   private static final org.apache.thrift.protocol.TField GUARD_REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("guardReport", org.apache.thrift.protocol.TType.STRUCT, (short)28);
   private static final org.apache.thrift.protocol.TField LEADER_ORDERS_FIELD_DESC = new org.apache.thrift.protocol.TField("leaderOrders", org.apache.thrift.protocol.TType.STRUCT, (short)29);
   private static final org.apache.thrift.protocol.TField LEADER_HINT_FIELD_DESC = new org.apache.thrift.protocol.TField("leaderHint", org.apache.thrift.protocol.TType.STRUCT, (short)30);
+  private static final org.apache.thrift.protocol.TField FORWARDED_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("forwardedRequest", org.apache.thrift.protocol.TType.STRUCT, (short)31);
+  private static final org.apache.thrift.protocol.TField FORWARD_OUTCOME_FIELD_DESC = new org.apache.thrift.protocol.TField("forwardOutcome", org.apache.thrift.protocol.TType.STRUCT, (short)32);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -71,7 +73,9 @@
     FENCE_LEADER_RESULT((short)27, "fenceLeaderResult"),
     GUARD_REPORT((short)28, "guardReport"),
     LEADER_ORDERS((short)29, "leaderOrders"),
-    LEADER_HINT((short)30, "leaderHint");
+    LEADER_HINT((short)30, "leaderHint"),
+    FORWARDED_REQUEST((short)31, "forwardedRequest"),
+    FORWARD_OUTCOME((short)32, "forwardOutcome");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -147,6 +151,10 @@
           return LEADER_ORDERS;
         case 30: // LEADER_HINT
           return LEADER_HINT;
+        case 31: // FORWARDED_REQUEST
+          return FORWARDED_REQUEST;
+        case 32: // FORWARD_OUTCOME
+          return FORWARD_OUTCOME;
         default:
           return null;
       }
@@ -252,6 +260,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LeaderOrders.class)));
     tmpMap.put(_Fields.LEADER_HINT, new org.apache.thrift.meta_data.FieldMetaData("leaderHint", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LeaderHint.class)));
+    tmpMap.put(_Fields.FORWARDED_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("forwardedRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ForwardedRequest.class)));
+    tmpMap.put(_Fields.FORWARD_OUTCOME, new org.apache.thrift.meta_data.FieldMetaData("forwardOutcome", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ForwardOutcome.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Body.class, metaDataMap);
   }
@@ -452,6 +464,18 @@
     return x;
   }
 
+  public static Body forwardedRequest(ForwardedRequest value) {
+    Body x = new Body();
+    x.setForwardedRequest(value);
+    return x;
+  }
+
+  public static Body forwardOutcome(ForwardOutcome value) {
+    Body x = new Body();
+    x.setForwardOutcome(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -606,6 +630,16 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type LeaderHint for field 'leaderHint', but got " + value.getClass().getSimpleName());
+      case FORWARDED_REQUEST:
+        if (value instanceof ForwardedRequest) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type ForwardedRequest for field 'forwardedRequest', but got " + value.getClass().getSimpleName());
+      case FORWARD_OUTCOME:
+        if (value instanceof ForwardOutcome) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type ForwardOutcome for field 'forwardOutcome', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -916,6 +950,26 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case FORWARDED_REQUEST:
+          if (field.type == FORWARDED_REQUEST_FIELD_DESC.type) {
+            ForwardedRequest forwardedRequest;
+            forwardedRequest = new ForwardedRequest();
+            forwardedRequest.read(iprot);
+            return forwardedRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case FORWARD_OUTCOME:
+          if (field.type == FORWARD_OUTCOME_FIELD_DESC.type) {
+            ForwardOutcome forwardOutcome;
+            forwardOutcome = new ForwardOutcome();
+            forwardOutcome.read(iprot);
+            return forwardOutcome;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -1048,6 +1102,14 @@
         LeaderHint leaderHint = (LeaderHint)value_;
         leaderHint.write(oprot);
         return;
+      case FORWARDED_REQUEST:
+        ForwardedRequest forwardedRequest = (ForwardedRequest)value_;
+        forwardedRequest.write(oprot);
+        return;
+      case FORWARD_OUTCOME:
+        ForwardOutcome forwardOutcome = (ForwardOutcome)value_;
+        forwardOutcome.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -1208,6 +1270,16 @@
           leaderHint = new LeaderHint();
           leaderHint.read(iprot);
           return leaderHint;
+        case FORWARDED_REQUEST:
+          ForwardedRequest forwardedRequest;
+          forwardedRequest = new ForwardedRequest();
+          forwardedRequest.read(iprot);
+          return forwardedRequest;
+        case FORWARD_OUTCOME:
+          ForwardOutcome forwardOutcome;
+          forwardOutcome = new ForwardOutcome();
+          forwardOutcome.read(iprot);
+          return forwardOutcome;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -1339,6 +1411,14 @@
         LeaderHint leaderHint = (LeaderHint)value_;
         leaderHint.write(oprot);
         return;
+      case FORWARDED_REQUEST:
+        ForwardedRequest forwardedRequest = (ForwardedRequest)value_;
+        forwardedRequest.write(oprot);
+        return;
+      case FORWARD_OUTCOME:
+        ForwardOutcome forwardOutcome = (ForwardOutcome)value_;
+        forwardOutcome.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -1407,6 +1487,10 @@
         return LEADER_ORDERS_FIELD_DESC;
       case LEADER_HINT:
         return LEADER_HINT_FIELD_DESC;
+      case FORWARDED_REQUEST:
+        return FORWARDED_REQUEST_FIELD_DESC;
+      case FORWARD_OUTCOME:
+        return FORWARD_OUTCOME_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -1819,6 +1903,32 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.LEADER_HINT");
   }
 
+  public ForwardedRequest getForwardedRequest() {
+    if (getSetField() == _Fields.FORWARDED_REQUEST) {
+      return (ForwardedRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'forwardedRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setForwardedRequest(ForwardedRequest value) {
+    setField_ = _Fields.FORWARDED_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.FORWARDED_REQUEST");
+  }
+
+  public ForwardOutcome getForwardOutcome() {
+    if (getSetField() == _Fields.FORWARD_OUTCOME) {
+      return (ForwardOutcome)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'forwardOutcome' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setForwardOutcome(ForwardOutcome value) {
+    setField_ = _Fields.FORWARD_OUTCOME;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.FORWARD_OUTCOME");
+  }
+
   public boolean isSetHello() {
     return setField_ == _Fields.HELLO;
   }
@@ -1969,6 +2079,16 @@
   }
 
 
+  public boolean isSetForwardedRequest() {
+    return setField_ == _Fields.FORWARDED_REQUEST;
+  }
+
+
+  public boolean isSetForwardOutcome() {
+    return setField_ == _Fields.FORWARD_OUTCOME;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof Body) {
       return equals((Body)other);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/LeaderOrders.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/LeaderOrders.java
@@ -912,8 +912,7 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
-      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default
-      // constructor.
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
       __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -342,6 +342,18 @@
 /** Answer of an entry that does not lead. */
 struct LeaderHint { 1: i64 term, 2: string address }
 
+/** Sent by an entry that cannot reach the store to another one, which stores the record of a caller's request. */
+struct ForwardedRequest {
+  /** Key of the record. */
+  1: string key,
+  2: binary value,
+  /** Time after which the caller no longer waits. */
+  3: i64 timeoutMs
+}
+enum ForwardStatus { STORED = 1, REFUSED = 2, UNDECIDED = 3 }
+/** Answer to a forwarded request. REFUSED means that the record is not stored and never will be. */
+struct ForwardOutcome { 1: ForwardStatus status, 2: string reason }
+
 union Body {
   1: Hello hello,
   2: Heartbeat heartbeat,
@@ -372,7 +384,9 @@
   27: FenceLeaderResult fenceLeaderResult,
   28: GuardReport guardReport,
   29: LeaderOrders leaderOrders,
-  30: LeaderHint leaderHint
+  30: LeaderHint leaderHint,
+  31: ForwardedRequest forwardedRequest,
+  32: ForwardOutcome forwardOutcome
 }
 
 /** The unit on the wire. An answer carries the correlation id of its request; one-way messages carry 0. */
