Replace a leader whose process has ended sooner, and serve before the jobs are loaded

Now an entry with a configuration is ready (submissions need no more; queries of jobs are refused until these are loaded), and a leader that is silent for 0.6 s is probed: if its port refuses a connection, the election begins at once. The store still decides it, so a wrong probe costs a change of leader only. RequestForwardingTest.leaderWhoseProcessHasEndedIsReplacedBeforeTheElectionTimeout and entryIsReadyBeforeItHasLoadedTheJobs.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -213,7 +213,7 @@
                 // The former leader may have granted leases until it learned that it was replaced.
                 workers.computeIfAbsent(
                                 task.state().worker().guard(),
-                                guard -> new WorkerView(guard, nowMs + JobTimeLimits.GRANT_WITHOUT_STORE_MS))
+                                guard -> new WorkerView(guard, nowMs + limits.grantWithoutStoreMs()))
                         .add(task);
             }
         }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTimeLimits.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTimeLimits.java
@@ -9,8 +9,11 @@
  *     platform's settings
  */
 public record JobTimeLimits(long leaseMs, long statusRetentionMs, long cancelMs) {
-    /** A leader that cannot write continues to grant leases for this long after its last acknowledged write. */
-    public static final long GRANT_WITHOUT_STORE_MS = 8_000;
+    /** Runs outlast an outage of the store of this length: 9 s, and the time in which leases are renewed again. */
+    private static final long MAX_OUTAGE_MS = 12_000;
+
+    /** Shortest time for which a leader that cannot write grants leases, however long these are. */
+    private static final long MIN_GRANT_WITHOUT_STORE_MS = 2_000;
 
     /** A start order is sent again if the run is not listed within this time; guards retry calls far more often. */
     static final long START_RETRY_MS = 1_000;
@@ -70,6 +73,15 @@
         return cancelMs / TRANSIT_DIVISOR;
     }
 
+    /**
+     * Returns for how long a leader that cannot write continues to grant leases after its last acknowledged write, in
+     * milliseconds. A new leader waits this long and a lease before it restarts the runs of a guard that does not
+     * report, so the time is not longer than an outage needs.
+     */
+    public long grantWithoutStoreMs() {
+        return Math.max(MIN_GRANT_WITHOUT_STORE_MS, MAX_OUTAGE_MS - leaseMs);
+    }
+
     /** Returns the time after the last grant by which no run can be left on the worker, in milliseconds. */
     long leaseExpiryMs() {
         return leaseMs + leaseMs * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN_MS;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
@@ -12,6 +12,7 @@
 import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.protocol.thrift.JobLeader;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
 /**
@@ -27,11 +28,17 @@
     /** A leader from which the log has had no record for two keep-alive intervals may have failed. */
     private static final long LEADER_SILENT_MS = 800;
 
+    /** Silence of the leader, longer than a keep-alive interval, after which its process is probed. */
+    private static final long PROBE_AFTER_MS = 600;
+
+    private static final long PROBE_INTERVAL_MS = 500;
+
     /** Maximum random delay that spreads candidates, so that usually only one of them starts an election. */
     private static final int MAX_JITTER_MS = 200;
 
     private final JobsActor.Identity identity;
     private final StoreClient store;
+    private final EntryLinks links;
     private final ActorRef<JobsCommand> actor;
     private final MonotonicClock clock;
     private final EventLog log;
@@ -40,18 +47,22 @@
     private long highestTerm;
     private long silentSinceMs;
     private long jitterMs;
+    private long probedAtMs;
+    private long endedTerm;
     private long candidateTerm;
     private boolean pending;
 
     Election(
             JobsActor.Identity identity,
             StoreClient store,
+            EntryLinks links,
             ActorRef<JobsCommand> actor,
             MonotonicClock clock,
             EventLog log,
             Random random) {
         this.identity = identity;
         this.store = store;
+        this.links = links;
         this.actor = actor;
         this.clock = clock;
         this.log = log;
@@ -65,14 +76,44 @@
         return leader;
     }
 
-    /** Tells whether the log names another node as leader. */
+    /** Tells whether the log names another node as leader, whose process is not known to have ended. */
     boolean hasOtherLeader() {
-        return !leader.getNode().isEmpty() && !leader.getNode().equals(identity.node());
+        return !isVacant();
     }
 
-    /** Tells whether there is no leader: the log names none, or it names a former process of this node. */
+    /**
+     * Tells whether there is no leader: the log names none, it names a former process of this node, or the process of
+     * the leader has ended.
+     */
     boolean isVacant() {
-        return leader.getNode().isEmpty() || leader.getNode().equals(identity.node());
+        return leader.getNode().isEmpty()
+                || leader.getNode().equals(identity.node())
+                || leader.getTerm() > 0 && leader.getTerm() == endedTerm;
+    }
+
+    /** Connects to a leader that has become silent: a refused connection shows that its process has ended. */
+    void probeSilentLeader() {
+        long nowMs = clock.nowMs();
+        if (isVacant() || nowMs - silentSinceMs < PROBE_AFTER_MS || nowMs - probedAtMs < PROBE_INTERVAL_MS) {
+            return;
+        }
+        probedAtMs = nowMs;
+        long term = leader.getTerm();
+        links.connect(leader.getAddress(), event -> {
+            if (event instanceof LinkEvent.Opened opened) {
+                opened.link().close();
+            } else if (event instanceof LinkEvent.Closed closed && closed.link() == null) {
+                actor.tell(new JobsCommand.LeaderProbed(term, closed.isRefused()));
+            }
+        });
+    }
+
+    /** Handles the failed probe of a leader; the election need not wait for its timeout if the process has ended. */
+    void onLeaderProbed(long term, boolean refused) {
+        if (refused && term == leader.getTerm() && !isVacant()) {
+            log.emit(JobEvent.LEADER_ENDED, "term", term, "node", leader.getNode(), "address", leader.getAddress());
+            endedTerm = term;
+        }
     }
 
     /** Tells whether the log has had no record for so long that the leader may have failed. */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -43,6 +43,7 @@
     GUARD_REDIRECTED(4025, Level.INFO, "A guard reported to this entry, which does not lead, and was told the leader."),
     REQUEST_FORWARDED(
             4026, Level.INFO, "The store does not answer this entry; a caller's request went to another one."),
+    LEADER_ENDED(4027, Level.INFO, "The silent leader's address refused a connection, so its process has ended."),
     ELECTION_STARTED(
             4030, Level.INFO, "The leader has written nothing for a while; this entry tries to win the next term."),
     LEADER_ELECTED(4031, Level.INFO, "This entry was elected leader."),
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -125,7 +125,7 @@
         this.config = follow(TopicPartition.OPERATOR, CONFIG_TIMES, this::onConfig);
         this.queries = new StatusQueries(registry, requests, store, context.getSelf(), this::applyRequest);
         this.lastReadAtMs = clock.nowMs();
-        this.election = new Election(identity, store, context.getSelf(), clock, log, random);
+        this.election = new Election(identity, store, links, context.getSelf(), clock, log, random);
         config.reload();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
     }
@@ -181,6 +181,7 @@
             case JobsCommand.TermAppendEnded ended -> election.onTermAppendEnded(ended);
             case JobsCommand.EpochAppendEnded ended -> onEpochAppendEnded(ended);
             case JobsCommand.GuardLink link -> onGuardLink(link.event());
+            case JobsCommand.LeaderProbed probed -> election.onLeaderProbed(probed.term(), probed.refused());
             case JobsCommand.ForwardLink link -> forwarder.onLink(link.attempt(), link.event());
             case JobsCommand.Tick tick -> onTick();
             case JobsCommand.FlushDue due -> {
@@ -385,11 +386,8 @@
 
     private void publishView() {
         boolean readable = !requests.isFailing() || clock.nowMs() - lastReadAtMs <= UNREADY_AFTER_MS;
-        boolean ready = activeConfig != null
-                && requests.isLoaded()
-                && (leaderTerm != null || progress.isLoaded())
-                && readable
-                && !draining;
+        // Requests can be stored before the jobs are loaded; queries of jobs are refused until then.
+        boolean ready = activeConfig != null && readable && !draining;
         view.set(new JobsCommand.View(activeConfig, ready));
     }
 
@@ -425,6 +423,7 @@
                 term,
                 election.recordOf(term),
                 scheduler,
+                limits,
                 sessions,
                 requests,
                 new CancellationView(requests, limits, log),
@@ -482,6 +481,9 @@
             // There is no leader whose records could arrive, so the election need not wait for the pending read.
             startElectionIfDue(progress.isFailing());
         }
+        if (leaderTerm == null && !progress.isFailing()) {
+            election.probeSilentLeader();
+        }
         publishView();
     }
 
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -37,6 +37,7 @@
     private final long term;
     private final KeyedRecord leaderRecord;
     private final JobScheduler scheduler;
+    private final JobTimeLimits limits;
     private final GuardSessions sessions;
     private final LogTail requests;
     private final CancellationView cancellations;
@@ -65,6 +66,7 @@
             long term,
             KeyedRecord leaderRecord,
             JobScheduler scheduler,
+            JobTimeLimits limits,
             GuardSessions sessions,
             LogTail requests,
             CancellationView cancellations,
@@ -74,6 +76,7 @@
         this.term = term;
         this.leaderRecord = leaderRecord;
         this.scheduler = scheduler;
+        this.limits = limits;
         this.sessions = sessions;
         this.requests = requests;
         this.cancellations = cancellations;
@@ -201,7 +204,7 @@
      */
 
     private boolean mayGrant() {
-        return writeAgeMs() < JobTimeLimits.GRANT_WITHOUT_STORE_MS && !resigned;
+        return writeAgeMs() < limits.grantWithoutStoreMs() && !resigned;
     }
 
     private void send(List<JobOrder> orders) {
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/CutStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/CutStore.java
@@ -18,6 +18,7 @@
     private static final int TIMEOUT_MS = 1_000;
 
     private final StoreClient store;
+    private volatile TopicPartition unloadable;
     private final AtomicReference<Path> path = new AtomicReference<>(Path.OPEN);
 
     CutStore(StoreClient store) {
@@ -33,6 +34,11 @@
         SILENT
     }
 
+    /** Leaves the loads of a partition unanswered. */
+    void silenceLoadsOf(TopicPartition partition) {
+        unloadable = partition;
+    }
+
     void set(Path newPath) {
         path.set(newPath);
     }
@@ -61,7 +67,8 @@
     @Override
     public CompletionStage<ReadResult> readNewest(TopicPartition partition, String afterKey, int maxSilenceMs) {
         return switch (path.get()) {
-            case OPEN -> store.readNewest(partition, afterKey, maxSilenceMs);
+            case OPEN ->
+                partition.equals(unloadable) ? timedOutRead() : store.readNewest(partition, afterKey, maxSilenceMs);
             case REFUSED -> CompletableFuture.completedFuture(new ReadResult.Failed("status 503"));
             case SILENT -> timedOutRead();
         };
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeEntryLinks.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeEntryLinks.java
@@ -22,6 +22,11 @@
         entries.put(address, entry);
     }
 
+    /** Makes connections to an entry fail as if its process had ended. */
+    synchronized void remove(String address) {
+        entries.remove(address);
+    }
+
     /** Makes an entry leave all frames unanswered, as one that is frozen. */
     void silence(String address) {
         silent.add(address);
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/RequestForwardingTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/RequestForwardingTest.java
@@ -41,6 +41,9 @@
     /** Half of the time for which callers wait; the rest is left for a further attempt of theirs. */
     private static final long PROMPT_MS = 1_500;
 
+    /** Silence of a leader after which the others stand for election in any case. */
+    private static final long ELECTION_TIMEOUT_MS = 1_500;
+
     private final FakeStore store = new FakeStore();
     private final FakeEntryLinks links = new FakeEntryLinks();
     private final List<CutStore> paths = new ArrayList<>();
@@ -55,7 +58,7 @@
                 List.of(new KeyedRecord(TopicPartition.CONFIG_KEY, config.getBytes(StandardCharsets.UTF_8))),
                 new AppendCondition.None());
         for (int i = 0; i < ENTRIES; i++) {
-            start(i);
+            start(i, new CutStore(store));
         }
         for (ActorSystem<JobsCommand> entry : entries) {
             Awaitility.await()
@@ -129,6 +132,35 @@
         assertInstanceOf(WriteOutcome.Undecided.class, submit(0, "job"));
     }
 
+    /** Followers waited for 1.5 s of silence before an election, although the leader's port refused connections. */
+    @Test
+    void leaderWhoseProcessHasEndedIsReplacedBeforeTheElectionTimeout() throws Exception {
+        int leader = 0;
+        while (!describe(entries.get(leader)).contains("leads=true")) {
+            leader = (leader + 1) % ENTRIES;
+        }
+        ActorSystem<JobsCommand> ended = entries.remove(leader);
+        links.remove(address(leader));
+        ended.terminate();
+        ended.getWhenTerminated().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        long startedAtMs = nowMs();
+        Awaitility.await()
+                .pollInterval(Duration.ofMillis(20))
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> describe(entries.get(0)).contains("leads=true")
+                        || describe(entries.get(1)).contains("leads=true"));
+        assertTrue(nowMs() - startedAtMs < ELECTION_TIMEOUT_MS, "took " + (nowMs() - startedAtMs) + " ms");
+    }
+
+    /** Entries that could store requests reported themselves as not ready until all jobs were loaded. */
+    @Test
+    void entryIsReadyBeforeItHasLoadedTheJobs() {
+        CutStore path = new CutStore(store);
+        path.silenceLoadsOf(JobPartitions.REQUESTS);
+        AtomicReference<JobsCommand.View> view = start(ENTRIES, path);
+        Awaitility.await().atMost(Duration.ofSeconds(2)).until(() -> view.get().ready());
+    }
+
     /*
      * Helpers
      */
@@ -137,9 +169,9 @@
         return "10.0.0." + index + ":1";
     }
 
-    private void start(int index) {
-        CutStore path = new CutStore(store);
+    private AtomicReference<JobsCommand.View> start(int index, CutStore path) {
         paths.add(path);
+        AtomicReference<JobsCommand.View> view = new AtomicReference<>(new JobsCommand.View(null, false));
         ActorSystem<JobsCommand> entry = ActorSystems.construct(
                 JobsActor.create(
                         path,
@@ -148,12 +180,13 @@
                         new JobTimeLimits(6_000, 120_000, 3_000),
                         MonotonicClock.system(),
                         new EventLog("entry-" + index),
-                        new AtomicReference<>(new JobsCommand.View(null, false)),
+                        view,
                         new Random(index)),
                 "entry-" + index,
                 1);
         entries.add(entry);
         links.add(address(index), entry);
+        return view;
     }
 
     private void assertStored(String id) {
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/LinkEvent.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/LinkEvent.java
@@ -28,5 +28,10 @@
      * @param link the connection; null if it was never opened
      * @param reason why it ended or could not be opened
      */
-    record Closed(FrameLink link, String reason) implements LinkEvent {}
+    record Closed(FrameLink link, String reason) implements LinkEvent {
+        /** Returns whether the connection was refused, which means that no process listens at the address. */
+        public boolean isRefused() {
+            return link == null && reason.contains("refused");
+        }
+    }
 }
