Refuse requests at once while neither the store nor another entry stores them

Once all entries have failed, and while reads fail here, further requests are refused at once for 2 s.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -115,14 +115,15 @@
         this.log = log;
         this.view = view;
         this.decisionLog = (decision, subject, fields) -> JobEvent.emitDecision(log, decision, subject, fields);
-        this.forwarder = new RequestForwarder(
-                links, identity.guardAddress(), this::findOtherLeaderAddress, context.getSelf(), clock, log);
-        this.writer = new RequestWriter(JobPartitions.REQUESTS, store, forwarder, context, clock);
         this.sessions = new GuardSessions(log);
         this.redirects = new GuardRedirects(log);
         this.requests = follow(JobPartitions.REQUESTS, REQUEST_TIMES, this::onRequests);
         this.progress = follow(JobPartitions.PROGRESS, PROGRESS_TIMES, this::onProgress);
         this.config = follow(TopicPartition.OPERATOR, CONFIG_TIMES, this::onConfig);
+        this.forwarder = new RequestForwarder(
+                links, identity.guardAddress(), this::findOtherLeaderAddress, context.getSelf(), clock, log);
+        this.writer = new RequestWriter(
+                JobPartitions.REQUESTS, store, forwarder, () -> !requests.isFailing(), context, clock);
         this.queries = new StatusQueries(registry, requests, store, context.getSelf(), this::applyRequest);
         this.lastReadAtMs = clock.nowMs();
         this.election = new Election(identity, store, links, context.getSelf(), clock, log, random);
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
@@ -29,6 +29,9 @@
     /** Longest wait for an answer: the other entry appends in 10 ms, or soon finds that it cannot either. */
     private static final long ATTEMPT_TIMEOUT_MS = 600;
 
+    /** After all entries have failed, none is asked for this long: the store is down for all of them. */
+    private static final long ALL_FAILED_MS = 2_000;
+
     /** Bounds the memory for requests that wait for an entry. */
     private static final int MAX_PENDING = 500;
 
@@ -44,6 +47,7 @@
     private long attempt;
     private long lastId;
     private int nextKnown;
+    private long allFailedAtMs = Long.MIN_VALUE / 2;
 
     /**
      * Constructs a forwarder without a connection.
@@ -86,6 +90,11 @@
         }
     }
 
+    /** Tells whether all other entries have just failed to store a record, too. */
+    boolean haveAllFailed() {
+        return clock.nowMs() - allFailedAtMs < ALL_FAILED_MS;
+    }
+
     /**
      * Hands a record to another entry.
      *
@@ -235,6 +244,7 @@
         for (Map.Entry<Long, Forward> each : List.copyOf(pending.entrySet())) {
             if (each.getValue().tried.containsAll(candidates)) {
                 pending.remove(each.getKey());
+                allFailedAtMs = clock.nowMs();
                 each.getValue().fail("neither the store nor another entry is reachable");
             }
         }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
@@ -36,6 +37,7 @@
     private final TopicPartition partition;
     private final StoreClient store;
     private final RequestForwarder forwarder;
+    private final BooleanSupplier readable;
     private final ActorContext<JobsCommand> context;
     private final MonotonicClock clock;
     private final Deque<Write> waiting = new ArrayDeque<>();
@@ -44,15 +46,23 @@
     private boolean failing;
     private long appendedAtMs;
 
+    /**
+     * Constructs a writer.
+     *
+     * @param forwarder hands requests to other entries
+     * @param readable tells whether reads of the store succeed, which shows its return
+     */
     RequestWriter(
             TopicPartition partition,
             StoreClient store,
             RequestForwarder forwarder,
+            BooleanSupplier readable,
             ActorContext<JobsCommand> context,
             MonotonicClock clock) {
         this.partition = partition;
         this.store = store;
         this.forwarder = forwarder;
+        this.readable = readable;
         this.context = context;
         this.clock = clock;
     }
@@ -65,7 +75,9 @@
      */
     void write(KeyedRecord entry, long deadlineAtMs, Consumer<WriteOutcome> done) {
         Write write = new Write(entry, deadlineAtMs, true, done);
-        if (failing && clock.nowMs() - appendedAtMs < PROBE_INTERVAL_MS) {
+        if (failing && !readable.getAsBoolean() && forwarder.haveAllFailed()) {
+            write.complete(new WriteOutcome.Refused("neither the store nor another entry stores requests now"));
+        } else if (failing && clock.nowMs() - appendedAtMs < PROBE_INTERVAL_MS) {
             forward(write);
         } else {
             waiting.add(write);
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/RequestForwardingTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/RequestForwardingTest.java
@@ -44,6 +44,9 @@
     /** Silence of a leader after which the others stand for election in any case. */
     private static final long ELECTION_TIMEOUT_MS = 1_500;
 
+    /** Shorter than one attempt at the store or at another entry. */
+    private static final long AT_ONCE_MS = 150;
+
     private final FakeStore store = new FakeStore();
     private final FakeEntryLinks links = new FakeEntryLinks();
     private final List<CutStore> paths = new ArrayList<>();
@@ -123,6 +126,22 @@
         assertEquals(0, countRecords(JobTopics.jobKey("job")));
     }
 
+    /**
+     * While no entry got an answer of the store, each request went from entry to entry and was refused seconds late,
+     * when its caller had given up.
+     */
+    @Test
+    void jobsAreRefusedAtOnceWhileTheStoreAnswersNoEntry() throws Exception {
+        paths.forEach(path -> path.set(CutStore.Path.SILENT));
+        submit(0, "first");
+        for (int i = 0; i < 3; i++) {
+            long startedAtMs = nowMs();
+            assertInstanceOf(WriteOutcome.Refused.class, submit(0, "next-" + i));
+            assertTrue(nowMs() - startedAtMs < AT_ONCE_MS, "took " + (nowMs() - startedAtMs) + " ms");
+            Thread.sleep(AT_ONCE_MS);
+        }
+    }
+
     /** A refusal means that the job never runs; an entry that does not answer may still store it. */
     @Test
     void jobThatAFrozenEntryMayStoreIsNotRefused() throws Exception {
