Keep a frame without fields from stopping an entry or a guard

After a report of operators of similar systems: one malformed message took a process down. Here a frame that could be decoded but lacked required fields threw in the actor, which stopped it and ended the process. Such a failure is now logged (FRAME_REFUSED) and the connection closed; violated invariants still stop the actor. With the former behaviour put back into FrameHandling, JobsActorTest.frameWithoutFieldsDoesNotStopTheEntry and WorkerRelayTest.frameWithoutFieldsDoesNotStopTheGuard fail.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
@@ -91,6 +91,11 @@
                 || leader.getTerm() > 0 && leader.getTerm() == endedTerm;
     }
 
+    /** Returns {@code host:port} of another node that leads; empty if there is none. */
+    String otherLeaderAddress() {
+        return hasOtherLeader() ? leader.getAddress() : "";
+    }
+
     /** Connects to a leader that has become silent: a refused connection shows that its process has ended. */
     void probeSilentLeader() {
         long nowMs = clock.nowMs();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -32,11 +32,13 @@
 import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.ForwardedRequest;
+import org.fulmarreach.protocol.thrift.Frame;
 import org.fulmarreach.protocol.thrift.GuardReport;
 import org.fulmarreach.protocol.thrift.JobLeader;
 import org.fulmarreach.protocol.thrift.JobState;
 import org.fulmarreach.protocol.thrift.OrderOutcome;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.FrameHandling;
 import org.fulmarreach.runtime.net.FrameLink;
 import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.util.MonotonicClock;
@@ -120,13 +122,13 @@
         this.requests = follow(JobPartitions.REQUESTS, REQUEST_TIMES, this::onRequests);
         this.progress = follow(JobPartitions.PROGRESS, PROGRESS_TIMES, this::onProgress);
         this.config = follow(TopicPartition.OPERATOR, CONFIG_TIMES, this::onConfig);
+        this.election = new Election(identity, store, links, context.getSelf(), clock, log, random);
         this.forwarder = new RequestForwarder(
-                links, identity.guardAddress(), this::findOtherLeaderAddress, context.getSelf(), clock, log);
+                links, identity.guardAddress(), election::otherLeaderAddress, context.getSelf(), clock, log);
         this.writer = new RequestWriter(
                 JobPartitions.REQUESTS, store, forwarder, () -> !requests.isFailing(), context, clock);
         this.queries = new StatusQueries(registry, requests, store, context.getSelf(), this::applyRequest);
         this.lastReadAtMs = clock.nowMs();
-        this.election = new Election(identity, store, links, context.getSelf(), clock, log, random);
         config.reload();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
     }
@@ -266,10 +268,6 @@
         });
     }
 
-    private String findOtherLeaderAddress() {
-        return election.hasOtherLeader() ? election.leader().getAddress() : "";
-    }
-
     /*
      * Log records
      */
@@ -514,17 +512,8 @@
             case LinkEvent.Opened opened -> {
                 // The first report identifies the guard.
             }
-            case LinkEvent.Received received -> {
-                Body body = received.frame().getBody();
-                if (body.isSetGuardReport()) {
-                    onGuardReport(received.link(), body.getGuardReport());
-                } else if (body.isSetForwardedRequest()) {
-                    onForwardedRequest(
-                            received.link(), received.frame().getCorrelationId(), body.getForwardedRequest());
-                } else {
-                    received.link().close();
-                }
-            }
+            case LinkEvent.Received received ->
+                FrameHandling.handle(received.link(), log, () -> onFrame(received.link(), received.frame()));
             case LinkEvent.Closed closed -> {
                 sessions.onClosed(closed.link(), closed.reason());
                 redirects.onClosed(closed.link());
@@ -532,6 +521,17 @@
         }
     }
 
+    private void onFrame(FrameLink link, Frame frame) {
+        Body body = frame.getBody();
+        if (body.isSetGuardReport()) {
+            onGuardReport(link, body.getGuardReport());
+        } else if (body.isSetForwardedRequest()) {
+            onForwardedRequest(link, frame.getCorrelationId(), body.getForwardedRequest());
+        } else {
+            link.close();
+        }
+    }
+
     private void onGuardReport(FrameLink link, GuardReport message) {
         if (leaderTerm == null) {
             redirect(link);
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
@@ -16,6 +16,7 @@
 import org.fulmarreach.protocol.thrift.ForwardStatus;
 import org.fulmarreach.protocol.thrift.ForwardedRequest;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.log.RuntimeEvent;
 import org.fulmarreach.runtime.net.FrameLink;
 import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.util.MonotonicClock;
@@ -147,8 +148,11 @@
             }
             case LinkEvent.Received received -> {
                 Body body = received.frame().getBody();
-                if (body.isSetForwardOutcome()) {
+                if (body.isSetForwardOutcome() && body.getForwardOutcome().getStatus() != null) {
                     onOutcome(received.frame().getCorrelationId(), body.getForwardOutcome());
+                } else {
+                    log.emit(RuntimeEvent.FRAME_REFUSED, "remote", address, "reason", "no outcome of a request");
+                    close();
                 }
             }
             case LinkEvent.Closed closed -> {
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -27,8 +27,11 @@
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.ForwardOutcome;
+import org.fulmarreach.protocol.thrift.ForwardedRequest;
 import org.fulmarreach.protocol.thrift.Frame;
 import org.fulmarreach.protocol.thrift.GuardReport;
+import org.fulmarreach.protocol.thrift.WorkerStatus;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameLink;
 import org.fulmarreach.runtime.net.LinkEvent;
@@ -358,6 +361,25 @@
                 .until(() -> atFollower.leaderHints().size() == 1);
     }
 
+    /** A frame without required fields stopped the actor, and with it the process. */
+    @Test
+    void frameWithoutFieldsDoesNotStopTheEntry() throws Exception {
+        putConfig();
+        start("entry-0", new Random(1));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        GuardReport withoutWorkerFields = new GuardReport();
+        withoutWorkerFields.setGuard("guard");
+        withoutWorkerFields.setWorker(new WorkerStatus());
+        for (Body body : List.of(
+                Body.guardReport(new GuardReport()),
+                Body.guardReport(withoutWorkerFields),
+                Body.forwardedRequest(new ForwardedRequest()),
+                Body.forwardOutcome(new ForwardOutcome()))) {
+            entries.get(0).tell(new JobsCommand.GuardLink(new LinkEvent.Received(new FakeLink(), new Frame(0, body))));
+        }
+        assertInstanceOf(WriteOutcome.Stored.class, submit(entries.get(0), "job-1"));
+    }
+
     /*
      * Helpers
      */
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -24,6 +24,7 @@
 import org.fulmarreach.protocol.thrift.GuardReport;
 import org.fulmarreach.protocol.thrift.LeaderOrders;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.FrameHandling;
 import org.fulmarreach.runtime.net.FrameLink;
 import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.util.MonotonicClock;
@@ -460,7 +461,10 @@
                 report();
             }
             case LinkEvent.Received received ->
-                onMessage(received.link(), received.frame().getBody());
+                FrameHandling.handle(
+                        received.link(),
+                        log,
+                        () -> onMessage(received.link(), received.frame().getBody()));
             case LinkEvent.Closed closed -> {
                 if (sessionAccepted) {
                     log.emit(RelayEvent.LEADER_LOST, "term", term, "reason", closed.reason());
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -181,6 +181,17 @@
         assertEquals(List.of(40, 90), worker.shares);
     }
 
+    /** A frame without required fields stopped the actor, and with it the process. */
+    @Test
+    void frameWithoutFieldsDoesNotStopTheGuard() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(new LeaderOrders()))));
+        Awaitility.await().atMost(TIMEOUT).until(() -> entries.links.size() > 1);
+        order(entries.links.get(entries.links.size() - 1), 1, 1_000, start("job.0.0.0"), 0);
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.started.contains("job.0.0.0"));
+    }
+
     /** A heartbeat may arrive after its worker has crashed and was restarted at the same address. */
     @Test
     void heartbeatOfFormerLifetimeIsIgnored() {
