Show that a suspension of its VM lets a guard extend a lease

After a report of operators of similar systems: a paused process acts on a permission that has run out. The monotonic clock does not count a suspension, and the guard converts the end of the grant to the worker's clock anew with each reading of it, so 5 s of suspension extend a lease of 6 s to 11 s, while the leader starts the tasks elsewhere after 6.4 s. A way: fix the end of a grant on the worker's clock when it arrives, from the last reading before its tick.

--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLeaseTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLeaseTest.java
@@ -36,4 +36,20 @@
         lease.resetClock();
         assertFalse(lease.isGranted(10_001));
     }
+
+    /**
+     * The monotonic clock does not count a suspension of the VM, so a guard extended the lease by it, while the leader
+     * took the lease for expired and started the tasks elsewhere.
+     */
+    @Test
+    void suspensionOfTheVmDoesNotExtendTheLease() {
+        WorkerLease lease = new WorkerLease(LEASE_MS, 0);
+        lease.updateClock(500_000, 10_000);
+        lease.grant(10_000);
+        // Of the 5,100 ms that have passed on the worker's clock, the VM was suspended for 5,000.
+        lease.updateClock(505_100, 10_100);
+        assertTrue(
+                lease.issueUntilMs(10_100) <= 500_000 + LEASE_MS + LEASE_MS / 50,
+                "lease until " + lease.issueUntilMs(10_100) + " on the worker's clock");
+    }
 }
