--- a/daemon/src/main/java/org/fulmarreach/daemon/ExitStatus.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/ExitStatus.java
@@ -1,6 +1,6 @@
 package org.fulmarreach.daemon;
 
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * Status with which the process ends. The shutdown hook drains the process and then halts it, whatever started the
@@ -9,7 +9,13 @@
 final class ExitStatus {
     private static final int FAILED = 1;
 
-    private final AtomicBoolean failed = new AtomicBoolean();
+    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.RUNNING);
+
+    private enum Phase {
+        RUNNING,
+        FAILED,
+        DRAINING
+    }
 
     /** Ends the process because one of its parts has failed; does not return. */
     void exitAfterFailure() {
@@ -17,8 +23,14 @@
         System.exit(FAILED);
     }
 
+    /** Records that a part has stopped; during a drain, parts stop as intended. */
     void recordFailure() {
-        failed.set(true);
+        phase.compareAndSet(Phase.RUNNING, Phase.FAILED);
+    }
+
+    /** Records that the shutdown hook begins to drain the process. */
+    void beginDrain() {
+        phase.compareAndSet(Phase.RUNNING, Phase.DRAINING);
     }
 
     /**
@@ -27,6 +39,6 @@
      * @param drainStatus status of the drain
      */
     int resolve(int drainStatus) {
-        return failed.get() ? FAILED : drainStatus;
+        return phase.get() == Phase.FAILED ? FAILED : drainStatus;
     }
 }
--- a/daemon/src/main/java/org/fulmarreach/daemon/FulmardMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/FulmardMain.java
@@ -107,6 +107,7 @@
 
     private static void drain(RunningNode node, Settings settings, ExitStatus status, EventLog log) {
         long timeoutMs = settings.number(Setting.DRAIN_TIMEOUT_MS);
+        status.beginDrain();
         int exitCode = EXIT_FAILED;
         log.emit(RuntimeEvent.DRAINING, "timeoutMs", timeoutMs);
         try {
--- a/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
@@ -114,6 +114,7 @@
 
     private static void drain(
             JobsNode node, long drainTimeoutMs, ExitStatus status, EventLog log, BoundedLogHandler handler) {
+        status.beginDrain();
         log.emit(RuntimeEvent.DRAINING, "timeoutMs", drainTimeoutMs);
         try {
             node.drain().toCompletableFuture().get(drainTimeoutMs, TimeUnit.MILLISECONDS);
@@ -131,6 +132,7 @@
     }
 
     private static void stop(ExitStatus status, EventLog log, BoundedLogHandler handler) {
+        status.beginDrain();
         log.emit(RuntimeEvent.STOPPED);
         handler.flush();
         Runtime.getRuntime().halt(status.resolve(0));
--- a/daemon/src/test/java/org/fulmarreach/daemon/ExitStatusTest.java
+++ b/daemon/src/test/java/org/fulmarreach/daemon/ExitStatusTest.java
@@ -14,6 +14,14 @@
         assertEquals(1, status.resolve(0));
     }
 
+    /** Parts that stopped in the course of a drain counted as failed, so that a planned stop ended with status 1. */
+    @Test
+    void partThatStopsDuringTheDrainHasNotFailed() {
+        status.beginDrain();
+        status.recordFailure();
+        assertEquals(0, status.resolve(0));
+    }
+
     @Test
     void statusOfTheDrainIsUsedWithoutAFailure() {
         assertEquals(0, status.resolve(0));
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -282,7 +282,7 @@
         }
         update.records().forEach(this::applyRequest);
         if (leaderTerm != null && !update.failed()) {
-            leaderTerm.sendHeld();
+            leaderTerm.releaseHeld();
             decide();
         }
         publishView();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.fulmarreach.core.jobs.JobBatch;
@@ -45,6 +47,7 @@
     private final ActorContext<JobsCommand> context;
     private final MonotonicClock clock;
     private final long startedAtMs;
+    private final Map<String, WorkerReport> heldReports = new LinkedHashMap<>();
     private long sequence;
     private JobBatch inFlight;
     private List<KeyedRecord> inFlightRecords = List.of();
@@ -115,12 +118,14 @@
 
     /**
      * Handles a report and answers it with a grant, unless the store has not acknowledged an append for too long. The
-     * lists in the report are ignored until {@link #knowsPlacedJobs}; the guard repeats them.
+     * lists of the newest report of each guard are held until {@link #knowsPlacedJobs}.
      */
     void onReport(WorkerReport report, boolean decide) {
         long nowMs = clock.nowMs();
         if (knowsPlacedJobs()) {
             scheduler.onReport(report, nowMs);
+        } else {
+            heldReports.put(report.ref().guard(), report);
         }
         if (mayGrant()) {
             sessions.grant(report.ref().guard(), term, writeAgeMs());
@@ -158,8 +163,15 @@
         flush();
     }
 
-    /** Sends the starts that were held for lack of recent cancellations, unless their jobs have been cancelled. */
-    void sendHeld() {
+    /**
+     * Applies the reports that were held because jobs were not known, and sends the starts that were held for lack of
+     * recent cancellations, unless their jobs have been cancelled.
+     */
+    void releaseHeld() {
+        if (knowsPlacedJobs()) {
+            heldReports.values().forEach(report -> scheduler.onReport(report, clock.nowMs()));
+            heldReports.clear();
+        }
         send(cancellations.removeHeld());
     }
 
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -361,6 +361,30 @@
                 .until(() -> atFollower.leaderHints().size() == 1);
     }
 
+    /** A report that came before all requests were read was lost, and nothing was placed there until the next one. */
+    @Test
+    void reportBeforeAllRequestsAreReadCountsOnceTheyAre() throws Exception {
+        putConfig();
+        start("entry-0", new Random(1));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        submit(entries.get(0), "job-1");
+        start("entry-1", new Random(2));
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> describe(entries.get(1)).contains("leader=entry-0"));
+        store.delayReads(JobPartitions.REQUESTS, SLOW_ANSWER_MS / 2);
+        entries.get(0).tell(new JobsCommand.Drain(new CompletableFuture<>()));
+        Awaitility.await()
+                .pollInterval(Duration.ofMillis(10))
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> leads(entries.get(1)));
+        FakeLink guard = new FakeLink();
+        report(entries.get(1), guard);
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> guard.starts().contains("job-1.0.0.0"));
+    }
+
     /** A frame without required fields stopped the actor, and with it the process. */
     @Test
     void frameWithoutFieldsDoesNotStopTheEntry() throws Exception {
