Remove the requests of a job before its progress when its retention ends

What callers would see: a job that was completed and forgotten 120 s ago is run a second time by the next leader that started after that, charges and bookings included.

Cause: only the progress record s/ID was removed, the submission j/ID and the cancellation c/ID stayed in the log. A process that loads them without progress takes the job for a new one.

The leader now removes the requests first and the progress once the store has acknowledged that. If it fails in between, a progress record without a submission is left, which runs nothing. An end that the store has not acknowledged does not count for the retention, so a replaced leader that wakes up late removes nothing that others still need.

JobsActorTest.jobIsNotRunAgainByAnEntryThatStartsAfterItsRetention failed before (-pl entry -am test -Dtest=JobsActorTest: the second entry ordered job-1.0.0.0 to start) and passes now; the other 17 tests of the class, JobSchedulerTest and DuplicateRunTest pass. FakeLink moved to a file of its own, unchanged.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Job.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Job.java
@@ -70,6 +70,11 @@
         return settledAtMs;
     }
 
+    /** Returns the value of {@link #settledAtMs} that the store has acknowledged. */
+    long acknowledgedSettledAtMs() {
+        return acknowledged == null ? 0 : acknowledged.settledAtMs();
+    }
+
     /** Returns the status including changes that are not written yet. */
     public JobStatus status() {
         if (count(TaskPhase.FAILED) > 0) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -32,6 +33,7 @@
     private final BestEffortPacer pacer;
     private final Placement placement;
     private final Map<String, JobQueue> knownQueues = new HashMap<>();
+    private final Set<String> forgotten = new HashSet<>();
     private JobConfig config;
 
     /**
@@ -157,6 +159,7 @@
     public void onCommitted(JobBatch batch) {
         batch.progress().forEach((id, snapshot) -> registry.find(id).ifPresent(job -> job.acknowledge(snapshot)));
         batch.removedJobIds().forEach(registry::remove);
+        forgotten.removeAll(batch.removedJobIds());
     }
 
     /** Returns the orders that may be sent without a preceding write, and clears them. */
@@ -383,10 +386,12 @@
 
     private void removeExpired(long unixMs) {
         for (Job job : registry.jobs()) {
-            boolean expired = job.settledAtMs() > 0 && unixMs - job.settledAtMs() > limits.statusRetentionMs();
-            if (expired && !active.contains(job)) {
+            // An end that the store has not acknowledged may still be undone, so it does not count.
+            long settledAtMs = job.acknowledgedSettledAtMs();
+            boolean expired = settledAtMs > 0 && unixMs - settledAtMs > limits.statusRetentionMs();
+            if (expired && !active.contains(job) && forgotten.add(job.spec().id())) {
                 decisions.removeJob(job.spec().id());
-                log.record(Decision.JOB_FORGOTTEN, job.spec().id(), "settledForMs", unixMs - job.settledAtMs());
+                log.record(Decision.JOB_FORGOTTEN, job.spec().id(), "settledForMs", unixMs - settledAtMs);
             }
         }
     }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -176,11 +176,9 @@
             case JobsCommand.RequestsWritten written -> writer.onWritten(written.result());
             case JobsCommand.WriteDue due -> writer.onDue();
             case JobsCommand.BatchWritten written -> onBatchWritten(written);
-            case JobsCommand.RetryDue due -> {
-                if (leaderTerm != null && leaderTerm.term() == due.term()) {
-                    leaderTerm.onRetryDue();
-                }
-            }
+            case JobsCommand.RequestsRemoved ended ->
+                inTerm(ended.term(), leader -> leader.onRequestsRemoved(ended.result()));
+            case JobsCommand.RetryDue due -> inTerm(due.term(), LeaderTerm::onRetryDue);
             case JobsCommand.TermAppendEnded ended -> election.onTermAppendEnded(ended);
             case JobsCommand.EpochAppendEnded ended -> onEpochAppendEnded(ended);
             case JobsCommand.GuardLink link -> onGuardLink(link.event());
@@ -192,16 +190,19 @@
                     leaderTerm.onFlushDue();
                 }
             }
-            case JobsCommand.DecisionDue due -> {
-                if (leaderTerm != null && leaderTerm.term() == due.term()) {
-                    leaderTerm.onDecisionDue();
-                }
-            }
+            case JobsCommand.DecisionDue due -> inTerm(due.term(), LeaderTerm::onDecisionDue);
             case JobsCommand.Drain drain -> onDrain(drain);
         }
         return this;
     }
 
+    /** Passes a message of a term on if this entry still leads in that term. */
+    private void inTerm(long term, Consumer<LeaderTerm> action) {
+        if (leaderTerm != null && leaderTerm.term() == term) {
+            action.accept(leaderTerm);
+        }
+    }
+
     /*
      * Callers
      */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -43,6 +43,7 @@
     private final GuardSessions sessions;
     private final LogTail requests;
     private final CancellationView cancellations;
+    private final RequestRemover remover;
     private final StoreClient store;
     private final ActorContext<JobsCommand> context;
     private final MonotonicClock clock;
@@ -83,6 +84,7 @@
         this.sessions = sessions;
         this.requests = requests;
         this.cancellations = cancellations;
+        this.remover = new RequestRemover(term, store, context);
         this.store = store;
         this.context = context;
         this.clock = clock;
@@ -205,6 +207,11 @@
         return true;
     }
 
+    void onRequestsRemoved(AppendResult result) {
+        remover.onWritten(result);
+        flush();
+    }
+
     void onRetryDue() {
         if (inFlight != null) {
             append();
@@ -239,7 +246,7 @@
                     Duration.ofMillis(MIN_INTERVAL_MS - elapsedMs), context.getSelf(), new JobsCommand.FlushDue());
             return;
         }
-        JobBatch batch = scheduler.takeBatch();
+        JobBatch batch = deferRemovals(scheduler.takeBatch());
         if (batch.progress().isEmpty() && batch.removedJobIds().isEmpty() && !resigning && elapsedMs < KEEP_ALIVE_MS) {
             // Nothing to write: the orders depend only on records that are already stored.
             send(batch.orders());
@@ -250,6 +257,13 @@
         append();
     }
 
+    /** Replaces the jobs whose retention has ended by those whose requests have already been removed. */
+    private JobBatch deferRemovals(JobBatch batch) {
+        remover.add(batch.removedJobIds());
+        remover.flush();
+        return new JobBatch(batch.progress(), remover.takeRemoved(), batch.orders());
+    }
+
     private List<KeyedRecord> encode(JobBatch batch) {
         List<KeyedRecord> records = new ArrayList<>();
         batch.progress()
--- /dev/null
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
@@ -0,0 +1,52 @@
+package org.fulmarreach.entry.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.runtime.net.FrameLink;
+
+/** Connection to a guard that records the frames sent to it. */
+final class FakeLink implements FrameLink {
+    private final List<Body> sent = new CopyOnWriteArrayList<>();
+
+    List<String> leaderHints() {
+        return sent.stream()
+                .filter(Body::isSetLeaderHint)
+                .map(body -> body.getLeaderHint().getAddress())
+                .toList();
+    }
+
+    List<String> starts() {
+        List<String> starts = new ArrayList<>();
+        sent.forEach(body -> body.getLeaderOrders().getStarts().forEach(start -> starts.add(start.getTask())));
+        return starts;
+    }
+
+    long acknowledgedEnd() {
+        return sent.stream()
+                .mapToLong(body -> body.getLeaderOrders().getAcknowledgedEnd())
+                .max()
+                .orElse(0);
+    }
+
+    long grants() {
+        return sent.stream().filter(Body::isSetLeaderOrders).count();
+    }
+
+    @Override
+    public void send(long correlationId, Body body) {
+        sent.add(body);
+    }
+
+    @Override
+    public void close() {
+        // There is no connection to close.
+    }
+
+    @Override
+    public String remoteAddress() {
+        return "127.0.0.1:2";
+    }
+}
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -66,6 +66,11 @@
         maxRecords = records;
     }
 
+    /** Returns the keys of a partition that have a newest record, without those that were removed. */
+    synchronized List<String> newestKeys(TopicPartition partition) {
+        return newest(partition).stream().map(KeyedRecord::key).toList();
+    }
+
     synchronized List<KeyedRecord> records(TopicPartition partition) {
         return List.copyOf(log(partition));
     }
@@ -96,11 +101,15 @@
     @Override
     public synchronized CompletionStage<ReadResult> readNewest(
             TopicPartition partition, String afterKey, int maxSilenceMs) {
+        return CompletableFuture.completedFuture(
+                new ReadResult.Page(newest(partition), "", false, log(partition).size()));
+    }
+
+    private List<KeyedRecord> newest(TopicPartition partition) {
         Map<String, KeyedRecord> newest = new LinkedHashMap<>();
         log(partition).forEach(entry -> newest.put(entry.key(), entry));
         newest.values().removeIf(KeyedRecord::isRemoval);
-        return CompletableFuture.completedFuture(new ReadResult.Page(
-                new ArrayList<>(newest.values()), "", false, log(partition).size()));
+        return new ArrayList<>(newest.values());
     }
 
     private AppendResult execute(TopicPartition partition, List<KeyedRecord> records, AppendCondition condition) {
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -33,7 +32,6 @@
 import org.fulmarreach.protocol.thrift.GuardReport;
 import org.fulmarreach.protocol.thrift.WorkerStatus;
 import org.fulmarreach.runtime.log.EventLog;
-import org.fulmarreach.runtime.net.FrameLink;
 import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.util.ActorSystems;
 import org.fulmarreach.runtime.util.MonotonicClock;
@@ -58,9 +56,12 @@
     /** Time after an acknowledged cancellation by which no task of the job may start any more. */
     private static final long CANCEL_BOUND_MS = 3_000;
 
+    private static final long RETENTION_MS = 120_000;
+    private static final long SHORT_RETENTION_MS = 200;
+
     /** Age of the leader's view of cancellations above which it starts nothing. */
     private static final long MAX_VIEW_AGE_MS =
-            new JobTimeLimits(6_000, 120_000, CANCEL_BOUND_MS).maxCancellationViewAgeMs();
+            new JobTimeLimits(6_000, RETENTION_MS, CANCEL_BOUND_MS).maxCancellationViewAgeMs();
 
     /** Longer than the maximum age of the view, shorter than the timeout of a read. */
     private static final int SLOW_ANSWER_MS = 1_400;
@@ -404,6 +405,42 @@
         assertInstanceOf(WriteOutcome.Stored.class, submit(entries.get(0), "job-1"));
     }
 
+    /**
+     * The request of a settled job stayed in the log when its progress was removed, so an entry that started later took
+     * the job for a new one and ran it again.
+     */
+    @Test
+    void jobIsNotRunAgainByAnEntryThatStartsAfterItsRetention() throws Exception {
+        putConfig();
+        start("entry-0", new Random(1), SHORT_RETENTION_MS);
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        FakeLink guard = new FakeLink();
+        report(entries.get(0), guard);
+        submit(entries.get(0), "job-1");
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> guard.starts().contains("job-1.0.0.0"));
+        report(entries.get(0), guard, SMALL, List.of(new WorkerReport.Ended(1, "job-1.0.0.0", 1, RunEnd.DONE, "")));
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> query(entries.get(0), "job-1").equals(new JobsCommand.StatusAnswer.Missing())
+                        && store.newestKeys(JobPartitions.PROGRESS).equals(List.of(JobTopics.LEADER_KEY)));
+
+        start("entry-1", new Random(2));
+        entries.get(0).tell(new JobsCommand.Drain(new CompletableFuture<>()));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> leads(entries.get(1)));
+        FakeLink guardOfNewLeader = new FakeLink();
+        Awaitility.await()
+                .during(Duration.ofMillis(600))
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> {
+                    report(entries.get(1), guardOfNewLeader);
+                    return guardOfNewLeader.starts().isEmpty();
+                });
+        assertEquals(new JobsCommand.StatusAnswer.Missing(), query(entries.get(1), "job-1"));
+        assertEquals(List.of(), store.newestKeys(JobPartitions.REQUESTS));
+    }
+
     /*
      * Helpers
      */
@@ -451,12 +488,16 @@
     }
 
     private void start(String node, Random random) {
+        start(node, random, RETENTION_MS);
+    }
+
+    private void start(String node, Random random, long retentionMs) {
         entries.add(ActorSystems.construct(
                 JobsActor.create(
                         store,
                         new FakeEntryLinks(),
                         new JobsActor.Identity(node, "127.0.0.1:1"),
-                        new JobTimeLimits(6_000, 120_000, CANCEL_BOUND_MS),
+                        new JobTimeLimits(6_000, retentionMs, CANCEL_BOUND_MS),
                         MonotonicClock.system(),
                         new EventLog(node),
                         new AtomicReference<>(new JobsCommand.View(null, false)),
@@ -512,48 +553,4 @@
         entry.tell(new JobsCommand.Query(id, answer));
         return answer.get(5, TimeUnit.SECONDS);
     }
-
-    /** Connection to a guard that records the frames sent to it. */
-    private static final class FakeLink implements FrameLink {
-        private final List<Body> sent = new CopyOnWriteArrayList<>();
-
-        List<String> leaderHints() {
-            return sent.stream()
-                    .filter(Body::isSetLeaderHint)
-                    .map(body -> body.getLeaderHint().getAddress())
-                    .toList();
-        }
-
-        List<String> starts() {
-            List<String> starts = new ArrayList<>();
-            sent.forEach(body -> body.getLeaderOrders().getStarts().forEach(start -> starts.add(start.getTask())));
-            return starts;
-        }
-
-        long acknowledgedEnd() {
-            return sent.stream()
-                    .mapToLong(body -> body.getLeaderOrders().getAcknowledgedEnd())
-                    .max()
-                    .orElse(0);
-        }
-
-        long grants() {
-            return sent.stream().filter(Body::isSetLeaderOrders).count();
-        }
-
-        @Override
-        public void send(long correlationId, Body body) {
-            sent.add(body);
-        }
-
-        @Override
-        public void close() {
-            // There is no connection to close.
-        }
-
-        @Override
-        public String remoteAddress() {
-            return "127.0.0.1:2";
-        }
-    }
 }
