Count an append as undecided only if it may have been executed

What callers saw: while the store turned the entries away, a submission was answered 504 at its deadline instead of 503 at once, although it had not run and never would.

Cause: each tick of the actor marked the appends in flight as undecided for good, so one tick between an append and its refusal was enough. The mark is now set by an append that ends without an answer; an append in flight at the deadline is undecided for that answer only. While a request is with another entry, a refusal of the own append no longer decides, and the other way round.

jobThatTheStoreRefusesSlowlyIsRefusedToo (refusals after 250 and 700 ms) failed in both cases before (-pl entry -am test -Dtest=RequestForwardingTest: Undecided) and passes now, with the other tests of the class and JobsActorTest.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
@@ -120,9 +120,9 @@
         waiting.removeIf(write -> write.completeIfExpired(nowMs, "the store did not answer in time"));
         boolean unanswered = nowMs - appendedAtMs > UNANSWERED_MS;
         for (Write write : inFlight) {
-            write.undecided = true;
-            boolean completed = write.completeIfExpired(nowMs, "the store did not answer in time");
-            if (unanswered && !completed) {
+            if (nowMs >= write.deadlineAtMs) {
+                write.complete(new WriteOutcome.Undecided("the store did not answer in time"));
+            } else if (unanswered) {
                 failing = true;
                 forward(write);
             }
@@ -157,7 +157,7 @@
     private void refuse(List<Write> written, String reason) {
         List<Write> unresolved = new ArrayList<>();
         for (Write write : written) {
-            if (write.undecided || write.mayForward()) {
+            if (write.undecided || write.forwarding || write.mayForward()) {
                 unresolved.add(write);
             } else {
                 write.complete(new WriteOutcome.Refused("the store refused the append: " + reason));
@@ -214,11 +214,15 @@
         }
     }
 
-    /** Handles a request that no other entry has stored: refuses it, unless it may be stored, or still in flight. */
+    /** Handles a request that no other entry has stored: refuses it, unless it may be stored here. */
     private void resolveUnforwarded(Write write, String reason) {
+        if (inFlight.contains(write)) {
+            // The answer to the append decides.
+            return;
+        }
         if (!write.undecided) {
             write.complete(new WriteOutcome.Refused("the store does not answer; " + reason));
-        } else if (!inFlight.contains(write) && !write.completeIfExpired(clock.nowMs(), reason)) {
+        } else if (!write.completeIfExpired(clock.nowMs(), reason)) {
             retry(write);
         }
     }
@@ -254,7 +258,10 @@
         /** Completes the request if its deadline has passed; returns true if it is completed. */
         boolean completeIfExpired(long nowMs, String reason) {
             if (!completed && nowMs >= deadlineAtMs) {
-                complete(undecided ? new WriteOutcome.Undecided(reason) : new WriteOutcome.Refused(reason));
+                complete(
+                        undecided || forwarding
+                                ? new WriteOutcome.Undecided(reason)
+                                : new WriteOutcome.Refused(reason));
             }
             return completed;
         }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/CutStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/CutStore.java
@@ -20,6 +20,7 @@
     private final StoreClient store;
     private volatile TopicPartition unloadable;
     private final AtomicReference<Path> path = new AtomicReference<>(Path.OPEN);
+    private volatile int refusalDelayMs;
 
     CutStore(StoreClient store) {
         this.store = store;
@@ -43,12 +44,20 @@
         path.set(newPath);
     }
 
+    /** Delays the refusals of appends. */
+    void delayRefusals(int delayMs) {
+        refusalDelayMs = delayMs;
+    }
+
     @Override
     public CompletionStage<AppendResult> append(
             TopicPartition partition, List<KeyedRecord> records, AppendCondition condition) {
         return switch (path.get()) {
             case OPEN -> store.append(partition, records, condition);
-            case REFUSED -> CompletableFuture.completedFuture(new AppendResult.Refused("status 503"));
+            case REFUSED ->
+                CompletableFuture.supplyAsync(
+                        () -> new AppendResult.Refused("status 503"),
+                        CompletableFuture.delayedExecutor(refusalDelayMs, TimeUnit.MILLISECONDS));
             case SILENT ->
                 new CompletableFuture<AppendResult>()
                         .completeOnTimeout(new AppendResult.Unknown("no answer"), TIMEOUT_MS, TimeUnit.MILLISECONDS);
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/RequestForwardingTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/RequestForwardingTest.java
@@ -25,6 +25,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
@@ -126,6 +128,32 @@
         assertEquals(0, countRecords(JobTopics.jobKey("job")));
     }
 
+    /**
+     * An append that was in flight at a tick of the timer counted as undecided for good, so a job that the store then
+     * refused was tried until its deadline and answered as undecided. In the second case the refusal comes after the
+     * job was handed to other entries.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {250, 700})
+    void jobThatTheStoreRefusesSlowlyIsRefusedToo(int refusalDelayMs) throws Exception {
+        paths.forEach(path -> path.set(CutStore.Path.REFUSED));
+        paths.get(0).delayRefusals(refusalDelayMs);
+        long startedAtMs = nowMs();
+        assertInstanceOf(WriteOutcome.Refused.class, submit(0, "job"));
+        assertTrue(nowMs() - startedAtMs < PROMPT_MS, "took " + (nowMs() - startedAtMs) + " ms");
+        assertEquals(0, countRecords(JobTopics.jobKey("job")));
+    }
+
+    /** The refusal of an entry's own append must not answer a job that another entry may store at that moment. */
+    @Test
+    void jobIsNotRefusedWhileAnotherEntryMayStoreIt() throws Exception {
+        paths.get(0).set(CutStore.Path.REFUSED);
+        paths.get(0).delayRefusals(700);
+        links.silence(address(1));
+        links.silence(address(2));
+        assertInstanceOf(WriteOutcome.Undecided.class, submit(0, "job"));
+    }
+
     /**
      * While no entry got an answer of the store, each request went from entry to entry and was refused seconds late,
      * when its caller had given up.
