Convert a grant to the worker's clock by the reading that preceded its tick

What could happen: a guard whose VM was suspended for 5 s after a grant of 6 s extended its worker's lease to 11 s, while the leader takes the lease for ended after 6.4 s and starts the tasks elsewhere: two runs at once.

Cause: the monotonic clock of the guard stands still during a suspension. The end of the lease was converted to the worker's clock anew with each reading of it, so a reading after the suspension moved it by the suspension.

The last reading before the granted tick now counts, so no later reading moves the end. A lease that has ended on the worker's clock is not sent any more.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerLease.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerLease.java
@@ -1,10 +1,17 @@
 package org.fulmarreach.guard.jobs;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 import org.fulmarreach.platform.worker.WorkerCalls;
 
 /**
- * Lease that covers all runs on the worker. The leader grants it until a time on the guard's monotonic clock; the
- * worker expects a time on its own clock, which is estimated from its answers. Not thread-safe.
+ * Lease that covers all runs on the worker. The leader grants it from a tick of the guard's monotonic clock; the worker
+ * expects its end on its own clock, which is estimated from its answers. Not thread-safe.
+ *
+ * <p>The monotonic clock stands still while the VM is suspended, and the worker's clock does not. So a tick is
+ * converted by the reading of the worker's clock that preceded it: a later one would extend the lease by the
+ * suspension.
  */
 final class WorkerLease {
     /** Largest rate by which the worker's clock may be slow. */
@@ -13,12 +20,27 @@
     /** Covers the delay between the end of a lease and its effect. */
     private static final long LAPSE_MARGIN_MS = 300;
 
+    /** Bound on the readings of the worker's clock that are kept while no grant arrives. */
+    private static final int MAX_READINGS = 128;
+
     private final long leaseMs;
-    private long grantedUntilMs;
+    private final Deque<ClockReading> readings = new ArrayDeque<>();
+    private boolean granted;
+    private long grantedTickMs;
     private long sentUntilMs;
-    private long workerClockMs;
-    private long workerClockUpdatedAtMs;
-    private boolean clockKnown;
+
+    /**
+     * Reading of the worker's clock.
+     *
+     * @param clockMs time on the worker's clock in milliseconds
+     * @param receivedAtMs when the answer was received, on the guard's monotonic clock
+     */
+    private record ClockReading(long clockMs, long receivedAtMs) {
+        /** Estimates the worker's clock at a time on the guard's clock, without a suspension between the two. */
+        long clockAt(long guardMs) {
+            return clockMs + guardMs - receivedAtMs;
+        }
+    }
 
     /**
      * Constructs a lease.
@@ -33,23 +55,32 @@
 
     /** Extends the grant; its time counts from a tick of the guard that the leader echoed. */
     void grant(long tickMs) {
-        grantedUntilMs = Math.max(grantedUntilMs, tickMs + leaseMs);
+        grantedTickMs = granted ? Math.max(grantedTickMs, tickMs) : tickMs;
+        granted = true;
+        discardUnusedReadings();
     }
 
     /** Records a reading of the worker's clock. */
     void updateClock(long clockMs, long nowMs) {
-        workerClockMs = clockMs;
-        workerClockUpdatedAtMs = nowMs;
-        clockKnown = true;
+        readings.addLast(new ClockReading(clockMs, nowMs));
+        if (readings.size() > MAX_READINGS) {
+            // The first reading stays, because it may be the one that precedes the granted tick.
+            ClockReading first = readings.removeFirst();
+            readings.removeFirst();
+            readings.addFirst(first);
+        }
     }
 
-    /** Discards the reading of the clock, because a restarted worker has a different clock. */
+    /** Discards the readings of the clock, because a restarted worker has a different clock. */
     void resetClock() {
-        clockKnown = false;
+        readings.clear();
     }
 
     boolean isGranted(long nowMs) {
-        return clockKnown && grantedUntilMs > nowMs;
+        return granted
+                && !readings.isEmpty()
+                && grantedTickMs + leaseMs > nowMs
+                && untilOnWorkerClockMs() > readings.getLast().clockAt(nowMs);
     }
 
     /**
@@ -60,12 +91,38 @@
         if (!isGranted(nowMs)) {
             return WorkerCalls.NO_LEASE;
         }
-        sentUntilMs = Math.max(sentUntilMs, grantedUntilMs);
-        return workerClockMs + (nowMs - workerClockUpdatedAtMs) + (grantedUntilMs - nowMs);
+        sentUntilMs = Math.max(sentUntilMs, grantedTickMs + leaseMs);
+        return untilOnWorkerClockMs();
     }
 
     /** Returns whether every lease that was sent has expired at the worker. */
     boolean hasExpired(long nowMs) {
         return nowMs > sentUntilMs + leaseMs * CLOCK_DRIFT_PERCENT / 100 + LAPSE_MARGIN_MS;
     }
+
+    /*
+     * Helpers
+     */
+
+    private long untilOnWorkerClockMs() {
+        ClockReading before = readings.getFirst();
+        for (ClockReading reading : readings) {
+            if (reading.receivedAtMs() > grantedTickMs) {
+                break;
+            }
+            before = reading;
+        }
+        return before.clockAt(grantedTickMs) + leaseMs;
+    }
+
+    /** Discards all readings before the last one that precedes the granted tick. */
+    private void discardUnusedReadings() {
+        while (readings.size() > 1) {
+            ClockReading first = readings.removeFirst();
+            if (readings.getFirst().receivedAtMs() > grantedTickMs) {
+                readings.addFirst(first);
+                return;
+            }
+        }
+    }
 }
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLeaseTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLeaseTest.java
@@ -52,4 +52,37 @@
                 lease.issueUntilMs(10_100) <= 500_000 + LEASE_MS + LEASE_MS / 50,
                 "lease until " + lease.issueUntilMs(10_100) + " on the worker's clock");
     }
+
+    /** A grant that was echoed before the suspension and read after it counts from its tick, too. */
+    @Test
+    void grantThatWaitedDuringASuspensionCountsFromItsTick() {
+        WorkerLease lease = new WorkerLease(LEASE_MS, 0);
+        lease.updateClock(500_000, 10_000);
+        lease.updateClock(505_100, 10_100);
+        lease.grant(10_050);
+        assertTrue(lease.issueUntilMs(10_100) <= 500_050 + LEASE_MS + LEASE_MS / 50);
+    }
+
+    /** A lease that ended on the worker's clock during a suspension must not be sent with a start. */
+    @Test
+    void leaseThatEndedDuringASuspensionIsNotGranted() {
+        WorkerLease lease = new WorkerLease(LEASE_MS, 0);
+        lease.updateClock(500_000, 10_000);
+        lease.grant(10_000);
+        lease.updateClock(507_000, 10_100);
+        assertFalse(lease.isGranted(10_100));
+        lease.grant(10_100);
+        assertTrue(lease.isGranted(10_101), "the next grant counts");
+    }
+
+    /** Readings are kept for the next ticks only, so that a guard that runs for days does not collect them. */
+    @Test
+    void leaseIsRenewedWithEachGrant() {
+        WorkerLease lease = new WorkerLease(LEASE_MS, 0);
+        for (long nowMs = 0; nowMs < 3_600_000; nowMs += 500) {
+            lease.updateClock(500_000 + nowMs, nowMs);
+            lease.grant(nowMs);
+            assertEquals(500_000 + nowMs + LEASE_MS, lease.issueUntilMs(nowMs));
+        }
+    }
 }
