Pace refused removals of requests and remove progress without a request

While the store refused the removals of requests, the leader repeated them as fast as it answered (404 appends in 2 s with an answer in 4 ms), each at the cost of a call and of the rate that submissions need. They are now repeated after 1 s, with a line in the log. A leader that stopped between the two removals left the progress record for good, since no other one knew the job: every leader now expires progress whose request is gone, and one that resigns begins no removal.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobRegistry.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobRegistry.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -71,6 +72,20 @@
         cancelledUnknownJobs.remove(id);
     }
 
+    /**
+     * Returns the ids of the jobs of which only the progress is known and whose retention has ended: a leader that
+     * stopped after it removed their requests has left them.
+     *
+     * @param unixMs jobs that were settled before this time
+     */
+    List<String> findSettledWithoutRequest(long unixMs) {
+        return progressOfUnknownJobs.entrySet().stream()
+                .filter(entry ->
+                        entry.getValue().settledAtMs() > 0 && entry.getValue().settledAtMs() < unixMs)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     /** Finds a job by its id. */
     public Optional<Job> find(String id) {
         return Optional.ofNullable(jobs.get(id));
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -385,6 +385,11 @@
     }
 
     private void removeExpired(long unixMs) {
+        for (String id : registry.findSettledWithoutRequest(unixMs - limits.statusRetentionMs())) {
+            if (forgotten.add(id)) {
+                decisions.removeJob(id);
+            }
+        }
         for (Job job : registry.jobs()) {
             // An end that the store has not acknowledged may still be undone, so it does not count.
             long settledAtMs = job.acknowledgedSettledAtMs();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -44,6 +44,7 @@
     REQUEST_FORWARDED(
             4026, Level.INFO, "The store does not answer this entry; a caller's request went to another one."),
     LEADER_ENDED(4027, Level.INFO, "The silent leader's address refused a connection, so its process has ended."),
+    REMOVAL_FAILED(4028, Level.WARNING, "The requests of forgotten jobs could not be removed; this is tried again."),
     ELECTION_STARTED(
             4030, Level.INFO, "The leader has written nothing for a while; this entry tries to win the next term."),
     LEADER_ELECTED(4031, Level.INFO, "This entry was elected leader."),
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -429,7 +429,8 @@
                 new CancellationView(requests, limits, log),
                 store,
                 getContext(),
-                clock);
+                clock,
+                log);
         log.emit(
                 JobEvent.LEADER_ELECTED,
                 "term",
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -18,6 +18,7 @@
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
+import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
 /**
@@ -76,7 +77,8 @@
             CancellationView cancellations,
             StoreClient store,
             ActorContext<JobsCommand> context,
-            MonotonicClock clock) {
+            MonotonicClock clock,
+            EventLog log) {
         this.term = term;
         this.leaderRecord = leaderRecord;
         this.scheduler = scheduler;
@@ -84,7 +86,7 @@
         this.sessions = sessions;
         this.requests = requests;
         this.cancellations = cancellations;
-        this.remover = new RequestRemover(term, store, context);
+        this.remover = new RequestRemover(term, store, context, clock, log);
         this.store = store;
         this.context = context;
         this.clock = clock;
@@ -260,7 +262,9 @@
     /** Replaces the jobs whose retention has ended by those whose requests have already been removed. */
     private JobBatch deferRemovals(JobBatch batch) {
         remover.add(batch.removedJobIds());
-        remover.flush();
+        if (!resigning) {
+            remover.flush();
+        }
         return new JobBatch(batch.progress(), remover.takeRemoved(), batch.orders());
     }
 
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestRemover.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestRemover.java
@@ -11,39 +11,51 @@
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.protocol.io.JobTopics;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.util.MonotonicClock;
 
 /**
  * Removes the requests of jobs whose retention has ended. The progress of a job may be removed only after its requests:
  * a process that reads a submission without progress takes it for a new job and runs it. Confined to one actor.
  */
 final class RequestRemover {
+    /** Bound on the jobs of one append; its records take about 8 KB. */
     private static final int MAX_JOBS = 200;
 
+    /** Delay before removals that failed are repeated; nothing waits for them. */
+    private static final int RETRY_MS = 1_000;
+
     private final long term;
     private final StoreClient store;
     private final ActorContext<JobsCommand> context;
+    private final MonotonicClock clock;
+    private final EventLog log;
     private final Set<String> waiting = new LinkedHashSet<>();
     private List<String> inFlight = List.of();
     private Set<String> removed = new LinkedHashSet<>();
+    private long retryAtMs = Long.MIN_VALUE;
 
     /**
      * Constructs a remover.
      *
      * @param term term of the leader
      */
-    RequestRemover(long term, StoreClient store, ActorContext<JobsCommand> context) {
+    RequestRemover(
+            long term, StoreClient store, ActorContext<JobsCommand> context, MonotonicClock clock, EventLog log) {
         this.term = term;
         this.store = store;
         this.context = context;
+        this.clock = clock;
+        this.log = log;
     }
 
     void add(Set<String> jobIds) {
         waiting.addAll(jobIds);
     }
 
-    /** Appends the removals that wait, unless an append is in flight; failed ones are repeated by the next call. */
+    /** Appends the removals that wait, unless an append is in flight or has just failed. */
     void flush() {
-        if (!inFlight.isEmpty() || waiting.isEmpty()) {
+        if (!inFlight.isEmpty() || waiting.isEmpty() || clock.nowMs() < retryAtMs) {
             return;
         }
         inFlight = waiting.stream().limit(MAX_JOBS).toList();
@@ -61,6 +73,9 @@
         if (result instanceof AppendResult.Appended) {
             inFlight.forEach(waiting::remove);
             removed.addAll(inFlight);
+        } else {
+            retryAtMs = clock.nowMs() + RETRY_MS;
+            log.emit(JobEvent.REMOVAL_FAILED, "jobs", inFlight.size(), "term", term, "reason", result);
         }
         inFlight = List.of();
     }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -22,6 +22,7 @@
  */
 final class FakeStore implements StoreClient {
     private static final int MAX_WAIT_MS = 20;
+    private static final int APPEND_MS = 4;
 
     private final Map<TopicPartition, List<KeyedRecord>> logs = new HashMap<>();
     private final Map<String, Long> epochs = new HashMap<>();
@@ -30,6 +31,8 @@
     private boolean losingAnswers;
     private boolean refusing;
     private boolean holdingReads;
+    private TopicPartition refused;
+    private int refusals;
     private TopicPartition silenced;
     private TopicPartition delayed;
     private int answerDelayMs;
@@ -45,6 +48,16 @@
         refusing = refuse;
     }
 
+    /** Makes further appends to a partition be refused, in the time that the store usually needs. */
+    synchronized void refuseAppends(TopicPartition partition) {
+        refused = partition;
+    }
+
+    /** Returns how many appends were refused because of {@link #refuseAppends}. */
+    synchronized int refusals() {
+        return refusals;
+    }
+
     /** Makes all further reads that find no records wait for ever. */
     synchronized void holdReads() {
         holdingReads = true;
@@ -81,6 +94,12 @@
         if (refusing) {
             return CompletableFuture.completedFuture(new AppendResult.Refused("status 503"));
         }
+        if (partition.equals(refused)) {
+            refusals++;
+            return CompletableFuture.supplyAsync(
+                    () -> new AppendResult.Refused("status 429"),
+                    CompletableFuture.delayedExecutor(APPEND_MS, TimeUnit.MILLISECONDS));
+        }
         AppendResult result = execute(partition, records, condition);
         return CompletableFuture.completedFuture(losingAnswers ? new AppendResult.Unknown("no answer") : result);
     }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -11,11 +11,14 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.awaitility.Awaitility;
+import org.fulmarreach.core.jobs.JobSnapshot;
 import org.fulmarreach.core.jobs.JobSpec;
 import org.fulmarreach.core.jobs.JobStatus;
 import org.fulmarreach.core.jobs.JobStep;
 import org.fulmarreach.core.jobs.JobTimeLimits;
 import org.fulmarreach.core.jobs.RunEnd;
+import org.fulmarreach.core.jobs.TaskPhase;
+import org.fulmarreach.core.jobs.TaskState;
 import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.core.jobs.WorkerReport;
 import org.fulmarreach.core.model.Resources;
@@ -441,6 +444,42 @@
         assertEquals(List.of(), store.newestKeys(JobPartitions.REQUESTS));
     }
 
+    /** A leader whose removals were refused repeated them as fast as the store answered, each at the cost of a call. */
+    @Test
+    void removalsThatTheStoreRefusesAreRepeatedWithPauses() throws Exception {
+        putConfig();
+        start("entry-0", new Random(1), SHORT_RETENTION_MS);
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        FakeLink guard = new FakeLink();
+        report(entries.get(0), guard);
+        submit(entries.get(0), "job-1");
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> guard.starts().contains("job-1.0.0.0"));
+        store.refuseAppends(JobPartitions.REQUESTS);
+        report(entries.get(0), guard, SMALL, List.of(new WorkerReport.Ended(1, "job-1.0.0.0", 1, RunEnd.DONE, "")));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> store.refusals() > 0);
+        Thread.sleep(2_000);
+        assertTrue(store.refusals() <= 40, store.refusals() + " appends in 2 s");
+    }
+
+    /** A leader that failed between the two removals left a progress record that no later leader removed. */
+    @Test
+    void progressWithoutARequestIsRemovedAfterItsRetention() throws Exception {
+        putConfig();
+        TaskState done = new TaskState(TaskPhase.DONE, 1, new WorkerRef("guard", "worker", 1), 0, "");
+        JobSnapshot completed = new JobSnapshot(List.of(done), System.currentTimeMillis() - RETENTION_MS);
+        store.append(
+                JobPartitions.PROGRESS,
+                List.of(new KeyedRecord(JobTopics.progressKey("job-1"), JobRecords.encode(completed))),
+                new AppendCondition.None());
+        start("entry-0", new Random(1), SHORT_RETENTION_MS);
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> countLeaders() == 1);
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(3))
+                .until(() -> store.newestKeys(JobPartitions.PROGRESS).equals(List.of(JobTopics.LEADER_KEY)));
+    }
+
     /*
      * Helpers
      */
