--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerLease.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerLease.java
@@ -11,7 +11,7 @@
  *
  * <p>The monotonic clock stands still while the VM is suspended, and the worker's clock does not. So a tick is
  * converted by the reading of the worker's clock that preceded it: a later one would extend the lease by the
- * suspension.
+ * suspension. A tick without such a reading grants nothing.
  */
 final class WorkerLease {
     /** Largest rate by which the worker's clock may be slow. */
@@ -77,10 +77,10 @@
     }
 
     boolean isGranted(long nowMs) {
-        return granted
-                && !readings.isEmpty()
+        ClockReading before = granted ? readingBeforeTick() : null;
+        return before != null
                 && grantedTickMs + leaseMs > nowMs
-                && untilOnWorkerClockMs() > readings.getLast().clockAt(nowMs);
+                && before.clockAt(grantedTickMs) + leaseMs > readings.getLast().clockAt(nowMs);
     }
 
     /**
@@ -92,7 +92,7 @@
             return WorkerCalls.NO_LEASE;
         }
         sentUntilMs = Math.max(sentUntilMs, grantedTickMs + leaseMs);
-        return untilOnWorkerClockMs();
+        return readingBeforeTick().clockAt(grantedTickMs) + leaseMs;
     }
 
     /** Returns whether every lease that was sent has expired at the worker. */
@@ -104,15 +104,16 @@
      * Helpers
      */
 
-    private long untilOnWorkerClockMs() {
-        ClockReading before = readings.getFirst();
+    /** Returns the last reading that precedes the granted tick, or null. */
+    private ClockReading readingBeforeTick() {
+        ClockReading before = null;
         for (ClockReading reading : readings) {
             if (reading.receivedAtMs() > grantedTickMs) {
                 break;
             }
             before = reading;
         }
-        return before.clockAt(grantedTickMs) + leaseMs;
+        return before;
     }
 
     /** Discards all readings before the last one that precedes the granted tick. */
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLeaseTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLeaseTest.java
@@ -21,8 +21,9 @@
     @Test
     void leaseCountsFromEchoedTick() {
         WorkerLease lease = new WorkerLease(LEASE_MS, 0);
+        lease.updateClock(499_700, 9_700);
+        assertEquals(WorkerCalls.NO_LEASE, lease.issueUntilMs(9_700), "no grant yet");
         lease.updateClock(500_000, 10_000);
-        assertEquals(WorkerCalls.NO_LEASE, lease.issueUntilMs(10_000), "no grant yet");
         lease.grant(9_800);
         assertEquals(500_000 + 100 + 5_700, lease.issueUntilMs(10_100), "on the worker's clock");
         assertFalse(lease.hasExpired(9_800 + LEASE_MS));
@@ -85,4 +86,21 @@
             assertEquals(500_000 + nowMs + LEASE_MS, lease.issueUntilMs(nowMs));
         }
     }
+
+    /**
+     * A tick that no reading of the worker's clock preceded was converted by the first later one, so a suspension in
+     * between extended the lease, too.
+     */
+    @Test
+    void suspensionBeforeTheFirstReadingDoesNotExtendTheLease() {
+        WorkerLease lease = new WorkerLease(LEASE_MS, 0);
+        // The worker's clock is at 500,000 at the tick; of the 5,100 ms until the reading, 5,000 are a suspension.
+        lease.updateClock(505_100, 10_100);
+        lease.grant(10_000);
+        assertTrue(
+                lease.issueUntilMs(10_100) <= 500_000 + LEASE_MS + LEASE_MS / 50,
+                "lease until " + lease.issueUntilMs(10_100) + " on the worker's clock");
+        lease.grant(10_100);
+        assertEquals(505_100 + LEASE_MS, lease.issueUntilMs(10_100), "the next tick counts");
+    }
 }
