Keep the connection to an entry until it has answered all forwarded requests

Cause: the first refusal closed the connection to the other entry, so its answers for the other requests were lost and these had to count as undecided.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
@@ -45,6 +45,7 @@
     private final Map<Long, Forward> pending = new HashMap<>();
     private FrameLink link;
     private String address = "";
+    private boolean leaving;
     private long attempt;
     private long lastId;
     private int nextKnown;
@@ -110,7 +111,7 @@
         long id = ++lastId;
         Forward forward = new Forward(entry, deadlineAtMs, done);
         pending.put(id, forward);
-        if (link != null && forward.tried.add(address)) {
+        if (link != null && !leaving && forward.tried.add(address)) {
             send(id, forward);
         } else if (address.isEmpty()) {
             connectToNext();
@@ -158,6 +159,7 @@
             case LinkEvent.Closed closed -> {
                 link = null;
                 address = "";
+                leaving = false;
                 if (!pending.isEmpty()) {
                     connectToNext();
                 }
@@ -180,6 +182,8 @@
         }
         if (silent) {
             close();
+        } else if (leaving) {
+            leave();
         }
     }
 
@@ -209,22 +213,37 @@
             case STORED -> {
                 pending.remove(id);
                 forward.done.accept(new WriteOutcome.Stored());
+                if (leaving) {
+                    leave();
+                }
             }
             case REFUSED -> {
                 // This entry has not stored the record, so another one may still do so.
                 forward.unanswered--;
                 forward.sentAtMs = 0;
-                close();
+                leave();
             }
             default -> {
                 // The record may be stored; the next entry can make certain of it.
                 forward.sentAtMs = 0;
-                close();
+                leave();
             }
         }
     }
 
+    /**
+     * Leaves an entry that has not stored a record: sends it nothing more, and closes the connection once it has
+     * answered the other requests. Without their answers these would count as undecided.
+     */
+    private void leave() {
+        leaving = true;
+        if (pending.values().stream().noneMatch(forward -> forward.sentAtMs > 0)) {
+            close();
+        }
+    }
+
     private void close() {
+        leaving = false;
         attempt++;
         if (link != null) {
             link.close();
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/RequestForwardingTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/RequestForwardingTest.java
@@ -144,6 +144,26 @@
         assertEquals(0, countRecords(JobTopics.jobKey("job")));
     }
 
+    /**
+     * The refusal of the first of several forwarded jobs closed the connection, so the answers for the others were lost
+     * and these were answered as undecided at their deadline, although the store refused all of them.
+     */
+    @Test
+    void jobsThatArriveTogetherAreAllRefusedAtOnce() throws Exception {
+        paths.forEach(path -> path.set(CutStore.Path.REFUSED));
+        long startedAtMs = nowMs();
+        List<CompletableFuture<WriteOutcome>> outcomes = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            outcomes.add(submitAsync(0, "job-" + i));
+        }
+        List<String> results = new ArrayList<>();
+        for (CompletableFuture<WriteOutcome> outcome : outcomes) {
+            results.add(outcome.get(5, TimeUnit.SECONDS).getClass().getSimpleName());
+        }
+        assertEquals(List.of("Refused", "Refused", "Refused", "Refused", "Refused"), results);
+        assertTrue(nowMs() - startedAtMs < PROMPT_MS, "took " + (nowMs() - startedAtMs) + " ms");
+    }
+
     /** The refusal of an entry's own append must not answer a job that another entry may store at that moment. */
     @Test
     void jobIsNotRefusedWhileAnotherEntryMayStoreIt() throws Exception {
@@ -247,6 +267,10 @@
     }
 
     private WriteOutcome submit(int entry, String id) throws Exception {
+        return submitAsync(entry, id).get(5, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<WriteOutcome> submitAsync(int entry, String id) {
         JobStep step = new JobStep(
                 1,
                 new Resources(100, 100, 0),
@@ -267,7 +291,7 @@
         JobSpec job = new JobSpec(id, "q", "text", List.of(step), 0, 0, 0, System.currentTimeMillis());
         CompletableFuture<WriteOutcome> outcome = new CompletableFuture<>();
         entries.get(entry).tell(new JobsCommand.Submit(job, nowMs() + WAIT_MS, outcome));
-        return outcome.get(5, TimeUnit.SECONDS);
+        return outcome;
     }
 
     private static String describe(ActorSystem<JobsCommand> entry) throws Exception {
