Show that a reload keeps a job whose removal was not read

An entry that could not read the requests for longer than the retention of jobs and the history of the store loads the newest records again, and nothing drops the jobs that are no longer among them. If it is elected, it runs them again. What remains to be done: drop jobs that were known before the load began and are not among its records.

--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -31,6 +31,7 @@
     private boolean losingAnswers;
     private boolean refusing;
     private boolean holdingReads;
+    private final Map<TopicPartition, Integer> firstKept = new HashMap<>();
     private TopicPartition refused;
     private int refusals;
     private TopicPartition silenced;
@@ -48,6 +49,12 @@
         refusing = refuse;
     }
 
+    /** Removes a key and expires all records of the partition before a reader can see the removal. */
+    synchronized void removeAndExpire(TopicPartition partition, String key) {
+        log(partition).add(KeyedRecord.removal(key));
+        firstKept.put(partition, log(partition).size());
+    }
+
     /** Makes further appends to a partition be refused, in the time that the store usually needs. */
     synchronized void refuseAppends(TopicPartition partition) {
         refused = partition;
@@ -107,6 +114,9 @@
     @Override
     public synchronized CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, int waitMs) {
         List<KeyedRecord> log = log(partition);
+        if (fromOffset < firstKept.getOrDefault(partition, 0)) {
+            return CompletableFuture.completedFuture(new ReadResult.Expired());
+        }
         int next = (int) Math.min(log.size(), fromOffset + maxRecords);
         ReadResult result = new ReadResult.Records(List.copyOf(log.subList((int) fromOffset, next)), next, log.size());
         if (partition.equals(silenced) || holdingReads && fromOffset >= log.size()) {
