Answer requests that arrive while an entry stops

Cause: the drain ended the listener with ServerBinding.terminate after a fixed 2.3 s. In a process that halts after its drain, that resets connections that have not been accepted yet, and open connections on which a request has just arrived. The incident itself left no log that tells these apart; the timing fits the first.

Fix: the listener watches the bytes of each connection (HttpConnections, ConnectionStage). A request is in progress from its first byte until its answer was passed to the transport. The drain (HttpBinding) accepts and answers until no request has arrived for 300 ms or one second before the end, then closes the listener, then the connections without a request in progress, and ends when all connections have ended. Its time follows from the grace time. Writes that are still undecided 400 ms before the end are answered 504, since their append may be executed; queries get 503, and new requests in the last second are refused with 503. The older interface uses the same drain.

Connections are closed in one direction first and their unread input is discarded, so that a reset cannot discard the last answer.

Not covered: a connection that the kernel completes between the last accept and the close of the listener.

--- a/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
@@ -117,7 +117,7 @@
         status.beginDrain();
         log.emit(RuntimeEvent.DRAINING, "timeoutMs", drainTimeoutMs);
         try {
-            node.drain().toCompletableFuture().get(drainTimeoutMs, TimeUnit.MILLISECONDS);
+            node.drain(drainTimeoutMs).toCompletableFuture().get(drainTimeoutMs, TimeUnit.MILLISECONDS);
             log.emit(RuntimeEvent.STOPPED);
         } catch (TimeoutException e) {
             log.emit(RuntimeEvent.DRAIN_TIMEOUT, "timeoutMs", drainTimeoutMs);
--- a/entry/src/main/java/org/fulmarreach/entry/http/EntryHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/http/EntryHttp.java
@@ -1,13 +1,11 @@
 package org.fulmarreach.entry.http;
 
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.fulmarreach.core.exc.ErrorCode;
@@ -17,6 +15,7 @@
 import org.fulmarreach.runtime.cfg.Setting;
 import org.fulmarreach.runtime.cfg.Settings;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.HttpBinding;
 import org.fulmarreach.runtime.net.HttpListener;
 
 import io.micrometer.core.instrument.Gauge;
@@ -25,12 +24,12 @@
 /** The two HTTP listeners of an entry, one for callers and one for operators. Thread-safe. */
 public final class EntryHttp {
     private static final int MAX_OPERATOR_CONNECTIONS = 64;
-    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+    private static final long CLOSE_TIMEOUT_MS = 2_000;
 
-    private final ServerBinding callers;
-    private final ServerBinding operators;
+    private final HttpBinding callers;
+    private final HttpBinding operators;
 
-    private EntryHttp(ServerBinding callers, ServerBinding operators) {
+    private EntryHttp(HttpBinding callers, HttpBinding operators) {
         this.callers = callers;
         this.operators = operators;
     }
@@ -65,13 +64,13 @@
         AtomicInteger running = new AtomicInteger();
         int maxConnections = settings.intNumber(Setting.MAX_HTTP_CONNECTIONS);
         registerGauges(meters, bodies, running, maxConnections);
-        CompletionStage<ServerBinding> callers = HttpListener.bind(
+        CompletionStage<HttpBinding> callers = HttpListener.bind(
                 system,
                 settings.address(Setting.HTTP),
                 maxConnections,
                 request -> handleCounted(running, callEndpoint, request),
                 (request, failure) -> handleFailure(log, request, failure));
-        CompletionStage<ServerBinding> operators = HttpListener.bind(
+        CompletionStage<HttpBinding> operators = HttpListener.bind(
                 system,
                 settings.address(Setting.OPERATOR_HTTP),
                 MAX_OPERATOR_CONNECTIONS,
@@ -82,8 +81,8 @@
 
     /** Closes the listeners; requests in progress have 2 s to finish. */
     public CompletionStage<Done> close() {
-        return callers.terminate(CLOSE_TIMEOUT)
-                .thenCombine(operators.terminate(CLOSE_TIMEOUT), (first, second) -> Done.getInstance());
+        return callers.drain(0, 0, CLOSE_TIMEOUT_MS)
+                .thenCombine(operators.drain(0, 0, CLOSE_TIMEOUT_MS), (first, second) -> Done.getInstance());
     }
 
     /*
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -50,7 +51,10 @@
     private final MonotonicClock clock;
     private final EventLog log;
     private final MeterRegistry meters;
+    private final Map<CompletableFuture<HttpResponse>, HttpRequest> pending = new ConcurrentHashMap<>();
     private volatile boolean closing;
+    private volatile long refuseFromMs = Long.MAX_VALUE;
+    private volatile long answerByMs = Long.MAX_VALUE;
 
     /**
      * Constructs the endpoint.
@@ -77,9 +81,18 @@
         this.meters = meters;
     }
 
-    /** Adds {@code Connection: close} to all further responses. */
-    void close() {
+    /**
+     * Prepares for the end of the process. All further responses carry {@code Connection: close}.
+     *
+     * @param refuseFromMs time from which new requests are refused
+     * @param answerByMs time by which all requests are answered; what is undecided then is answered as such
+     */
+    void close(long refuseFromMs, long answerByMs) {
+        this.refuseFromMs = refuseFromMs;
+        this.answerByMs = answerByMs;
         closing = true;
+        CompletableFuture.delayedExecutor(Math.max(0, answerByMs - clock.nowMs()), TimeUnit.MILLISECONDS)
+                .execute(() -> pending.forEach((answer, request) -> answer.complete(answerUndecided(request))));
     }
 
     /** Returns status 200 if this entry is ready for requests, otherwise 503. */
@@ -94,7 +107,9 @@
         JobConfig config = view.get().config();
         Optional<JobQueue> queue = config == null ? Optional.empty() : config.findByRequest(hostOf(request), path);
         CompletionStage<HttpResponse> answer;
-        if (config == null) {
+        if (startedAtMs >= refuseFromMs) {
+            answer = refuse(request, path, 503, "this entry is stopping");
+        } else if (config == null) {
             answer = refuse(request, path, 503, "this entry has not loaded its configuration yet");
         } else if (queue.isEmpty()) {
             answer = refuse(request, path, 404, "no queue is configured for this host and path");
@@ -106,7 +121,26 @@
                     config);
         }
         String name = queue.map(JobQueue::name).orElse("none");
-        return answer.thenApply(response -> finish(request, response, name, clock.nowMs() - startedAtMs));
+        return untilClosed(request, answer)
+                .thenApply(response -> finish(request, response, name, clock.nowMs() - startedAtMs));
+    }
+
+    private CompletionStage<HttpResponse> untilClosed(HttpRequest request, CompletionStage<HttpResponse> answer) {
+        CompletableFuture<HttpResponse> result = answer.toCompletableFuture().copy();
+        if (!result.isDone()) {
+            pending.put(result, request);
+            result.whenComplete((response, failure) -> pending.remove(result));
+        }
+        return result;
+    }
+
+    /** A write may still be executed, so its answer must not say that it was refused. */
+    private HttpResponse answerUndecided(HttpRequest request) {
+        boolean isRead = request.method().equals(HttpMethods.GET);
+        int status = isRead ? 503 : 504;
+        String reason = "this entry stopped before the request was decided";
+        logRefusal(request, request.getUri().path(), status, reason);
+        return refusal(status, reason);
     }
 
     /*
@@ -219,6 +253,11 @@
 
     private CompletionStage<HttpResponse> refuse(HttpRequest request, String id, int status, String reason) {
         request.discardEntityBytes(materializer);
+        logRefusal(request, id, status, reason);
+        return CompletableFuture.completedFuture(refusal(status, reason));
+    }
+
+    private void logRefusal(HttpRequest request, String id, int status, String reason) {
         log.emit(
                 JobEvent.REQUEST_REFUSED,
                 "id",
@@ -229,11 +268,13 @@
                 status,
                 "reason",
                 reason);
+    }
+
+    private static HttpResponse refusal(int status, String reason) {
         HttpResponse response = json(status, JsonText.writeObject(Map.of("error", reason)));
-        if (status == 503) {
-            response = response.addHeader(RawHeader.create("Retry-After", Integer.toString(RETRY_AFTER_S)));
-        }
-        return CompletableFuture.completedFuture(response);
+        return status == 503
+                ? response.addHeader(RawHeader.create("Retry-After", Integer.toString(RETRY_AFTER_S)))
+                : response;
     }
 
     private HttpResponse finish(HttpRequest request, HttpResponse response, String queue, long elapsedMs) {
@@ -280,6 +321,6 @@
         if (queue.timeoutMs() > 0) {
             waitMs = Math.min(waitMs, queue.timeoutMs());
         }
-        return clock.nowMs() + Math.max(1, waitMs - ANSWER_MARGIN_MS);
+        return Math.min(answerByMs, clock.nowMs() + Math.max(1, waitMs - ANSWER_MARGIN_MS));
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -1,7 +1,6 @@
 package org.fulmarreach.entry.jobs;
 
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -13,7 +12,6 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
-import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
@@ -25,7 +23,9 @@
 import org.fulmarreach.platform.store.HttpStoreClient;
 import org.fulmarreach.runtime.cfg.Address;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.log.RuntimeEvent;
 import org.fulmarreach.runtime.net.FrameTransport;
+import org.fulmarreach.runtime.net.HttpBinding;
 import org.fulmarreach.runtime.net.HttpListener;
 import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.net.LinkSettings;
@@ -39,7 +39,21 @@
     /** The platform checks readiness once a second and removes an entry from rotation after two failed checks. */
     private static final long LEAVE_ROTATION_MS = 2_300;
 
-    private static final Duration TERMINATION_TIMEOUT = Duration.ofMillis(2_500);
+    /** Requests that arrive in the last second before the process ends are refused: an append may need that long. */
+    private static final long REFUSAL_RESERVE_MS = 1_000;
+
+    /** Time for writing the answers to requests that are still undecided at the end of the drain. */
+    private static final long ANSWER_RESERVE_MS = 400;
+
+    /**
+     * The listener closes after this time without a request. While other entries of its zone are stopping, too, the
+     * platform sends requests to an entry that is not ready.
+     */
+    private static final long QUIET_MS = 300;
+
+    /** The drain reports its own end before the caller of {@link #drain} gives up. */
+    private static final long EXIT_RESERVE_MS = 100;
+
     private static final int THREADS = 2;
     private static final int MAX_CONNECTIONS = 2_000;
     private static final int MAX_OPERATOR_CONNECTIONS = 16;
@@ -54,12 +68,21 @@
 
     private final ActorSystem<JobsCommand> system;
     private final JobsHttp http;
-    private final CompletableFuture<ServerBinding> callers;
-
-    private JobsNode(ActorSystem<JobsCommand> system, JobsHttp http, CompletableFuture<ServerBinding> callers) {
+    private final CompletableFuture<HttpBinding> callers;
+    private final MonotonicClock clock;
+    private final EventLog log;
+
+    private JobsNode(
+            ActorSystem<JobsCommand> system,
+            JobsHttp http,
+            CompletableFuture<HttpBinding> callers,
+            MonotonicClock clock,
+            EventLog log) {
         this.system = system;
         this.http = http;
         this.callers = callers;
+        this.clock = clock;
+        this.log = log;
     }
 
     /**
@@ -105,26 +128,39 @@
                 MAX_OPERATOR_CONNECTIONS,
                 log,
                 request -> handleOperatorRequest(system, meters, request));
-        CompletionStage<ServerBinding> callers =
+        CompletionStage<HttpBinding> callers =
                 bind(system, settings.callerAddress(), MAX_CONNECTIONS, log, http::handle);
-        return new JobsNode(system, http, callers.toCompletableFuture());
+        return new JobsNode(system, http, callers.toCompletableFuture(), clock, log);
     }
 
     /**
-     * Drains the entry: reports not ready, resigns leadership, and closes the listener after pending requests.
+     * Drains the entry: reports not ready, resigns leadership, answers requests until no more arrive, and closes the
+     * listener after all answers have been written.
      *
+     * @param timeoutMs time after which the process ends; all requests are answered before
      * @return completed when draining is finished
      */
-    public CompletionStage<?> drain() {
+    public CompletionStage<?> drain(long timeoutMs) {
+        long startedAtMs = clock.nowMs();
         CompletableFuture<Void> resigned = new CompletableFuture<>();
-        http.close();
+        http.close(startedAtMs + timeoutMs - REFUSAL_RESERVE_MS, startedAtMs + timeoutMs - ANSWER_RESERVE_MS);
         system.tell(new JobsCommand.Drain(resigned));
         resigned.completeOnTimeout(null, RESIGN_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        long acceptMs = Math.max(0, timeoutMs - REFUSAL_RESERVE_MS);
+        long rotationMs = Math.min(LEAVE_ROTATION_MS, acceptMs);
         return CompletableFuture.supplyAsync(
-                        () -> null, CompletableFuture.delayedExecutor(LEAVE_ROTATION_MS, TimeUnit.MILLISECONDS))
-                .thenCompose(ignored -> resigned)
+                        () -> null, CompletableFuture.delayedExecutor(rotationMs, TimeUnit.MILLISECONDS))
                 .thenCompose(ignored -> callers)
-                .thenCompose(binding -> binding.terminate(TERMINATION_TIMEOUT));
+                .thenCompose(binding ->
+                        binding.drain(QUIET_MS, acceptMs - rotationMs, timeoutMs - rotationMs - EXIT_RESERVE_MS))
+                .thenCombine(resigned, (unanswered, ignored) -> unanswered)
+                .thenAccept(this::logUnanswered);
+    }
+
+    private void logUnanswered(int connections) {
+        if (connections > 0) {
+            log.emit(RuntimeEvent.DRAIN_TIMEOUT, "connectionsWithoutAnswer", connections);
+        }
     }
 
     /** Returns a stage that completes when the actor system has terminated, which happens only after a failure. */
@@ -136,7 +172,7 @@
      * Helpers
      */
 
-    private static CompletionStage<ServerBinding> bind(
+    private static CompletionStage<HttpBinding> bind(
             ActorSystem<?> system,
             String address,
             int maxConnections,
