Place a best-effort job while others use all idle processors

Cause: a best-effort task for which all idle processors were taken (1.3 times the idle millicores on every worker), or which would interfere on every worker, was placed after 1.5 s only on a worker that had no other best-effort task and only serving tasks well below their targets. Where other jobs kept every worker busy there was none, so the job waited until they had ended.

Why this works: best-effort tasks reserve no processors, so the room that callers count is free. While less than half of the service's room is reserved, such a job now gets one run on the worker with the least load of best-effort tasks and the least predicted interference; the pacer throttles it if a serving task comes near its target.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -62,6 +62,9 @@
     /** A job without a run for this long is placed even where it interferes; callers expect a start within 3 s. */
     private static final long MAX_WITHOUT_RUN_MS = 1_500;
 
+    /** Outweighs any predicted excess, so that idle workers come first. */
+    private static final double NOT_IDLE_PENALTY = 100;
+
     /** Tail ratio up to which serving tasks tolerate an interfering task until it is throttled. */
     private static final double LOW_TAIL_RATIO = 0.5;
 
@@ -69,6 +72,7 @@
     private final Map<Job, Long> withoutRunSinceMs = new WeakHashMap<>();
     private final Map<TaskClass, List<Resources>> unplaceable = new HashMap<>();
     private final Set<WorkerView> heldWorkers = new HashSet<>();
+    private final Map<String, Boolean> mostlyFree = new HashMap<>();
     private long candidates;
     private long comparedPairs;
 
@@ -84,6 +88,7 @@
     void beginPass() {
         unplaceable.clear();
         heldWorkers.clear();
+        mostlyFree.clear();
     }
 
     /** Must be called when tentative assignments are undone during a pass, which frees their capacity again. */
@@ -103,9 +108,8 @@
 
     /**
      * Returns the best worker for a task of {@code service}, or null if there is none now. To prevent starvation, a
-     * best-effort task that would interfere on every worker is placed once its job has had no run for a while: on a
-     * worker without other best-effort tasks whose serving tasks are well below their targets. The pacer throttles it
-     * there if necessary.
+     * best-effort task that would interfere on every worker, or for which all idle processors are taken, is placed
+     * nevertheless once its job has had no run for a while. The pacer throttles it there if necessary.
      */
     WorkerView findWorker(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         WorkerView best = findWorkerWithoutInterference(task, service, workers, nowMs);
@@ -117,12 +121,30 @@
         if (!task.step().bestEffort() || withoutRunMs < MAX_WITHOUT_RUN_MS) {
             return null;
         }
+        return findWorkerDespiteInterference(task, service, workers, nowMs);
+    }
+
+    /**
+     * Returns the worker for a best-effort task that no worker accepts without interference or overcommitment: one
+     * without other best-effort tasks whose serving tasks are well below their targets. If there is none, and less than
+     * half of the service's room is reserved, it is the one with the least load of best-effort tasks and the least
+     * interference: callers expect every job to have a run then. In a fuller service the job waits, since slowing down
+     * all best-effort tasks would cost more.
+     */
+    private WorkerView findWorkerDespiteInterference(
+            JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
+        WorkerView best = null;
         double least = Double.MAX_VALUE;
         for (WorkerView worker : workers) {
-            boolean eligible = worker.bestEffortMilliCores() == 0 && isWellBelowTargets(worker);
-            if (eligible && worker.isUsable(service, nowMs) && hasReservableCapacity(task, worker)) {
+            if (worker.isUsable(service, nowMs) && hasReservableCapacity(task, worker)) {
                 double excess = predictExcess(task.step(), worker);
-                if (excess < least) {
+                boolean idle = worker.bestEffortMilliCores() == 0 && isWellBelowTargets(worker);
+                if (!idle) {
+                    excess += NOT_IDLE_PENALTY
+                            + worker.bestEffortMilliCores()
+                                    / idleMilliCores(worker, worker.report().capacity());
+                }
+                if (excess < least && (idle || isMostlyFree(service, workers, nowMs))) {
                     best = worker;
                     least = excess;
                 }
@@ -131,6 +153,21 @@
         return best;
     }
 
+    /** Tells whether less than half of each resource of the usable workers of a service is reserved. */
+    private boolean isMostlyFree(String service, Collection<WorkerView> workers, long nowMs) {
+        return mostlyFree.computeIfAbsent(service, unused -> {
+            Resources reserved = Resources.NONE;
+            Resources capacity = Resources.NONE;
+            for (WorkerView worker : workers) {
+                if (worker.isUsable(service, nowMs)) {
+                    reserved = reserved.plus(worker.reserved());
+                    capacity = capacity.plus(worker.report().capacity());
+                }
+            }
+            return reserved.plus(reserved).fitsInto(capacity);
+        });
+    }
+
     /** Tells whether the tail latencies of all serving tasks of a worker are well below their targets. */
     private boolean isWellBelowTargets(WorkerView worker) {
         for (JobTask serving : worker.assigned()) {
--- /dev/null
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
@@ -0,0 +1,112 @@
+package org.fulmarreach.core.jobs;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.fulmarreach.core.model.Resources;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/**
+ * Guards against jobs that have no run for long although workers have room for their tasks. Each seed gives another mix
+ * of serving tasks, best-effort jobs and interference between their images.
+ */
+class WaitingJobsTest {
+    private static final JobConfig CONFIG = new JobConfig(
+            1, List.of(new JobQueue("q", "h", "/q/", FakeWorker.SERVICE, 0, 2, 3_000, 400, 1.5)), 1_000_000);
+    private static final Resources WORKER = new Resources(64_000, 250_000, 0);
+    private static final int WORKERS = 3;
+    private static final int SEEDS = 30;
+    private static final int CHECK_MS = 100;
+
+    /** Callers expect a job to have a run within this time while less than half of the reservable room is taken. */
+    private static final long MAX_WITHOUT_RUN_MS = 3_000;
+
+    private final Map<String, Long> withoutRunSinceMs = new HashMap<>();
+    private final Map<String, Long> longestMs = new HashMap<>();
+
+    /**
+     * More best-effort jobs than the idle processors can carry at a time, whose tasks hardly need memory. Guards
+     * against a job that waits for as long as others use the idle processors of all workers, and against serving tasks
+     * that are over their targets because it does not.
+     */
+    @Test
+    void bestEffortJobsGetARunWhileOthersUseTheIdleProcessors() {
+        List<String> waiting = new ArrayList<>();
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            waiting.addAll(simulate(seed));
+        }
+        assertEquals(List.of(), waiting, "jobs without a run for more than 3 s, and serving tasks over their targets");
+    }
+
+    private List<String> simulate(int seed) {
+        withoutRunSinceMs.clear();
+        longestMs.clear();
+        Random random = new Random(seed);
+        PoolEmulator pool = new PoolEmulator(seed, random.nextDouble(), 1 + 4 * random.nextDouble(), CONFIG);
+        for (int i = 0; i < WORKERS; i++) {
+            pool.addWorker(i, WORKER);
+        }
+        pool.run(1_000);
+        int standing = random.nextInt(3);
+        for (int i = 0; i < standing; i++) {
+            submit(
+                    pool,
+                    "standing-" + i,
+                    TestSteps.of(1 + random.nextInt(3), new Resources(13_000, 26_000, 0), 0, List.of())
+                            .serving("serve-" + i, 18),
+                    0);
+        }
+        run(pool, 5_000);
+        for (int i = 0; i < 10; i++) {
+            int workMs = 1_000 + random.nextInt(6_000);
+            submit(
+                    pool,
+                    "batch-" + i,
+                    TestSteps.of(
+                                    2 + random.nextInt(12),
+                                    new Resources(5_000 + random.nextInt(4_000), 2_000, 0),
+                                    workMs,
+                                    List.of())
+                            .bestEffort("fill-" + random.nextInt(5)),
+                    workMs);
+            run(pool, 100 * random.nextInt(8));
+        }
+        run(pool, 20_000);
+        List<String> waiting = new ArrayList<>();
+        pool.overTargetTooLong.forEach(
+                task -> waiting.add("seed " + seed + ": " + task + " was over its target for 4 s by interference"));
+        longestMs.forEach((id, ms) -> {
+            if (ms > MAX_WITHOUT_RUN_MS) {
+                waiting.add("seed " + seed + ": " + id + " had no run for " + ms + " ms");
+            }
+        });
+        return waiting;
+    }
+
+    private void run(PoolEmulator pool, int forMs) {
+        for (int ms = 0; ms < forMs; ms += CHECK_MS) {
+            pool.run(CHECK_MS);
+            for (Job job : pool.registry.jobs()) {
+                String id = job.spec().id();
+                if (job.status().isFinal() || job.hasAssignedTasks()) {
+                    withoutRunSinceMs.remove(id);
+                } else {
+                    long sinceMs = withoutRunSinceMs.computeIfAbsent(id, unused -> pool.nowMs);
+                    longestMs.merge(id, pool.nowMs - sinceMs, Math::max);
+                }
+            }
+        }
+    }
+
+    private static void submit(PoolEmulator pool, String id, TestSteps steps, long taskMs) {
+        JobStep step = steps.build();
+        JobSpec spec = new JobSpec(id, "q", "", List.of(step), 0, 0, 0, pool.nowMs);
+        pool.submit(spec, Collections.nCopies(step.taskCount(), taskMs));
+    }
+}
