Keep at most one report of each guard waiting at an entry

A guard closes a connection on which it has received nothing for 1.6 s, and connects again. The runs assigned in such a join got no order through, as the connection was closed.

Why this works: a report repeats everything that the one before it said except the outcomes of orders. The listener of a connection now keeps one report waiting and replaces it by a later one, which takes over its outcomes; the report that waits when a connection closes is dropped. So the actor processes at most one report for each open connection before it comes back to the first, and none of a closed one. An entry that does not lead also answers with one redirection instead of one for each report that waits.

JobsActorTest delivers its reports through the listener now.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -107,6 +107,9 @@
     /** The connection of a guard was opened or closed, or a frame was received. */
     record GuardLink(LinkEvent event) implements JobsCommand {}
 
+    /** A report of a guard waits at its connection. */
+    record GuardReportDue(GuardConnection connection) implements JobsCommand {}
+
     /** A connection to the leader of a term could not be opened; {@code refused} if no process listens there. */
     record LeaderProbed(long term, boolean refused) implements JobsCommand {}
 
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -97,7 +97,7 @@
         JobsHttp http = new JobsHttp(system::tell, view, materializer, clock, log, meters);
         FrameTransport transport =
                 new FrameTransport(system, LinkSettings.DEFAULT.withSilenceTimeoutMs(SILENCE_TIMEOUT_MS), log);
-        transport.bind(guards.host(), guards.port(), () -> event -> system.tell(new JobsCommand.GuardLink(event)));
+        transport.bind(guards.host(), guards.port(), () -> new GuardConnection(system::tell));
         bind(system, settings.readinessAddress(), MAX_OPERATOR_CONNECTIONS, log, request -> readiness(http, request));
         bind(
                 system,
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -436,7 +436,7 @@
         report.setTerm(0);
         report.setOutcomes(List.of());
         report.setWorker(GuardMessages.toThrift(worker));
-        entry.tell(new JobsCommand.GuardLink(new LinkEvent.Received(link, new Frame(0, Body.guardReport(report)))));
+        new GuardConnection(entry::tell).accept(new LinkEvent.Received(link, new Frame(0, Body.guardReport(report))));
     }
 
     private void putConfig() {
