Place a long-running task again whose end the worker has forgotten

What callers see: a long-running task that waits for ever although there is room.

Cause: a task whose run was listed once waited for the end of that run without limit (RunTracker.reviewUnlisted skipped it). A worker forgets ends up to the number that a poll acknowledges. If a worker restarts under its former id, a poll of its former lifetime that is executed late acknowledges ends of the new lifetime that nobody has read, and the run is then neither running nor ended.

Other tasks still wait, since they may have succeeded and must not run again; for them the loss of the end can only be prevented.

Evidence: DuplicateRunTest.longRunningTaskWhoseEndIsForgottenIsPlacedAgain failed before (run 1 instead of 2), with mvn -o -pl core -am test -Dtest=DuplicateRunTest -Dsurefire.failIfNoSpecifiedTests=false, and passes now. Two more tests keep the limits: a run that is listed again, and a task that is not long-running.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -7,7 +7,7 @@
 public final class JobTask {
     private static final int FULL_CPU_SHARE_PERCENT = 100;
 
-    /** Value of the poll count while no report has followed a confirmed stop. */
+    /** Value of the poll count while no report without the run has followed a confirmed stop or its last listing. */
     private static final int NOT_COUNTING = -1;
 
     private final Job job;
@@ -18,7 +18,7 @@
     private WorkerRef avoided;
     private String rack;
     private WorkerView workerView;
-    private int pollsAfterStop = NOT_COUNTING;
+    private int pollsWithoutRun = NOT_COUNTING;
     private long lastPollNumber;
     private int cpuSharePercent = FULL_CPU_SHARE_PERCENT;
 
@@ -99,7 +99,7 @@
         rack = newRack;
         change(new TaskState(TaskPhase.ASSIGNED, run, worker, state.failures(), state.checkpoint()));
         progress = RunProgress.firstOrderedAt(nowMs);
-        pollsAfterStop = NOT_COUNTING;
+        pollsWithoutRun = NOT_COUNTING;
         cpuSharePercent = FULL_CPU_SHARE_PERCENT;
     }
 
@@ -131,20 +131,26 @@
     }
 
     /**
-     * Counts the polls that the worker has answered since a stop was confirmed. The first report after the confirmation
-     * does not count, since its poll may precede the stop, and neither do reports that repeat an earlier poll.
+     * Counts the polls that the worker has answered since a stop was confirmed or the run was last listed. The first
+     * report without the run does not count, since its poll may precede the stop, and neither do reports that repeat an
+     * earlier poll.
      *
      * @param pollNumber number of the poll; starts over when the guard restarts
-     * @return number of polls answered after the stop was confirmed
+     * @return number of polls answered without the run
      */
-    int countPollAfterStop(long pollNumber) {
-        if (pollsAfterStop == NOT_COUNTING || pollNumber < lastPollNumber) {
-            pollsAfterStop = 0;
+    int countPollWithoutRun(long pollNumber) {
+        if (pollsWithoutRun == NOT_COUNTING || pollNumber < lastPollNumber) {
+            pollsWithoutRun = 0;
         } else if (pollNumber > lastPollNumber) {
-            pollsAfterStop++;
+            pollsWithoutRun++;
         }
         lastPollNumber = pollNumber;
-        return pollsAfterStop;
+        return pollsWithoutRun;
+    }
+
+    /** Begins the count of polls again, because the worker lists the run. */
+    void restartCountOfPolls() {
+        pollsWithoutRun = NOT_COUNTING;
     }
 
     void avoid(WorkerRef worker) {
@@ -154,7 +160,7 @@
     void restore(TaskState restored) {
         replace(restored);
         progress = RunProgress.NONE;
-        pollsAfterStop = NOT_COUNTING;
+        pollsWithoutRun = NOT_COUNTING;
         workerView = null;
     }
 
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -18,6 +18,15 @@
      */
     private static final int POLLS_AFTER_STOP = 2;
 
+    /**
+     * Polls in a row that list a run of a long-running task neither as running nor as ended, after which it counts as
+     * lost. More than one, since the task must not run a second time beside a run that one poll left out.
+     */
+    private static final int POLLS_TO_LOSE = 3;
+
+    /** Most ends that a worker lists at a time; the end of a run may be among those that it lists later. */
+    private static final int MAX_LISTED_ENDS = 500;
+
     /** Refusal of a start whose run number is not above that of a run that was stopped or ended on the worker. */
     private static final String OLD = "old";
 
@@ -265,11 +274,12 @@
     private void reviewUnlisted(WorkerReport report, WorkerView worker, Set<JobTask> listed, long nowMs) {
         for (JobTask task : List.copyOf(worker.assigned())) {
             RunProgress progress = task.progress();
-            if (listed.contains(task) || progress.isListed()) {
-                continue;
-            }
-            if (progress.stopConfirmed()) {
-                if (task.countPollAfterStop(report.pollNumber()) >= POLLS_AFTER_STOP) {
+            if (listed.contains(task)) {
+                task.restartCountOfPolls();
+            } else if (progress.isListed()) {
+                loseIfEndIsForgotten(task, report, worker);
+            } else if (progress.stopConfirmed()) {
+                if (task.countPollWithoutRun(report.pollNumber()) >= POLLS_AFTER_STOP) {
                     markLost(task, worker, "withdrawn before it started");
                 }
             } else if (progress.stopOrderedAtMs() > 0
@@ -285,4 +295,16 @@
             }
         }
     }
+
+    /**
+     * Marks a run as lost that was listed before and is neither running nor ended now: the worker has forgotten its
+     * end, because a poll that acknowledges ends of a former lifetime was executed late. Only for long-running tasks,
+     * which are started again however they ended; another task may have succeeded.
+     */
+    private void loseIfEndIsForgotten(JobTask task, WorkerReport report, WorkerView worker) {
+        boolean complete = report.ended().size() < MAX_LISTED_ENDS;
+        if (task.step().longRunning() && complete && task.countPollWithoutRun(report.pollNumber()) >= POLLS_TO_LOSE) {
+            markLost(task, worker, "neither running nor ended");
+        }
+    }
 }
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -65,6 +65,45 @@
         assertEquals(2, task(0).state().run());
     }
 
+    /**
+     * A worker that restarts under its former id may execute a delayed poll of its former lifetime, which makes it
+     * forget the end of a new run. A long-running task then waited for that end for ever.
+     */
+    @Test
+    void longRunningTaskWhoseEndIsForgottenIsPlacedAgain() {
+        submit(step(1).serving("serve", 18).build());
+        report(first, 1, List.of(running(TASK, 1)), List.of());
+        for (int poll = 2; poll <= 4; poll++) {
+            report(first, poll, List.of(), List.of());
+            report(first, poll, List.of(), List.of());
+        }
+        assertEquals(1, task(0).state().run());
+        report(first, 5, List.of(), List.of());
+        assertEquals(2, task(0).state().run());
+    }
+
+    /** A run that is listed again after some polls without it is still running, so a second one must not start. */
+    @Test
+    void longRunningTaskThatIsListedAgainIsNotPlacedAgain() {
+        submit(step(1).serving("serve", 18).build());
+        report(first, 1, List.of(running(TASK, 1)), List.of());
+        for (int poll = 2; poll <= 20; poll++) {
+            report(first, poll, poll % 4 == 0 ? List.of(running(TASK, 1)) : List.of(), List.of());
+        }
+        assertEquals(1, task(0).state().run());
+    }
+
+    /** A task whose end is not known may have succeeded, so it must not run again. */
+    @Test
+    void otherTaskWhoseEndIsForgottenIsNotPlacedAgain() {
+        submit(step(1).build());
+        report(first, 1, List.of(running(TASK, 1)), List.of());
+        for (int poll = 2; poll <= 20; poll++) {
+            report(first, poll, List.of(), List.of());
+        }
+        assertEquals(1, task(0).state().run());
+    }
+
     /** A restarted guard numbers its polls from 1; the task must not wait until they exceed the old numbers. */
     @Test
     void pollsOfARestartedGuardCount() {
