Name the intended worker in polls, so that the next one keeps its ends

What callers see: a job that waits for ever for the end of a run.

Cause: a poll extends the lease and acknowledges ends, but unlike orders it did not name the worker that it is meant for. After a worker had been replaced at the same address, a poll for the former one made the next one forget ends up to the acknowledged number that nobody had read; its lease was extended by a reading of the former one's clock.

Why this works: polls name the worker, as orders do.

Evidence: WorkerRelayTest.endOfTheNextWorkerIsNotAcknowledgedByAPollForTheFormerOne fails if polls are sent as before (no end left instead of 1), with mvn -o -pl guard -am test -Dtest=WorkerRelayTest -Dsurefire.failIfNoSpecifiedTests=false, and passes now.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -78,6 +78,7 @@
     private long pollNumber;
     private boolean pollInFlight;
     private int failedPolls;
+    private boolean workerReplaced;
     private long portClosedSinceMs;
     private boolean expiryReported;
     private long acknowledgedEnd;
@@ -247,6 +248,7 @@
         hasSnapshot = false;
         acknowledgedEnd = 0;
         failedPolls = 0;
+        workerReplaced = false;
         portClosedSinceMs = 0;
         expiryReported = false;
         dispatcher.clear();
@@ -262,10 +264,12 @@
         }
         pollInFlight = true;
         long nowMs = clock.nowMs();
-        long leaseUntilMs = isReachable() ? lease.issueUntilMs(nowMs) : WorkerCalls.NO_LEASE;
+        boolean known = workerRef != null && !workerReplaced;
+        // A poll without the id of the worker may reach another one, whose ends and lease it must not affect.
+        long leaseUntilMs = known && isReachable() ? lease.issueUntilMs(nowMs) : WorkerCalls.NO_LEASE;
         int waitMs = snapshot.ended().isEmpty() ? POLL_WAIT_MS : 0;
         var self = getContext().getSelf();
-        worker.poll(leaseUntilMs, term, acknowledgedEnd, waitMs)
+        worker.poll(known ? workerRef.id() : "", leaseUntilMs, term, known ? acknowledgedEnd : 0, waitMs)
                 .thenAccept(result -> self.tell(new RelayCommand.PollCompleted(result, nowMs)));
     }
 
@@ -274,7 +278,10 @@
         long nowMs = clock.nowMs();
         switch (result) {
             case CallResult.Done<WorkerSnapshot> done -> onAnswer(done.answer(), nowMs);
-            case CallResult.Refused<WorkerSnapshot> refused -> onPollFailed(refused.reason(), false, nowMs);
+            case CallResult.Refused<WorkerSnapshot> refused -> {
+                workerReplaced |= refused.reason().equals(WorkerCalls.OTHER_WORKER);
+                onPollFailed(refused.reason(), false, nowMs);
+            }
             case CallResult.Unanswered<WorkerSnapshot> noAnswer ->
                 onPollFailed(noAnswer.reason(), noAnswer.portClosed(), nowMs);
         }
@@ -291,6 +298,7 @@
     }
 
     private void onAnswer(WorkerSnapshot answer, long nowMs) {
+        workerReplaced = false;
         if (!answer.id().isEmpty() && answer.startedAtMs() > 0) {
             updateLifetime(answer.id(), answer.startedAtMs());
         }
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -207,6 +207,25 @@
         link.reports().subList(before, link.reports().size()).forEach(ref -> assertEquals(2_000, ref.getBornMs()));
     }
 
+    /** A poll for a worker that had been replaced made the next one forget an end that nobody had read. */
+    @Test
+    void endOfTheNextWorkerIsNotAcknowledgedByAPollForTheFormerOne() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        LeaderOrders orders = emptyOrders();
+        orders.setAcknowledgedEnd(9);
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(orders))));
+        awaitPolls(3);
+        worker.startedAtMs = 2_000;
+        worker.ended = List.of(new WorkerReport.Ended(1, "job.0.0.0", 1, RunEnd.DONE, ""));
+        worker.id = "next";
+        awaitPolls(5);
+        assertEquals(1, worker.ended.size(), "ends that the next worker lists");
+        relay.tell(new RelayCommand.HeartbeatReceived(
+                new WorkerHeartbeat("next", 2_000, "s", "z", new Resources(1, 1, 0), List.of(), false, 1)));
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.ends().contains("job.0.0.0"));
+    }
+
     @Test
     void startAtDrainingWorkerIsRefused() {
         relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, true)));
@@ -309,6 +328,7 @@
     private static final class FakeCalls implements WorkerCalls {
         private final List<String> started = new CopyOnWriteArrayList<>();
         private final AtomicInteger polls = new AtomicInteger();
+        private volatile String id = "w";
         private volatile long startedAtMs = 1_000;
         private volatile boolean answering = true;
         private final List<String> stopped = new CopyOnWriteArrayList<>();
@@ -344,12 +364,20 @@
 
         @Override
         public CompletionStage<CallResult<WorkerSnapshot>> poll(
-                long leaseUntilMs, long term, long acknowledgedEnd, int waitMs) {
+                String workerId, long leaseUntilMs, long term, long acknowledgedEnd, int waitMs) {
             polls.incrementAndGet();
             return CompletableFuture.supplyAsync(
-                    () -> new CallResult.Done<>(new WorkerSnapshot("w", startedAtMs, 1, List.of(), ended)),
+                    () -> answerPoll(workerId, acknowledgedEnd),
                     CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS));
         }
+
+        private CallResult<WorkerSnapshot> answerPoll(String workerId, long acknowledgedEnd) {
+            if (!workerId.isEmpty() && !workerId.equals(id)) {
+                return new CallResult.Refused<>(OTHER_WORKER);
+            }
+            ended = ended.stream().filter(end -> end.number() > acknowledgedEnd).toList();
+            return new CallResult.Done<>(new WorkerSnapshot(id, startedAtMs, 1, List.of(), ended));
+        }
     }
 
     /** Accepts a connection to any address; the store names one address as the leader. */
@@ -393,6 +421,16 @@
             return refs;
         }
 
+        List<String> ends() {
+            List<String> ends = new ArrayList<>();
+            for (Body body : sent) {
+                if (body.getGuardReport().isSetWorker()) {
+                    body.getGuardReport().getWorker().getEnded().forEach(end -> ends.add(end.getTask()));
+                }
+            }
+            return ends;
+        }
+
         List<String> outcomes() {
             List<String> outcomes = new ArrayList<>();
             for (Body body : sent) {
