Place work on suspected workers while all of a service are suspected

What callers see: while many submissions that can never be done are in the system, other jobs have no run for up to 4 s although nearly all room is free.

Cause: two failed runs in a row make a worker suspected, and it gets no new work for 4 s. Jobs whose tasks always fail do that to every worker of a service, and then nothing at all was placed.

Why this works: where every available worker is suspected, the jobs are a likelier cause than the workers, and nothing is gained by waiting. Suspicion is then not considered; the penalty per fault still prefers workers with fewer faults. While at least one worker is not suspected nothing changes.

Evidence: WaitingJobsTest.jobsGetARunWhileOthersFailOnAllWorkers failed before (jobs without a run for 3.1 to 3.9 s), with mvn -o -pl core -am test -Dtest=WaitingJobsTest -Dsurefire.failIfNoSpecifiedTests=false, and passes now.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -73,6 +73,7 @@
     private final Map<TaskClass, List<Resources>> unplaceable = new HashMap<>();
     private final Set<WorkerView> heldWorkers = new HashSet<>();
     private final Map<String, Boolean> mostlyFree = new HashMap<>();
+    private final Map<String, Boolean> allSuspected = new HashMap<>();
     private long candidates;
     private long comparedPairs;
 
@@ -89,6 +90,7 @@
         unplaceable.clear();
         heldWorkers.clear();
         mostlyFree.clear();
+        allSuspected.clear();
     }
 
     /** Must be called when tentative assignments are undone during a pass, which frees their capacity again. */
@@ -136,7 +138,7 @@
         WorkerView best = null;
         double least = Double.MAX_VALUE;
         for (WorkerView worker : workers) {
-            if (worker.isUsable(service, nowMs) && hasReservableCapacity(task, worker)) {
+            if (isUsable(worker, service, workers, nowMs) && hasReservableCapacity(task, worker)) {
                 double excess = predictExcess(task.step(), worker);
                 boolean idle = worker.bestEffortMilliCores() == 0 && isWellBelowTargets(worker);
                 if (!idle) {
@@ -153,13 +155,28 @@
         return best;
     }
 
+    /**
+     * Tells whether a worker may get new work. A suspected one may if all available workers of the service are
+     * suspected: the cause is then more likely in the jobs that failed, and the others must not wait for it.
+     */
+    private boolean isUsable(WorkerView worker, String service, Collection<WorkerView> workers, long nowMs) {
+        if (!worker.isAvailable(service, nowMs)) {
+            return false;
+        }
+        return !worker.isSuspected(nowMs)
+                || allSuspected.computeIfAbsent(
+                        service,
+                        unused -> workers.stream()
+                                .allMatch(other -> !other.isAvailable(service, nowMs) || other.isSuspected(nowMs)));
+    }
+
     /** Tells whether less than half of each resource of the usable workers of a service is reserved. */
     private boolean isMostlyFree(String service, Collection<WorkerView> workers, long nowMs) {
         return mostlyFree.computeIfAbsent(service, unused -> {
             Resources reserved = Resources.NONE;
             Resources capacity = Resources.NONE;
             for (WorkerView worker : workers) {
-                if (worker.isUsable(service, nowMs)) {
+                if (isUsable(worker, service, workers, nowMs)) {
                     reserved = reserved.plus(worker.reserved());
                     capacity = capacity.plus(worker.report().capacity());
                 }
@@ -189,7 +206,7 @@
         double bestScore = Double.MAX_VALUE;
         candidates += workers.size();
         for (WorkerView worker : workers) {
-            if (!worker.isUsable(service, nowMs) || !hasCapacity(task, worker)) {
+            if (!isUsable(worker, service, workers, nowMs) || !hasCapacity(task, worker)) {
                 continue;
             }
             // The prediction iterates over all pairs of images on the worker, so cheap conditions are checked first.
@@ -221,7 +238,7 @@
         WorkerView nearest = null;
         int least = Integer.MAX_VALUE;
         for (WorkerView worker : workers) {
-            if (worker.isUsable(service, nowMs) && fits(task, worker, worker.reservedByLongRunning())) {
+            if (isUsable(worker, service, workers, nowMs) && fits(task, worker, worker.reservedByLongRunning())) {
                 int missing = worker.reserved().milliCores()
                         - worker.report().capacity().milliCores();
                 if (missing < least) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -126,14 +126,18 @@
         reportedAtMs = nowMs;
     }
 
-    /** Tells whether the worker may get new work now. */
-    boolean isUsable(String service, long nowMs) {
+    /** Tells whether the worker can get new work now, not considering its recent faults. */
+    boolean isAvailable(String service, long nowMs) {
         return report != null
                 && report.reachable()
                 && !report.draining()
                 && report.service().equals(service)
-                && nowMs - reportedAtMs <= JobTimeLimits.REPORT_TIMEOUT_MS
-                && nowMs >= suspectUntilMs;
+                && nowMs - reportedAtMs <= JobTimeLimits.REPORT_TIMEOUT_MS;
+    }
+
+    /** Tells whether several runs in a row failed or stalled on the worker a short time ago. */
+    boolean isSuspected(long nowMs) {
+        return nowMs < suspectUntilMs;
     }
 
     /** Records that an end was handled; returns false if it had been handled before. */
--- a/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
@@ -44,6 +44,27 @@
         assertEquals(List.of(), waiting, "jobs without a run for more than 3 s, and serving tasks over their targets");
     }
 
+    /**
+     * Jobs whose tasks always fail. Guards against a job that waits because two runs in a row failed on every worker,
+     * so that none of them gets new work for a while.
+     */
+    @Test
+    void jobsGetARunWhileOthersFailOnAllWorkers() {
+        PoolEmulator pool = new PoolEmulator(1, 0, 0, CONFIG);
+        for (int i = 0; i < WORKERS; i++) {
+            pool.addWorker(i, WORKER);
+        }
+        pool.run(1_000);
+        for (int i = 0; i < 8; i++) {
+            pool.faultyJobs.add("poison-" + i);
+            submit(pool, "poison-" + i, TestSteps.of(6, new Resources(1_000, 1_000, 0), 200, List.of()), 200);
+            submit(pool, "sound-" + i, TestSteps.of(1, new Resources(1_000, 1_000, 0), 400, List.of()), 400);
+            run(pool, 700);
+        }
+        run(pool, 10_000);
+        assertEquals(List.of(), findLongWaiting(1), "jobs without a run for more than 3 s");
+    }
+
     private List<String> simulate(int seed) {
         withoutRunSinceMs.clear();
         longestMs.clear();
@@ -81,6 +102,12 @@
         List<String> waiting = new ArrayList<>();
         pool.overTargetTooLong.forEach(
                 task -> waiting.add("seed " + seed + ": " + task + " was over its target for 4 s by interference"));
+        waiting.addAll(findLongWaiting(seed));
+        return waiting;
+    }
+
+    private List<String> findLongWaiting(int seed) {
+        List<String> waiting = new ArrayList<>();
         longestMs.forEach((id, ms) -> {
             if (ms > MAX_WITHOUT_RUN_MS) {
                 waiting.add("seed " + seed + ": " + id + " had no run for " + ms + " ms");
