Place nothing on workers whose guard has no session

What callers see: a task that has just been assigned to a worker whose guard left the leader does not run until the guard has come back or the lease of the worker is over (6.4 s), although other workers have room.

Cause: the end of a guard's session changed nothing for placement: the worker stayed usable until its last report was 1.6 s old. Orders for a guard without a session are dropped, and the leader repeated the starts only when the guard reported again.

Why this works: the worker gets no new work from the end of the session to the next report. A start that was not sent because there is no session releases its task at once, if it is the only start of its run, so the task is placed elsewhere in the next pass. A start that was sent before keeps its task, since the run may exist; so does a member of a gang, since the others wait for it.

Evidence: with both new methods emptied, DuplicateRunTest fails in taskWhoseStartWasNotSentIsPlacedOnAnotherWorker and workerWithoutASessionGetsNoNewWorkUntilItsNextReport (mvn -o -pl core -am test -Dtest=DuplicateRunTest -Dsurefire.failIfNoSpecifiedTests=false); it passes with them.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -111,6 +111,19 @@
         }
     }
 
+    /** Records that a guard has no session any more. Its worker gets no new work before the next report. */
+    public void onGuardLost(String guard) {
+        WorkerView worker = workers.get(guard);
+        if (worker != null) {
+            worker.recordDisconnected();
+        }
+    }
+
+    /** Releases the task of a start that was not sent, because the guard of its worker has no session. */
+    public void onStartNotSent(JobOrder.Start start) {
+        runs.onStartNotSent(start);
+    }
+
     /** Records that a grant is being sent to a guard. */
     public void onGrantSent(String guard, long nowMs) {
         WorkerView worker = workers.get(guard);
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -97,6 +97,31 @@
         }
     }
 
+    /**
+     * Releases the task of a start that was not sent, unless an earlier start of the same run was. A member of a gang
+     * keeps its run, since the others wait for it and the start is repeated if the guard returns in time.
+     */
+    void onStartNotSent(JobOrder.Start start) {
+        JobTask task = registry.findTask(start.task().toString());
+        if (task != null
+                && task.isCurrent(start.worker(), start.run())
+                && !task.progress().mayHaveStarted()
+                && !task.step().gang()) {
+            log.record(
+                    Decision.START_REFUSED,
+                    start.task().toString(),
+                    "run",
+                    start.run(),
+                    "worker",
+                    start.worker().id(),
+                    "outcome",
+                    "not sent, the guard has no session");
+            task.release();
+            task.finish(TaskPhase.PENDING, task.state().failures(), "");
+            decisions.markChanged(task.job());
+        }
+    }
+
     /**
      * Orders a run to stop that may have started or may still start. A worker also refuses a start as old if the same
      * run has already ended there, so the worker's lists determine the outcome.
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -26,6 +26,7 @@
     private Map<String, Double> pressures = Map.of();
     private WorkerReport report;
     private long reportedAtMs;
+    private boolean connected;
     private long grantedAtMs;
     private WorkerRef endsRecordedFor;
     private long lastEnd;
@@ -124,11 +125,18 @@
     void recordReport(WorkerReport newReport, long nowMs) {
         report = newReport;
         reportedAtMs = nowMs;
+        connected = true;
+    }
+
+    /** Records that the guard has no session any more; until its next report no order reaches the worker. */
+    void recordDisconnected() {
+        connected = false;
     }
 
     /** Tells whether the worker can get new work now, not considering its recent faults. */
     boolean isAvailable(String service, long nowMs) {
         return report != null
+                && connected
                 && report.reachable()
                 && !report.draining()
                 && report.service().equals(service)
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -104,6 +104,48 @@
         assertEquals(1, task(0).state().run());
     }
 
+    /** A task whose start was never sent waited until the lease of its worker was over. */
+    @Test
+    void taskWhoseStartWasNotSentIsPlacedOnAnotherWorker() {
+        submit(step(1).build());
+        report(second, 1, List.of(), List.of());
+        scheduler.onGuardLost(first.guard());
+        scheduler.onStartNotSent(start());
+        decide();
+        assertEquals(second, task(0).state().worker());
+    }
+
+    /** If the start was repeated, the first one may have been executed, so no other worker may run the task yet. */
+    @Test
+    void taskWhoseRepeatedStartWasNotSentStays() {
+        submit(step(1).build());
+        waitForRepeatedStart();
+        report(second, 1, List.of(), List.of());
+        scheduler.onGuardLost(first.guard());
+        scheduler.onStartNotSent(start());
+        decide();
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
+    }
+
+    /** The other members of the gang have the same run number and wait, so the start must be repeated. */
+    @Test
+    void memberOfAGangWhoseStartWasNotSentKeepsItsRun() {
+        submitGang();
+        scheduler.onStartNotSent(start());
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
+    }
+
+    /** Tasks were placed on a worker for up to 1.6 s after the session of its guard had ended. */
+    @Test
+    void workerWithoutASessionGetsNoNewWorkUntilItsNextReport() {
+        report(first, 1, List.of(), List.of());
+        scheduler.onGuardLost(first.guard());
+        place(step(1).build());
+        assertEquals(0, task(0).state().run());
+        report(first, 2, List.of(), List.of());
+        assertEquals(1, task(0).state().run());
+    }
+
     /** A restarted guard numbers its polls from 1; the task must not wait until they exceed the old numbers. */
     @Test
     void pollsOfARestartedGuardCount() {
@@ -263,6 +305,12 @@
         decide();
     }
 
+    /** Returns the start order of the first task's current run. */
+    private JobOrder.Start start() {
+        TaskState state = task(0).state();
+        return new JobOrder.Start(state.worker(), task(0).name(), state.run(), "", "");
+    }
+
     /** Repeats a report without the run until the leader repeats the start. */
     private void waitForRepeatedStart() {
         long sentAtMs = task(0).progress().sentAtMs();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/GuardSessions.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/GuardSessions.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.fulmarreach.core.jobs.JobOrder;
 import org.fulmarreach.core.jobs.WorkerRef;
@@ -17,6 +19,7 @@
 final class GuardSessions {
     private final EventLog log;
     private final Map<String, Session> byGuard = new HashMap<>();
+    private final Set<String> left = new HashSet<>();
 
     GuardSessions(EventLog log) {
         this.log = log;
@@ -26,6 +29,7 @@
 
     /** Registers the connection of a report; the tick of the report is echoed in later grants. */
     void onReport(String guard, FrameLink link, long tickMs, WorkerRef worker) {
+        left.remove(guard);
         Session before = byGuard.put(guard, new Session(link, tickMs, worker));
         if (before == null || before.link() != link) {
             log.emit(JobEvent.GUARD_JOINED, "guard", guard, "remote", link.remoteAddress());
@@ -41,11 +45,19 @@
             boolean closed = entry.getValue().link() == link;
             if (closed) {
                 log.emit(JobEvent.GUARD_LEFT, "guard", entry.getKey(), "reason", reason);
+                left.add(entry.getKey());
             }
             return closed;
         });
     }
 
+    /** Returns the guards whose sessions have ended since the last call and that have no new one. */
+    Set<String> takeLeft() {
+        Set<String> taken = Set.copyOf(left);
+        left.clear();
+        return taken;
+    }
+
     /** Sends a grant without orders. */
     void grant(String guard, long term, long writeAgeMs) {
         Session session = byGuard.get(guard);
@@ -60,17 +72,17 @@
 
     /**
      * Sends orders, and with them a grant, to the guards that have a session. Orders for other guards are dropped:
-     * those that are still needed are sent again when the guard reports.
+     * stops that are still needed are sent again when the guard reports, and so are starts that were sent before.
      *
      * @return guards to which a grant was sent
      */
-    List<String> send(long term, List<JobOrder> orders, long writeAgeMs) {
+    Set<String> send(long term, List<JobOrder> orders, long writeAgeMs) {
         Map<WorkerRef, List<JobOrder>> byWorker = new LinkedHashMap<>();
         for (JobOrder order : orders) {
             byWorker.computeIfAbsent(order.worker(), worker -> new ArrayList<>())
                     .add(order);
         }
-        List<String> granted = new ArrayList<>();
+        Set<String> granted = new HashSet<>();
         byWorker.forEach((worker, each) -> {
             Session session = byGuard.get(worker.guard());
             if (session != null) {
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.fulmarreach.core.jobs.JobBatch;
@@ -158,6 +159,7 @@
     /** Runs a scheduling pass, sends the orders that need no write, and appends the changes. */
     private void decideNow() {
         decidedAtMs = clock.nowMs();
+        sessions.takeLeft().forEach(scheduler::onGuardLost);
         scheduler.tick(clock.nowMs(), System.currentTimeMillis(), cancellations.isFresh());
         send(scheduler.takeImmediateOrders());
         flush();
@@ -224,7 +226,14 @@
                 orders.stream().filter(scheduler::isApplicable).toList());
         if (!applicable.isEmpty() && mayGrant()) {
             long nowMs = clock.nowMs();
-            sessions.send(term, applicable, writeAgeMs()).forEach(guard -> scheduler.onGrantSent(guard, nowMs));
+            Set<String> granted = sessions.send(term, applicable, writeAgeMs());
+            granted.forEach(guard -> scheduler.onGrantSent(guard, nowMs));
+            for (JobOrder order : applicable) {
+                if (order instanceof JobOrder.Start start
+                        && !granted.contains(start.worker().guard())) {
+                    scheduler.onStartNotSent(start);
+                }
+            }
         }
     }
 
