Place a waiting best-effort job only where serving tasks are well below their targets

Cause: also allowed a worker whose serving tasks are near their targets.

Why this works: the waiting job now goes to a worker with other best-effort tasks only if the serving tasks there are well below their targets, as has been the rule for workers without them. Then no serving task is over its target for 4 s in the 300 seeds.

Evidence: WaitingJobsTest.servingTasksStayWithinTheirTargetsWhileBestEffortJobsWait fails if the new condition is left out (mvn -o -pl core -am test -Dtest=WaitingJobsTest -Dsurefire.failIfNoSpecifiedTests=false) and passes with it.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -62,8 +62,8 @@
     /** A job without a run for this long is placed even where it interferes; callers expect a start within 3 s. */
     private static final long MAX_WITHOUT_RUN_MS = 1_500;
 
-    /** Outweighs any predicted excess, so that idle workers come first. */
-    private static final double NOT_IDLE_PENALTY = 100;
+    /** Outweighs any predicted excess, so that workers without best-effort tasks come first. */
+    private static final double OVERCOMMIT_PENALTY = 100;
 
     /** Tail ratio up to which serving tasks tolerate an interfering task until it is throttled. */
     private static final double LOW_TAIL_RATIO = 0.5;
@@ -128,25 +128,27 @@
 
     /**
      * Returns the worker for a best-effort task that no worker accepts without interference or overcommitment: one
-     * without other best-effort tasks whose serving tasks are well below their targets. If there is none, and less than
-     * half of the service's room is reserved, it is the one with the least load of best-effort tasks and the least
-     * interference: callers expect every job to have a run then. In a fuller service the job waits, since slowing down
-     * all best-effort tasks would cost more.
+     * whose serving tasks are well below their targets and that has no other best-effort tasks. If there is none, and
+     * less than half of the service's room is reserved, the worker may have others: callers expect every job to have a
+     * run then. In a fuller service the job waits, since slowing down all best-effort tasks would cost more.
      */
     private WorkerView findWorkerDespiteInterference(
             JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         WorkerView best = null;
         double least = Double.MAX_VALUE;
         for (WorkerView worker : workers) {
-            if (isUsable(worker, service, workers, nowMs) && hasReservableCapacity(task, worker)) {
+            boolean free = worker.bestEffortMilliCores() == 0;
+            if (isUsable(worker, service, workers, nowMs)
+                    && hasReservableCapacity(task, worker)
+                    && isWellBelowTargets(worker)
+                    && (free || isMostlyFree(service, workers, nowMs))) {
                 double excess = predictExcess(task.step(), worker);
-                boolean idle = worker.bestEffortMilliCores() == 0 && isWellBelowTargets(worker);
-                if (!idle) {
-                    excess += NOT_IDLE_PENALTY
+                if (!free) {
+                    excess += OVERCOMMIT_PENALTY
                             + worker.bestEffortMilliCores()
                                     / idleMilliCores(worker, worker.report().capacity());
                 }
-                if (excess < least && (idle || isMostlyFree(service, workers, nowMs))) {
+                if (excess < least) {
                     best = worker;
                     least = excess;
                 }
--- a/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
@@ -22,7 +22,12 @@
     private static final Resources WORKER = new Resources(64_000, 250_000, 0);
     private static final int WORKERS = 3;
     private static final int SEEDS = 30;
+
+    /** Interference for 4 s on end is rare, so it takes more seeds to meet it. */
+    private static final int SERVING_SEEDS = 300;
+
     private static final int CHECK_MS = 100;
+    private static final String OVER_TARGET = " was over its target for 4 s by interference";
 
     /** Callers expect a job to have a run within this time while less than half of the reservable room is taken. */
     private static final long MAX_WITHOUT_RUN_MS = 3_000;
@@ -39,11 +44,26 @@
     void bestEffortJobsGetARunWhileOthersUseTheIdleProcessors() {
         List<String> waiting = new ArrayList<>();
         for (int seed = 1; seed <= SEEDS; seed++) {
-            waiting.addAll(simulate(seed));
+            waiting.addAll(simulate(seed, false));
         }
         assertEquals(List.of(), waiting, "jobs without a run for more than 3 s, and serving tasks over their targets");
     }
 
+    /**
+     * Serving tasks on all workers, so that each best-effort task may interfere. Guards against a best-effort task that
+     * is placed beside serving tasks near their targets because its job has no run.
+     */
+    @Test
+    void servingTasksStayWithinTheirTargetsWhileBestEffortJobsWait() {
+        List<String> overTarget = new ArrayList<>();
+        for (int seed = 1; seed <= SERVING_SEEDS; seed++) {
+            simulate(seed, true).stream()
+                    .filter(problem -> problem.contains(OVER_TARGET))
+                    .forEach(overTarget::add);
+        }
+        assertEquals(List.of(), overTarget, "serving tasks over their targets");
+    }
+
     /**
      * Jobs whose tasks always fail. Guards against a job that waits because two runs in a row failed on every worker,
      * so that none of them gets new work for a while.
@@ -65,7 +85,7 @@
         assertEquals(List.of(), findLongWaiting(1), "jobs without a run for more than 3 s");
     }
 
-    private List<String> simulate(int seed) {
+    private List<String> simulate(int seed, boolean servingOnAllWorkers) {
         withoutRunSinceMs.clear();
         longestMs.clear();
         Random random = new Random(seed);
@@ -79,8 +99,13 @@
             submit(
                     pool,
                     "standing-" + i,
-                    TestSteps.of(1 + random.nextInt(3), new Resources(13_000, 26_000, 0), 0, List.of())
-                            .serving("serve-" + i, 18),
+                    TestSteps.of(
+                                    servingOnAllWorkers ? WORKERS : 1 + random.nextInt(3),
+                                    new Resources(13_000, 26_000, 0),
+                                    0,
+                                    List.of())
+                            .serving("serve-" + i, 18)
+                            .atMostPerWorker(servingOnAllWorkers ? 1 : 0),
                     0);
         }
         run(pool, 5_000);
@@ -100,8 +125,7 @@
         }
         run(pool, 20_000);
         List<String> waiting = new ArrayList<>();
-        pool.overTargetTooLong.forEach(
-                task -> waiting.add("seed " + seed + ": " + task + " was over its target for 4 s by interference"));
+        pool.overTargetTooLong.forEach(task -> waiting.add("seed " + seed + ": " + task + OVER_TARGET));
         waiting.addAll(findLongWaiting(seed));
         return waiting;
     }
