--- a/deploy/RecordingPeers.java
+++ b/deploy/RecordingPeers.java
@@ -48,8 +48,17 @@
     private static final int HEARTBEAT_INTERVAL_MS = 1_100;
     private static final int START_RETRY_MS = 50;
 
-    /** The orders of the first reports take each kind of order through the guard once. */
-    private static final int REPORTS_WITH_ORDERS = 7;
+    /**
+     * Numbers of the reports that are answered with an order. A guard drops a start that arrives before the worker's
+     * first answer.
+     */
+    private static final int START_REPORT = 4;
+
+    private static final int SHARE_REPORT = 5;
+    private static final int STOP_REPORT = 6;
+
+    /** Number of the first report whose answer acknowledges the end of a run. */
+    private static final int ACKNOWLEDGED_REPORT = 7;
 
     private static final Pattern WAIT_MS = Pattern.compile("\"wait_ms\":(\\d+)");
     private static final String RUNNING = "[\"5c0e7a21d94b36f8.0.1.%d\",1,\"00000bb87a21d94b\",41,37]";
@@ -118,8 +127,8 @@
         if (wait.find()) {
             sleep(Integer.parseInt(wait.group(1)));
         }
-        // The leader acknowledges the end with its seventh answer, so that the guard also sees an end.
-        String ended = reports.get() > 1 && reports.get() < REPORTS_WITH_ORDERS
+        // The worker lists an end until the leader acknowledges it, so that the guard also reports an end.
+        String ended = reports.get() > 1 && reports.get() < ACKNOWLEDGED_REPORT
                 ? "[1,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"]"
                 : "";
         String running = String.join(
@@ -172,10 +181,10 @@
                 knowsWorker
                         ? report.getWorker().getRef()
                         : JobRecords.toThrift(new WorkerRef(report.getGuard(), WORKER_ID, bornMs)),
-                number == 4 ? List.of(new StartRun(task, 1, "{}", "")) : List.of(),
-                number == 6 ? List.of(new StopRun(task, 1)) : List.of(),
-                number == 5 ? List.of(new PaceRun(task, 1, 50)) : List.of(),
-                number >= REPORTS_WITH_ORDERS ? 1 : 0,
+                number == START_REPORT ? List.of(new StartRun(task, 1, "{}", "")) : List.of(),
+                number == STOP_REPORT ? List.of(new StopRun(task, 1)) : List.of(),
+                number == SHARE_REPORT ? List.of(new PaceRun(task, 1, 50)) : List.of(),
+                number >= ACKNOWLEDGED_REPORT ? 1 : 0,
                 100);
     }
 
