--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
@@ -0,0 +1,374 @@
+package org.fulmarreach.core.jobs;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+import org.fulmarreach.core.jobs.DecisionLog.Decision;
+
+/**
+ * Finds the tasks that crash the workers that start them. After a crash, all runs that had not shown progress yet are
+ * suspects. Suspects are tried one by one, each on a worker where nothing else starts meanwhile, so that the next crash
+ * has only one suspect; a task with two such crashes is given up. Not thread-safe.
+ */
+final class CrashTracker {
+    /** Crashes with a task as the only suspect after which it is given up; callers may rely on two at least. */
+    private static final int MAX_SOLE_CRASHES = 2;
+
+    /** Crashes after which a loss of power no longer excuses a task, since callers may rely on no more starts. */
+    private static final int MAX_EXCUSED_CRASHES = 4;
+
+    /** A run that a worker has listed for this long has begun its work, also if its progress is rounded to 0. */
+    private static final long SETTLED_MS = 1_000;
+
+    /**
+     * The crashes of workers that lose power together are noticed within this time of each other. Shorter than a guard
+     * takes to notice one, 700 ms, so that a crash does not excuse the next one of the same task.
+     */
+    private static final long POWER_LOSS_MS = 650;
+
+    /** A worker is not reserved any longer for a suspect that it cannot take, as its runs go on. */
+    private static final long MAX_RESERVED_MS = 3_000;
+
+    /** Part of the pool, as a divisor, on which suspects may be tried at the same time. */
+    private static final int WORKERS_PER_TRIAL = 4;
+
+    private final DecisionBuffer decisions;
+    private final DecisionLog log;
+    private final Placement placement;
+    private final Map<JobTask, Trial> trials = new LinkedHashMap<>();
+    private final Map<JobTask, Long> verdictsAtMs = new LinkedHashMap<>();
+    private final Map<String, WorkerRef> lastCrashed = new HashMap<>();
+    private final Deque<Crash> recent = new ArrayDeque<>();
+    private final List<Suspect> waiting = new ArrayList<>();
+
+    /** A crash; {@code blamed} are the tasks for which it was counted as a crash with a single suspect. */
+    private record Crash(WorkerView worker, String rack, long atMs, List<JobTask> blamed) {}
+
+    /** A worker that is reserved for a suspect, or runs it. */
+    private record Trial(WorkerView worker, long sinceMs) {}
+
+    /** A task that waits for its trial. */
+    private record Suspect(JobTask task, String service) {}
+
+    CrashTracker(DecisionBuffer decisions, DecisionLog log, Placement placement) {
+        this.decisions = decisions;
+        this.log = log;
+        this.placement = placement;
+    }
+
+    /** Continues the trial of, or the verdict on, a task that a former leader suspected. */
+    void adopt(JobTask task, WorkerView worker, long nowMs) {
+        if (task.isAssigned()) {
+            if (task.isTriedAlone()) {
+                reserve(task, worker, nowMs);
+            }
+        } else if (awaitsVerdict(task)) {
+            verdictsAtMs.put(task, nowMs + POWER_LOSS_MS);
+        }
+    }
+
+    /*
+     * Crashes
+     */
+
+    /**
+     * Returns the lifetime of a worker that has crashed according to a report which is not recorded yet, or null. A
+     * worker that is silent, or whose guard was, may have run on or lost power, and one that drained has ended as
+     * announced.
+     */
+    WorkerRef findCrashed(WorkerView worker, WorkerReport report, long nowMs) {
+        WorkerReport before = worker.report();
+        WorkerRef crashed = null;
+        if (report.crashed()) {
+            crashed = report.ref();
+        } else if (before != null
+                && !before.ref().equals(report.ref())
+                && !before.draining()
+                && !worker.isReportOverdue(nowMs)) {
+            crashed = before.ref();
+        }
+        return crashed == null || crashed.equals(lastCrashed.get(worker.guard())) ? null : crashed;
+    }
+
+    /**
+     * Blames the suspects of a crash; must be called before the report that shows it is recorded, and before the runs
+     * of the crashed lifetime are marked as lost.
+     */
+    void onCrash(
+            WorkerRef crashed, WorkerView worker, WorkerReport report, Collection<WorkerView> workers, long nowMs) {
+        lastCrashed.put(worker.guard(), crashed);
+        List<JobTask> suspects = new ArrayList<>();
+        for (JobTask task : worker.assigned()) {
+            if (task.state().worker().equals(crashed)
+                    && !hasShownProgress(task, worker.answeredAtMs())
+                    && !listsProgress(report, task)) {
+                suspects.add(task);
+            }
+        }
+        Crash crash = new Crash(worker, WorkerView.rackOf(report), nowMs, new ArrayList<>());
+        recent.removeIf(earlier -> nowMs - earlier.atMs() > POWER_LOSS_MS);
+        recent.add(crash);
+        boolean powerLost = hasLostPower(crash, workers, nowMs);
+        if (powerLost) {
+            excuseRecentSuspects(crash.rack());
+        }
+        boolean single = !suspects.isEmpty() && suspects.stream().allMatch(task -> isSameRun(task, suspects.get(0)));
+        log.record(
+                Decision.WORKER_CRASHED,
+                crashed.id(),
+                "suspects",
+                suspects.size(),
+                "lostRuns",
+                worker.assigned().size(),
+                "powerLost",
+                powerLost);
+        for (JobTask task : suspects) {
+            if (!task.step().longRunning()) {
+                blame(task, crash, single, powerLost, nowMs);
+            }
+        }
+    }
+
+    /** Tells whether a report lists progress of a task's current run; a new leader has seen no earlier one. */
+    private static boolean listsProgress(WorkerReport report, JobTask task) {
+        for (WorkerReport.Running running : report.running()) {
+            if (running.percent() > 0
+                    && running.run() == task.state().run()
+                    && running.task().equals(task.name().toString())
+                    && task.state().worker().equals(report.ref())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void blame(JobTask task, Crash crash, boolean single, boolean powerLost, long nowMs) {
+        TaskState state = task.state();
+        int crashes = state.crashes() + 1;
+        boolean counts = single && (!powerLost || crashes > MAX_EXCUSED_CRASHES);
+        task.setCrashes(crashes, state.soleCrashes() + (counts ? 1 : 0));
+        decisions.markChanged(task.job());
+        endTrial(task);
+        if (counts) {
+            crash.blamed().add(task);
+        }
+        log.record(
+                Decision.TASK_SUSPECTED,
+                task.name().toString(),
+                "run",
+                state.run(),
+                "worker",
+                state.worker().id(),
+                "crashes",
+                crashes,
+                "soleCrashes",
+                task.state().soleCrashes());
+        verdictsAtMs.put(task, nowMs + POWER_LOSS_MS);
+    }
+
+    /** Tells whether at least half of the workers of a rack have crashed shortly after one another. */
+    private boolean hasLostPower(Crash crash, Collection<WorkerView> workers, long nowMs) {
+        long crashed = recent.stream()
+                .filter(other -> other.rack().equals(crash.rack()))
+                .map(Crash::worker)
+                .distinct()
+                .count();
+        long all = workers.stream()
+                .filter(worker ->
+                        worker.report() != null && worker.rack().equals(crash.rack()) && !worker.isReportOverdue(nowMs))
+                .count();
+        return crashed > 1 && 2 * crashed >= all;
+    }
+
+    private void excuseRecentSuspects(String rack) {
+        for (Crash earlier : recent) {
+            if (earlier.rack().equals(rack)) {
+                for (JobTask task : earlier.blamed()) {
+                    TaskState state = task.state();
+                    if (state.soleCrashes() > 0 && state.crashes() <= MAX_EXCUSED_CRASHES) {
+                        task.setCrashes(state.crashes(), state.soleCrashes() - 1);
+                        decisions.markChanged(task.job());
+                    }
+                }
+                earlier.blamed().clear();
+            }
+        }
+    }
+
+    /** Tells whether two suspects can be blamed together: the members of a gang run and end only as a whole. */
+    private static boolean isSameRun(JobTask task, JobTask other) {
+        return task == other
+                || task.step().gang()
+                        && task.job() == other.job()
+                        && task.step() == other.step()
+                        && task.name().occurrence() == other.name().occurrence();
+    }
+
+    /*
+     * Progress
+     */
+
+    /** Clears the suspicion against a task whose run has shown progress or has ended by itself. */
+    void acquit(JobTask task) {
+        if (task.state().crashes() > 0) {
+            task.setCrashes(0, 0);
+            decisions.markChanged(task.job());
+        }
+    }
+
+    /** Tells whether the current run has shown progress by a time; one that crashes its worker does not. */
+    static boolean hasShownProgress(JobTask task, long atMs) {
+        RunProgress progress = task.progress();
+        return progress.isListed() && (progress.percent() > 0 || atMs - progress.startedAtMs() >= SETTLED_MS);
+    }
+
+    /** Tells whether a task must not start again, since it is given up unless its crashes prove to be a power loss. */
+    static boolean awaitsVerdict(JobTask task) {
+        return task.state().soleCrashes() >= MAX_SOLE_CRASHES
+                && task.state().phase() == TaskPhase.PENDING
+                && !task.step().longRunning();
+    }
+
+    /*
+     * Verdicts and trials
+     */
+
+    /** Gives up tasks, and ends the trials that are over. */
+    void review(long nowMs) {
+        waiting.clear();
+        verdictsAtMs.entrySet().removeIf(entry -> entry.getValue() <= nowMs && decide(entry.getKey()));
+        for (Map.Entry<JobTask, Trial> trial : List.copyOf(trials.entrySet())) {
+            if (isOver(trial.getKey(), trial.getValue(), nowMs)) {
+                endTrial(trial.getKey());
+            }
+        }
+    }
+
+    private boolean decide(JobTask task) {
+        if (awaitsVerdict(task) && !task.job().status().isFinal()) {
+            TaskState state = task.state();
+            log.record(
+                    Decision.TASK_GIVEN_UP,
+                    task.name().toString(),
+                    "runs",
+                    state.run(),
+                    "crashes",
+                    state.crashes(),
+                    "soleCrashes",
+                    state.soleCrashes());
+            task.finish(TaskPhase.FAILED, state.failures(), "");
+            decisions.markChanged(task.job());
+        }
+        return true;
+    }
+
+    private static boolean isOver(JobTask task, Trial trial, long nowMs) {
+        WorkerView worker = trial.worker();
+        if (!task.isTriedAlone() || task.job().status().isFinal()) {
+            return true;
+        }
+        if (task.isAssigned()) {
+            return !worker.assigned().contains(task);
+        }
+        return nowMs - trial.sinceMs() > MAX_RESERVED_MS
+                || !worker.isUsable(worker.report().service(), nowMs)
+                || worker.report().ref().equals(task.avoided());
+    }
+
+    /** Adds a task to the suspects of this pass, which are placed after all other tasks. */
+    void addWaiting(JobTask task, String service) {
+        waiting.add(new Suspect(task, service));
+    }
+
+    /** Places the waiting suspects on workers where no other run is without progress, as far as trials are allowed. */
+    void placeWaiting(Collection<WorkerView> workers, long nowMs, BiConsumer<JobTask, WorkerView> assign) {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        waiting.sort(Comparator.comparingInt(suspect -> suspect.task().state().crashes()));
+        long usable = workers.stream()
+                .filter(worker -> worker.report() != null
+                        && worker.isUsable(worker.report().service(), nowMs))
+                .count();
+        long maxTrials = Math.max(1, usable / WORKERS_PER_TRIAL);
+        for (Suspect suspect : waiting) {
+            JobTask task = suspect.task();
+            Trial trial = trials.get(task);
+            WorkerView worker = trial == null ? null : trial.worker();
+            if (worker == null && trials.size() < maxTrials) {
+                worker = findTrialWorker(task, suspect.service(), workers, nowMs);
+                if (worker != null) {
+                    reserve(task, worker, nowMs);
+                }
+            }
+            if (worker != null
+                    && !hasRunWithoutProgress(worker, nowMs)
+                    && placement.canHost(task, suspect.service(), worker, nowMs)) {
+                assign.accept(task, worker);
+            }
+        }
+    }
+
+    /**
+     * Finds the worker on which a crash would do the least harm, preferably other than the last one. Workers that lack
+     * capacity are reserved only if no other is left; they get it back when their runs end.
+     */
+    private WorkerView findTrialWorker(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
+        WorkerView best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (WorkerView worker : workers) {
+            if (worker.isReservedForTrial() || !placement.canEverHost(task, service, worker, nowMs)) {
+                continue;
+            }
+            double score = score(task, service, worker, nowMs);
+            if (score < bestScore) {
+                best = worker;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    private double score(JobTask task, String service, WorkerView worker, long nowMs) {
+        double score = worker.share(worker.reserved().milliCores() + worker.bestEffortMilliCores());
+        boolean inRackOfTrial =
+                trials.values().stream().anyMatch(other -> other.worker().rack().equals(worker.rack()));
+        score += inRackOfTrial ? 1 : 0;
+        score += hasRunWithoutProgress(worker, nowMs) ? 1 : 0;
+        boolean last =
+                task.state().worker() != null && task.state().worker().guard().equals(worker.guard());
+        score += last || worker.report().ref().equals(task.avoided()) ? 2 : 0;
+        score += placement.canHost(task, service, worker, nowMs) ? 0 : 8;
+        return score;
+    }
+
+    private static boolean hasRunWithoutProgress(WorkerView worker, long nowMs) {
+        for (JobTask task : worker.assigned()) {
+            if (!hasShownProgress(task, nowMs)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void reserve(JobTask task, WorkerView worker, long nowMs) {
+        trials.put(task, new Trial(worker, nowMs));
+        worker.setReservedForTrial(true);
+    }
+
+    private void endTrial(JobTask task) {
+        Trial ended = trials.remove(task);
+        if (ended != null) {
+            boolean reserved = trials.values().stream().anyMatch(trial -> trial.worker() == ended.worker());
+            ended.worker().setReservedForTrial(reserved);
+        }
+    }
+}
--- a/core/src/main/java/org/fulmarreach/core/jobs/DecisionLog.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/DecisionLog.java
@@ -43,6 +43,12 @@
         WORKER_CHANGED,
         /** A worker gets no new runs for a while, after several faults in a row. */
         WORKER_SUSPECTED,
+        /** A worker's process ended unannounced; the runs on it are lost. */
+        WORKER_CRASHED,
+        /** A worker crashed before a run of the task had shown progress. */
+        TASK_SUSPECTED,
+        /** A task failed because it crashes the workers that start it. */
+        TASK_GIVEN_UP,
         /** The CPU share of a best-effort task was lowered or raised. */
         PACE_CHANGED
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -31,6 +31,7 @@
     private final RunMover mover;
     private final BestEffortPacer pacer;
     private final Placement placement;
+    private final CrashTracker crashes;
     private final Map<String, JobQueue> knownQueues = new HashMap<>();
     private JobConfig config;
 
@@ -48,11 +49,12 @@
         configure(config);
         this.limits = limits;
         this.log = log;
-        this.runs = new RunTracker(registry, decisions, log);
         this.mover = new RunMover(decisions, log);
         InterferenceModel model = new InterferenceModel();
         this.pacer = new BestEffortPacer(model, decisions, log);
         this.placement = new Placement(model);
+        this.crashes = new CrashTracker(decisions, log, placement);
+        this.runs = new RunTracker(registry, decisions, log, crashes);
         for (Job job : registry.jobs()) {
             adopt(job, nowMs);
         }
@@ -90,6 +92,10 @@
             return;
         }
         logWorkerChange(worker, report);
+        WorkerRef crashed = crashes.findCrashed(worker, report, nowMs);
+        if (crashed != null) {
+            crashes.onCrash(crashed, worker, report, workers.values(), nowMs);
+        }
         worker.recordReport(report, nowMs);
         for (JobTask task : List.copyOf(worker.assigned())) {
             if (!task.state().worker().equals(report.ref())) {
@@ -126,6 +132,7 @@
      */
     public void tick(long nowMs, long unixMs, boolean placing) {
         expireLeases(nowMs);
+        crashes.review(nowMs);
         placement.beginPass();
         List<Job> ordered = new ArrayList<>();
         for (Job job : active) {
@@ -141,6 +148,10 @@
         for (Job job : ordered) {
             advanceJob(job, nowMs, unixMs, placing);
         }
+        crashes.placeWaiting(
+                workers.values(),
+                nowMs,
+                (task, worker) -> assign(task, worker, task.state().run() + 1, nowMs));
         removeExpired(unixMs);
     }
 
@@ -216,6 +227,8 @@
                                 guard -> new WorkerView(guard, nowMs + limits.grantWithoutStoreMs()))
                         .add(task);
             }
+            crashes.adopt(
+                    task, task.isAssigned() ? workers.get(task.state().worker().guard()) : null, nowMs);
         }
         if (assigned || job.settledAtMs() == 0) {
             active.add(job);
@@ -317,7 +330,11 @@
             return;
         }
         for (JobTask task : tasks) {
-            if (task.state().phase() == TaskPhase.PENDING) {
+            if (task.state().phase() == TaskPhase.PENDING && task.isTriedAlone()) {
+                if (!CrashTracker.awaitsVerdict(task)) {
+                    crashes.addWaiting(task, service);
+                }
+            } else if (task.state().phase() == TaskPhase.PENDING) {
                 WorkerView worker = placement.findWorker(task, service, workers.values(), nowMs);
                 if (worker == null) {
                     // Tasks of a step have the same requirements, so no other one can be placed either.
@@ -332,7 +349,7 @@
         List<WorkerView> chosen = new ArrayList<>();
         int run = 0;
         for (JobTask task : tasks) {
-            if (task.state().phase() != TaskPhase.PENDING) {
+            if (task.state().phase() != TaskPhase.PENDING || CrashTracker.awaitsVerdict(task)) {
                 break;
             }
             WorkerView worker = placement.findWorker(task, service, workers.values(), nowMs);
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -97,7 +97,14 @@
 
     void assign(WorkerRef worker, String newRack, int run, long nowMs) {
         rack = newRack;
-        change(new TaskState(TaskPhase.ASSIGNED, run, worker, state.failures(), state.checkpoint()));
+        change(new TaskState(
+                TaskPhase.ASSIGNED,
+                run,
+                worker,
+                state.failures(),
+                state.checkpoint(),
+                state.crashes(),
+                state.soleCrashes()));
         progress = RunProgress.firstOrderedAt(nowMs);
         pollsAfterStop = NOT_COUNTING;
         cpuSharePercent = FULL_CPU_SHARE_PERCENT;
@@ -105,7 +112,7 @@
 
     void finish(TaskPhase phase, int failures, String checkpoint) {
         String kept = checkpoint.isEmpty() ? state.checkpoint() : checkpoint;
-        change(new TaskState(phase, state.run(), state.worker(), failures, kept));
+        change(new TaskState(phase, state.run(), state.worker(), failures, kept, state.crashes(), state.soleCrashes()));
         progress = RunProgress.NONE;
     }
 
@@ -113,10 +120,23 @@
     void updateProgress(RunProgress seen) {
         progress = seen;
         if (isAssigned() && !seen.checkpoint().isEmpty()) {
-            replace(new TaskState(state.phase(), state.run(), state.worker(), state.failures(), seen.checkpoint()));
+            replace(state.withCheckpoint(seen.checkpoint()));
         }
     }
 
+    /** Sets the numbers of worker crashes that the task is suspected of. */
+    void setCrashes(int crashes, int soleCrashes) {
+        change(state.withCrashes(crashes, soleCrashes));
+    }
+
+    /**
+     * Tells whether the task is tried alone: workers have crashed under it and no run of it has shown progress since.
+     * The members of a gang start together, and long-running tasks outlast many crashes without being their cause.
+     */
+    boolean isTriedAlone() {
+        return state.crashes() > 0 && !step.gang() && !step.longRunning();
+    }
+
     /** Returns the CPU share that was last set for the current run, in percent. */
     int cpuSharePercent() {
         return cpuSharePercent;
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -120,7 +120,7 @@
         double least = Double.MAX_VALUE;
         for (WorkerView worker : workers) {
             boolean eligible = worker.bestEffortMilliCores() == 0 && isWellBelowTargets(worker);
-            if (eligible && worker.isUsable(service, nowMs) && hasReservableCapacity(task, worker)) {
+            if (eligible && isOpen(worker, service, nowMs) && hasReservableCapacity(task, worker)) {
                 double excess = predictExcess(task.step(), worker);
                 if (excess < least) {
                     best = worker;
@@ -152,7 +152,7 @@
         double bestScore = Double.MAX_VALUE;
         candidates += workers.size();
         for (WorkerView worker : workers) {
-            if (!worker.isUsable(service, nowMs) || !hasCapacity(task, worker)) {
+            if (!isOpen(worker, service, nowMs) || !hasCapacity(task, worker)) {
                 continue;
             }
             // The prediction iterates over all pairs of images on the worker, so cheap conditions are checked first.
@@ -184,7 +184,7 @@
         WorkerView nearest = null;
         int least = Integer.MAX_VALUE;
         for (WorkerView worker : workers) {
-            if (worker.isUsable(service, nowMs) && fits(task, worker, worker.reservedByLongRunning())) {
+            if (isOpen(worker, service, nowMs) && fits(task, worker, worker.reservedByLongRunning())) {
                 int missing = worker.reserved().milliCores()
                         - worker.report().capacity().milliCores();
                 if (missing < least) {
@@ -224,6 +224,29 @@
         return new TaskClass(service, step.longRunning(), bestEffort, bestEffort ? step.image() : "");
     }
 
+    private static boolean isOpen(WorkerView worker, String service, long nowMs) {
+        return worker.isUsable(service, nowMs) && !worker.isReservedForTrial();
+    }
+
+    /** Tells whether a worker that is reserved for a task can run it now. */
+    boolean canHost(JobTask task, String service, WorkerView worker, long nowMs) {
+        JobStep step = task.step();
+        if (!worker.isUsable(service, nowMs) || !hasCapacity(task, worker)) {
+            return false;
+        }
+        return !step.bestEffort()
+                || predictExcess(step, worker) <= 0
+                || worker.bestEffortMilliCores() == 0 && isWellBelowTargets(worker);
+    }
+
+    /** Tells whether a worker can run a task once the runs on it that do not last have ended. */
+    boolean canEverHost(JobTask task, String service, WorkerView worker, long nowMs) {
+        JobStep step = task.step();
+        return worker.isUsable(service, nowMs)
+                && fits(task, worker, worker.reservedByLongRunning())
+                && (!step.bestEffort() || predictExcess(step, worker) <= 0 || isWellBelowTargets(worker));
+    }
+
     private boolean hasCapacity(JobTask task, WorkerView worker) {
         JobStep step = task.step();
         return hasReservableCapacity(task, worker)
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -27,8 +27,10 @@
     private final JobRegistry registry;
     private final DecisionBuffer decisions;
     private final DecisionLog log;
+    private final CrashTracker crashes;
 
-    RunTracker(JobRegistry registry, DecisionBuffer decisions, DecisionLog log) {
+    RunTracker(JobRegistry registry, DecisionBuffer decisions, DecisionLog log, CrashTracker crashes) {
+        this.crashes = crashes;
         this.registry = registry;
         this.decisions = decisions;
         this.log = log;
@@ -145,6 +147,9 @@
             return;
         }
         updateReliability(worker, task, end.runEnd(), nowMs);
+        if (end.runEnd() == RunEnd.DONE || end.runEnd() == RunEnd.FAILED) {
+            crashes.acquit(task);
+        }
         List<JobTask> members = membersOf(task);
         if (end.runEnd() == RunEnd.DONE && !task.step().longRunning()) {
             members.forEach(RunTracker::complete);
@@ -233,6 +238,9 @@
     private void applyListing(JobTask task, WorkerReport.Running running, long nowMs) {
         RunProgress before = task.progress();
         task.updateProgress(before.withListing(running.percent(), running.usage(), running.checkpoint(), nowMs));
+        if (CrashTracker.hasShownProgress(task, nowMs)) {
+            crashes.acquit(task);
+        }
         if (!before.isListed()) {
             log.record(
                     Decision.RUN_STARTED,
--- a/core/src/main/java/org/fulmarreach/core/jobs/TaskState.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/TaskState.java
@@ -8,8 +8,24 @@
  * @param worker lifetime of the worker of the last run; null before the first
  * @param failures number of runs that failed
  * @param checkpoint saved progress that the next run starts from; empty for none
+ * @param crashes worker crashes in which the task was a suspect, since one of its runs last showed progress
+ * @param soleCrashes those of {@code crashes} in which it was the only suspect
  */
-public record TaskState(TaskPhase phase, int run, WorkerRef worker, int failures, String checkpoint) {
+public record TaskState(
+        TaskPhase phase, int run, WorkerRef worker, int failures, String checkpoint, int crashes, int soleCrashes) {
     /** State before the first run. */
     public static final TaskState INITIAL = new TaskState(TaskPhase.PENDING, 0, null, 0, "");
+
+    /** Constructs the state of a task that is not suspected of crashing its workers. */
+    public TaskState(TaskPhase phase, int run, WorkerRef worker, int failures, String checkpoint) {
+        this(phase, run, worker, failures, checkpoint, 0, 0);
+    }
+
+    TaskState withCheckpoint(String newCheckpoint) {
+        return new TaskState(phase, run, worker, failures, newCheckpoint, crashes, soleCrashes);
+    }
+
+    TaskState withCrashes(int newCrashes, int newSoleCrashes) {
+        return new TaskState(phase, run, worker, failures, checkpoint, newCrashes, newSoleCrashes);
+    }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerReport.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerReport.java
@@ -18,6 +18,7 @@
  * @param running runs that the worker lists as running
  * @param ended ended runs that the worker lists, which are not acknowledged yet
  * @param pollNumber number of the guard's poll from which the lists come; increases until the guard restarts
+ * @param crashed whether the process of the worker is known to have ended without having announced it
  */
 public record WorkerReport(
         WorkerRef ref,
@@ -30,7 +31,8 @@
         boolean leaseExpired,
         List<Running> running,
         List<Ended> ended,
-        long pollNumber) {
+        long pollNumber,
+        boolean crashed) {
     /** Copies the lists. */
     public WorkerReport {
         labels = List.copyOf(labels);
@@ -38,6 +40,34 @@
         ended = List.copyOf(ended);
     }
 
+    /** Constructs the report of a worker that is not known to have crashed. */
+    public WorkerReport(
+            WorkerRef ref,
+            String service,
+            String zone,
+            Resources capacity,
+            List<String> labels,
+            boolean draining,
+            boolean reachable,
+            boolean leaseExpired,
+            List<Running> running,
+            List<Ended> ended,
+            long pollNumber) {
+        this(
+                ref,
+                service,
+                zone,
+                capacity,
+                labels,
+                draining,
+                reachable,
+                leaseExpired,
+                running,
+                ended,
+                pollNumber,
+                false);
+    }
+
     /**
      * A run that is listed as running.
      *
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -26,6 +26,8 @@
     private Map<String, Double> pressures = Map.of();
     private WorkerReport report;
     private long reportedAtMs;
+    private long answeredAtMs;
+    private boolean reservedForTrial;
     private long grantedAtMs;
     private WorkerRef endsRecordedFor;
     private long lastEnd;
@@ -124,6 +126,21 @@
     void recordReport(WorkerReport newReport, long nowMs) {
         report = newReport;
         reportedAtMs = nowMs;
+        answeredAtMs = newReport.reachable() ? nowMs : answeredAtMs;
+    }
+
+    /** Returns when the last report came according to which the worker answered its guard; 0 before the first. */
+    long answeredAtMs() {
+        return answeredAtMs;
+    }
+
+    /** Tells whether the worker gets no new runs but that of a task which is suspected of crashing its workers. */
+    boolean isReservedForTrial() {
+        return reservedForTrial;
+    }
+
+    void setReservedForTrial(boolean reserved) {
+        reservedForTrial = reserved;
     }
 
     /** Tells whether the worker may get new work now. */
@@ -168,6 +185,11 @@
 
     /** Returns the rack, which is the second label after the kind of the worker; empty if it has none. */
     String rack() {
+        return rackOf(report);
+    }
+
+    /** Returns the rack of a worker according to a report; empty if it has none. */
+    static String rackOf(WorkerReport report) {
         return report.labels().size() > 1 ? report.labels().get(1) : "";
     }
 
--- a/core/src/test/java/org/fulmarreach/core/jobs/ColocationLoadTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/ColocationLoadTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import org.fulmarreach.core.model.Resources;
@@ -48,6 +49,7 @@
 
     final Map<String, List<String>> submitted = new HashMap<>();
     private final Map<Integer, Consumer<PoolEmulator>> events = new HashMap<>();
+    private BiConsumer<PoolEmulator, String> beforeSubmission = (pool, id) -> {};
     double batchPerSecond = 0.84;
     private int jobs;
 
@@ -91,6 +93,11 @@
         assertTrue(onTimeShare(pool, "batch") >= DAY_FLOOR, report(pool));
     }
 
+    /** Sets an action with the id of each job that is submitted from now on. */
+    void beforeEachSubmission(BiConsumer<PoolEmulator, String> action) {
+        beforeSubmission = action;
+    }
+
     /** Schedules an event at a second of the load. */
     void at(int second, Consumer<PoolEmulator> event) {
         events.put(second, event);
@@ -142,6 +149,7 @@
         }
         String id = queue + "-" + jobs++;
         submitted.computeIfAbsent(queue, unused -> new ArrayList<>()).add(id);
+        beforeSubmission.accept(pool, id);
         pool.submit(new JobSpec(id, queue, "", made, 0, 0, 0, pool.nowMs), work);
     }
 
--- /dev/null
+++ b/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
@@ -0,0 +1,199 @@
+package org.fulmarreach.core.jobs;
+
+import java.util.Arrays;
+import java.util.List;
+
+import org.fulmarreach.core.model.Resources;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tasks that crash the workers that start them, and crashes that no task causes, on a pool of six workers. */
+class CrashTrackerTest {
+    private static final JobConfig CONFIG = new JobConfig(
+            1, List.of(new JobQueue("q", "h", "/q/", FakeWorker.SERVICE, 0, 2, 3_000, 400, 1.5)), 1_000_000);
+    private static final int WORKERS = 6;
+
+    /** Crashes after which at most two more starts are allowed. */
+    private static final int MAX_CRASHES = 5;
+
+    private PoolEmulator pool;
+
+    @BeforeEach
+    void start() {
+        pool = new PoolEmulator(1, 0, 0, CONFIG);
+        for (int i = 0; i < WORKERS; i++) {
+            pool.addWorker(i, new Resources(4_000, 8_000, 0));
+        }
+        pool.run(1_000);
+    }
+
+    /** Such a task crashed 28 workers one after the other, since a lost run did not count as an attempt. */
+    @Test
+    void taskThatCrashesItsWorkersIsGivenUp() {
+        submitDeadly("deadly");
+        pool.run(15_000);
+        assertEquals(JobStatus.FAILED, job("deadly").acknowledgedStatus());
+        assertEquals(2, pool.crashes(), "crashes with the task as the only suspect");
+    }
+
+    /** Guards against blaming all tasks of a worker: many short ones start together with the one that crashes it. */
+    @Test
+    void othersOnTheCrashedWorkersAreCompleted() {
+        for (int i = 0; i < 12; i++) {
+            submit("job-" + i, 600);
+        }
+        submitDeadly("deadly");
+        for (int i = 12; i < 24; i++) {
+            submit("job-" + i, 600);
+        }
+        pool.run(30_000);
+        assertEquals(JobStatus.FAILED, job("deadly").acknowledgedStatus());
+        assertTrue(pool.crashes() <= 3, "crashes " + pool.crashes());
+        for (int i = 0; i < 24; i++) {
+            assertEquals(JobStatus.COMPLETED, job("job-" + i).acknowledgedStatus(), "job-" + i);
+        }
+    }
+
+    /** Two suspects on one worker would each be taken for innocent, or both for guilty. */
+    @Test
+    void twoSuchTasksAreToldFromTheOthers() {
+        submitDeadly("deadly-1");
+        submitDeadly("deadly-2");
+        for (int i = 0; i < 20; i++) {
+            submit("job-" + i, 600);
+        }
+        pool.run(30_000);
+        assertEquals(JobStatus.FAILED, job("deadly-1").acknowledgedStatus());
+        assertEquals(JobStatus.FAILED, job("deadly-2").acknowledgedStatus());
+        assertTrue(pool.crashes() <= 6, "crashes " + pool.crashes());
+        for (int i = 0; i < 20; i++) {
+            assertEquals(JobStatus.COMPLETED, job("job-" + i).acknowledgedStatus(), "job-" + i);
+        }
+    }
+
+    /** A new leader that began to count anew would start such a task for ever while leaders change. */
+    @Test
+    void newLeaderContinuesTheCount() {
+        submitDeadly("deadly");
+        for (int i = 0; i < 2 * MAX_CRASHES; i++) {
+            pool.run(1_500);
+            pool.replaceLeader();
+        }
+        pool.run(10_000);
+        assertEquals(JobStatus.FAILED, job("deadly").acknowledgedStatus());
+        assertTrue(pool.crashes() <= MAX_CRASHES, "crashes " + pool.crashes());
+    }
+
+    /** A rack that repeatedly loses its power crashes many tasks right after their start, none of which is to blame. */
+    @Test
+    void lossesOfPowerConvictNoTask() {
+        for (int i = 0; i < 5; i++) {
+            for (int k = 0; k < 12; k++) {
+                submit("job-" + i + "-" + k, 900);
+            }
+            pool.run(100);
+            crashRack(i % 2);
+            pool.run(4_500);
+        }
+        pool.run(15_000);
+        for (Job job : pool.registry.jobs()) {
+            assertEquals(
+                    JobStatus.COMPLETED, job.acknowledgedStatus(), job.spec().id());
+        }
+    }
+
+    /** A suspect that is tried when its rack loses power is the only suspect on its worker, time after time. */
+    @Test
+    void suspectIsNotConvictedByLossesOfPower() {
+        submit("job", 900);
+        for (int i = 0; i < 3; i++) {
+            long deadline = pool.nowMs + 5_000;
+            while (!task("job").isAssigned() && pool.nowMs < deadline) {
+                pool.run(PoolEmulator.STEP_MS);
+            }
+            String guard = task("job").state().worker().guard();
+            crashRack(Integer.parseInt(guard.substring("guard-".length())) / 3);
+            pool.run(500);
+        }
+        pool.run(8_000);
+        assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
+    }
+
+    /** Standing tasks outlast many workers; giving one up would end a service for good. */
+    @Test
+    void standingTaskIsNeverGivenUp() {
+        JobStep step =
+                TestSteps.of(1, size(), 500, List.of()).serving("shop", 100).build();
+        pool.submit(new JobSpec("standing", "q", "", List.of(step), 0, 0, 0, pool.nowMs), List.of(1L));
+        for (int i = 0; i < 8; i++) {
+            pool.run(100);
+            FakeWorker worker =
+                    pool.workers.get(task("standing").state().worker().guard());
+            worker.crash();
+            pool.run(3_500);
+        }
+        assertEquals(JobStatus.RUNNING, job("standing").acknowledgedStatus());
+        assertTrue(task("standing").isAssigned());
+    }
+
+    /** A worker that is only silent may have run on; its tasks have crashed nothing. */
+    @Test
+    void silenceIsNoCrash() {
+        submit("job", 20_000);
+        pool.silence(pool.workers.get(task("job").state().worker().guard()));
+        pool.run(8_000);
+        assertEquals(2, task("job").state().run(), "not restarted after the lease");
+        assertEquals(0, task("job").state().crashes());
+    }
+
+    /** Runs that have shown progress are not the cause; counting them would mark most of the work as suspect. */
+    @Test
+    void runWithProgressIsNoSuspect() {
+        submit("job", 5_000);
+        pool.run(1_500);
+        String first = task("job").state().worker().guard();
+        pool.workers.get(first).crash();
+        pool.run(1_600);
+        assertEquals(0, task("job").state().crashes());
+        assertEquals(2, task("job").state().run());
+        assertNotEquals(first, task("job").state().worker().guard());
+    }
+
+    /*
+     * Helpers
+     */
+
+    private void crashRack(int rack) {
+        for (int i = 3 * rack; i < 3 * rack + 3; i++) {
+            if (!pool.workers.get("guard-" + i).isDown()) {
+                pool.workers.get("guard-" + i).crash();
+            }
+        }
+    }
+
+    private void submitDeadly(String id) {
+        pool.deadlyTasks.add(id + ".0.0.0");
+        submit(id, 500);
+    }
+
+    private void submit(String id, long ms) {
+        JobStep step = TestSteps.of(1, size(), ms, List.of()).build();
+        pool.submit(new JobSpec(id, "q", "", List.of(step), 0, 0, 0, pool.nowMs), Arrays.asList(ms));
+    }
+
+    private Job job(String id) {
+        return pool.registry.find(id).orElseThrow();
+    }
+
+    private JobTask task(String id) {
+        return job(id).tasks().get(0);
+    }
+
+    private static Resources size() {
+        return new Resources(1_000, 1_000, 0);
+    }
+}
--- a/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
@@ -16,6 +16,15 @@
  */
 final class FakeWorker {
     static final String SERVICE = "service";
+
+    /** Time after a crash for which the guard still counts the worker as reachable. */
+    private static final int UNREACHABLE_MS = 300;
+
+    /** Time after a crash in which the guard learns from its closed port that the process has ended. */
+    private static final int PORT_CLOSED_MS = 900;
+
+    private static final int RESTART_MS = 3_000;
+
     private static final double MAX_PRESSURE = 0.97;
 
     /** Maximum relative error of reported usage values. */
@@ -23,7 +32,7 @@
 
     private final Random readings = new Random(1);
     private final Interference interference;
-    private final Resources capacity;
+    private Resources capacity;
     private final List<String> labels;
     private final Map<String, Run> runs = new LinkedHashMap<>();
     private final Map<String, Integer> refusedUpToRun = new LinkedHashMap<>();
@@ -45,6 +54,16 @@
     boolean reachable = true;
     boolean draining;
 
+    /** Time of the last crash; 0 while the process runs. */
+    private long crashedAtMs;
+
+    private WorkerReport lastAnswer;
+    private long nowMs;
+    int crashes;
+
+    /** Runs that were lost in crashes, without those that caused one. */
+    int innocentRunsLost;
+
     /** Interference between images, load of serving tasks, and duration and failures of tasks. */
     interface Interference {
         double factor(String bestEffort, String serving);
@@ -55,6 +74,11 @@
 
         /** Tells whether every run of a task fails halfway through its work, because of the task itself. */
         boolean fails(TaskName task);
+
+        /** Tells whether a task crashes each worker that starts it. */
+        default boolean crashes(TaskName task) {
+            return false;
+        }
     }
 
     /** A run in progress. */
@@ -124,9 +148,31 @@
         reachable = true;
     }
 
+    void setCapacity(Resources newCapacity) {
+        capacity = newCapacity;
+    }
+
+    /** Ends the process with everything that it runs; a new lifetime begins 3 s later. */
+    void crash() {
+        if (lastAnswer == null) {
+            report();
+        }
+        crashes++;
+        crashedAtMs = nowMs;
+        for (Run run : runs.values()) {
+            innocentRunsLost += interference.crashes(run.task) ? 0 : 1;
+        }
+        runs.clear();
+        ended.clear();
+    }
+
+    boolean isDown() {
+        return crashedAtMs > 0;
+    }
+
     /** Executes an order; returns the reason for which a start was refused, or null. */
     String execute(JobOrder order, JobRegistry registry) {
-        if (!order.worker().equals(ref)) {
+        if (!order.worker().equals(ref) || isDown()) {
             return null;
         }
         switch (order) {
@@ -189,7 +235,19 @@
     }
 
     /** Advances the virtual time by one step. */
-    void advance(long nowMs, int stepMs) {
+    void advance(long newNowMs, int stepMs) {
+        nowMs = newNowMs;
+        if (isDown()) {
+            if (nowMs - crashedAtMs >= RESTART_MS) {
+                crashedAtMs = 0;
+                restart();
+            }
+            return;
+        }
+        if (runs.values().stream().anyMatch(run -> run.waitMs <= 0 && interference.crashes(run.task))) {
+            crash();
+            return;
+        }
         double busy = 0;
         double wanted = 0;
         for (Run run : runs.values()) {
@@ -257,6 +315,22 @@
     }
 
     WorkerReport report() {
+        if (isDown()) {
+            long downMs = nowMs - crashedAtMs;
+            return new WorkerReport(
+                    ref,
+                    SERVICE,
+                    "zone",
+                    capacity,
+                    labels,
+                    draining,
+                    downMs < UNREACHABLE_MS,
+                    downMs > PORT_CLOSED_MS,
+                    lastAnswer.running(),
+                    lastAnswer.ended(),
+                    pollNumber,
+                    downMs > PORT_CLOSED_MS);
+        }
         pollNumber++;
         List<WorkerReport.Running> running = new ArrayList<>();
         for (Run run : runs.values()) {
@@ -265,7 +339,8 @@
             running.add(
                     new WorkerReport.Running(run.task.toString(), run.number, checkpoint(run), run.percent(), usage));
         }
-        return new WorkerReport(
+        lastAnswer = new WorkerReport(
                 ref, SERVICE, "zone", capacity, labels, draining, reachable, false, running, ended, pollNumber);
+        return lastAnswer;
     }
 }
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -41,6 +41,9 @@
     private final JobConfig config;
     private final Set<FakeWorker> silent = new HashSet<>();
     final Set<String> faultyJobs = new HashSet<>();
+    /** Names of the tasks that crash each worker that starts them. */
+    final Set<String> deadlyTasks = new HashSet<>();
+
     final Set<String> duplicateRuns = new HashSet<>();
     private JobScheduler scheduler;
     long nowMs = 1_000_000;
@@ -69,6 +72,14 @@
                 new JobScheduler(registry, config, new JobTimeLimits(6_000, 120_000, 3_000), DecisionLog.NONE, nowMs);
     }
 
+    int crashes() {
+        return ordered.stream().mapToInt(worker -> worker.crashes).sum();
+    }
+
+    int innocentRunsLost() {
+        return ordered.stream().mapToInt(worker -> worker.innocentRunsLost).sum();
+    }
+
     void addWorker(int number, Resources capacity) {
         String guard = "guard-" + number;
         FakeWorker worker =
@@ -252,6 +263,11 @@
         return faultyJobs.contains(task.jobId());
     }
 
+    @Override
+    public boolean crashes(TaskName task) {
+        return deadlyTasks.contains(task.toString());
+    }
+
     @Override
     public long workMs(TaskName task, JobStep step) {
         return workMs.getOrDefault(task.toString(), 1L);
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -37,6 +37,13 @@
     WORKER_SEEN(4020, Level.INFO, "A guard reports a worker, or a newer lifetime of it, for the first time."),
     WORKER_CHANGED(4021, Level.INFO, "A worker became reachable, unreachable or began to drain."),
     WORKER_SUSPECTED(4022, Level.WARNING, "Several runs in a row failed on a worker; it gets no new runs for a while."),
+    WORKER_CRASHED(
+            4028, Level.WARNING, "A worker's process ended unannounced; runs without progress so far are suspects."),
+    TASK_SUSPECTED(
+            4029,
+            Level.WARNING,
+            "A worker crashed before a run of this task showed progress; the task is tried alone next."),
+    TASK_GIVEN_UP(4019, Level.WARNING, "A task failed because it repeatedly crashed the workers that started it."),
     GUARD_JOINED(4023, Level.INFO, "A guard opened a session with this leader."),
     GUARD_LEFT(
             4024, Level.INFO, "The session with a guard ended; its worker's lease remains valid for a bounded time."),
@@ -115,6 +122,9 @@
             case WORKER_SEEN -> WORKER_SEEN;
             case WORKER_CHANGED -> WORKER_CHANGED;
             case WORKER_SUSPECTED -> WORKER_SUSPECTED;
+            case WORKER_CRASHED -> WORKER_CRASHED;
+            case TASK_SUSPECTED -> TASK_SUSPECTED;
+            case TASK_GIVEN_UP -> TASK_GIVEN_UP;
             case PACE_CHANGED -> PACE_CHANGED;
         };
     }
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -80,6 +80,7 @@
     private int failedPolls;
     private long portClosedSinceMs;
     private boolean expiryReported;
+    private boolean deregistered;
     private long acknowledgedEnd;
     private long term;
     private FrameLink leaderLink;
@@ -233,6 +234,7 @@
     }
 
     private void onDeregistered(String workerId) {
+        deregistered |= workerRef != null && workerRef.id().equals(workerId);
         log.emit(RelayEvent.WORKER_LEFT, "worker", workerId);
     }
 
@@ -249,6 +251,7 @@
         failedPolls = 0;
         portClosedSinceMs = 0;
         expiryReported = false;
+        deregistered = false;
         dispatcher.clear();
     }
 
@@ -340,8 +343,16 @@
     }
 
     private boolean hasLeaseExpired(long nowMs) {
-        boolean portRefused = portClosedSinceMs > 0 && nowMs - portClosedSinceMs > PORT_CLOSED_MS;
-        return !isReachable() && (portRefused || lease.hasExpired(nowMs));
+        return !isReachable() && (hasProcessEnded(nowMs) || lease.hasExpired(nowMs));
+    }
+
+    private boolean hasProcessEnded(long nowMs) {
+        return portClosedSinceMs > 0 && nowMs - portClosedSinceMs > PORT_CLOSED_MS;
+    }
+
+    /** Tells whether the worker's process ended unannounced; a worker that is merely silent may still run its tasks. */
+    private boolean hasCrashed(long nowMs) {
+        return !isReachable() && hasProcessEnded(nowMs) && !heartbeat.draining() && !deregistered;
     }
 
     /*
@@ -540,7 +551,8 @@
                 hasLeaseExpired(nowMs),
                 snapshot.running(),
                 snapshot.ended(),
-                pollNumber);
+                pollNumber,
+                hasCrashed(nowMs));
     }
 
     private void schedule(int delayMs, RelayCommand command) {
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/GuardMessages.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/GuardMessages.java
@@ -30,7 +30,7 @@
             ended.add(new EndedRun(
                     end.number(), end.task(), end.run(), end.runEnd().name(), end.checkpoint()));
         }
-        return new WorkerStatus(
+        WorkerStatus status = new WorkerStatus(
                 JobRecords.toThrift(report.ref()),
                 report.service(),
                 report.zone(),
@@ -42,6 +42,10 @@
                 running,
                 ended,
                 report.pollNumber());
+        if (report.crashed()) {
+            status.setCrashed(true);
+        }
+        return status;
     }
 
     /** Converts the report of a worker from Thrift. */
@@ -67,7 +71,8 @@
                 status.isLeaseLapsed(),
                 running,
                 ended,
-                status.getLookNumber());
+                status.getLookNumber(),
+                status.isCrashed());
     }
 
     /**
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -99,6 +99,10 @@
             if (!task.checkpoint().isEmpty()) {
                 state.setCheckpoint(task.checkpoint());
             }
+            if (task.crashes() > 0) {
+                state.setCrashes(task.crashes());
+                state.setSoleCrashes(task.soleCrashes());
+            }
             tasks.add(state);
         }
         List<JobWorkerRef> refs = new ArrayList<>();
@@ -128,7 +132,9 @@
                     state.getRun(),
                     hasWorker ? workers.get(state.getWorker()) : null,
                     state.getFailures(),
-                    state.isSetCheckpoint() ? state.getCheckpoint() : ""));
+                    state.isSetCheckpoint() ? state.getCheckpoint() : "",
+                    state.getCrashes(),
+                    state.getSoleCrashes()));
         }
         return new JobSnapshot(tasks, progress.getSettledAtMs());
     }
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/JobTaskState.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/JobTaskState.java
@@ -18,6 +18,8 @@
   private static final org.apache.thrift.protocol.TField WORKER_FIELD_DESC = new org.apache.thrift.protocol.TField("worker", org.apache.thrift.protocol.TType.I32, (short)3);
   private static final org.apache.thrift.protocol.TField FAILURES_FIELD_DESC = new org.apache.thrift.protocol.TField("failures", org.apache.thrift.protocol.TType.I32, (short)4);
   private static final org.apache.thrift.protocol.TField CHECKPOINT_FIELD_DESC = new org.apache.thrift.protocol.TField("checkpoint", org.apache.thrift.protocol.TType.STRING, (short)5);
+  private static final org.apache.thrift.protocol.TField CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.I32, (short)6);
+  private static final org.apache.thrift.protocol.TField SOLE_CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("soleCrashes", org.apache.thrift.protocol.TType.I32, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new JobTaskStateStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new JobTaskStateTupleSchemeFactory();
@@ -27,6 +29,8 @@
   private int worker; // required
   private int failures; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String checkpoint; // required
+  private int crashes; // optional
+  private int soleCrashes; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +41,15 @@
      */
     WORKER((short)3, "worker"),
     FAILURES((short)4, "failures"),
-    CHECKPOINT((short)5, "checkpoint");
+    CHECKPOINT((short)5, "checkpoint"),
+    /**
+     * Worker crashes in a row in which the task was a suspect; absent for none.
+     */
+    CRASHES((short)6, "crashes"),
+    /**
+     * Those of them in which it was the only suspect; absent for none.
+     */
+    SOLE_CRASHES((short)7, "soleCrashes");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -63,6 +75,10 @@
           return FAILURES;
         case 5: // CHECKPOINT
           return CHECKPOINT;
+        case 6: // CRASHES
+          return CRASHES;
+        case 7: // SOLE_CRASHES
+          return SOLE_CRASHES;
         default:
           return null;
       }
@@ -110,7 +126,10 @@
   private static final int __RUN_ISSET_ID = 1;
   private static final int __WORKER_ISSET_ID = 2;
   private static final int __FAILURES_ISSET_ID = 3;
+  private static final int __CRASHES_ISSET_ID = 4;
+  private static final int __SOLECRASHES_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.CRASHES,_Fields.SOLE_CRASHES};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -124,6 +143,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.CHECKPOINT, new org.apache.thrift.meta_data.FieldMetaData("checkpoint", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.CRASHES, new org.apache.thrift.meta_data.FieldMetaData("crashes", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.SOLE_CRASHES, new org.apache.thrift.meta_data.FieldMetaData("soleCrashes", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(JobTaskState.class, metaDataMap);
   }
@@ -162,6 +185,8 @@
     if (other.isSetCheckpoint()) {
       this.checkpoint = other.checkpoint;
     }
+    this.crashes = other.crashes;
+    this.soleCrashes = other.soleCrashes;
   }
 
   @Override
@@ -180,6 +205,10 @@
     setFailuresIsSet(false);
     this.failures = 0;
     this.checkpoint = null;
+    setCrashesIsSet(false);
+    this.crashes = 0;
+    setSoleCrashesIsSet(false);
+    this.soleCrashes = 0;
   }
 
   public int getPhase() {
@@ -305,6 +334,64 @@
     }
   }
 
+  /**
+   * Worker crashes in a row in which the task was a suspect; absent for none.
+   */
+  public int getCrashes() {
+    return this.crashes;
+  }
+
+  /**
+   * Worker crashes in a row in which the task was a suspect; absent for none.
+   */
+  public JobTaskState setCrashes(int crashes) {
+    this.crashes = crashes;
+    setCrashesIsSet(true);
+    return this;
+  }
+
+  public void unsetCrashes() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CRASHES_ISSET_ID);
+  }
+
+  /** Returns true if field crashes is set (has been assigned a value) and false otherwise */
+  public boolean isSetCrashes() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CRASHES_ISSET_ID);
+  }
+
+  public void setCrashesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CRASHES_ISSET_ID, value);
+  }
+
+  /**
+   * Those of them in which it was the only suspect; absent for none.
+   */
+  public int getSoleCrashes() {
+    return this.soleCrashes;
+  }
+
+  /**
+   * Those of them in which it was the only suspect; absent for none.
+   */
+  public JobTaskState setSoleCrashes(int soleCrashes) {
+    this.soleCrashes = soleCrashes;
+    setSoleCrashesIsSet(true);
+    return this;
+  }
+
+  public void unsetSoleCrashes() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SOLECRASHES_ISSET_ID);
+  }
+
+  /** Returns true if field soleCrashes is set (has been assigned a value) and false otherwise */
+  public boolean isSetSoleCrashes() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SOLECRASHES_ISSET_ID);
+  }
+
+  public void setSoleCrashesIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SOLECRASHES_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -348,6 +435,22 @@
       }
       break;
 
+    case CRASHES:
+      if (value == null) {
+        unsetCrashes();
+      } else {
+        setCrashes((java.lang.Integer)value);
+      }
+      break;
+
+    case SOLE_CRASHES:
+      if (value == null) {
+        unsetSoleCrashes();
+      } else {
+        setSoleCrashes((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -370,6 +473,12 @@
     case CHECKPOINT:
       return getCheckpoint();
 
+    case CRASHES:
+      return getCrashes();
+
+    case SOLE_CRASHES:
+      return getSoleCrashes();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -392,6 +501,10 @@
       return isSetFailures();
     case CHECKPOINT:
       return isSetCheckpoint();
+    case CRASHES:
+      return isSetCrashes();
+    case SOLE_CRASHES:
+      return isSetSoleCrashes();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -454,6 +567,24 @@
         return false;
     }
 
+    boolean this_present_crashes = true && this.isSetCrashes();
+    boolean that_present_crashes = true && that.isSetCrashes();
+    if (this_present_crashes || that_present_crashes) {
+      if (!(this_present_crashes && that_present_crashes))
+        return false;
+      if (this.crashes != that.crashes)
+        return false;
+    }
+
+    boolean this_present_soleCrashes = true && this.isSetSoleCrashes();
+    boolean that_present_soleCrashes = true && that.isSetSoleCrashes();
+    if (this_present_soleCrashes || that_present_soleCrashes) {
+      if (!(this_present_soleCrashes && that_present_soleCrashes))
+        return false;
+      if (this.soleCrashes != that.soleCrashes)
+        return false;
+    }
+
     return true;
   }
 
@@ -473,6 +604,14 @@
     if (isSetCheckpoint())
       hashCode = hashCode * 8191 + checkpoint.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetCrashes()) ? 131071 : 524287);
+    if (isSetCrashes())
+      hashCode = hashCode * 8191 + crashes;
+
+    hashCode = hashCode * 8191 + ((isSetSoleCrashes()) ? 131071 : 524287);
+    if (isSetSoleCrashes())
+      hashCode = hashCode * 8191 + soleCrashes;
+
     return hashCode;
   }
 
@@ -534,6 +673,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCrashes(), other.isSetCrashes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCrashes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.crashes, other.crashes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSoleCrashes(), other.isSetSoleCrashes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSoleCrashes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.soleCrashes, other.soleCrashes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -581,6 +740,18 @@
       sb.append(this.checkpoint);
     }
     first = false;
+    if (isSetCrashes()) {
+      if (!first) sb.append(", ");
+      sb.append("crashes:");
+      sb.append(this.crashes);
+      first = false;
+    }
+    if (isSetSoleCrashes()) {
+      if (!first) sb.append(", ");
+      sb.append("soleCrashes:");
+      sb.append(this.soleCrashes);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -668,6 +839,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // CRASHES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.crashes = iprot.readI32();
+              struct.setCrashesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 7: // SOLE_CRASHES
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.soleCrashes = iprot.readI32();
+              struct.setSoleCrashesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -701,6 +888,16 @@
         oprot.writeString(struct.checkpoint);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetCrashes()) {
+        oprot.writeFieldBegin(CRASHES_FIELD_DESC);
+        oprot.writeI32(struct.crashes);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetSoleCrashes()) {
+        oprot.writeFieldBegin(SOLE_CRASHES_FIELD_DESC);
+        oprot.writeI32(struct.soleCrashes);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -735,7 +932,13 @@
       if (struct.isSetCheckpoint()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetCrashes()) {
+        optionals.set(5);
+      }
+      if (struct.isSetSoleCrashes()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetPhase()) {
         oprot.writeI32(struct.phase);
       }
@@ -751,12 +954,18 @@
       if (struct.isSetCheckpoint()) {
         oprot.writeString(struct.checkpoint);
       }
+      if (struct.isSetCrashes()) {
+        oprot.writeI32(struct.crashes);
+      }
+      if (struct.isSetSoleCrashes()) {
+        oprot.writeI32(struct.soleCrashes);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, JobTaskState struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.phase = iprot.readI32();
         struct.setPhaseIsSet(true);
@@ -777,6 +986,14 @@
         struct.checkpoint = iprot.readString();
         struct.setCheckpointIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.crashes = iprot.readI32();
+        struct.setCrashesIsSet(true);
+      }
+      if (incoming.get(6)) {
+        struct.soleCrashes = iprot.readI32();
+        struct.setSoleCrashesIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkerStatus.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkerStatus.java
@@ -21,6 +21,7 @@
   private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.LIST, (short)9);
   private static final org.apache.thrift.protocol.TField ENDED_FIELD_DESC = new org.apache.thrift.protocol.TField("ended", org.apache.thrift.protocol.TType.LIST, (short)10);
   private static final org.apache.thrift.protocol.TField LOOK_NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("lookNumber", org.apache.thrift.protocol.TType.I64, (short)11);
+  private static final org.apache.thrift.protocol.TField CRASHED_FIELD_DESC = new org.apache.thrift.protocol.TField("crashed", org.apache.thrift.protocol.TType.BOOL, (short)12);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WorkerStatusStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WorkerStatusTupleSchemeFactory();
@@ -36,6 +37,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<RunStatus> running; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<EndedRun> ended; // required
   private long lookNumber; // required
+  private boolean crashed; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -58,7 +60,11 @@
     /**
      * Number of the worker's answer that the lists come from.
      */
-    LOOK_NUMBER((short)11, "lookNumber");
+    LOOK_NUMBER((short)11, "lookNumber"),
+    /**
+     * True when the process of the worker has ended without having announced it; absent otherwise.
+     */
+    CRASHED((short)12, "crashed");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -96,6 +102,8 @@
           return ENDED;
         case 11: // LOOK_NUMBER
           return LOOK_NUMBER;
+        case 12: // CRASHED
+          return CRASHED;
         default:
           return null;
       }
@@ -143,7 +151,9 @@
   private static final int __REACHABLE_ISSET_ID = 1;
   private static final int __LEASELAPSED_ISSET_ID = 2;
   private static final int __LOOKNUMBER_ISSET_ID = 3;
+  private static final int __CRASHED_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.CRASHED};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -172,6 +182,8 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, EndedRun.class))));
     tmpMap.put(_Fields.LOOK_NUMBER, new org.apache.thrift.meta_data.FieldMetaData("lookNumber", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CRASHED, new org.apache.thrift.meta_data.FieldMetaData("crashed", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WorkerStatus.class, metaDataMap);
   }
@@ -249,6 +261,7 @@
       this.ended = __this__ended;
     }
     this.lookNumber = other.lookNumber;
+    this.crashed = other.crashed;
   }
 
   @Override
@@ -273,6 +286,8 @@
     this.ended = null;
     setLookNumberIsSet(false);
     this.lookNumber = 0;
+    setCrashedIsSet(false);
+    this.crashed = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -608,6 +623,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LOOKNUMBER_ISSET_ID, value);
   }
 
+  /**
+   * True when the process of the worker has ended without having announced it; absent otherwise.
+   */
+  public boolean isCrashed() {
+    return this.crashed;
+  }
+
+  /**
+   * True when the process of the worker has ended without having announced it; absent otherwise.
+   */
+  public WorkerStatus setCrashed(boolean crashed) {
+    this.crashed = crashed;
+    setCrashedIsSet(true);
+    return this;
+  }
+
+  public void unsetCrashed() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CRASHED_ISSET_ID);
+  }
+
+  /** Returns true if field crashed is set (has been assigned a value) and false otherwise */
+  public boolean isSetCrashed() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CRASHED_ISSET_ID);
+  }
+
+  public void setCrashedIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CRASHED_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -699,6 +743,14 @@
       }
       break;
 
+    case CRASHED:
+      if (value == null) {
+        unsetCrashed();
+      } else {
+        setCrashed((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -739,6 +791,9 @@
     case LOOK_NUMBER:
       return getLookNumber();
 
+    case CRASHED:
+      return isCrashed();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -773,6 +828,8 @@
       return isSetEnded();
     case LOOK_NUMBER:
       return isSetLookNumber();
+    case CRASHED:
+      return isSetCrashed();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -889,6 +946,15 @@
         return false;
     }
 
+    boolean this_present_crashed = true && this.isSetCrashed();
+    boolean that_present_crashed = true && that.isSetCrashed();
+    if (this_present_crashed || that_present_crashed) {
+      if (!(this_present_crashed && that_present_crashed))
+        return false;
+      if (this.crashed != that.crashed)
+        return false;
+    }
+
     return true;
   }
 
@@ -932,6 +998,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lookNumber);
 
+    hashCode = hashCode * 8191 + ((isSetCrashed()) ? 131071 : 524287);
+    if (isSetCrashed())
+      hashCode = hashCode * 8191 + ((crashed) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -1053,6 +1123,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCrashed(), other.isSetCrashed());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCrashed()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.crashed, other.crashed);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1148,6 +1228,12 @@
     sb.append("lookNumber:");
     sb.append(this.lookNumber);
     first = false;
+    if (isSetCrashed()) {
+      if (!first) sb.append(", ");
+      sb.append("crashed:");
+      sb.append(this.crashed);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1323,6 +1409,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 12: // CRASHED
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.crashed = iprot.readBool();
+              struct.setCrashedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1407,6 +1501,11 @@
       oprot.writeFieldBegin(LOOK_NUMBER_FIELD_DESC);
       oprot.writeI64(struct.lookNumber);
       oprot.writeFieldEnd();
+      if (struct.isSetCrashed()) {
+        oprot.writeFieldBegin(CRASHED_FIELD_DESC);
+        oprot.writeBool(struct.crashed);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1459,7 +1558,10 @@
       if (struct.isSetLookNumber()) {
         optionals.set(10);
       }
-      oprot.writeBitSet(optionals, 11);
+      if (struct.isSetCrashed()) {
+        optionals.set(11);
+      }
+      oprot.writeBitSet(optionals, 12);
       if (struct.isSetRef()) {
         struct.ref.write(oprot);
       }
@@ -1511,12 +1613,15 @@
       if (struct.isSetLookNumber()) {
         oprot.writeI64(struct.lookNumber);
       }
+      if (struct.isSetCrashed()) {
+        oprot.writeBool(struct.crashed);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WorkerStatus struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(11);
+      java.util.BitSet incoming = iprot.readBitSet(12);
       if (incoming.get(0)) {
         struct.ref = new JobWorkerRef();
         struct.ref.read(iprot);
@@ -1592,6 +1697,10 @@
         struct.lookNumber = iprot.readI64();
         struct.setLookNumberIsSet(true);
       }
+      if (incoming.get(11)) {
+        struct.crashed = iprot.readBool();
+        struct.setCrashedIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -286,7 +286,11 @@
   /** Index into the workers of the record; -1 for none. */
   3: i32 worker,
   4: i32 failures,
-  5: string checkpoint
+  5: string checkpoint,
+  /** Worker crashes in a row in which the task was a suspect; absent for none. */
+  6: optional i32 crashes,
+  /** Those of them in which it was the only suspect; absent for none. */
+  7: optional i32 soleCrashes
 }
 struct JobWorkerRef { 1: string guard, 2: string id, 3: i64 bornMs }
 struct JobProgress { 1: list<JobWorkerRef> workers, 2: list<JobTaskState> tasks, 3: i64 settledAtMs }
@@ -313,7 +317,9 @@
   9: list<RunStatus> running,
   10: list<EndedRun> ended,
   /** Number of the worker's answer that the lists come from. */
-  11: i64 lookNumber
+  11: i64 lookNumber,
+  /** True when the process of the worker has ended without having announced it; absent otherwise. */
+  12: optional bool crashed
 }
 /** Sent by a guard to the leader; the first one opens the session. */
 struct GuardReport {
--- /dev/null
+++ b/protocol/src/test/java/org/fulmarreach/protocol/io/JobRecordsTest.java
@@ -0,0 +1,79 @@
+package org.fulmarreach.protocol.io;
+
+import java.util.List;
+
+import org.fulmarreach.core.jobs.JobSnapshot;
+import org.fulmarreach.core.jobs.TaskPhase;
+import org.fulmarreach.core.jobs.TaskState;
+import org.fulmarreach.core.jobs.WorkerRef;
+import org.fulmarreach.core.jobs.WorkerReport;
+import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.protocol.thrift.JobProgress;
+import org.fulmarreach.protocol.thrift.JobTaskState;
+import org.fulmarreach.protocol.thrift.JobWorkerRef;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+/** Guards against counts of worker crashes that are lost between two leaders, or between two versions. */
+class JobRecordsTest {
+    private static final WorkerRef WORKER = new WorkerRef("guard-1", "worker-1", 7);
+
+    /** A new leader reads the count from the record of its predecessor; without it the task would start anew. */
+    @Test
+    void crashesOutlastAHandOver() {
+        JobSnapshot snapshot = new JobSnapshot(
+                List.of(
+                        new TaskState(TaskPhase.PENDING, 3, WORKER, 1, "save", 2, 1),
+                        new TaskState(TaskPhase.ASSIGNED, 1, WORKER, 0, "")),
+                0);
+        assertEquals(
+                snapshot,
+                JobRecords.fromThrift(
+                        JobRecords.decodeState(JobRecords.encode(snapshot)).getProgress()));
+    }
+
+    /** Records of the former version have no counts. */
+    @Test
+    void recordWithoutCrashesIsRead() {
+        JobProgress former = new JobProgress(
+                List.of(new JobWorkerRef("guard-1", "worker-1", 7)), List.of(new JobTaskState(0, 2, 0, 1, "")), 0);
+        assertEquals(
+                List.of(new TaskState(TaskPhase.PENDING, 2, WORKER, 1, "")),
+                JobRecords.fromThrift(former).tasks());
+    }
+
+    /** A task without crashes is written as the former version wrote it. */
+    @Test
+    void taskWithoutCrashesHasNoFieldForThem() {
+        JobSnapshot snapshot = new JobSnapshot(List.of(new TaskState(TaskPhase.ASSIGNED, 1, WORKER, 0, "")), 0);
+        JobTaskState written = JobRecords.decodeState(JobRecords.encode(snapshot))
+                .getProgress()
+                .getTasks()
+                .get(0);
+        assertFalse(written.isSetCrashes() || written.isSetSoleCrashes());
+    }
+
+    /** The leader must tell a crash from a silence, and a guard of the former version reports no crash. */
+    @Test
+    void crashOfAWorkerIsReported() {
+        for (boolean crashed : new boolean[] {true, false}) {
+            WorkerReport report = new WorkerReport(
+                    WORKER,
+                    "service",
+                    "zone",
+                    new Resources(1, 2, 3),
+                    List.of("a", "rack"),
+                    false,
+                    false,
+                    true,
+                    List.of(),
+                    List.of(),
+                    5,
+                    crashed);
+            assertEquals(report, GuardMessages.fromThrift(GuardMessages.toThrift(report)));
+            assertEquals(crashed, GuardMessages.toThrift(report).isSetCrashed());
+        }
+    }
+}
