Do not send a start that no longer fits the worker's capacity

A start on a worker that does not guard its capacity could bring it over the room that it had reported seconds before. Cause: whether a task fits is decided when it is assigned; the start is sent after the append and, if cancellations cannot be read, seconds later, and is repeated after 1 s, both without another look at the capacity. Now each start is checked against the last report when it is sent. One that is not sent is withdrawn after 2.5 s as any other that is not listed, and its task is placed again.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -177,14 +177,17 @@
 
     /**
      * Tells whether an order still applies. The append that precedes a start may take seconds, and in the meantime the
-     * job may have been cancelled or the run withdrawn.
+     * job may have been cancelled, the run withdrawn, or the capacity of the worker reduced. A start that is not sent
+     * is withdrawn in the end, and its task is placed again.
      */
     public boolean isApplicable(JobOrder order) {
         if (!(order instanceof JobOrder.Start start)) {
             return true;
         }
         JobTask task = registry.findTask(start.task().toString());
+        WorkerView worker = workers.get(start.worker().guard());
         return task != null
+                && (worker == null || worker.isWithinCapacity())
                 && task.isCurrent(start.worker(), start.run())
                 && !task.job().status().isFinal()
                 && task.progress().stopOrderedAtMs() == 0;
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -70,6 +70,11 @@
         return reserved;
     }
 
+    /** Tells whether the assigned tasks fit the capacity that the worker reported last. */
+    boolean isWithinCapacity() {
+        return report == null || reserved.fitsInto(report.capacity());
+    }
+
     /** Returns the resources that the assigned long-running tasks reserve. */
     Resources reservedByLongRunning() {
         return reservedByLongRunning;
--- a/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
@@ -49,6 +49,11 @@
     int checkpointMs = 1;
 
     int roomRefusals;
+
+    /** Whether the worker refuses starts that do not fit; otherwise it counts them and starts them. */
+    boolean guardsCapacity = true;
+
+    int startsOverCapacity;
     boolean failing;
     boolean stalled;
     boolean reachable = true;
@@ -205,8 +210,11 @@
             used = used.plus(run.step.reserved());
         }
         if (!used.fitsInto(capacity)) {
-            roomRefusals++;
-            return "room";
+            if (guardsCapacity) {
+                roomRefusals++;
+                return "room";
+            }
+            startsOverCapacity++;
         }
         double done = start.checkpoint().isEmpty() ? 0 : Double.parseDouble(start.checkpoint());
         runs.put(
