Count runs that are being stopped against their worker's capacity

A worker that does not guard its capacity could get a start beside a run that was still being stopped. Cause: when an earlier run turns out to have succeeded, the later one is stopped, and its task gave up its reservation at once; so did the other members of a gang of which one ended, and runs that are listed but not assigned were never counted.

DuplicateRunTest.stoppedLaterRunTakesUpCapacityUntilItsEndIsListed fails if these runs are left out of WorkerView.taken (mvn -o -pl core test -am -Dtest=DuplicateRunTest).

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -86,6 +86,14 @@
         }
     }
 
+    /** Releases the task while its run is being stopped, which takes up capacity until the worker lists its end. */
+    void releaseUntilEnded() {
+        if (workerView != null) {
+            workerView.countUntilEnded(this, state.run());
+            workerView.remove(this);
+        }
+    }
+
     /*
      * State transitions
      */
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -255,7 +255,7 @@
     }
 
     private boolean hasReservableCapacity(JobTask task, WorkerView worker) {
-        return fits(task, worker, worker.reserved()) && (task.step().longRunning() || !heldWorkers.contains(worker));
+        return fits(task, worker, worker.taken()) && (task.step().longRunning() || !heldWorkers.contains(worker));
     }
 
     /** Tells whether a task fits on a worker whose reserved resources are {@code taken}. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -57,6 +57,9 @@
                 listed.add(task);
             } else {
                 stopStray(report.ref(), running, task);
+                if (task != null) {
+                    worker.countUntilEnded(task, running.run());
+                }
             }
         }
         if (report.reachable()) {
@@ -152,7 +155,12 @@
         }
         List<JobTask> members = membersOf(task);
         if (end.runEnd() == RunEnd.DONE && !task.step().longRunning()) {
-            members.forEach(RunTracker::complete);
+            for (JobTask member : members) {
+                if (member != task) {
+                    member.releaseUntilEnded();
+                }
+                complete(member);
+            }
         } else {
             endWithoutSuccess(task, worker, end, members, maxAttempts.applyAsInt(task.job()));
         }
@@ -195,6 +203,7 @@
                 TaskState state = member.state();
                 decisions.addImmediate(
                         new JobOrder.Stop(state.worker(), member.name().toString(), state.run()));
+                member.releaseUntilEnded();
             }
             complete(member);
         }
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -16,6 +16,7 @@
 
     private final String guard;
     private final Set<JobTask> assigned = new LinkedHashSet<>();
+    private final ReleasedRuns released = new ReleasedRuns();
     private Resources reserved = Resources.NONE;
     private Resources reservedByLongRunning = Resources.NONE;
     private int bestEffortMilliCores;
@@ -70,9 +71,19 @@
         return reserved;
     }
 
+    /** Returns the resources that are not available: reserved, or taken up by runs that are being stopped. */
+    Resources taken() {
+        return reserved.plus(released.reserved());
+    }
+
+    /** Counts a run that is not assigned, or will no longer be, against the capacity until its end is listed. */
+    void countUntilEnded(JobTask task, int run) {
+        released.add(task.name().toString(), run, task.step().reserved());
+    }
+
     /** Tells whether the assigned tasks fit the capacity that the worker reported last. */
     boolean isWithinCapacity() {
-        return report == null || reserved.fitsInto(report.capacity());
+        return report == null || taken().fitsInto(report.capacity());
     }
 
     /** Returns the resources that the assigned long-running tasks reserve. */
@@ -129,6 +140,11 @@
     }
 
     void recordReport(WorkerReport newReport, long nowMs) {
+        if (newReport.leaseExpired() || report != null && !report.ref().equals(newReport.ref())) {
+            released.clear();
+        } else if (newReport.reachable()) {
+            released.apply(newReport);
+        }
         report = newReport;
         reportedAtMs = nowMs;
         answeredAtMs = newReport.reachable() ? nowMs : answeredAtMs;
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -180,6 +180,23 @@
         }
     }
 
+    /** The room of a run that was being stopped was given to another task before its end was listed. */
+    @Test
+    void stoppedLaterRunTakesUpCapacityUntilItsEndIsListed() {
+        submit(TestSteps.of(1, new Resources(3_000, 1_000, 0), 500, List.of()).build());
+        loseFirstRun();
+        report(second, 2, List.of(running(TASK, 2)), List.of());
+        report(first, 2, List.of(), List.of(end(1, TASK, 1, RunEnd.DONE)));
+        place(
+                "other",
+                TestSteps.of(2, new Resources(3_000, 1_000, 0), 500, List.of()).build());
+        JobTask waiting = registry.find("other").orElseThrow().tasks().get(1);
+        report(second, 3, List.of(running(TASK, 2)), List.of());
+        assertFalse(waiting.isAssigned(), "placed beside a run that is being stopped");
+        report(second, 4, List.of(), List.of(end(1, TASK, 2, RunEnd.STOPPED)));
+        assertTrue(waiting.isAssigned(), "not placed although the stopped run has ended");
+    }
+
     /** A late success was ignored if a later run had been refused, and the task was started a third time. */
     @Test
     void lateSuccessCountsWhenALaterRunWasRefused() {
@@ -264,8 +281,12 @@
     }
 
     private void place(JobStep step) {
-        registry.submit(new JobSpec("job", "q", "", List.of(step), 0, 0, 0, nowMs));
-        scheduler.activate(registry.find("job").orElseThrow());
+        place("job", step);
+    }
+
+    private void place(String id, JobStep step) {
+        registry.submit(new JobSpec(id, "q", "", List.of(step), 0, 0, 0, nowMs));
+        scheduler.activate(registry.find(id).orElseThrow());
         decide();
     }
 
