Try one suspect of each job first, and on a third of the workers

Suspects with equally many crashes are now taken in turns by job, and a third instead of a quarter of the workers may have a trial at the same time.

--- a/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
@@ -38,7 +38,7 @@
     private static final long MAX_RESERVED_MS = 3_000;
 
     /** Part of the pool, as a divisor, on which suspects may be tried at the same time. */
-    private static final int WORKERS_PER_TRIAL = 4;
+    private static final int WORKERS_PER_TRIAL = 3;
 
     private final DecisionBuffer decisions;
     private final DecisionLog log;
@@ -48,6 +48,7 @@
     private final Map<String, WorkerRef> lastCrashed = new HashMap<>();
     private final Deque<Crash> recent = new ArrayDeque<>();
     private final List<Suspect> waiting = new ArrayList<>();
+    private final Map<Job, Integer> waitingByJob = new HashMap<>();
 
     /** A crash; {@code blamed} are the tasks for which it was counted as a crash with a single suspect. */
     private record Crash(WorkerView worker, String rack, long atMs, List<JobTask> blamed) {}
@@ -55,8 +56,8 @@
     /** A worker that is reserved for a suspect, or runs it. */
     private record Trial(WorkerView worker, long sinceMs) {}
 
-    /** A task that waits for its trial. */
-    private record Suspect(JobTask task, String service) {}
+    /** A task that waits for its trial; {@code position} counts the tasks of its job that wait before it. */
+    private record Suspect(JobTask task, String service, int position) {}
 
     CrashTracker(DecisionBuffer decisions, DecisionLog log, Placement placement) {
         this.decisions = decisions;
@@ -244,6 +245,7 @@
     /** Gives up tasks, and ends the trials that are over. */
     void review(long nowMs) {
         waiting.clear();
+        waitingByJob.clear();
         verdictsAtMs.entrySet().removeIf(entry -> entry.getValue() <= nowMs && decide(entry.getKey()));
         for (Map.Entry<JobTask, Trial> trial : List.copyOf(trials.entrySet())) {
             if (isOver(trial.getKey(), trial.getValue(), nowMs)) {
@@ -285,7 +287,8 @@
 
     /** Adds a task to the suspects of this pass, which are placed after all other tasks. */
     void addWaiting(JobTask task, String service) {
-        waiting.add(new Suspect(task, service));
+        int position = waitingByJob.merge(task.job(), 1, Integer::sum);
+        waiting.add(new Suspect(task, service, position));
     }
 
     /** Places the waiting suspects on workers where no other run is without progress, as far as trials are allowed. */
@@ -293,7 +296,10 @@
         if (waiting.isEmpty()) {
             return;
         }
-        waiting.sort(Comparator.comparingInt(suspect -> suspect.task().state().crashes()));
+        // A wide job is not tried as a whole before the others: only one of its tasks may be to blame.
+        waiting.sort(Comparator.comparingInt(
+                        (Suspect suspect) -> suspect.task().state().crashes())
+                .thenComparingInt(Suspect::position));
         long usable = workers.stream()
                 .filter(worker -> worker.report() != null
                         && worker.isUsable(worker.report().service(), nowMs))
