--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -28,6 +28,7 @@
 import org.fulmarreach.protocol.thrift.PaceRun;
 import org.fulmarreach.protocol.thrift.StartRun;
 import org.fulmarreach.protocol.thrift.StopRun;
+import org.fulmarreach.protocol.thrift.WorkerStatus;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameLink;
 import org.fulmarreach.runtime.net.LinkEvent;
@@ -37,6 +38,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests a guard's relay with a fake worker and fake entries. */
@@ -207,6 +209,36 @@
         link.reports().subList(before, link.reports().size()).forEach(ref -> assertEquals(2_000, ref.getBornMs()));
     }
 
+    /** Without this the leader cannot tell a crash, for which a task may be to blame, from a silence. */
+    @Test
+    void closedPortIsReportedAsACrash() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        worker.failure = new CallResult.Unanswered<>("connection refused", true);
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.lastStatus().isCrashed());
+        assertTrue(link.lastStatus().isLeaseLapsed());
+    }
+
+    /** A silent worker may still run its tasks, and one that announced its end has not crashed. */
+    @Test
+    void silenceAndAnnouncedEndsAreNotReportedAsCrashes() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        worker.failure = new CallResult.Unanswered<>("timed out", false);
+        awaitPolls(8);
+        assertFalse(link.lastStatus().isCrashed(), "silent");
+        relay.tell(new RelayCommand.Deregistered("w"));
+        worker.failure = new CallResult.Unanswered<>("connection refused", true);
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.lastStatus().isLeaseLapsed());
+        assertFalse(link.lastStatus().isCrashed(), "deregistered");
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(2_000, 1, true)));
+        Awaitility.await()
+                .atMost(TIMEOUT)
+                .until(() -> link.lastStatus().getRef().getBornMs() == 2_000
+                        && link.lastStatus().isLeaseLapsed());
+        assertFalse(link.lastStatus().isCrashed(), "draining");
+    }
+
     @Test
     void startAtDrainingWorkerIsRefused() {
         relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, true)));
@@ -311,6 +343,7 @@
         private final AtomicInteger polls = new AtomicInteger();
         private volatile long startedAtMs = 1_000;
         private volatile boolean answering = true;
+        private volatile CallResult<WorkerSnapshot> failure;
         private final List<String> stopped = new CopyOnWriteArrayList<>();
         private final List<Integer> shares = new CopyOnWriteArrayList<>();
         private volatile List<WorkerReport.Ended> ended = List.of();
@@ -347,7 +380,9 @@
                 long leaseUntilMs, long term, long acknowledgedEnd, int waitMs) {
             polls.incrementAndGet();
             return CompletableFuture.supplyAsync(
-                    () -> new CallResult.Done<>(new WorkerSnapshot("w", startedAtMs, 1, List.of(), ended)),
+                    () -> failure != null
+                            ? failure
+                            : new CallResult.Done<>(new WorkerSnapshot("w", startedAtMs, 1, List.of(), ended)),
                     CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS));
         }
     }
@@ -393,6 +428,10 @@
             return refs;
         }
 
+        WorkerStatus lastStatus() {
+            return sent.get(sent.size() - 1).getGuardReport().getWorker();
+        }
+
         List<String> outcomes() {
             List<String> outcomes = new ArrayList<>();
             for (Body body : sent) {
