Let losses of power excuse a suspect three times instead of four

A task that crashes its workers while their racks lose power could be started six times, one more than the platform allows after three crashes: four excused crashes and two that count. CrashTrackerTest .taskThatCrashesItsWorkersDuringLossesOfPowerIsGivenUpInTime saw six runs before (mvn -o -pl core test -am -Dtest=CrashTrackerTest).

--- a/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
@@ -22,8 +22,11 @@
     /** Crashes with a task as the only suspect after which it is given up; callers may rely on two at least. */
     private static final int MAX_SOLE_CRASHES = 2;
 
-    /** Crashes after which a loss of power no longer excuses a task, since callers may rely on no more starts. */
-    private static final int MAX_EXCUSED_CRASHES = 4;
+    /**
+     * Crashes after which a loss of power no longer excuses a task. After the third crash only two more starts are
+     * allowed, so both of these must count.
+     */
+    private static final int MAX_EXCUSED_CRASHES = 3;
 
     /** A run that a worker has listed for this long has begun its work, also if its progress is rounded to 0. */
     private static final long SETTLED_MS = 1_000;
--- a/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
@@ -123,6 +123,24 @@
         assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
     }
 
+    /** Losses of power must not excuse such a task for more starts than are allowed after its third crash. */
+    @Test
+    void taskThatCrashesItsWorkersDuringLossesOfPowerIsGivenUpInTime() {
+        submitDeadly("deadly");
+        for (int i = 0; i < 400; i++) {
+            int before = pool.crashes();
+            pool.run(PoolEmulator.STEP_MS);
+            if (pool.crashes() > before) {
+                String guard = task("deadly").state().worker().guard();
+                crashRack(Integer.parseInt(guard.substring("guard-".length())) / 3);
+            }
+        }
+        assertEquals(JobStatus.FAILED, job("deadly").acknowledgedStatus());
+        assertTrue(
+                task("deadly").state().run() <= MAX_CRASHES,
+                "runs " + task("deadly").state().run());
+    }
+
     /** Standing tasks outlast many workers; giving one up would end a service for good. */
     @Test
     void standingTaskIsNeverGivenUp() {
