--- a/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
@@ -284,6 +284,7 @@
             return !worker.assigned().contains(task);
         }
         return nowMs - trial.sinceMs() > MAX_RESERVED_MS
+                || worker.report() == null
                 || !worker.isUsable(worker.report().service(), nowMs)
                 || worker.report().ref().equals(task.avoided());
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -204,9 +204,9 @@
         return count;
     }
 
-    /** Returns the rack, which is the second label after the kind of the worker; empty if it has none. */
+    /** Returns the rack, which is the second label after the kind of the worker; empty if unknown. */
     String rack() {
-        return rackOf(report);
+        return report == null ? "" : rackOf(report);
     }
 
     /** Returns the rack of a worker according to a report; empty if it has none. */
--- a/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
@@ -88,6 +88,33 @@
         assertTrue(pool.crashes() <= MAX_CRASHES, "crashes " + pool.crashes());
     }
 
+    /** A leader ended when a suspect waited while another's trial ran on a worker that had not reported to it yet. */
+    @Test
+    void newLeaderPlacesSuspectsBeforeAllWorkersHaveReported() {
+        for (int i = WORKERS; i < 2 * WORKERS; i++) {
+            pool.addWorker(i, new Resources(4_000, 8_000, 0));
+        }
+        pool.run(1_000);
+        for (int i = 0; i < 4; i++) {
+            submitDeadly("deadly-" + i);
+        }
+        while (pool.registry.jobs().stream()
+                .noneMatch(job -> job.tasks().get(0).state().run() == 2)) {
+            pool.run(PoolEmulator.STEP_MS);
+        }
+        for (Job job : pool.registry.jobs()) {
+            if (job.tasks().get(0).state().run() == 2) {
+                pool.silence(
+                        pool.workers.get(job.tasks().get(0).state().worker().guard()));
+            }
+        }
+        pool.replaceLeader();
+        pool.run(40_000);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(JobStatus.FAILED, job("deadly-" + i).acknowledgedStatus());
+        }
+    }
+
     /** A rack that repeatedly loses its power crashes many tasks right after their start, none of which is to blame. */
     @Test
     void lossesOfPowerConvictNoTask() {
