--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -32,6 +32,7 @@
     private final RunMover mover;
     private final BestEffortPacer pacer;
     private final Placement placement;
+    private final CrashTracker crashes;
     private final Map<String, JobQueue> knownQueues = new HashMap<>();
     private final Set<String> forgotten = new HashSet<>();
     private JobConfig config;
@@ -50,11 +51,12 @@
         configure(config);
         this.limits = limits;
         this.log = log;
-        this.runs = new RunTracker(registry, decisions, log);
         this.mover = new RunMover(decisions, log);
         InterferenceModel model = new InterferenceModel();
         this.pacer = new BestEffortPacer(model, decisions, log);
         this.placement = new Placement(model);
+        this.crashes = new CrashTracker(decisions, log, placement);
+        this.runs = new RunTracker(registry, decisions, log, crashes);
         for (Job job : registry.jobs()) {
             adopt(job, nowMs);
         }
@@ -92,6 +94,10 @@
             return;
         }
         logWorkerChange(worker, report);
+        WorkerRef crashed = crashes.findCrashed(worker, report, nowMs);
+        if (crashed != null) {
+            crashes.onCrash(crashed, worker, report, workers.values(), nowMs);
+        }
         worker.recordReport(report, nowMs);
         for (JobTask task : List.copyOf(worker.assigned())) {
             if (!task.state().worker().equals(report.ref())) {
@@ -141,6 +147,7 @@
      */
     public void tick(long nowMs, long unixMs, boolean placing) {
         expireLeases(nowMs);
+        crashes.review(nowMs);
         placement.beginPass();
         List<Job> ordered = new ArrayList<>();
         for (Job job : active) {
@@ -156,6 +163,10 @@
         for (Job job : ordered) {
             advanceJob(job, nowMs, unixMs, placing);
         }
+        crashes.placeWaiting(
+                workers.values(),
+                nowMs,
+                (task, worker) -> assign(task, worker, task.state().run() + 1, nowMs));
         removeExpired(unixMs);
     }
 
@@ -182,14 +193,17 @@
 
     /**
      * Tells whether an order still applies. The append that precedes a start may take seconds, and in the meantime the
-     * job may have been cancelled or the run withdrawn.
+     * job may have been cancelled, the run withdrawn, or the capacity of the worker reduced. A start that is not sent
+     * is withdrawn in the end, and its task is placed again.
      */
     public boolean isApplicable(JobOrder order) {
         if (!(order instanceof JobOrder.Start start)) {
             return true;
         }
         JobTask task = registry.findTask(start.task().toString());
+        WorkerView worker = workers.get(start.worker().guard());
         return task != null
+                && (worker == null || worker.isWithinCapacity())
                 && task.isCurrent(start.worker(), start.run())
                 && !task.job().status().isFinal()
                 && task.progress().stopOrderedAtMs() == 0;
@@ -232,6 +246,8 @@
                                 guard -> new WorkerView(guard, nowMs + limits.grantWithoutStoreMs()))
                         .add(task);
             }
+            crashes.adopt(
+                    task, task.isAssigned() ? workers.get(task.state().worker().guard()) : null, nowMs);
         }
         if (assigned || job.settledAtMs() == 0) {
             active.add(job);
@@ -333,7 +349,11 @@
             return;
         }
         for (JobTask task : tasks) {
-            if (task.state().phase() == TaskPhase.PENDING) {
+            if (task.state().phase() == TaskPhase.PENDING && task.isTriedAlone()) {
+                if (!CrashTracker.awaitsVerdict(task)) {
+                    crashes.addWaiting(task, service);
+                }
+            } else if (task.state().phase() == TaskPhase.PENDING) {
                 WorkerView worker = placement.findWorker(task, service, workers.values(), nowMs);
                 if (worker == null) {
                     // Tasks of a step have the same requirements, so no other one can be placed either.
@@ -348,7 +368,7 @@
         List<WorkerView> chosen = new ArrayList<>();
         int run = 0;
         for (JobTask task : tasks) {
-            if (task.state().phase() != TaskPhase.PENDING) {
+            if (task.state().phase() != TaskPhase.PENDING || CrashTracker.awaitsVerdict(task)) {
                 break;
             }
             WorkerView worker = placement.findWorker(task, service, workers.values(), nowMs);
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -138,7 +138,7 @@
         double least = Double.MAX_VALUE;
         for (WorkerView worker : workers) {
             boolean free = worker.bestEffortMilliCores() == 0;
-            if (isUsable(worker, service, workers, nowMs)
+            if (isOpen(worker, service, workers, nowMs)
                     && hasReservableCapacity(task, worker)
                     && isWellBelowTargets(worker)
                     && (free || isMostlyFree(service, workers, nowMs))) {
@@ -161,7 +161,7 @@
      * Tells whether a worker may get new work. A suspected one may if all available workers of the service are
      * suspected: the cause is then more likely in the jobs that failed, and the others must not wait for it.
      */
-    private boolean isUsable(WorkerView worker, String service, Collection<WorkerView> workers, long nowMs) {
+    boolean isUsable(WorkerView worker, String service, Collection<WorkerView> workers, long nowMs) {
         if (!worker.isAvailable(service, nowMs)) {
             return false;
         }
@@ -208,7 +208,7 @@
         double bestScore = Double.MAX_VALUE;
         candidates += workers.size();
         for (WorkerView worker : workers) {
-            if (!isUsable(worker, service, workers, nowMs) || !hasCapacity(task, worker)) {
+            if (!isOpen(worker, service, workers, nowMs) || !hasCapacity(task, worker)) {
                 continue;
             }
             // The prediction iterates over all pairs of images on the worker, so cheap conditions are checked first.
@@ -240,7 +240,7 @@
         WorkerView nearest = null;
         int least = Integer.MAX_VALUE;
         for (WorkerView worker : workers) {
-            if (isUsable(worker, service, workers, nowMs) && fits(task, worker, worker.reservedByLongRunning())) {
+            if (isOpen(worker, service, workers, nowMs) && fits(task, worker, worker.reservedByLongRunning())) {
                 int missing = worker.reserved().milliCores()
                         - worker.report().capacity().milliCores();
                 if (missing < least) {
@@ -280,6 +280,29 @@
         return new TaskClass(service, step.longRunning(), bestEffort, bestEffort ? step.image() : "");
     }
 
+    private boolean isOpen(WorkerView worker, String service, Collection<WorkerView> workers, long nowMs) {
+        return isUsable(worker, service, workers, nowMs) && !worker.isReservedForTrial();
+    }
+
+    /** Tells whether a worker that is reserved for a task can run it now. */
+    boolean canHost(JobTask task, String service, WorkerView worker, Collection<WorkerView> workers, long nowMs) {
+        JobStep step = task.step();
+        if (!isUsable(worker, service, workers, nowMs) || !hasCapacity(task, worker)) {
+            return false;
+        }
+        return !step.bestEffort()
+                || predictExcess(step, worker) <= 0
+                || worker.bestEffortMilliCores() == 0 && isWellBelowTargets(worker);
+    }
+
+    /** Tells whether a worker can run a task once the runs on it that do not last have ended. */
+    boolean canEverHost(JobTask task, String service, WorkerView worker, Collection<WorkerView> workers, long nowMs) {
+        JobStep step = task.step();
+        return isUsable(worker, service, workers, nowMs)
+                && fits(task, worker, worker.reservedByLongRunning())
+                && (!step.bestEffort() || predictExcess(step, worker) <= 0 || isWellBelowTargets(worker));
+    }
+
     private boolean hasCapacity(JobTask task, WorkerView worker) {
         JobStep step = task.step();
         return hasReservableCapacity(task, worker)
@@ -288,7 +311,7 @@
     }
 
     private boolean hasReservableCapacity(JobTask task, WorkerView worker) {
-        return fits(task, worker, worker.reserved()) && (task.step().longRunning() || !heldWorkers.contains(worker));
+        return fits(task, worker, worker.taken()) && (task.step().longRunning() || !heldWorkers.contains(worker));
     }
 
     /** Tells whether a task fits on a worker whose reserved resources are {@code taken}. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -36,8 +36,10 @@
     private final JobRegistry registry;
     private final DecisionBuffer decisions;
     private final DecisionLog log;
+    private final CrashTracker crashes;
 
-    RunTracker(JobRegistry registry, DecisionBuffer decisions, DecisionLog log) {
+    RunTracker(JobRegistry registry, DecisionBuffer decisions, DecisionLog log, CrashTracker crashes) {
+        this.crashes = crashes;
         this.registry = registry;
         this.decisions = decisions;
         this.log = log;
@@ -64,6 +66,9 @@
                 listed.add(task);
             } else {
                 stopStray(report.ref(), running, task);
+                if (task != null) {
+                    worker.countUntilEnded(task, running.run());
+                }
             }
         }
         if (report.reachable()) {
@@ -179,9 +184,17 @@
             return;
         }
         updateReliability(worker, task, end.runEnd(), nowMs);
+        if (end.runEnd() == RunEnd.DONE || end.runEnd() == RunEnd.FAILED) {
+            crashes.acquit(task);
+        }
         List<JobTask> members = membersOf(task);
         if (end.runEnd() == RunEnd.DONE && !task.step().longRunning()) {
-            members.forEach(RunTracker::complete);
+            for (JobTask member : members) {
+                if (member != task) {
+                    member.releaseUntilEnded();
+                }
+                complete(member);
+            }
         } else {
             endWithoutSuccess(task, worker, end, members, maxAttempts.applyAsInt(task.job()));
         }
@@ -224,6 +237,7 @@
                 TaskState state = member.state();
                 decisions.addImmediate(
                         new JobOrder.Stop(state.worker(), member.name().toString(), state.run()));
+                member.releaseUntilEnded();
             }
             complete(member);
         }
@@ -267,6 +281,9 @@
     private void applyListing(JobTask task, WorkerReport.Running running, long nowMs) {
         RunProgress before = task.progress();
         task.updateProgress(before.withListing(running.percent(), running.usage(), running.checkpoint(), nowMs));
+        if (CrashTracker.hasShownProgress(task, nowMs)) {
+            crashes.acquit(task);
+        }
         if (!before.isListed()) {
             log.record(
                     Decision.RUN_STARTED,
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -16,6 +16,7 @@
 
     private final String guard;
     private final Set<JobTask> assigned = new LinkedHashSet<>();
+    private final ReleasedRuns released = new ReleasedRuns();
     private Resources reserved = Resources.NONE;
     private Resources reservedByLongRunning = Resources.NONE;
     private int bestEffortMilliCores;
@@ -26,6 +27,8 @@
     private Map<String, Double> pressures = Map.of();
     private WorkerReport report;
     private long reportedAtMs;
+    private long answeredAtMs;
+    private boolean reservedForTrial;
     private boolean connected;
     private long grantedAtMs;
     private WorkerRef endsRecordedFor;
@@ -69,6 +72,21 @@
         return reserved;
     }
 
+    /** Returns the resources that are not available: reserved, or taken up by runs that are being stopped. */
+    Resources taken() {
+        return reserved.plus(released.reserved());
+    }
+
+    /** Counts a run that is not assigned, or will no longer be, against the capacity until its end is listed. */
+    void countUntilEnded(JobTask task, int run) {
+        released.add(task.name().toString(), run, task.step().reserved());
+    }
+
+    /** Tells whether the assigned tasks fit the capacity that the worker reported last. */
+    boolean isWithinCapacity() {
+        return report == null || taken().fitsInto(report.capacity());
+    }
+
     /** Returns the resources that the assigned long-running tasks reserve. */
     Resources reservedByLongRunning() {
         return reservedByLongRunning;
@@ -123,9 +141,29 @@
     }
 
     void recordReport(WorkerReport newReport, long nowMs) {
+        if (newReport.leaseExpired() || report != null && !report.ref().equals(newReport.ref())) {
+            released.clear();
+        } else if (newReport.reachable()) {
+            released.apply(newReport);
+        }
         report = newReport;
         reportedAtMs = nowMs;
         connected = true;
+        answeredAtMs = newReport.reachable() ? nowMs : answeredAtMs;
+    }
+
+    /** Returns when the last report came according to which the worker answered its guard; 0 before the first. */
+    long answeredAtMs() {
+        return answeredAtMs;
+    }
+
+    /** Tells whether the worker gets no new runs but that of a task which is suspected of crashing its workers. */
+    boolean isReservedForTrial() {
+        return reservedForTrial;
+    }
+
+    void setReservedForTrial(boolean reserved) {
+        reservedForTrial = reserved;
     }
 
     /** Records that the guard has no session any more; until its next report no order reaches the worker. */
@@ -178,8 +216,13 @@
         return count;
     }
 
-    /** Returns the rack, which is the second label after the kind of the worker; empty if it has none. */
+    /** Returns the rack, which is the second label after the kind of the worker; empty if unknown. */
     String rack() {
+        return report == null ? "" : rackOf(report);
+    }
+
+    /** Returns the rack of a worker according to a report; empty if it has none. */
+    static String rackOf(WorkerReport report) {
         return report.labels().size() > 1 ? report.labels().get(1) : "";
     }
 
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -37,6 +37,13 @@
     WORKER_SEEN(4020, Level.INFO, "A guard reports a worker, or a newer lifetime of it, for the first time."),
     WORKER_CHANGED(4021, Level.INFO, "A worker became reachable, unreachable or began to drain."),
     WORKER_SUSPECTED(4022, Level.WARNING, "Several runs in a row failed on a worker; it gets no new runs for a while."),
+    WORKER_CRASHED(
+            4028, Level.WARNING, "A worker's process ended unannounced; runs without progress so far are suspects."),
+    TASK_SUSPECTED(
+            4029,
+            Level.WARNING,
+            "A worker crashed before a run of this task showed progress; the task is tried alone next."),
+    TASK_GIVEN_UP(4019, Level.WARNING, "A task failed because it repeatedly crashed the workers that started it."),
     GUARD_JOINED(4023, Level.INFO, "A guard opened a session with this leader."),
     GUARD_LEFT(
             4024, Level.INFO, "The session with a guard ended; its worker's lease remains valid for a bounded time."),
@@ -44,7 +51,6 @@
     REQUEST_FORWARDED(
             4026, Level.INFO, "The store does not answer this entry; a caller's request went to another one."),
     LEADER_ENDED(4027, Level.INFO, "The silent leader's address refused a connection, so its process has ended."),
-    REMOVAL_FAILED(4028, Level.WARNING, "The requests of forgotten jobs could not be removed; this is tried again."),
     ELECTION_STARTED(
             4030, Level.INFO, "The leader has written nothing for a while; this entry tries to win the next term."),
     LEADER_ELECTED(4031, Level.INFO, "This entry was elected leader."),
@@ -63,6 +69,7 @@
     STORE_REGAINED(4041, Level.INFO, "The partition can be read from the store again."),
     STORE_LOADED(4042, Level.INFO, "The newest records of a partition were read."),
     RECORD_SKIPPED(4043, Level.SEVERE, "A record of the log cannot be decoded and is ignored; report it."),
+    REMOVAL_FAILED(4044, Level.WARNING, "The requests of forgotten jobs could not be removed; this is tried again."),
     CONFIG_IN_FORCE(4050, Level.INFO, "A newer version of the operators' configuration is active."),
     CONFIG_UNREADABLE(
             4051, Level.SEVERE, "The operators' configuration cannot be decoded; the previous one stays active.");
@@ -116,6 +123,9 @@
             case WORKER_SEEN -> WORKER_SEEN;
             case WORKER_CHANGED -> WORKER_CHANGED;
             case WORKER_SUSPECTED -> WORKER_SUSPECTED;
+            case WORKER_CRASHED -> WORKER_CRASHED;
+            case TASK_SUSPECTED -> TASK_SUSPECTED;
+            case TASK_GIVEN_UP -> TASK_GIVEN_UP;
             case PACE_CHANGED -> PACE_CHANGED;
         };
     }
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -81,6 +81,7 @@
     private boolean workerReplaced;
     private long portClosedSinceMs;
     private boolean expiryReported;
+    private boolean deregistered;
     private long acknowledgedEnd;
     private long term;
     private FrameLink leaderLink;
@@ -234,6 +235,7 @@
     }
 
     private void onDeregistered(String workerId) {
+        deregistered |= workerRef != null && workerRef.id().equals(workerId);
         log.emit(RelayEvent.WORKER_LEFT, "worker", workerId);
     }
 
@@ -251,6 +253,7 @@
         workerReplaced = false;
         portClosedSinceMs = 0;
         expiryReported = false;
+        deregistered = false;
         dispatcher.clear();
     }
 
@@ -348,8 +351,16 @@
     }
 
     private boolean hasLeaseExpired(long nowMs) {
-        boolean portRefused = portClosedSinceMs > 0 && nowMs - portClosedSinceMs > PORT_CLOSED_MS;
-        return !isReachable() && (portRefused || lease.hasExpired(nowMs));
+        return !isReachable() && (hasProcessEnded(nowMs) || lease.hasExpired(nowMs));
+    }
+
+    private boolean hasProcessEnded(long nowMs) {
+        return portClosedSinceMs > 0 && nowMs - portClosedSinceMs > PORT_CLOSED_MS;
+    }
+
+    /** Tells whether the worker's process ended unannounced; a worker that is merely silent may still run its tasks. */
+    private boolean hasCrashed(long nowMs) {
+        return !isReachable() && hasProcessEnded(nowMs) && !heartbeat.draining() && !deregistered;
     }
 
     /*
@@ -548,7 +559,8 @@
                 hasLeaseExpired(nowMs),
                 snapshot.running(),
                 snapshot.ended(),
-                pollNumber);
+                pollNumber,
+                hasCrashed(nowMs));
     }
 
     private void schedule(int delayMs, RelayCommand command) {
