Rest a single suspected worker, and place nothing where a start was not sent

A service with one available worker counted as one whose workers are all suspected, so a faulty worker could use up the attempts of every job within a second. Suspicion is now passed over only if two workers are suspected.

A report that a new leader held back while its guard left marked the worker as connected again, so its tasks were assigned, released and assigned there again for 1.6 s. Held reports of guards that have left are dropped, and a worker whose start was not sent gets no new work until its next report.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -129,6 +129,7 @@
 
     /** Releases the task of a start that was not sent, because the guard of its worker has no session. */
     public void onStartNotSent(JobOrder.Start start) {
+        onGuardLost(start.worker().guard());
         runs.onStartNotSent(start);
     }
 
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -68,6 +68,9 @@
     /** Tail ratio up to which serving tasks tolerate an interfering task until it is throttled. */
     private static final double LOW_TAIL_RATIO = 0.5;
 
+    /** Number of suspected workers from which on the jobs are a likelier cause of the failures. */
+    private static final int MIN_SUSPECTED_WORKERS = 2;
+
     private final InterferenceModel model;
     private final Map<Job, Long> withoutRunSinceMs = new WeakHashMap<>();
     private final Map<TaskClass, List<Resources>> unplaceable = new HashMap<>();
@@ -159,17 +162,28 @@
 
     /**
      * Tells whether a worker may get new work. A suspected one may if all available workers of the service are
-     * suspected: the cause is then more likely in the jobs that failed, and the others must not wait for it.
+     * suspected: the cause is then more likely in the jobs that failed, and the others must not wait for it. A single
+     * available worker is as likely to be the cause, and would use up the attempts of all jobs.
      */
     boolean isUsable(WorkerView worker, String service, Collection<WorkerView> workers, long nowMs) {
         if (!worker.isAvailable(service, nowMs)) {
             return false;
         }
         return !worker.isSuspected(nowMs)
-                || allSuspected.computeIfAbsent(
-                        service,
-                        unused -> workers.stream()
-                                .allMatch(other -> !other.isAvailable(service, nowMs) || other.isSuspected(nowMs)));
+                || allSuspected.computeIfAbsent(service, unused -> areAllSuspected(service, workers, nowMs));
+    }
+
+    private static boolean areAllSuspected(String service, Collection<WorkerView> workers, long nowMs) {
+        int suspected = 0;
+        for (WorkerView worker : workers) {
+            if (worker.isAvailable(service, nowMs)) {
+                if (!worker.isSuspected(nowMs)) {
+                    return false;
+                }
+                suspected++;
+            }
+        }
+        return suspected >= MIN_SUSPECTED_WORKERS;
     }
 
     /** Tells whether less than half of each resource of the usable workers of a service is reserved. */
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -115,6 +115,16 @@
         assertEquals(second, task(0).state().worker());
     }
 
+    /** A late report made the worker look connected, so its tasks were assigned, released and assigned there again. */
+    @Test
+    void taskWhoseStartWasNotSentIsNotPlacedOnTheSameWorkerAgain() {
+        submit(step(1).build());
+        report(second, 1, List.of(), List.of());
+        scheduler.onStartNotSent(start());
+        decide();
+        assertEquals(second, task(0).state().worker());
+    }
+
     /** If the start was repeated, the first one may have been executed, so no other worker may run the task yet. */
     @Test
     void taskWhoseRepeatedStartWasNotSentStays() {
--- a/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
@@ -85,6 +85,20 @@
         assertEquals(List.of(), findLongWaiting(1), "jobs without a run for more than 3 s");
     }
 
+    /** Guards against a job whose attempts are used up at once by the only worker that is available, and faulty. */
+    @Test
+    void onlyAvailableWorkerGetsNothingNewForAWhileAfterFailures() {
+        PoolEmulator pool = new PoolEmulator(1, 0, 0, CONFIG);
+        pool.addWorker(0, WORKER);
+        pool.run(1_000);
+        pool.faultyJobs.add("failing");
+        submit(pool, "failing", TestSteps.of(2, new Resources(1_000, 1_000, 0), 200, List.of()), 200);
+        pool.run(700);
+        submit(pool, "next", TestSteps.of(1, new Resources(1_000, 1_000, 0), 400, List.of()), 400);
+        pool.run(1_000);
+        assertEquals(JobStatus.QUEUED, pool.registry.find("next").orElseThrow().acknowledgedStatus());
+    }
+
     private List<String> simulate(int seed, boolean servingOnAllWorkers) {
         withoutRunSinceMs.clear();
         longestMs.clear();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -163,17 +163,26 @@
     /** Runs a scheduling pass, sends the orders that need no write, and appends the changes. */
     private void decideNow() {
         decidedAtMs = clock.nowMs();
-        sessions.takeLeft().forEach(scheduler::onGuardLost);
+        handleLeftGuards();
         scheduler.tick(clock.nowMs(), System.currentTimeMillis(), cancellations.isFresh());
         send(scheduler.takeImmediateOrders());
         flush();
     }
 
+    /** Places nothing on the workers of guards that have left; their reports must not count as new ones later. */
+    private void handleLeftGuards() {
+        for (String guard : sessions.takeLeft()) {
+            heldReports.remove(guard);
+            scheduler.onGuardLost(guard);
+        }
+    }
+
     /**
      * Applies the reports that were held because jobs were not known, and sends the starts that were held for lack of
      * recent cancellations, unless their jobs have been cancelled.
      */
     void releaseHeld() {
+        handleLeftGuards();
         if (knowsPlacedJobs()) {
             heldReports.values().forEach(report -> scheduler.onReport(report, clock.nowMs()));
             heldReports.clear();
