Adopt jobs that are read late, and bound the crashes of every task

A job that a former leader had placed and whose request was read after the term began was scheduled without its runs: they were in no worker's tasks, so they were never lost with it and did not count against its capacity, and a task that awaited its verdict waited for ever. Its runs and suspicions are now taken up. DuplicateRunTest.runOfAJobThatIsReadLateIsLostWithItsWorker failed before.

Only crashes with a single suspect convicted a task, so a gang, which gets no trial, crashed workers without limit beside fresh jobs (10 runs in CrashTrackerTest.gangThatCrashesItsWorkersBesideFreshJobsIsGivenUp). A task is now given up after five crashes without progress whoever else was a suspect. Whether a neighbour has shown progress is judged by the last answer of its worker in both places, and a task that cannot be placed no longer keeps suspects of its step from the workers that are reserved for them.

Both tests were seen red with the fix taken out (mvn -o -pl core -am test); all tests of core pass. activate has a parameter more, which the tests pass.

--- a/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
@@ -28,6 +28,9 @@
      */
     private static final int MAX_EXCUSED_CRASHES = 3;
 
+    /** Crashes after which a task is given up whoever else was a suspect: two starts after the third are allowed. */
+    private static final int MAX_CRASHES = 5;
+
     /** A run that a worker has listed for this long has begun its work, also if its progress is rounded to 0. */
     private static final long SETTLED_MS = 1_000;
 
@@ -75,7 +78,7 @@
                 reserve(task, worker, nowMs);
             }
         } else if (awaitsVerdict(task)) {
-            verdictsAtMs.put(task, nowMs + POWER_LOSS_MS);
+            verdictsAtMs.putIfAbsent(task, nowMs + POWER_LOSS_MS);
         }
     }
 
@@ -236,7 +239,9 @@
 
     /** Tells whether a task must not start again, since it is given up unless its crashes prove to be a power loss. */
     static boolean awaitsVerdict(JobTask task) {
-        return task.state().soleCrashes() >= MAX_SOLE_CRASHES
+        boolean convicted =
+                task.state().soleCrashes() >= MAX_SOLE_CRASHES || task.state().crashes() >= MAX_CRASHES;
+        return convicted
                 && task.state().phase() == TaskPhase.PENDING
                 && !task.step().longRunning();
     }
@@ -362,7 +367,7 @@
 
     private static boolean hasRunWithoutProgress(WorkerView worker, long nowMs) {
         for (JobTask task : worker.assigned()) {
-            if (!hasShownProgress(task, nowMs)) {
+            if (!hasShownProgress(task, Math.min(nowMs, worker.answeredAtMs()))) {
                 return true;
             }
         }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -72,9 +72,13 @@
         newConfig.queues().forEach(queue -> knownQueues.put(queue.name(), queue));
     }
 
-    /** Schedules a job that was added to the registry, or cancelled in it, after the term began. */
-    public void activate(Job job) {
+    /**
+     * Schedules a job that was added to the registry, or cancelled in it, after the term began. A former leader may
+     * have placed it, if its request is read late.
+     */
+    public void activate(Job job, long nowMs) {
         active.add(job);
+        adoptTasks(job, nowMs);
     }
 
     /** Handles the report of a guard; the caller sends a grant in return. */
@@ -236,22 +240,28 @@
      */
 
     private void adopt(Job job, long nowMs) {
-        boolean assigned = false;
+        adoptTasks(job, nowMs);
+        if (job.hasAssignedTasks() || job.settledAtMs() == 0) {
+            active.add(job);
+        }
+    }
+
+    /** Takes up the runs of a former leader, and its suspicions. */
+    private void adoptTasks(Job job, long nowMs) {
         for (JobTask task : job.tasks()) {
+            WorkerView worker = null;
             if (task.isAssigned()) {
-                assigned = true;
+                if (task.hasWorkerView()) {
+                    continue;
+                }
                 task.updateProgress(RunProgress.orderedAt(nowMs));
                 // The former leader may have granted leases until it learned that it was replaced.
-                workers.computeIfAbsent(
-                                task.state().worker().guard(),
-                                guard -> new WorkerView(guard, nowMs + limits.grantWithoutStoreMs()))
-                        .add(task);
+                worker = workers.computeIfAbsent(
+                        task.state().worker().guard(),
+                        guard -> new WorkerView(guard, nowMs + limits.grantWithoutStoreMs()));
+                worker.add(task);
             }
-            crashes.adopt(
-                    task, task.isAssigned() ? workers.get(task.state().worker().guard()) : null, nowMs);
-        }
-        if (assigned || job.settledAtMs() == 0) {
-            active.add(job);
+            crashes.adopt(task, worker, nowMs);
         }
     }
 
@@ -349,18 +359,20 @@
             placeGang(tasks, service, nowMs);
             return;
         }
+        boolean full = false;
         for (JobTask task : tasks) {
             if (task.state().phase() == TaskPhase.PENDING && task.isTriedAlone()) {
                 if (!CrashTracker.awaitsVerdict(task)) {
                     crashes.addWaiting(task, service);
                 }
-            } else if (task.state().phase() == TaskPhase.PENDING) {
+            } else if (task.state().phase() == TaskPhase.PENDING && !full) {
                 WorkerView worker = placement.findWorker(task, service, workers.values(), nowMs);
                 if (worker == null) {
-                    // Tasks of a step have the same requirements, so no other one can be placed either.
-                    return;
+                    // Tasks of a step have the same requirements, so only those with a worker of their own remain.
+                    full = true;
+                } else {
+                    assign(task, worker, task.state().run() + 1, nowMs);
                 }
-                assign(task, worker, task.state().run() + 1, nowMs);
             }
         }
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -79,6 +79,11 @@
         workerView = worker;
     }
 
+    /** Tells whether a worker's assigned tasks include this one. */
+    boolean hasWorkerView() {
+        return workerView != null;
+    }
+
     /** Removes the task from the assigned tasks of its worker, if it has one. */
     void release() {
         if (workerView != null) {
--- a/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
@@ -208,6 +208,23 @@
         assertNotEquals(first, task("job").state().worker().guard());
     }
 
+    /** A gang gets no trial, so beside jobs that always begin its crashes never had it as the only suspect. */
+    @Test
+    void gangThatCrashesItsWorkersBesideFreshJobsIsGivenUp() {
+        pool.deadlyTasks.add("gang.0.0.0");
+        pool.deadlyTasks.add("gang.0.0.1");
+        JobStep step = TestSteps.of(2, size(), 500, List.of()).gang().build();
+        pool.submit(new JobSpec("gang", "q", "", List.of(step), 0, 0, 0, pool.nowMs), Arrays.asList(500L, 500L));
+        for (int i = 0; i < 300; i++) {
+            submit("job-" + i, 300);
+            pool.run(100);
+        }
+        assertTrue(
+                task("gang").state().run() <= MAX_CRASHES,
+                "runs " + task("gang").state().run());
+        assertEquals(JobStatus.FAILED, job("gang").acknowledgedStatus());
+    }
+
     /*
      * Helpers
      */
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -125,6 +125,20 @@
         assertEquals(second, task(0).state().worker());
     }
 
+    /**
+     * A job that a former leader had placed, and whose request was read only after the term began, was in no worker's
+     * tasks: its run was never taken as lost, and did not count against the capacity.
+     */
+    @Test
+    void runOfAJobThatIsReadLateIsLostWithItsWorker() {
+        report(first, 1, List.of(), List.of());
+        registry.restore("job", new JobSnapshot(List.of(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, "")), 0));
+        place(step(1).build());
+        assertEquals(1, task(0).state().run());
+        report(new WorkerRef(first.guard(), "next", 2), 1, List.of(), List.of());
+        assertEquals(2, task(0).state().run());
+    }
+
     /** If the start was repeated, the first one may have been executed, so no other worker may run the task yet. */
     @Test
     void taskWhoseRepeatedStartWasNotSentStays() {
@@ -383,7 +397,7 @@
 
     private void place(String id, JobStep step) {
         registry.submit(new JobSpec(id, "q", "", List.of(step), 0, 0, 0, nowMs));
-        scheduler.activate(registry.find(id).orElseThrow());
+        scheduler.activate(registry.find(id).orElseThrow(), nowMs);
         decide();
     }
 
--- a/core/src/test/java/org/fulmarreach/core/jobs/LostAnswersTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/LostAnswersTest.java
@@ -95,7 +95,7 @@
             JobStep step = TestSteps.of(3, new Resources(1_000, 1_000, 0), 500, List.of())
                     .build();
             registry.submit(new JobSpec(id, "q", "", List.of(step), 0, 0, 0, nowMs));
-            scheduler.activate(registry.find(id).orElseThrow());
+            scheduler.activate(registry.find(id).orElseThrow(), nowMs);
         }
 
         private void startLeader() {
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -95,7 +95,7 @@
         for (int i = 0; i < job.tasks().size(); i++) {
             workMs.put(job.tasks().get(i).name().toString(), taskMs.get(i));
         }
-        scheduler.activate(job);
+        scheduler.activate(job, nowMs);
         decide();
     }
 
@@ -126,7 +126,7 @@
 
     void cancel(String jobId) {
         registry.cancel(jobId);
-        scheduler.activate(registry.find(jobId).orElseThrow());
+        scheduler.activate(registry.find(jobId).orElseThrow(), nowMs);
         decide();
     }
 
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -308,14 +308,14 @@
 
     private void addJob(JobSpec spec) {
         if (registry.submit(spec) && leaderTerm != null) {
-            registry.find(spec.id()).ifPresent(leaderTerm.scheduler()::activate);
+            registry.find(spec.id()).ifPresent(leaderTerm::activate);
         }
     }
 
     private void cancelJob(String id) {
         registry.cancel(id);
         if (leaderTerm != null) {
-            registry.find(id).ifPresent(leaderTerm.scheduler()::activate);
+            registry.find(id).ifPresent(leaderTerm::activate);
         }
     }
 
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.fulmarreach.core.jobs.Job;
 import org.fulmarreach.core.jobs.JobBatch;
 import org.fulmarreach.core.jobs.JobOrder;
 import org.fulmarreach.core.jobs.JobScheduler;
@@ -104,6 +105,11 @@
         return scheduler;
     }
 
+    /** Schedules a job that was added or cancelled after the term began. */
+    void activate(Job job) {
+        scheduler.activate(job, clock.nowMs());
+    }
+
     boolean hasResigned() {
         return resigned;
     }
