Start no process to find the width of the terminal

The command-line library runs stty when its parser is built; with a JDK of 22 or newer it does so without a terminal, too. So every entry and guard started a process, which the platform does not allow and which costs time at the start. The width is now fixed in the daemon's parsers; help texts are as wide as without a terminal before. What it saves at a start is not measured.

--- a/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
@@ -71,6 +71,8 @@
 
     private static ArgumentParser constructParser() {
         ArgumentParser parser = ArgumentParsers.newFor("fulmard")
+                // Detection would start a process.
+                .terminalWidthDetection(false)
                 .build()
                 .defaultHelp(true)
                 .description("Runs a process of fulmarreach on a platform that hosts the log and writes the settings of"
--- a/runtime/src/main/java/org/fulmarreach/runtime/cfg/SettingsReader.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/cfg/SettingsReader.java
@@ -60,6 +60,8 @@
     /** Constructs the command-line parser with one subcommand per role. */
     public ArgumentParser constructParser() {
         ArgumentParser parser = ArgumentParsers.newFor("fulmard")
+                // Detection would start a process.
+                .terminalWidthDetection(false)
                 .build()
                 .description("Daemon of fulmarreach. Each flag can also be set by its environment variable.")
                 .version("fulmard " + programVersion);
