Log what a count of waiting jobs is based on

Nothing in the log of an entry said which records its count came from, so a count from an old view, one from a partial view and one that takes ordered tasks for started ones could not be told apart.

Event 4008 gives the count with the offset and the age of the requests read, and with the age of the progress known. The answer itself is unchanged.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -15,6 +15,7 @@
     REQUEST_REFUSED(4005, Level.INFO, "A request about a job or a queue was not served; the reason names the cause."),
     JOB_SETTLED(4006, Level.INFO, "A job was completed, failed or was cancelled; no more of its tasks are started."),
     JOB_FORGOTTEN(4007, Level.FINE, "The records of a settled job are removed after its retention time."),
+    QUEUE_COUNTED(4008, Level.INFO, "The waiting jobs of a queue were counted, from records of the given ages."),
     RUN_ASSIGNED(
             4010, Level.INFO, "A run was assigned to a worker; the start order is sent after the record is stored."),
     RUN_STARTED(4011, Level.INFO, "A worker lists a run as running for the first time."),
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
@@ -36,7 +37,6 @@
 import org.fulmarreach.protocol.thrift.GuardReport;
 import org.fulmarreach.protocol.thrift.JobLeader;
 import org.fulmarreach.protocol.thrift.JobState;
-import org.fulmarreach.protocol.thrift.OrderOutcome;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameHandling;
 import org.fulmarreach.runtime.net.FrameLink;
@@ -79,7 +79,7 @@
     private final LogTail config;
     private final RequestForwarder forwarder;
     private final RequestWriter writer;
-    private final StatusQueries queries;
+    private final JobQueries queries;
     private final GuardSessions sessions;
     private final GuardRedirects redirects;
     private JobConfig activeConfig;
@@ -127,7 +127,8 @@
                 links, identity.guardAddress(), election::otherLeaderAddress, context.getSelf(), clock, log);
         this.writer = new RequestWriter(
                 JobPartitions.REQUESTS, store, forwarder, () -> !requests.isFailing(), context, clock);
-        this.queries = new StatusQueries(registry, requests, store, context.getSelf(), this::applyRequest);
+        this.queries = new JobQueries(
+                registry, requests, this::progressAgeMs, store, context.getSelf(), this::applyRequest, log);
         this.lastReadAtMs = clock.nowMs();
         config.reload();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
@@ -167,8 +168,8 @@
         switch (command) {
             case JobsCommand.Submit submit -> onSubmit(submit);
             case JobsCommand.Cancel cancel -> onCancel(cancel);
-            case JobsCommand.Query query -> queries.answer(query.jobId(), query.reply());
-            case JobsCommand.CountWaiting count -> count.reply().complete(registry.countWaiting(count.queue()));
+            case JobsCommand.Query query -> queries.answerStatus(query.jobId(), query.reply());
+            case JobsCommand.CountWaiting count -> queries.answerCount(count.queue(), count.reply());
             case JobsCommand.Describe describe -> describe.reply().complete(describe());
             case JobsCommand.TailRead read -> read.tail().onRead(read.generation(), read.result(), read.knownUpToMs());
             case JobsCommand.TailDue due -> due.tail().onDue(due.generation());
@@ -234,7 +235,7 @@
         }
         if (registry.find(id).isEmpty()) {
             CompletableFuture<JobsCommand.StatusAnswer> lookup = new CompletableFuture<>();
-            queries.answer(id, lookup);
+            queries.answerStatus(id, lookup);
             var self = getContext().getSelf();
             lookup.thenAccept(answer -> {
                 switch (answer) {
@@ -550,18 +551,7 @@
         if (report == null) {
             return;
         }
-        long nowMs = clock.nowMs();
-        for (OrderOutcome outcome : message.getOutcomes()) {
-            leaderTerm
-                    .scheduler()
-                    .onOrderOutcome(
-                            report.ref(),
-                            outcome.getTask(),
-                            outcome.getRun(),
-                            outcome.isStart(),
-                            outcome.getOutcome(),
-                            nowMs);
-        }
+        leaderTerm.onOutcomes(report.ref(), message.getOutcomes());
         leaderTerm.onReport(report, !report.ended().isEmpty() || message.getOutcomesSize() > 0);
     }
 
@@ -578,6 +568,14 @@
      * Helpers
      */
 
+    /** Returns for how long progress may have been stored without being known here; empty before the first load. */
+    private OptionalLong progressAgeMs() {
+        if (leaderTerm != null) {
+            return OptionalLong.of(leaderTerm.writeAgeMs());
+        }
+        return progress.isLoaded() ? OptionalLong.of(progress.ageMs()) : OptionalLong.empty();
+    }
+
     private String describe() {
         StateText text = new StateText()
                 .add("node", identity.node())
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -13,6 +13,7 @@
 import org.fulmarreach.core.jobs.JobOrder;
 import org.fulmarreach.core.jobs.JobScheduler;
 import org.fulmarreach.core.jobs.JobTimeLimits;
+import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.core.jobs.WorkerReport;
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.AppendResult;
@@ -20,6 +21,7 @@
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
+import org.fulmarreach.protocol.thrift.OrderOutcome;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
@@ -147,6 +149,14 @@
         }
     }
 
+    /** Applies the responses of a worker to orders. */
+    void onOutcomes(WorkerRef worker, List<OrderOutcome> outcomes) {
+        long nowMs = clock.nowMs();
+        for (OrderOutcome each : outcomes) {
+            scheduler.onOrderOutcome(worker, each.getTask(), each.getRun(), each.isStart(), each.getOutcome(), nowMs);
+        }
+    }
+
     /** Runs a scheduling pass, now or as soon as the minimum interval since the last pass has elapsed. */
     void decide() {
         long elapsedMs = clock.nowMs() - decidedAtMs;
