Count a job as begun once a worker lists one of its tasks

Cause: a job left the state queued when a run of one of its tasks had a number, that is when an assignment was recorded. The start may be refused, not be sent, or get lost with its worker; the run number stays, so the job never counted as waiting again, whoever was asked.

Change: the progress of a job stores whether a worker has begun one of its tasks (listed as running or ended). The status and the count follow from that. Records without the field are read as not begun; the next report of the worker corrects them.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Job.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Job.java
@@ -10,7 +10,7 @@
     private final int tasksPerOccurrence;
     private final int[] stepStarts;
     private final int[] phaseCounts = new int[TaskPhase.values().length];
-    private int startedTasks;
+    private boolean begun;
     private boolean cancelled;
     private boolean changed;
     private long settledAtMs;
@@ -80,12 +80,12 @@
         if (count(TaskPhase.FAILED) > 0) {
             return JobStatus.FAILED;
         }
-        return JobStatus.of(count(TaskPhase.DONE) == tasks.size(), startedTasks > 0, cancelled);
+        return JobStatus.of(count(TaskPhase.DONE) == tasks.size(), begun, cancelled);
     }
 
     /** Returns the progress to be stored, including changes that are not written yet. */
     public JobSnapshot snapshot() {
-        return new JobSnapshot(tasks.stream().map(JobTask::state).toList(), settledAtMs);
+        return new JobSnapshot(tasks.stream().map(JobTask::state).toList(), settledAtMs, begun);
     }
 
     /** Tells whether a task waits for a worker, for its predecessors or for its due time. */
@@ -133,6 +133,16 @@
         }
     }
 
+    /** Records that a worker has begun a task; returns true if that was not known before. */
+    boolean markBegun() {
+        if (begun) {
+            return false;
+        }
+        begun = true;
+        markChanged();
+        return true;
+    }
+
     void settle(long unixMs) {
         if (settledAtMs == 0) {
             settledAtMs = unixMs;
@@ -145,6 +155,7 @@
             tasks.get(i).restore(snapshot.tasks().get(i));
         }
         settledAtMs = snapshot.settledAtMs();
+        begun = snapshot.begun();
         changed = false;
         acknowledge(snapshot);
     }
@@ -157,6 +168,7 @@
         }
         tasks.forEach(task -> task.restore(TaskState.INITIAL));
         settledAtMs = 0;
+        begun = false;
         changed = false;
     }
 
@@ -172,7 +184,6 @@
     void count(TaskState before, TaskState after) {
         phaseCounts[before.phase().ordinal()]--;
         phaseCounts[after.phase().ordinal()]++;
-        startedTasks += (after.run() > 0 ? 1 : 0) - (before.run() > 0 ? 1 : 0);
     }
 
     private int count(TaskPhase phase) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobSnapshot.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobSnapshot.java
@@ -7,8 +7,9 @@
  *
  * @param tasks states of the tasks, ordered by occurrence, step and index
  * @param settledAtMs when the job was completed, failed or was cancelled, in Unix milliseconds; 0 before
+ * @param begun whether a worker has begun one of the tasks; an assignment alone may be refused or get lost
  */
-public record JobSnapshot(List<TaskState> tasks, long settledAtMs) {
+public record JobSnapshot(List<TaskState> tasks, long settledAtMs, boolean begun) {
     /** Copies the list. */
     public JobSnapshot {
         tasks = List.copyOf(tasks);
@@ -17,14 +18,12 @@
     /** Derives the status that callers see. */
     public JobStatus status(boolean cancelled) {
         boolean allDone = true;
-        boolean started = false;
         for (TaskState task : tasks) {
             if (task.phase() == TaskPhase.FAILED) {
                 return JobStatus.FAILED;
             }
             allDone &= task.phase() == TaskPhase.DONE;
-            started |= task.run() > 0;
         }
-        return JobStatus.of(allDone, started, cancelled);
+        return JobStatus.of(allDone, begun, cancelled);
     }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobStatus.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobStatus.java
@@ -2,9 +2,9 @@
 
 /** Status of a job as callers see it. */
 public enum JobStatus {
-    /** No run has been assigned yet. */
+    /** No worker has begun a task yet. */
     QUEUED,
-    /** At least one run has been assigned. */
+    /** A worker has begun at least one task. */
     RUNNING,
     /** All tasks are done. */
     COMPLETED,
@@ -13,14 +13,14 @@
     /** The caller cancelled it. */
     CANCELLED;
 
-    static JobStatus of(boolean allDone, boolean started, boolean cancelled) {
+    static JobStatus of(boolean allDone, boolean begun, boolean cancelled) {
         if (allDone) {
             return COMPLETED;
         }
         if (cancelled) {
             return CANCELLED;
         }
-        return started ? RUNNING : QUEUED;
+        return begun ? RUNNING : QUEUED;
     }
 
     /** Tells whether the status is final. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -67,6 +67,7 @@
             } else {
                 stopStray(report.ref(), running, task);
                 if (task != null) {
+                    recordBegun(task.job());
                     worker.countUntilEnded(task, running.run());
                 }
             }
@@ -179,6 +180,7 @@
         if (task == null) {
             return;
         }
+        recordBegun(task.job());
         if (!current) {
             applyLateSuccess(task, end);
             return;
@@ -284,6 +286,7 @@
         if (CrashTracker.hasShownProgress(task, nowMs)) {
             crashes.acquit(task);
         }
+        recordBegun(task.job());
         if (!before.isListed()) {
             log.record(
                     Decision.RUN_STARTED,
@@ -297,6 +300,12 @@
         }
     }
 
+    private void recordBegun(Job job) {
+        if (job.markBegun()) {
+            decisions.markChanged(job);
+        }
+    }
+
     private void stopStray(WorkerRef ref, WorkerReport.Running running, JobTask task) {
         decisions.addImmediate(new JobOrder.Stop(ref, running.task(), running.run()));
         log.record(
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -132,7 +132,7 @@
     @Test
     void runOfAJobThatIsReadLateIsLostWithItsWorker() {
         report(first, 1, List.of(), List.of());
-        registry.restore("job", new JobSnapshot(List.of(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, "")), 0));
+        registry.restore("job", new JobSnapshot(List.of(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, "")), 0, true));
         place(step(1).build());
         assertEquals(1, task(0).state().run());
         report(new WorkerRef(first.guard(), "next", 2), 1, List.of(), List.of());
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -468,7 +468,7 @@
     void progressWithoutARequestIsRemovedAfterItsRetention() throws Exception {
         putConfig();
         TaskState done = new TaskState(TaskPhase.DONE, 1, new WorkerRef("guard", "worker", 1), 0, "");
-        JobSnapshot completed = new JobSnapshot(List.of(done), System.currentTimeMillis() - RETENTION_MS);
+        JobSnapshot completed = new JobSnapshot(List.of(done), System.currentTimeMillis() - RETENTION_MS, true);
         store.append(
                 JobPartitions.PROGRESS,
                 List.of(new KeyedRecord(JobTopics.progressKey("job-1"), JobRecords.encode(completed))),
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -107,7 +107,11 @@
         }
         List<JobWorkerRef> refs = new ArrayList<>();
         workers.keySet().forEach(ref -> refs.add(toThrift(ref)));
-        return ThriftBytes.encode(JobState.progress(new JobProgress(refs, tasks, snapshot.settledAtMs())));
+        JobProgress progress = new JobProgress(refs, tasks, snapshot.settledAtMs());
+        if (snapshot.begun()) {
+            progress.setBegun(true);
+        }
+        return ThriftBytes.encode(JobState.progress(progress));
     }
 
     /** Encodes the term, node and address of the leader. */
@@ -136,7 +140,7 @@
                     state.getCrashes(),
                     state.getSoleCrashes()));
         }
-        return new JobSnapshot(tasks, progress.getSettledAtMs());
+        return new JobSnapshot(tasks, progress.getSettledAtMs(), progress.isBegun());
     }
 
     /** Converts the lifetime of a worker to Thrift. */
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/JobProgress.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/JobProgress.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField WORKERS_FIELD_DESC = new org.apache.thrift.protocol.TField("workers", org.apache.thrift.protocol.TType.LIST, (short)1);
   private static final org.apache.thrift.protocol.TField TASKS_FIELD_DESC = new org.apache.thrift.protocol.TField("tasks", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField SETTLED_AT_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("settledAtMs", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField BEGUN_FIELD_DESC = new org.apache.thrift.protocol.TField("begun", org.apache.thrift.protocol.TType.BOOL, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new JobProgressStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new JobProgressTupleSchemeFactory();
@@ -20,12 +21,17 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<JobWorkerRef> workers; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<JobTaskState> tasks; // required
   private long settledAtMs; // required
+  private boolean begun; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     WORKERS((short)1, "workers"),
     TASKS((short)2, "tasks"),
-    SETTLED_AT_MS((short)3, "settledAtMs");
+    SETTLED_AT_MS((short)3, "settledAtMs"),
+    /**
+     * True once a worker has begun a task; absent before, and in records of versions that did not tell.
+     */
+    BEGUN((short)4, "begun");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +53,8 @@
           return TASKS;
         case 3: // SETTLED_AT_MS
           return SETTLED_AT_MS;
+        case 4: // BEGUN
+          return BEGUN;
         default:
           return null;
       }
@@ -91,7 +99,9 @@
 
   // isset id assignments
   private static final int __SETTLEDATMS_ISSET_ID = 0;
+  private static final int __BEGUN_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.BEGUN};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -103,6 +113,8 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, JobTaskState.class))));
     tmpMap.put(_Fields.SETTLED_AT_MS, new org.apache.thrift.meta_data.FieldMetaData("settledAtMs", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.BEGUN, new org.apache.thrift.meta_data.FieldMetaData("begun", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(JobProgress.class, metaDataMap);
   }
@@ -142,6 +154,7 @@
       this.tasks = __this__tasks;
     }
     this.settledAtMs = other.settledAtMs;
+    this.begun = other.begun;
   }
 
   @Override
@@ -155,6 +168,8 @@
     this.tasks = null;
     setSettledAtMsIsSet(false);
     this.settledAtMs = 0;
+    setBegunIsSet(false);
+    this.begun = false;
   }
 
   public int getWorkersSize() {
@@ -262,6 +277,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SETTLEDATMS_ISSET_ID, value);
   }
 
+  /**
+   * True once a worker has begun a task; absent before, and in records of versions that did not tell.
+   */
+  public boolean isBegun() {
+    return this.begun;
+  }
+
+  /**
+   * True once a worker has begun a task; absent before, and in records of versions that did not tell.
+   */
+  public JobProgress setBegun(boolean begun) {
+    this.begun = begun;
+    setBegunIsSet(true);
+    return this;
+  }
+
+  public void unsetBegun() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BEGUN_ISSET_ID);
+  }
+
+  /** Returns true if field begun is set (has been assigned a value) and false otherwise */
+  public boolean isSetBegun() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BEGUN_ISSET_ID);
+  }
+
+  public void setBegunIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BEGUN_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -289,6 +333,14 @@
       }
       break;
 
+    case BEGUN:
+      if (value == null) {
+        unsetBegun();
+      } else {
+        setBegun((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -305,6 +357,9 @@
     case SETTLED_AT_MS:
       return getSettledAtMs();
 
+    case BEGUN:
+      return isBegun();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -323,6 +378,8 @@
       return isSetTasks();
     case SETTLED_AT_MS:
       return isSetSettledAtMs();
+    case BEGUN:
+      return isSetBegun();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -367,6 +424,15 @@
         return false;
     }
 
+    boolean this_present_begun = true && this.isSetBegun();
+    boolean that_present_begun = true && that.isSetBegun();
+    if (this_present_begun || that_present_begun) {
+      if (!(this_present_begun && that_present_begun))
+        return false;
+      if (this.begun != that.begun)
+        return false;
+    }
+
     return true;
   }
 
@@ -384,6 +450,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(settledAtMs);
 
+    hashCode = hashCode * 8191 + ((isSetBegun()) ? 131071 : 524287);
+    if (isSetBegun())
+      hashCode = hashCode * 8191 + ((begun) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -425,6 +495,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetBegun(), other.isSetBegun());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBegun()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.begun, other.begun);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -468,6 +548,12 @@
     sb.append("settledAtMs:");
     sb.append(this.settledAtMs);
     first = false;
+    if (isSetBegun()) {
+      if (!first) sb.append(", ");
+      sb.append("begun:");
+      sb.append(this.begun);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -561,6 +647,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // BEGUN
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.begun = iprot.readBool();
+              struct.setBegunIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -604,6 +698,11 @@
       oprot.writeFieldBegin(SETTLED_AT_MS_FIELD_DESC);
       oprot.writeI64(struct.settledAtMs);
       oprot.writeFieldEnd();
+      if (struct.isSetBegun()) {
+        oprot.writeFieldBegin(BEGUN_FIELD_DESC);
+        oprot.writeBool(struct.begun);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -632,7 +731,10 @@
       if (struct.isSetSettledAtMs()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetBegun()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetWorkers()) {
         {
           oprot.writeI32(struct.workers.size());
@@ -654,12 +756,15 @@
       if (struct.isSetSettledAtMs()) {
         oprot.writeI64(struct.settledAtMs);
       }
+      if (struct.isSetBegun()) {
+        oprot.writeBool(struct.begun);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, JobProgress struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         {
           org.apache.thrift.protocol.TList _list114 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
@@ -692,6 +797,10 @@
         struct.settledAtMs = iprot.readI64();
         struct.setSettledAtMsIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.begun = iprot.readBool();
+        struct.setBegunIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -293,7 +293,13 @@
   7: optional i32 soleCrashes
 }
 struct JobWorkerRef { 1: string guard, 2: string id, 3: i64 bornMs }
-struct JobProgress { 1: list<JobWorkerRef> workers, 2: list<JobTaskState> tasks, 3: i64 settledAtMs }
+struct JobProgress {
+  1: list<JobWorkerRef> workers,
+  2: list<JobTaskState> tasks,
+  3: i64 settledAtMs,
+  /** True once a worker has begun a task; absent before, and in records of versions that did not tell. */
+  4: optional bool begun
+}
 struct JobLeader { 1: i64 term, 2: string node, 3: string address }
 union JobState { 1: JobProgress progress, 2: JobLeader leader }
 
--- a/protocol/src/test/java/org/fulmarreach/protocol/io/JobRecordsTest.java
+++ b/protocol/src/test/java/org/fulmarreach/protocol/io/JobRecordsTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.fulmarreach.core.jobs.JobSnapshot;
+import org.fulmarreach.core.jobs.JobStatus;
 import org.fulmarreach.core.jobs.TaskPhase;
 import org.fulmarreach.core.jobs.TaskState;
 import org.fulmarreach.core.jobs.WorkerRef;
@@ -16,7 +17,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
-/** Guards against counts of worker crashes that are lost between two leaders, or between two versions. */
+/** Guards against progress of jobs that is lost between two leaders, or between two versions. */
 class JobRecordsTest {
     private static final WorkerRef WORKER = new WorkerRef("guard-1", "worker-1", 7);
 
@@ -27,7 +28,8 @@
                 List.of(
                         new TaskState(TaskPhase.PENDING, 3, WORKER, 1, "save", 2, 1),
                         new TaskState(TaskPhase.ASSIGNED, 1, WORKER, 0, "")),
-                0);
+                0,
+                true);
         assertEquals(
                 snapshot,
                 JobRecords.fromThrift(
@@ -44,10 +46,19 @@
                 JobRecords.fromThrift(former).tasks());
     }
 
+    /** A job whose record says nothing of it must not count as begun: its starts may all have been refused. */
+    @Test
+    void jobOfARecordWithoutTheMarkHasNotBegun() {
+        JobSnapshot ordered = new JobSnapshot(List.of(new TaskState(TaskPhase.ASSIGNED, 1, WORKER, 0, "")), 0, false);
+        JobProgress written = JobRecords.decodeState(JobRecords.encode(ordered)).getProgress();
+        assertFalse(written.isSetBegun());
+        assertEquals(JobStatus.QUEUED, JobRecords.fromThrift(written).status(false));
+    }
+
     /** A task without crashes is written as the former version wrote it. */
     @Test
     void taskWithoutCrashesHasNoFieldForThem() {
-        JobSnapshot snapshot = new JobSnapshot(List.of(new TaskState(TaskPhase.ASSIGNED, 1, WORKER, 0, "")), 0);
+        JobSnapshot snapshot = new JobSnapshot(List.of(new TaskState(TaskPhase.ASSIGNED, 1, WORKER, 0, "")), 0, false);
         JobTaskState written = JobRecords.decodeState(JobRecords.encode(snapshot))
                 .getProgress()
                 .getTasks()
