Refuse a count of waiting jobs that the records at hand do not support

An entry answered from its registry in any state: while it was loading or reloading the requests (0 jobs wait), and with a view of any age if its reads got no answer while callers still reached it.

Cause: status queries read the log to its end before they call a job missing; the count did neither that nor ask how old the records were. The class of fault is an answer that states what its source cannot know.

Change: a count needs loaded requests and progress no older than 1.5 s, which leaves 500 ms of the promised 2 s for the answer. Older requests are first read to their end. Otherwise the query is refused with 503 and Retry-After.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
@@ -1,7 +1,9 @@
 package org.fulmarreach.entry.jobs;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -12,18 +14,24 @@
 import org.fulmarreach.platform.store.ReadResult;
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.util.MonotonicClock;
 
 /**
- * Answers queries for the status of jobs and for the length of queues. A job that is not known may just have been
- * stored by another entry, so the log is read to its end before a job is reported as missing. Confined to one actor.
+ * Answers queries for the status of jobs and for the length of queues. Other entries store jobs, too, so the log is
+ * read to its end before a job is reported as missing, and before jobs are counted if the last read is too long ago.
+ * What this entry cannot know at present is refused. Confined to one actor.
  */
 final class JobQueries {
+    /** A count may be 2 s old when the caller has it; 500 ms are left for the way of the answer. */
+    private static final long MAX_COUNT_AGE_MS = 1_500;
+
     private final JobRegistry registry;
     private final LogTail requests;
     private final Supplier<OptionalLong> progressAgeMs;
     private final StoreClient store;
     private final ActorRef<JobsCommand> actor;
     private final Consumer<KeyedRecord> applyRequest;
+    private final MonotonicClock clock;
     private final EventLog log;
 
     /**
@@ -32,7 +40,7 @@
      * @param requests the followed partition of callers' requests
      * @param progressAgeMs age of the known progress of jobs, in milliseconds; empty if it has not been loaded
      * @param actor receives the results of reads
-     * @param applyRequest applies a record of that partition to the registry
+     * @param applyRequest applies a record of the partition of requests to the registry
      */
     JobQueries(
             JobRegistry registry,
@@ -41,6 +49,7 @@
             StoreClient store,
             ActorRef<JobsCommand> actor,
             Consumer<KeyedRecord> applyRequest,
+            MonotonicClock clock,
             EventLog log) {
         this.registry = registry;
         this.requests = requests;
@@ -48,60 +57,103 @@
         this.store = store;
         this.actor = actor;
         this.applyRequest = applyRequest;
+        this.clock = clock;
         this.log = log;
     }
 
+    /**
+     * A read of the requests that were stored after the last read.
+     *
+     * @param isSufficient tells whether the records read so far are enough
+     * @param done receives the reason of a failure; empty if the read succeeded
+     */
+    record CatchUp(BooleanSupplier isSufficient, Consumer<Optional<String>> done) {}
+
     /** Answers with the status of a job as acknowledged by the store. */
     void answerStatus(String jobId, CompletableFuture<JobsCommand.StatusAnswer> reply) {
-        var job = registry.find(jobId);
-        if (job.isPresent()) {
-            reply.complete(known(job.get()));
+        find(
+                jobId,
+                problem ->
+                        reply.complete(problem.<JobsCommand.StatusAnswer>map(JobsCommand.StatusAnswer.Unavailable::new)
+                                .orElseGet(() -> registry.find(jobId)
+                                        .map(this::statusOf)
+                                        .orElse(new JobsCommand.StatusAnswer.Missing()))));
+    }
+
+    /**
+     * Makes sure that the registry contains a job if the log does.
+     *
+     * @param done receives the reason why this cannot be told at present; empty if the registry can be relied on
+     */
+    void find(String jobId, Consumer<Optional<String>> done) {
+        if (registry.find(jobId).isPresent()) {
+            done.accept(Optional.empty());
         } else if (requests.isLoaded()) {
-            readFrom(requests.nextOffset(), jobId, reply);
+            catchUp(() -> registry.find(jobId).isPresent(), done);
         } else {
-            reply.complete(new JobsCommand.StatusAnswer.Unavailable("this entry is still loading the job log"));
+            done.accept(Optional.of("this entry is still loading the job log"));
         }
     }
 
     /** Answers with the number of jobs of a queue of which no task has started. */
-    void answerCount(String queue, CompletableFuture<Integer> reply) {
-        int waiting = registry.countWaiting(queue);
-        logCount(queue, waiting);
-        reply.complete(waiting);
+    void answerCount(String queue, CompletableFuture<JobsCommand.CountAnswer> reply) {
+        if (requests.isLoaded() && requests.ageMs() > MAX_COUNT_AGE_MS) {
+            long startedAtMs = clock.nowMs();
+            catchUp(
+                    () -> false,
+                    problem -> reply.complete(
+                            problem.<JobsCommand.CountAnswer>map(JobsCommand.CountAnswer.Unavailable::new)
+                                    .orElseGet(() -> count(queue, clock.nowMs() - startedAtMs))));
+        } else {
+            reply.complete(count(queue, requests.ageMs()));
+        }
     }
 
-    void onReadEnded(JobsCommand.StatusReadEnded ended) {
-        CompletableFuture<JobsCommand.StatusAnswer> reply = ended.reply();
+    void onReadEnded(JobsCommand.CatchUpReadEnded ended) {
+        CatchUp catchUp = ended.catchUp();
         switch (ended.result()) {
             case ReadResult.Records read -> {
                 read.records().forEach(applyRequest);
-                var job = registry.find(ended.jobId());
-                if (job.isPresent()) {
-                    reply.complete(known(job.get()));
-                } else if (read.isComplete()) {
-                    reply.complete(new JobsCommand.StatusAnswer.Missing());
+                if (read.isComplete() || catchUp.isSufficient().getAsBoolean()) {
+                    catchUp.done().accept(Optional.empty());
                 } else {
-                    readFrom(read.nextOffset(), ended.jobId(), reply);
+                    readFrom(read.nextOffset(), catchUp);
                 }
             }
             case ReadResult.Expired expired -> {
                 requests.reload();
-                reply.complete(new JobsCommand.StatusAnswer.Unavailable("this entry is reloading the job log"));
+                catchUp.done().accept(Optional.of("this entry is reloading the job log"));
             }
-            case ReadResult.Page page ->
-                reply.complete(new JobsCommand.StatusAnswer.Unavailable("unexpected answer of the store"));
-            case ReadResult.Failed failed -> reply.complete(new JobsCommand.StatusAnswer.Unavailable(failed.reason()));
+            case ReadResult.Page page -> catchUp.done().accept(Optional.of("unexpected answer of the store"));
+            case ReadResult.Failed failed -> catchUp.done().accept(Optional.of(failed.reason()));
         }
     }
 
-    private void logCount(String queue, int waiting) {
-        OptionalLong ageMs = progressAgeMs.get();
+    /*
+     * Helpers
+     */
+
+    private JobsCommand.StatusAnswer statusOf(Job job) {
+        return new JobsCommand.StatusAnswer.Known(job.acknowledgedStatus());
+    }
+
+    private JobsCommand.CountAnswer count(String queue, long requestsAgeMs) {
+        OptionalLong progressAge = progressAgeMs.get();
+        JobsCommand.CountAnswer answer;
+        if (!requests.isLoaded() || progressAge.isEmpty()) {
+            answer = new JobsCommand.CountAnswer.Unavailable("this entry is still loading the job log");
+        } else if (Math.max(requestsAgeMs, progressAge.getAsLong()) > MAX_COUNT_AGE_MS) {
+            answer = new JobsCommand.CountAnswer.Unavailable(
+                    "the job log could not be read for " + Math.max(requestsAgeMs, progressAge.getAsLong()) + " ms");
+        } else {
+            answer = new JobsCommand.CountAnswer.Counted(registry.countWaiting(queue));
+        }
         log.emit(
                 JobEvent.QUEUE_COUNTED,
                 "queue",
                 queue,
-                "waiting",
-                waiting,
+                "answer",
+                answer,
                 "jobs",
                 registry.jobs().size(),
                 "requestsLoaded",
@@ -109,17 +161,18 @@
                 "requestsNext",
                 requests.nextOffset(),
                 "requestsAgeMs",
-                requests.ageMs(),
+                requestsAgeMs,
                 "progressAgeMs",
-                ageMs.isPresent() ? ageMs.getAsLong() : "none");
+                progressAge.isPresent() ? progressAge.getAsLong() : "none");
+        return answer;
     }
 
-    private static JobsCommand.StatusAnswer known(Job job) {
-        return new JobsCommand.StatusAnswer.Known(job.acknowledgedStatus());
+    private void catchUp(BooleanSupplier isSufficient, Consumer<Optional<String>> done) {
+        readFrom(requests.nextOffset(), new CatchUp(isSufficient, done));
     }
 
-    private void readFrom(long offset, String jobId, CompletableFuture<JobsCommand.StatusAnswer> reply) {
+    private void readFrom(long offset, CatchUp catchUp) {
         store.read(JobPartitions.REQUESTS, offset, 0)
-                .thenAccept(result -> actor.tell(new JobsCommand.StatusReadEnded(jobId, result, reply)));
+                .thenAccept(result -> actor.tell(new JobsCommand.CatchUpReadEnded(catchUp, result)));
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -128,7 +128,7 @@
         this.writer = new RequestWriter(
                 JobPartitions.REQUESTS, store, forwarder, () -> !requests.isFailing(), context, clock);
         this.queries = new JobQueries(
-                registry, requests, this::progressAgeMs, store, context.getSelf(), this::applyRequest, log);
+                registry, requests, this::progressAgeMs, store, context.getSelf(), this::applyRequest, clock, log);
         this.lastReadAtMs = clock.nowMs();
         config.reload();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
@@ -173,7 +173,7 @@
             case JobsCommand.Describe describe -> describe.reply().complete(describe());
             case JobsCommand.TailRead read -> read.tail().onRead(read.generation(), read.result(), read.knownUpToMs());
             case JobsCommand.TailDue due -> due.tail().onDue(due.generation());
-            case JobsCommand.StatusReadEnded ended -> queries.onReadEnded(ended);
+            case JobsCommand.CatchUpReadEnded ended -> queries.onReadEnded(ended);
             case JobsCommand.RequestsWritten written -> writer.onWritten(written.result());
             case JobsCommand.WriteDue due -> writer.onDue();
             case JobsCommand.BatchWritten written -> onBatchWritten(written);
@@ -234,16 +234,13 @@
             return;
         }
         if (registry.find(id).isEmpty()) {
-            CompletableFuture<JobsCommand.StatusAnswer> lookup = new CompletableFuture<>();
-            queries.answerStatus(id, lookup);
-            var self = getContext().getSelf();
-            lookup.thenAccept(answer -> {
-                switch (answer) {
-                    case JobsCommand.StatusAnswer.Known known -> self.tell(cancel);
-                    case JobsCommand.StatusAnswer.Missing missing ->
-                        cancel.reply().complete(new WriteOutcome.Missing());
-                    case JobsCommand.StatusAnswer.Unavailable unavailable ->
-                        cancel.reply().complete(new WriteOutcome.Refused(unavailable.reason()));
+            queries.find(id, problem -> {
+                if (problem.isPresent()) {
+                    cancel.reply().complete(new WriteOutcome.Refused(problem.get()));
+                } else if (registry.find(id).isEmpty()) {
+                    cancel.reply().complete(new WriteOutcome.Missing());
+                } else {
+                    onCancel(cancel);
                 }
             });
             return;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -45,9 +45,9 @@
      * Queries the number of waiting jobs of a queue.
      *
      * @param queue name of the queue
-     * @param reply completed with the number
+     * @param reply completed with the answer
      */
-    record CountWaiting(String queue, CompletableFuture<Integer> reply) implements JobsCommand {}
+    record CountWaiting(String queue, CompletableFuture<CountAnswer> reply) implements JobsCommand {}
 
     /**
      * Queries a description of this entry's state for operators.
@@ -68,6 +68,15 @@
         record Unavailable(String reason) implements StatusAnswer {}
     }
 
+    /** Answer to a query for the number of waiting jobs of a queue. */
+    sealed interface CountAnswer {
+        /** This number of jobs has been waiting, as of at most 2 s ago. */
+        record Counted(int waiting) implements CountAnswer {}
+
+        /** The number cannot be determined at present. */
+        record Unavailable(String reason) implements CountAnswer {}
+    }
+
     /*
      * From the store
      */
@@ -78,9 +87,8 @@
     /** The next read of a followed partition is due. */
     record TailDue(LogTail tail, long generation) implements JobsCommand {}
 
-    /** The read that a pending status query waits for has ended. */
-    record StatusReadEnded(String jobId, ReadResult result, CompletableFuture<StatusAnswer> reply)
-            implements JobsCommand {}
+    /** A read that pending queries wait for has ended. */
+    record CatchUpReadEnded(JobQueries.CatchUp catchUp, ReadResult result) implements JobsCommand {}
 
     /** An append of callers' requests has ended. */
     record RequestsWritten(AppendResult result) implements JobsCommand {}
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
@@ -156,7 +156,7 @@
                     "a job id has at most " + MAX_ID_CHARS + " characters and contains no dot or slash");
         }
         if (request.method().equals(HttpMethods.GET)) {
-            return id.isEmpty() ? countWaiting(queue) : query(request, id);
+            return id.isEmpty() ? countWaiting(request, queue) : query(request, id);
         }
         if (id.isEmpty()) {
             return refuse(request, queue.name(), 400, "the job id is missing after " + queue.pathPrefix());
@@ -241,10 +241,15 @@
         });
     }
 
-    private CompletionStage<HttpResponse> countWaiting(JobQueue queue) {
-        CompletableFuture<Integer> answer = new CompletableFuture<>();
+    private CompletionStage<HttpResponse> countWaiting(HttpRequest request, JobQueue queue) {
+        CompletableFuture<JobsCommand.CountAnswer> answer = new CompletableFuture<>();
         jobs.accept(new JobsCommand.CountWaiting(queue.name(), answer));
-        return answer.thenApply(waiting -> json(200, JobCodec.encodeWaiting(waiting)));
+        return answer.thenCompose(result -> switch (result) {
+            case JobsCommand.CountAnswer.Counted counted ->
+                CompletableFuture.completedFuture(json(200, JobCodec.encodeWaiting(counted.waiting())));
+            case JobsCommand.CountAnswer.Unavailable unavailable ->
+                refuse(request, queue.name(), 503, unavailable.reason());
+        });
     }
 
     /*
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -35,6 +35,7 @@
     private TopicPartition refused;
     private int refusals;
     private TopicPartition silenced;
+    private TopicPartition unloadable;
     private TopicPartition delayed;
     private int answerDelayMs;
     private int maxRecords = Integer.MAX_VALUE;
@@ -70,11 +71,16 @@
         holdingReads = true;
     }
 
-    /** Makes further reads of a partition get no answer, as on a dead connection. */
+    /** Makes further reads of a partition get no answer, as on a dead connection; null for none. */
     synchronized void silenceReads(TopicPartition partition) {
         silenced = partition;
     }
 
+    /** Makes further reads of the newest records of a partition get no answer, as on a dead connection. */
+    synchronized void silenceLoads(TopicPartition partition) {
+        unloadable = partition;
+    }
+
     /** Delays the answers to further reads of a partition; they still contain the records at the time of the read. */
     synchronized void delayReads(TopicPartition partition, int delayMs) {
         delayed = partition;
@@ -130,6 +136,9 @@
     @Override
     public synchronized CompletionStage<ReadResult> readNewest(
             TopicPartition partition, String afterKey, int maxSilenceMs) {
+        if (partition.equals(unloadable)) {
+            return new CompletableFuture<>();
+        }
         return CompletableFuture.completedFuture(
                 new ReadResult.Page(newest(partition), "", false, log(partition).size()));
     }
--- /dev/null
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobQueriesTest.java
@@ -0,0 +1,152 @@
+package org.fulmarreach.entry.jobs;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.awaitility.Awaitility;
+import org.fulmarreach.core.jobs.JobSpec;
+import org.fulmarreach.core.jobs.JobStep;
+import org.fulmarreach.core.jobs.JobTimeLimits;
+import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.platform.store.AppendCondition;
+import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.TopicPartition;
+import org.fulmarreach.protocol.io.JobRecords;
+import org.fulmarreach.protocol.io.JobTopics;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.util.ActorSystems;
+import org.fulmarreach.runtime.util.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+/** Guards against answers that an entry gives from records of the log that are too old or incomplete for them. */
+class JobQueriesTest {
+    private static final String CONFIG = "{\"version\":7,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
+            + "\"path_prefix\":\"/q/\",\"service\":\"s\",\"max_attempts\":2}],\"services\":[],\"limits\":{}}";
+
+    /** A count may be so old. */
+    private static final int MAX_COUNT_AGE_MS = 2_000;
+
+    private final FakeStore store = new FakeStore();
+    private ActorSystem<JobsCommand> entry;
+
+    @AfterEach
+    void stop() {
+        entry.terminate();
+    }
+
+    /** An entry that had not loaded the requests yet answered that no job waits. */
+    @Test
+    void countIsRefusedWhileRequestsAreLoading() throws Exception {
+        appendJob("job-1");
+        store.silenceLoads(JobPartitions.REQUESTS);
+        start();
+        assertInstanceOf(JobsCommand.CountAnswer.Unavailable.class, count());
+    }
+
+    /** An entry counted from what it had read before its reads got no answer any more, without a limit on its age. */
+    @Test
+    void countIncludesJobsThatTheEntryHasNotReadForLong() throws Exception {
+        followLeader();
+        store.silenceReads(JobPartitions.REQUESTS);
+        // The read that is in flight may still contain a record.
+        Thread.sleep(100);
+        appendJob("job-1");
+        Thread.sleep(MAX_COUNT_AGE_MS);
+        store.silenceReads(null);
+        keepLeaderAlive();
+        assertEquals(new JobsCommand.CountAnswer.Counted(1), countOnceProgressIsRecent());
+    }
+
+    /** Without recent progress an entry cannot tell which jobs have begun. */
+    @Test
+    void countIsRefusedWhileProgressCannotBeRead() throws Exception {
+        followLeader();
+        appendJob("job-1");
+        store.silenceReads(JobPartitions.PROGRESS);
+        // A record that the entry cannot read keeps it from being elected, which would show that it knows all progress.
+        Thread.sleep(100);
+        keepLeaderAlive();
+        Thread.sleep(MAX_COUNT_AGE_MS + 500);
+        assertInstanceOf(JobsCommand.CountAnswer.Unavailable.class, count());
+    }
+
+    /*
+     * Helpers
+     */
+
+    private void followLeader() throws Exception {
+        keepLeaderAlive();
+        start();
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> count().equals(new JobsCommand.CountAnswer.Counted(0)));
+    }
+
+    private void keepLeaderAlive() {
+        append(JobPartitions.PROGRESS, JobTopics.LEADER_KEY, JobRecords.encodeLeader(1, "leader", "127.0.0.1:9"));
+    }
+
+    private JobsCommand.CountAnswer countOnceProgressIsRecent() {
+        return Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(this::count, JobsCommand.CountAnswer.Counted.class::isInstance);
+    }
+
+    private void start() {
+        append(TopicPartition.OPERATOR, TopicPartition.CONFIG_KEY, CONFIG.getBytes(StandardCharsets.UTF_8));
+        entry = ActorSystems.construct(
+                JobsActor.create(
+                        store,
+                        new FakeEntryLinks(),
+                        new JobsActor.Identity("entry-0", "127.0.0.1:1"),
+                        new JobTimeLimits(6_000, 120_000, 3_000),
+                        MonotonicClock.system(),
+                        new EventLog("entry-0"),
+                        new AtomicReference<>(new JobsCommand.View(null, false)),
+                        new Random(1)),
+                "entry-0",
+                1);
+    }
+
+    private void appendJob(String id) {
+        JobStep step = new JobStep(
+                1,
+                new Resources(100, 100, 0),
+                100,
+                List.of(),
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                false,
+                "",
+                0,
+                false,
+                0);
+        JobSpec job = new JobSpec(id, "q", "text", List.of(step), 0, 0, 0, System.currentTimeMillis());
+        append(JobPartitions.REQUESTS, JobTopics.jobKey(id), JobRecords.encode(job));
+    }
+
+    private void append(TopicPartition partition, String key, byte[] value) {
+        store.append(partition, List.of(new KeyedRecord(key, value)), new AppendCondition.None());
+    }
+
+    private JobsCommand.CountAnswer count() throws Exception {
+        CompletableFuture<JobsCommand.CountAnswer> answer = new CompletableFuture<>();
+        entry.tell(new JobsCommand.CountWaiting("q", answer));
+        return answer.get(5, TimeUnit.SECONDS);
+    }
+}
