Refuse the status of a job whose progress is still being loaded

What callers may have seen: an entry that had loaded the requests but not yet the progress, as after a start or after the end of its leadership, showed completed jobs as queued, or as cancelled if they were cancelled afterwards.

The state of a job that no progress is known of was taken as its first state.

Change: until the progress is loaded only completed and failed jobs are answered, whose state cannot change any more; the rest gets 503.

Evidence: JobQueriesTest.statusIsRefusedWhileProgressIsLoading, red with the former answer restored (Known instead of Unavailable).

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
@@ -10,6 +10,7 @@
 import org.apache.pekko.actor.typed.ActorRef;
 import org.fulmarreach.core.jobs.Job;
 import org.fulmarreach.core.jobs.JobRegistry;
+import org.fulmarreach.core.jobs.JobStatus;
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.platform.store.ReadResult;
 import org.fulmarreach.platform.store.StoreClient;
@@ -134,7 +135,12 @@
      */
 
     private JobsCommand.StatusAnswer statusOf(Job job) {
-        return new JobsCommand.StatusAnswer.Known(job.acknowledgedStatus());
+        JobStatus status = job.acknowledgedStatus();
+        // A job that looks queued or cancelled may have been completed before, which only its progress tells.
+        boolean known = status == JobStatus.COMPLETED || status == JobStatus.FAILED;
+        return known || progressAgeMs.get().isPresent()
+                ? new JobsCommand.StatusAnswer.Known(status)
+                : new JobsCommand.StatusAnswer.Unavailable("this entry is still loading the progress of jobs");
     }
 
     private JobsCommand.CountAnswer count(String queue, long requestsAgeMs) {
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobQueriesTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobQueriesTest.java
@@ -10,9 +10,14 @@
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.awaitility.Awaitility;
+import org.fulmarreach.core.jobs.JobSnapshot;
 import org.fulmarreach.core.jobs.JobSpec;
+import org.fulmarreach.core.jobs.JobStatus;
 import org.fulmarreach.core.jobs.JobStep;
 import org.fulmarreach.core.jobs.JobTimeLimits;
+import org.fulmarreach.core.jobs.TaskPhase;
+import org.fulmarreach.core.jobs.TaskState;
+import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.core.model.Resources;
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.KeyedRecord;
@@ -80,6 +85,40 @@
         assertInstanceOf(JobsCommand.CountAnswer.Unavailable.class, count());
     }
 
+    /** An entry that had loaded the requests but not yet the progress showed completed jobs as queued. */
+    @Test
+    void statusIsRefusedWhileProgressIsLoading() throws Exception {
+        appendJob("job-1");
+        TaskState done = new TaskState(TaskPhase.DONE, 1, new WorkerRef("guard", "worker", 1), 0, "");
+        append(
+                JobPartitions.PROGRESS,
+                JobTopics.progressKey("job-1"),
+                JobRecords.encode(new JobSnapshot(List.of(done), System.currentTimeMillis(), true)));
+        store.silenceLoads(JobPartitions.PROGRESS);
+        start();
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> describe().contains("requestsLoaded=true"));
+        assertInstanceOf(JobsCommand.StatusAnswer.Unavailable.class, query("job-1"));
+    }
+
+    /** Progress that is known to be final needs no recent read. */
+    @Test
+    void statusOfACompletedJobIsKnownWithoutRecentProgress() throws Exception {
+        followLeader();
+        appendJob("job-1");
+        TaskState done = new TaskState(TaskPhase.DONE, 1, new WorkerRef("guard", "worker", 1), 0, "");
+        append(
+                JobPartitions.PROGRESS,
+                JobTopics.progressKey("job-1"),
+                JobRecords.encode(new JobSnapshot(List.of(done), System.currentTimeMillis(), true)));
+        JobsCommand.StatusAnswer completed = new JobsCommand.StatusAnswer.Known(JobStatus.COMPLETED);
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> query("job-1").equals(completed));
+        store.silenceReads(JobPartitions.PROGRESS);
+        Thread.sleep(MAX_COUNT_AGE_MS);
+        assertEquals(completed, query("job-1"));
+    }
+
     /*
      * Helpers
      */
@@ -149,4 +188,16 @@
         entry.tell(new JobsCommand.CountWaiting("q", answer));
         return answer.get(5, TimeUnit.SECONDS);
     }
+
+    private JobsCommand.StatusAnswer query(String id) throws Exception {
+        CompletableFuture<JobsCommand.StatusAnswer> answer = new CompletableFuture<>();
+        entry.tell(new JobsCommand.Query(id, answer));
+        return answer.get(5, TimeUnit.SECONDS);
+    }
+
+    private String describe() throws Exception {
+        CompletableFuture<String> described = new CompletableFuture<>();
+        entry.tell(new JobsCommand.Describe(described));
+        return described.get(5, TimeUnit.SECONDS);
+    }
 }
