Wait longer for a leader that is slow to answer a new connection

Cause: from the leader's log, a guard joined every 0.15 to 0.2 s and left 0.18 s later (median), from 7 s before the traffic on. A guard closed a connection without an answer after 1.6 s. The leader, with 0.12 of a core, needs 0.2 s for each connection, 3.6 s for all 18: it answered guards that had just left, and each of them connected again.

Change: a guard waits for the first answer of an entry that the store or an entry has named as leader for up to a lease, asks the store every 1.6 s whether another entry leads, and leaves an established session after half a lease without an answer. An entry that nobody named is left after 1.6 s as before. Silence is counted in ticks, so that time in which the guard is suspended does not count.

WorkerRelayTest.silentLeaderIsLeftForTheOneInTheStore covers a leader that has failed meanwhile.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/LeaderFinder.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/LeaderFinder.java
@@ -39,6 +39,11 @@
         attempts = 0;
     }
 
+    /** Tells whether the next address is one that was named as the leader's. */
+    boolean hasHint() {
+        return !hint.isEmpty();
+    }
+
     /** Returns the address to try next; empty if the store is to be asked. */
     String nextAddress() {
         attempts++;
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
@@ -33,6 +33,10 @@
             4123,
             Level.INFO,
             "The leader cannot write and the store names another one; the guard connects to that one."),
+    LEADER_SILENT(
+            4124,
+            Level.INFO,
+            "An entry has not answered for too long; the guard closes the connection and searches for the leader."),
     LEADER_SOUGHT(
             4122,
             Level.FINE,
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
@@ -48,11 +48,13 @@
     private static final long BODY_TIMEOUT_MS = 1_000;
     private static final long MAX_BODY_BYTES = 64 * 1024;
 
-    /** The guard reports at least every 500 ms and the leader answers each; three missed answers end the session. */
     /** The store answers in 4 ms; a guard without an answer asks an entry next. */
     private static final int LOOKUP_SILENCE_MS = 1_000;
 
-    private static final LinkSettings LINKS = new LinkSettings(1_600, 500, 4 << 20, 8 << 20);
+    private static final LinkSettings LINKS = LinkSettings.DEFAULT.withConnectTimeoutMs(500);
+
+    /** The relay leaves a silent leader earlier; the limit of the transport only ends connections that it gave up. */
+    private static final int SILENCE_MARGIN_MS = 1_000;
 
     private final ActorSystem<RelayCommand> system;
 
@@ -70,13 +72,14 @@
     public static RelayNode start(NodeSettings settings, MonotonicClock clock, EventLog log) {
         Address workerAddress = Address.parse(settings.workerAddress());
         Address storeAddress = Address.parse(settings.storeAddress());
+        LinkSettings links = LINKS.withSilenceTimeoutMs((int) settings.bounds().leaseMs() + SILENCE_MARGIN_MS);
         ActorSystem<RelayCommand> system = ActorSystems.construct(
                 Behaviors.setup(context -> {
                     StoreClient store =
                             new HttpStoreClient(context.getSystem(), storeAddress.host(), storeAddress.port());
                     return WorkerRelay.create(
                             new HttpWorkerCalls(context.getSystem(), workerAddress.host(), workerAddress.port()),
-                            new NetworkLinks(new FrameTransport(context.getSystem(), LINKS, log), store, log),
+                            new NetworkLinks(new FrameTransport(context.getSystem(), links, log), store, log),
                             settings.entryAddresses(),
                             settings.node(),
                             new JobTimeLimits(
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -35,7 +35,7 @@
  * drains.
  */
 public final class WorkerRelay extends AbstractBehavior<RelayCommand> {
-    private static final Duration TICK = Duration.ofMillis(250);
+    private static final int TICK_MS = 250;
 
     /** Longest wait of a poll. Progress and lease are renewed at this interval; the worker reports an end at once. */
     private static final int POLL_WAIT_MS = 500;
@@ -65,6 +65,7 @@
     private final WorkerCalls worker;
     private final Links links;
     private final LeaderFinder finder;
+    private final LeaderSilence silence;
     private final WorkerLease lease;
     private final String guard;
     private final long startValidMs;
@@ -85,6 +86,7 @@
     private long acknowledgedEnd;
     private long term;
     private FrameLink leaderLink;
+    private boolean leaderNamed;
     private boolean sessionAccepted;
     private long linkAttempt;
     private long reportedAtMs;
@@ -123,13 +125,14 @@
         this.worker = worker;
         this.links = links;
         this.finder = new LeaderFinder(entries, random);
+        this.silence = new LeaderSilence(limits.leaseMs(), TICK_MS);
         this.lease = new WorkerLease(limits.leaseMs(), clock.nowMs());
         this.guard = guard;
         this.startValidMs = limits.startValidMs();
         this.clock = clock;
         this.log = log;
         this.dispatcher = new OrderDispatcher(worker, lease, context, clock, log);
-        timers.startTimerWithFixedDelay(new RelayCommand.Tick(), TICK);
+        timers.startTimerWithFixedDelay(new RelayCommand.Tick(), Duration.ofMillis(TICK_MS));
         sendPoll();
         searchLeader();
     }
@@ -386,8 +389,7 @@
         if (orders.getWriteAgeMs() > LEADER_WRITE_AGE_MS
                 && clock.nowMs() - leaderCheckedAtMs > LEADER_CHECK_INTERVAL_MS) {
             leaderCheckedAtMs = clock.nowMs();
-            var self = getContext().getSelf();
-            links.findLeader(found -> self.tell(new RelayCommand.LeaderLookupCompleted(found)));
+            lookUpLeader();
         }
         lease.grant(orders.getEchoedTickMs());
         if (orders.getAcknowledgedEnd() > acknowledgedEnd) {
@@ -426,15 +428,20 @@
         if (leaderLink != null) {
             return;
         }
+        boolean hinted = finder.hasHint();
         String address = finder.nextAddress();
-        var self = getContext().getSelf();
         if (address.isEmpty()) {
-            links.findLeader(found -> self.tell(new RelayCommand.LeaderLookupCompleted(found)));
+            lookUpLeader();
         } else {
-            connect(address);
+            connect(address, hinted);
         }
     }
 
+    private void lookUpLeader() {
+        var self = getContext().getSelf();
+        links.findLeader(found -> self.tell(new RelayCommand.LeaderLookupCompleted(found)));
+    }
+
     private void onLeaderLookupCompleted(String address) {
         if (leaderLink != null) {
             if (!address.isEmpty() && !address.equals(leaderLink.remoteAddress())) {
@@ -454,12 +461,13 @@
         if (address.isEmpty()) {
             schedule(finder.retryDelayMs(), new RelayCommand.LeaderSearchDue());
         } else {
-            connect(address);
+            connect(address, true);
         }
     }
 
-    private void connect(String address) {
+    private void connect(String address, boolean named) {
         linkAttempt++;
+        leaderNamed = named;
         long attempt = linkAttempt;
         var self = getContext().getSelf();
         log.emit(RelayEvent.LEADER_SOUGHT, "address", address, "attempt", attempt);
@@ -477,6 +485,7 @@
             case LinkEvent.Opened opened -> {
                 leaderLink = opened.link();
                 sessionAccepted = false;
+                silence.onOpened(leaderNamed);
                 report();
             }
             case LinkEvent.Received received ->
@@ -498,6 +507,7 @@
 
     private void onMessage(FrameLink link, Body body) {
         if (body.isSetLeaderOrders()) {
+            silence.onAnswer();
             if (!sessionAccepted) {
                 sessionAccepted = true;
                 log.emit(
@@ -515,6 +525,9 @@
     }
 
     private void onTick() {
+        if (leaderLink != null) {
+            reviewSession();
+        }
         long nowMs = clock.nowMs();
         boolean expired = workerRef != null && hasLeaseExpired(nowMs);
         if (expired && !expiryReported) {
@@ -526,6 +539,23 @@
         }
     }
 
+    private void reviewSession() {
+        LeaderSilence.Verdict verdict = silence.onTick();
+        if (verdict == LeaderSilence.Verdict.LOOK_UP) {
+            lookUpLeader();
+        } else if (verdict == LeaderSilence.Verdict.LEAVE) {
+            log.emit(
+                    RelayEvent.LEADER_SILENT,
+                    "address",
+                    leaderLink.remoteAddress(),
+                    "silentForMs",
+                    silence.silentMs(),
+                    "accepted",
+                    sessionAccepted);
+            leaderLink.close();
+        }
+    }
+
     private void report() {
         if (leaderLink == null) {
             return;
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -289,6 +289,26 @@
         Awaitility.await().atMost(TIMEOUT).until(() -> entries.connected.contains("10.0.0.2:1"));
     }
 
+    /** A leader that failed without closing its connections was left only when the connection timed out. */
+    @Test
+    void silentLeaderIsLeftForTheOneInTheStore() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        awaitReport();
+        entries.leader = "10.0.0.2:1";
+        Awaitility.await().atMost(TIMEOUT).until(() -> entries.connected.contains("10.0.0.2:1"));
+    }
+
+    /** Guards that left an overloaded leader and connected again kept it overloaded. */
+    @Test
+    void slowLeaderThatTheStoreStillNamesIsKept() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        awaitReport();
+        Awaitility.await()
+                .during(Duration.ofMillis(4_000))
+                .atMost(TIMEOUT)
+                .until(() -> entries.connected.equals(List.of("10.0.0.1:1")));
+    }
+
     /*
      * Helpers
      */
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/LinkSettings.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/LinkSettings.java
@@ -17,6 +17,11 @@
         return new LinkSettings(newSilenceTimeoutMs, connectTimeoutMs, maxFrameBytes, maxPendingBytes);
     }
 
+    /** Returns a copy with another timeout for opening a connection, in milliseconds. */
+    public LinkSettings withConnectTimeoutMs(int newConnectTimeoutMs) {
+        return new LinkSettings(silenceTimeoutMs, newConnectTimeoutMs, maxFrameBytes, maxPendingBytes);
+    }
+
     /** Returns a copy with another limit on pending bytes. */
     public LinkSettings withMaxPendingBytes(int newMaxPendingBytes) {
         return new LinkSettings(silenceTimeoutMs, connectTimeoutMs, maxFrameBytes, newMaxPendingBytes);
