Show a completed job as completed whichever record is read first

What callers may have seen: a job that was cancelled after its completion was shown as cancelled by some entries and as completed by others, for good.

Cause: the first final state that an entry saw was kept. The cancellation and the progress lie in two partitions, and at the start of an entry the requests are read first.

Change: the state that callers see is derived from the newest acknowledged progress and the cancellation, so it is the same at all entries.

Evidence: JobRegistryTest.completedJobIsShownAsCompletedIfItsCancellationIsReadFirst, red before (CANCELLED).

--- a/core/src/main/java/org/fulmarreach/core/jobs/Job.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Job.java
@@ -128,9 +128,7 @@
 
     void cancel() {
         cancelled = true;
-        if (!acknowledgedStatus.isFinal()) {
-            acknowledgedStatus = JobStatus.CANCELLED;
-        }
+        updateAcknowledgedStatus();
     }
 
     /** Records that a worker has begun a task; returns true if that was not known before. */
@@ -175,9 +173,13 @@
     /** Records that the store has acknowledged this progress. */
     void acknowledge(JobSnapshot snapshot) {
         acknowledged = snapshot;
-        if (!acknowledgedStatus.isFinal()) {
-            acknowledgedStatus = snapshot.status(cancelled);
-        }
+        updateAcknowledgedStatus();
+    }
+
+    /** The cancellation and the progress are read from two partitions, so neither order may decide the status. */
+    private void updateAcknowledgedStatus() {
+        acknowledgedStatus =
+                acknowledged == null ? JobStatus.of(false, false, cancelled) : acknowledged.status(cancelled);
     }
 
     /** Updates the counts by phase; must be called on each state change of one of the tasks. */
