Write no progress for a job whose records are being removed

What operators may have seen: a record of progress without a request, left in the log until the next leader removed it.

Cause: an end that is listed after the retention of its job marked the job as changed (a late success always did, any listing since jobs store their begin), and the next batch wrote it after its removal.

Change: a batch leaves out the jobs that are being removed, and a job with a final state no longer records its begin.

Evidence: JobSchedulerTest.noProgressIsWrittenForAJobThatIsBeingRemoved, red before (the batch holds the job).

--- a/core/src/main/java/org/fulmarreach/core/jobs/DecisionBuffer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/DecisionBuffer.java
@@ -43,10 +43,15 @@
         return taken;
     }
 
-    JobBatch takeBatch() {
+    /**
+     * Returns the buffered decisions and clears them.
+     *
+     * @param forgotten ids of jobs whose records are being removed; their progress must not be written again
+     */
+    JobBatch takeBatch(Set<String> forgotten) {
         Map<String, JobSnapshot> progress = new LinkedHashMap<>();
         for (Job job : changed) {
-            if (job.getAndClearChanged()) {
+            if (job.getAndClearChanged() && !forgotten.contains(job.spec().id())) {
                 progress.put(job.spec().id(), job.snapshot());
             }
         }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -181,7 +181,7 @@
 
     /** Returns the pending changes to write, with the orders that depend on them, and clears both. */
     public JobBatch takeBatch() {
-        return decisions.takeBatch();
+        return decisions.takeBatch(forgotten);
     }
 
     /** Applies the store's acknowledgement of a batch. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -301,7 +301,7 @@
     }
 
     private void recordBegun(Job job) {
-        if (job.markBegun()) {
+        if (!job.status().isFinal() && job.markBegun()) {
             decisions.markChanged(job);
         }
     }
--- a/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
@@ -1,6 +1,8 @@
 package org.fulmarreach.core.jobs;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 import org.fulmarreach.core.model.Resources;
 import org.junit.jupiter.api.BeforeEach;
@@ -204,6 +206,40 @@
         assertEquals(JobStatus.COMPLETED, job("job").acknowledgedStatus());
     }
 
+    /**
+     * The end of a run that was lost with a silent worker may be listed after the retention of its job. The progress
+     * that was written then had no request any more and stayed in the log until the next leader.
+     */
+    @Test
+    void noProgressIsWrittenForAJobThatIsBeingRemoved() {
+        pool.submit(new JobSpec("job", "q", "", List.of(step(1).build()), 0, 0, 0, pool.nowMs), List.of(100_000L));
+        WorkerRef worker = job("job").tasks().get(0).state().worker();
+        pool.silence(pool.workers.get(worker.guard()));
+        pool.run(20_000);
+        pool.cancel("job");
+        pool.run(500);
+        JobScheduler leader = new JobScheduler(
+                pool.registry, CONFIG, new JobTimeLimits(6_000, 100, 3_000), DecisionLog.NONE, pool.nowMs);
+        leader.tick(pool.nowMs, pool.nowMs + 10_000, true);
+        JobBatch removal = leader.takeBatch();
+        assertEquals(Set.of("job"), removal.removedJobIds());
+        leader.onReport(
+                new WorkerReport(
+                        worker,
+                        FakeWorker.SERVICE,
+                        "z",
+                        new Resources(1_000, 1_000, 0),
+                        List.of("a", "rack-0"),
+                        false,
+                        true,
+                        false,
+                        List.of(),
+                        List.of(new WorkerReport.Ended(1, "job.0.0.0", 1, RunEnd.DONE, "")),
+                        1),
+                pool.nowMs);
+        assertEquals(Map.of(), leader.takeBatch().progress());
+    }
+
     @Test
     void drainingWorkerGetsNoNewTasks() {
         pool.workers.get("guard-0").draining = true;
