Take a task that has ended or saved its progress as a begin

What callers may have seen during an upgrade: a job falls back from running to queued between two steps, because records of the former version do not tell whether a worker has begun a task.

Change: a task that is done, has failed or has a checkpoint counts as a begin when such a record is read.

--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -140,7 +140,13 @@
                     state.getCrashes(),
                     state.getSoleCrashes()));
         }
-        return new JobSnapshot(tasks, progress.getSettledAtMs(), progress.isBegun());
+        // Records of the former version do not tell, but a task that has ended or saved its progress has begun.
+        boolean begun = progress.isBegun()
+                || tasks.stream()
+                        .anyMatch(task -> task.phase() == TaskPhase.DONE
+                                || task.failures() > 0
+                                || !task.checkpoint().isEmpty());
+        return new JobSnapshot(tasks, progress.getSettledAtMs(), begun);
     }
 
     /** Converts the lifetime of a worker to Thrift. */
--- a/protocol/src/test/java/org/fulmarreach/protocol/io/JobRecordsTest.java
+++ b/protocol/src/test/java/org/fulmarreach/protocol/io/JobRecordsTest.java
@@ -55,6 +55,16 @@
         assertEquals(JobStatus.QUEUED, JobRecords.fromThrift(written).status(false));
     }
 
+    /** A record of the former version; its job fell back from running to queued between two steps. */
+    @Test
+    void jobOfARecordWithoutTheMarkHasBegunIfATaskIsDone() {
+        JobProgress former = new JobProgress(
+                List.of(new JobWorkerRef("guard-1", "worker-1", 7)),
+                List.of(new JobTaskState(TaskPhase.DONE.ordinal(), 1, 0, 0, ""), new JobTaskState(0, 0, -1, 0, "")),
+                0);
+        assertEquals(JobStatus.RUNNING, JobRecords.fromThrift(former).status(false));
+    }
+
     /** A task without crashes is written as the former version wrote it. */
     @Test
     void taskWithoutCrashesHasNoFieldForThem() {
