Share the reads of queries that find the records at hand too old

Change: queries that arrive during a read share the next one, and one expiry causes one load. The read in progress does not serve them, since it may not contain what was stored before they arrived.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
@@ -1,9 +1,10 @@
 package org.fulmarreach.entry.jobs;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -28,25 +29,31 @@
 
     private final JobRegistry registry;
     private final LogTail requests;
-    private final Supplier<OptionalLong> progressAgeMs;
+    private final LogTail progress;
+    private final Supplier<OptionalLong> leaderAgeMs;
     private final StoreClient store;
     private final ActorRef<JobsCommand> actor;
     private final Consumer<KeyedRecord> applyRequest;
     private final MonotonicClock clock;
     private final EventLog log;
+    private List<Consumer<Optional<String>>> waiting = new ArrayList<>();
+    private List<Consumer<Optional<String>>> reading = List.of();
 
     /**
      * Constructs the queries.
      *
      * @param requests the followed partition of callers' requests
-     * @param progressAgeMs age of the known progress of jobs, in milliseconds; empty if it has not been loaded
+     * @param progress the followed partition of the progress of jobs
+     * @param leaderAgeMs while this entry leads, the time since its last acknowledged write, in milliseconds; empty
+     *     otherwise
      * @param actor receives the results of reads
      * @param applyRequest applies a record of the partition of requests to the registry
      */
     JobQueries(
             JobRegistry registry,
             LogTail requests,
-            Supplier<OptionalLong> progressAgeMs,
+            LogTail progress,
+            Supplier<OptionalLong> leaderAgeMs,
             StoreClient store,
             ActorRef<JobsCommand> actor,
             Consumer<KeyedRecord> applyRequest,
@@ -54,7 +61,8 @@
             EventLog log) {
         this.registry = registry;
         this.requests = requests;
-        this.progressAgeMs = progressAgeMs;
+        this.progress = progress;
+        this.leaderAgeMs = leaderAgeMs;
         this.store = store;
         this.actor = actor;
         this.applyRequest = applyRequest;
@@ -62,14 +70,6 @@
         this.log = log;
     }
 
-    /**
-     * A read of the requests that were stored after the last read.
-     *
-     * @param isSufficient tells whether the records read so far are enough
-     * @param done receives the reason of a failure; empty if the read succeeded
-     */
-    record CatchUp(BooleanSupplier isSufficient, Consumer<Optional<String>> done) {}
-
     /** Answers with the status of a job as acknowledged by the store. */
     void answerStatus(String jobId, CompletableFuture<JobsCommand.StatusAnswer> reply) {
         find(
@@ -90,7 +90,7 @@
         if (registry.find(jobId).isPresent()) {
             done.accept(Optional.empty());
         } else if (requests.isLoaded()) {
-            catchUp(() -> registry.find(jobId).isPresent(), done);
+            catchUp(done);
         } else {
             done.accept(Optional.of("this entry is still loading the job log"));
         }
@@ -100,33 +100,30 @@
     void answerCount(String queue, CompletableFuture<JobsCommand.CountAnswer> reply) {
         if (requests.isLoaded() && requests.ageMs() > MAX_COUNT_AGE_MS) {
             long startedAtMs = clock.nowMs();
-            catchUp(
-                    () -> false,
-                    problem -> reply.complete(
-                            problem.<JobsCommand.CountAnswer>map(JobsCommand.CountAnswer.Unavailable::new)
-                                    .orElseGet(() -> count(queue, clock.nowMs() - startedAtMs))));
+            catchUp(problem ->
+                    reply.complete(problem.<JobsCommand.CountAnswer>map(JobsCommand.CountAnswer.Unavailable::new)
+                            .orElseGet(() -> count(queue, clock.nowMs() - startedAtMs))));
         } else {
             reply.complete(count(queue, requests.ageMs()));
         }
     }
 
-    void onReadEnded(JobsCommand.CatchUpReadEnded ended) {
-        CatchUp catchUp = ended.catchUp();
-        switch (ended.result()) {
+    void onReadEnded(ReadResult result) {
+        switch (result) {
             case ReadResult.Records read -> {
                 read.records().forEach(applyRequest);
-                if (read.isComplete() || catchUp.isSufficient().getAsBoolean()) {
-                    catchUp.done().accept(Optional.empty());
+                if (read.isComplete()) {
+                    endCatchUp(Optional.empty());
                 } else {
-                    readFrom(read.nextOffset(), catchUp);
+                    readFrom(read.nextOffset());
                 }
             }
             case ReadResult.Expired expired -> {
                 requests.reload();
-                catchUp.done().accept(Optional.of("this entry is reloading the job log"));
+                endCatchUp(Optional.of("this entry is reloading the job log"));
             }
-            case ReadResult.Page page -> catchUp.done().accept(Optional.of("unexpected answer of the store"));
-            case ReadResult.Failed failed -> catchUp.done().accept(Optional.of(failed.reason()));
+            case ReadResult.Page page -> endCatchUp(Optional.of("unexpected answer of the store"));
+            case ReadResult.Failed failed -> endCatchUp(Optional.of(failed.reason()));
         }
     }
 
@@ -138,13 +135,22 @@
         JobStatus status = job.acknowledgedStatus();
         // A job that looks queued or cancelled may have been completed before, which only its progress tells.
         boolean known = status == JobStatus.COMPLETED || status == JobStatus.FAILED;
-        return known || progressAgeMs.get().isPresent()
+        return known || progress.isLoaded()
                 ? new JobsCommand.StatusAnswer.Known(status)
                 : new JobsCommand.StatusAnswer.Unavailable("this entry is still loading the progress of jobs");
     }
 
+    /** Returns for how long progress may have been stored without being known here; empty while it is loading. */
+    private OptionalLong progressAgeMs() {
+        OptionalLong leaderAge = leaderAgeMs.get();
+        if (leaderAge.isPresent()) {
+            return leaderAge;
+        }
+        return progress.isLoaded() ? OptionalLong.of(progress.ageMs()) : OptionalLong.empty();
+    }
+
     private JobsCommand.CountAnswer count(String queue, long requestsAgeMs) {
-        OptionalLong progressAge = progressAgeMs.get();
+        OptionalLong progressAge = progressAgeMs();
         JobsCommand.CountAnswer answer;
         if (!requests.isLoaded() || progressAge.isEmpty()) {
             answer = new JobsCommand.CountAnswer.Unavailable("this entry is still loading the job log");
@@ -173,12 +179,34 @@
         return answer;
     }
 
-    private void catchUp(BooleanSupplier isSufficient, Consumer<Optional<String>> done) {
-        readFrom(requests.nextOffset(), new CatchUp(isSufficient, done));
+    /**
+     * Reads the requests to their end. Queries that arrive during a read share the next one, since the read in progress
+     * may not contain what was stored before they arrived.
+     */
+    private void catchUp(Consumer<Optional<String>> done) {
+        waiting.add(done);
+        if (reading.isEmpty()) {
+            startCatchUp();
+        }
+    }
+
+    private void startCatchUp() {
+        reading = waiting;
+        waiting = new ArrayList<>();
+        readFrom(requests.nextOffset());
+    }
+
+    private void endCatchUp(Optional<String> problem) {
+        List<Consumer<Optional<String>>> ended = reading;
+        reading = List.of();
+        ended.forEach(done -> done.accept(problem));
+        if (reading.isEmpty() && !waiting.isEmpty()) {
+            startCatchUp();
+        }
     }
 
-    private void readFrom(long offset, CatchUp catchUp) {
+    private void readFrom(long offset) {
         store.read(JobPartitions.REQUESTS, offset, 0)
-                .thenAccept(result -> actor.tell(new JobsCommand.CatchUpReadEnded(catchUp, result)));
+                .thenAccept(result -> actor.tell(new JobsCommand.CatchUpReadEnded(result)));
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -128,7 +128,15 @@
         this.writer = new RequestWriter(
                 JobPartitions.REQUESTS, store, forwarder, () -> !requests.isFailing(), context, clock);
         this.queries = new JobQueries(
-                registry, requests, this::progressAgeMs, store, context.getSelf(), this::applyRequest, clock, log);
+                registry,
+                requests,
+                progress,
+                this::leaderAgeMs,
+                store,
+                context.getSelf(),
+                this::applyRequest,
+                clock,
+                log);
         this.lastReadAtMs = clock.nowMs();
         config.reload();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
@@ -173,7 +181,7 @@
             case JobsCommand.Describe describe -> describe.reply().complete(describe());
             case JobsCommand.TailRead read -> read.tail().onRead(read.generation(), read.result(), read.knownUpToMs());
             case JobsCommand.TailDue due -> due.tail().onDue(due.generation());
-            case JobsCommand.CatchUpReadEnded ended -> queries.onReadEnded(ended);
+            case JobsCommand.CatchUpReadEnded ended -> queries.onReadEnded(ended.result());
             case JobsCommand.RequestsWritten written -> writer.onWritten(written.result());
             case JobsCommand.WriteDue due -> writer.onDue();
             case JobsCommand.BatchWritten written -> onBatchWritten(written);
@@ -565,12 +573,8 @@
      * Helpers
      */
 
-    /** Returns for how long progress may have been stored without being known here; empty before the first load. */
-    private OptionalLong progressAgeMs() {
-        if (leaderTerm != null) {
-            return OptionalLong.of(leaderTerm.writeAgeMs());
-        }
-        return progress.isLoaded() ? OptionalLong.of(progress.ageMs()) : OptionalLong.empty();
+    private OptionalLong leaderAgeMs() {
+        return leaderTerm == null ? OptionalLong.empty() : OptionalLong.of(leaderTerm.writeAgeMs());
     }
 
     private String describe() {
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -88,7 +88,7 @@
     record TailDue(LogTail tail, long generation) implements JobsCommand {}
 
     /** A read that pending queries wait for has ended. */
-    record CatchUpReadEnded(JobQueries.CatchUp catchUp, ReadResult result) implements JobsCommand {}
+    record CatchUpReadEnded(ReadResult result) implements JobsCommand {}
 
     /** An append of callers' requests has ended. */
     record RequestsWritten(AppendResult result) implements JobsCommand {}
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -36,6 +36,9 @@
     private int refusals;
     private TopicPartition silenced;
     private TopicPartition unloadable;
+    private final Map<TopicPartition, Integer> reads = new HashMap<>();
+    private final Map<TopicPartition, Integer> loads = new HashMap<>();
+    private int appendDelayMs;
     private TopicPartition delayed;
     private int answerDelayMs;
     private int maxRecords = Integer.MAX_VALUE;
@@ -76,6 +79,21 @@
         silenced = partition;
     }
 
+    /** Returns how many reads of a partition have begun. */
+    synchronized int reads(TopicPartition partition) {
+        return reads.getOrDefault(partition, 0);
+    }
+
+    /** Returns how many reads of the newest records of a partition have begun. */
+    synchronized int loads(TopicPartition partition) {
+        return loads.getOrDefault(partition, 0);
+    }
+
+    /** Delays the answers to further appends, which are executed at once. */
+    synchronized void delayAppends(int delayMs) {
+        appendDelayMs = delayMs;
+    }
+
     /** Makes further reads of the newest records of a partition get no answer, as on a dead connection. */
     synchronized void silenceLoads(TopicPartition partition) {
         unloadable = partition;
@@ -114,11 +132,16 @@
                     CompletableFuture.delayedExecutor(APPEND_MS, TimeUnit.MILLISECONDS));
         }
         AppendResult result = execute(partition, records, condition);
+        if (appendDelayMs > 0) {
+            return CompletableFuture.supplyAsync(
+                    () -> result, CompletableFuture.delayedExecutor(appendDelayMs, TimeUnit.MILLISECONDS));
+        }
         return CompletableFuture.completedFuture(losingAnswers ? new AppendResult.Unknown("no answer") : result);
     }
 
     @Override
     public synchronized CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, int waitMs) {
+        reads.merge(partition, 1, Integer::sum);
         List<KeyedRecord> log = log(partition);
         if (fromOffset < firstKept.getOrDefault(partition, 0)) {
             return CompletableFuture.completedFuture(new ReadResult.Expired());
@@ -136,6 +159,7 @@
     @Override
     public synchronized CompletionStage<ReadResult> readNewest(
             TopicPartition partition, String afterKey, int maxSilenceMs) {
+        loads.merge(partition, 1, Integer::sum);
         if (partition.equals(unloadable)) {
             return new CompletableFuture<>();
         }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobQueriesTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobQueriesTest.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -32,6 +33,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against answers that an entry gives from records of the log that are too old or incomplete for them. */
 class JobQueriesTest {
@@ -100,6 +102,46 @@
         assertInstanceOf(JobsCommand.StatusAnswer.Unavailable.class, query("job-1"));
     }
 
+    /** Each count that came while the view was old read the log for itself, at the cost of a call. */
+    @Test
+    void countsThatArriveTogetherShareTheirReads() throws Exception {
+        followLeader();
+        store.silenceReads(JobPartitions.REQUESTS);
+        Thread.sleep(MAX_COUNT_AGE_MS);
+        store.silenceReads(null);
+        keepLeaderAlive();
+        int before = store.reads(JobPartitions.REQUESTS);
+        List<CompletableFuture<JobsCommand.CountAnswer>> counts = new ArrayList<>();
+        for (int i = 0; i < 50; i++) {
+            counts.add(requestCount());
+        }
+        for (CompletableFuture<JobsCommand.CountAnswer> each : counts) {
+            each.get(5, TimeUnit.SECONDS);
+        }
+        int reads = store.reads(JobPartitions.REQUESTS) - before;
+        assertTrue(reads <= 4, reads + " reads");
+    }
+
+    /** Each waiting query started another load of all requests when the store had forgotten what it was to read. */
+    @Test
+    void queriesThatFindTheLogExpiredLoadItOnce() throws Exception {
+        followLeader();
+        store.silenceReads(JobPartitions.REQUESTS);
+        Thread.sleep(MAX_COUNT_AGE_MS);
+        store.silenceReads(null);
+        store.removeAndExpire(JobPartitions.REQUESTS, JobTopics.jobKey("job-1"));
+        int before = store.loads(JobPartitions.REQUESTS);
+        List<CompletableFuture<JobsCommand.CountAnswer>> counts = new ArrayList<>();
+        for (int i = 0; i < 50; i++) {
+            counts.add(requestCount());
+        }
+        for (CompletableFuture<JobsCommand.CountAnswer> each : counts) {
+            each.get(5, TimeUnit.SECONDS);
+        }
+        int loads = store.loads(JobPartitions.REQUESTS) - before;
+        assertTrue(loads <= 2, loads + " loads");
+    }
+
     /** Progress that is known to be final needs no recent read. */
     @Test
     void statusOfACompletedJobIsKnownWithoutRecentProgress() throws Exception {
@@ -184,9 +226,13 @@
     }
 
     private JobsCommand.CountAnswer count() throws Exception {
+        return requestCount().get(5, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<JobsCommand.CountAnswer> requestCount() {
         CompletableFuture<JobsCommand.CountAnswer> answer = new CompletableFuture<>();
         entry.tell(new JobsCommand.CountWaiting("q", answer));
-        return answer.get(5, TimeUnit.SECONDS);
+        return answer;
     }
 
     private JobsCommand.StatusAnswer query(String id) throws Exception {
