Answer statuses while the progress of jobs is loaded again

What callers may have seen: an entry that ceased to lead, or whose tail had expired, answered 503 for the status of jobs that it knows, until it had read all progress again.

Cause: refused whenever a load was in progress. The states that the store has acknowledged before are no older than those of a follower whose reads lag, whose answers carry no promise of age either.

Change: statuses are refused before the first load only; counts still need a recent view.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
@@ -135,7 +135,7 @@
         JobStatus status = job.acknowledgedStatus();
         // A job that looks queued or cancelled may have been completed before, which only its progress tells.
         boolean known = status == JobStatus.COMPLETED || status == JobStatus.FAILED;
-        return known || progress.isLoaded()
+        return known || progress.wasLoaded()
                 ? new JobsCommand.StatusAnswer.Known(status)
                 : new JobsCommand.StatusAnswer.Unavailable("this entry is still loading the progress of jobs");
     }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
@@ -34,6 +34,7 @@
     private Times times;
     private long generation;
     private boolean loaded;
+    private boolean wasLoaded;
     private boolean paused;
     private long nextOffset;
     private int backoffMs;
@@ -96,6 +97,11 @@
         return loaded;
     }
 
+    /** Tells whether the newest records have been read at least once, even if they are being read again. */
+    boolean wasLoaded() {
+        return wasLoaded;
+    }
+
     /** Tells whether the last read failed. */
     boolean isFailing() {
         return backoffMs > 0;
@@ -193,6 +199,7 @@
         Load ended = load;
         load = new Load();
         loaded = true;
+        wasLoaded = true;
         nextOffset = ended.endOffset;
         knownUpToMs = Math.max(knownUpToMs, ended.startedAtMs);
         log.emit(JobEvent.STORE_LOADED, "partition", name(), "records", ended.records.size(), "next", nextOffset);
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobQueriesTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobQueriesTest.java
@@ -142,6 +142,21 @@
         assertTrue(loads <= 2, loads + " loads");
     }
 
+    /** An entry that ceased to lead refused the status of jobs until it had read all progress again. */
+    @Test
+    void formerLeaderStillShowsWhatTheStoreHasAcknowledged() throws Exception {
+        appendJob("job-1");
+        start();
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> describe().contains("leads=true"));
+        store.silenceLoads(JobPartitions.PROGRESS);
+        store.append(
+                JobPartitions.PROGRESS,
+                List.of(new KeyedRecord(JobTopics.LEADER_KEY, JobRecords.encodeLeader(99, "other", "127.0.0.1:9"))),
+                new AppendCondition.NewEpoch(JobTopics.LEADER_PRODUCER, 99, -1));
+        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> describe().contains("leads=false"));
+        assertEquals(new JobsCommand.StatusAnswer.Known(JobStatus.QUEUED), query("job-1"));
+    }
+
     /** Progress that is known to be final needs no recent read. */
     @Test
     void statusOfACompletedJobIsKnownWithoutRecentProgress() throws Exception {
