Count the age of a leader's last write from when it was sent

What callers may have seen: a task that runs twice. A leader that the store does not answer may grant leases for a bounded time after its last write, and the next leader waits for that time and a lease.

Cause: the time at which the answer of the store was handled counted as the time of the write. A leader whose actor or link is delayed by seconds acted on a permission that had run out meanwhile; the guards, which are told that age, trusted it for as much longer.

Change: the time at which the acknowledged append was sent counts.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -116,7 +116,7 @@
         return resigned;
     }
 
-    /** Returns how long ago the store last acknowledged an append, in milliseconds. */
+    /** Returns the maximum time since the store last acknowledged an append, in milliseconds. */
     long writeAgeMs() {
         return clock.nowMs() - acknowledgedAtMs;
     }
@@ -328,7 +328,8 @@
 
     private void acknowledge() {
         sequence++;
-        acknowledgedAtMs = clock.nowMs();
+        // The store answered at some time after the append was sent; the answer may have waited in the mailbox since.
+        acknowledgedAtMs = appendedAtMs;
         JobBatch batch = inFlight;
         inFlight = null;
         inFlightRecords = List.of();
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
@@ -31,6 +31,13 @@
                 .orElse(0);
     }
 
+    long minWriteAgeMs() {
+        return sent.stream()
+                .mapToLong(body -> body.getLeaderOrders().getWriteAgeMs())
+                .min()
+                .orElse(-1);
+    }
+
     long grants() {
         return sent.stream().filter(Body::isSetLeaderOrders).count();
     }
