Drop jobs whose removal was forgotten by the store before it was read

What callers would see: a completed job runs again (TWICE). An entry that could not read the log for longer than the store's history and a job's retention kept the job, and ran it once it was elected. Found by a review.

Cause: LogTail started over with the newest record of each key, which has no removals, and the registry only added what it read.

Keys that became known later are kept; dropping them would drop their progress, too. If the read of the first page fails, the next attempt takes the keys that are known then. - A key that this entry, as the leader, removed during the load is not taken from a page, which may be older than the removal. - Progress: requests are removed first. So a job that is known keeps its progress until the removal of its requests is known; without it, it would look new. Progress of unknown jobs is dropped once all requests stored before are known. Removals of progress that were read had been ignored as well: a new job of the same id took the former progress and never ran. - A leader drops such jobs, too: it can be elected while it cannot read the requests, and no record would tell it later. The scheduler releases their tasks, and nothing about them is written any more. The same now holds for a removal that is read during a term. Cancelling them instead was ruled out: callers would see a completed job as cancelled.

JobSchedulerTest.droppedJob... red without the release of its tasks, and without the end of writing.

Not covered: a job that was removed and submitted again under the same id within one outage keeps its former progress at an entry that knew it.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Job.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Job.java
@@ -13,6 +13,7 @@
     private boolean begun;
     private boolean cancelled;
     private boolean changed;
+    private boolean discarded;
     private long settledAtMs;
     private JobStatus acknowledgedStatus = JobStatus.QUEUED;
     private JobSnapshot acknowledged;
@@ -75,6 +76,11 @@
         return acknowledged == null ? 0 : acknowledged.settledAtMs();
     }
 
+    /** Tells whether the store has acknowledged progress of the job. */
+    boolean hasStoredProgress() {
+        return acknowledged != null;
+    }
+
     /** Returns the status including changes that are not written yet. */
     public JobStatus status() {
         if (count(TaskPhase.FAILED) > 0) {
@@ -133,6 +139,13 @@
         }
     }
 
+    /** Ends the job without a status: its workers get their capacity back, and its changes are not written any more. */
+    void discard() {
+        discarded = true;
+        cancelled = true;
+        tasks.forEach(JobTask::release);
+    }
+
     /** Records that a worker has begun a task; returns true if that was not known before. */
     boolean markBegun() {
         if (begun) {
@@ -195,7 +208,7 @@
     }
 
     boolean getAndClearChanged() {
-        boolean was = changed;
+        boolean was = changed && !discarded;
         changed = false;
         return was;
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobRegistry.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobRegistry.java
@@ -72,6 +72,30 @@
         cancelledUnknownJobs.remove(id);
     }
 
+    /** Drops the cancellation that is kept for a job which is not known. */
+    public void forgetCancellation(String id) {
+        cancelledUnknownJobs.remove(id);
+    }
+
+    /** Drops the progress that is kept for a job which is not known. */
+    public void forgetProgress(String id) {
+        progressOfUnknownJobs.remove(id);
+    }
+
+    /** Returns the ids of the jobs of which only the cancellation is known. */
+    public Set<String> cancelledUnknownJobs() {
+        return Set.copyOf(cancelledUnknownJobs);
+    }
+
+    /** Returns the ids of the jobs, known or not, of which stored progress is known. */
+    public Set<String> idsWithProgress() {
+        Set<String> ids = new HashSet<>(progressOfUnknownJobs.keySet());
+        jobs.values().stream()
+                .filter(Job::hasStoredProgress)
+                .forEach(job -> ids.add(job.spec().id()));
+        return ids;
+    }
+
     /**
      * Returns the ids of the jobs of which only the progress is known and whose retention has ended: a leader that
      * stopped after it removed their requests has left them.
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -81,6 +81,15 @@
         adoptTasks(job, nowMs);
     }
 
+    /**
+     * Stops scheduling a job that is removed from the registry. Nothing is written about it any more, and a run of it
+     * that a worker lists is stopped as one of an unknown job.
+     */
+    public void drop(Job job) {
+        active.remove(job);
+        job.discard();
+    }
+
     /** Handles the report of a guard; the caller sends a grant in return. */
     public void onReport(WorkerReport report, long nowMs) {
         WorkerView worker = workers.computeIfAbsent(report.ref().guard(), guard -> new WorkerView(guard, nowMs));
--- a/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
@@ -80,6 +80,27 @@
         assertFalse(pool.isApplicable(start));
     }
 
+    /** A job that is removed from the registry kept its place on a worker, and its progress was written again. */
+    @Test
+    void droppedJobTakesNoCapacityAndIsNotWritten() {
+        submit(
+                "dropped",
+                List.of(TestSteps.of(2, new Resources(4_000, 8_000, 0), 500, List.of())
+                        .build()),
+                20_000,
+                20_000);
+        pool.run(1_500);
+        JobTask task = job("dropped").tasks().get(0);
+        assertTrue(task.isAssigned());
+        Job dropped = job("dropped");
+        pool.remove("dropped");
+        task.setCrashes(1, 0);
+        assertFalse(dropped.getAndClearChanged(), "progress would be written");
+        submit("next", List.of(step(1).build()), 500);
+        pool.run(2_000);
+        assertEquals(JobStatus.COMPLETED, job("next").acknowledgedStatus());
+    }
+
     /** Partial work has no value until the whole job is done. */
     @Test
     void jobWithLessRemainingWorkIsRankedFirst() {
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -124,6 +124,12 @@
         silent.add(worker);
     }
 
+    /** Removes a job from the registry as the removal of its request does. */
+    void remove(String jobId) {
+        scheduler.drop(registry.find(jobId).orElseThrow());
+        registry.remove(jobId);
+    }
+
     void cancel(String jobId) {
         registry.cancel(jobId);
         scheduler.activate(registry.find(jobId).orElseThrow(), nowMs);
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -71,6 +71,10 @@
     STORE_LOADED(4042, Level.INFO, "The newest records of a partition were read."),
     RECORD_SKIPPED(4043, Level.SEVERE, "A record of the log cannot be decoded and is ignored; report it."),
     REMOVAL_FAILED(4044, Level.WARNING, "The requests of forgotten jobs could not be removed; this is tried again."),
+    REMOVAL_MISSED(
+            4045,
+            Level.INFO,
+            "A key was removed while the log could not be read; the newest records no longer contain it."),
     CONFIG_IN_FORCE(4050, Level.INFO, "A newer version of the operators' configuration is active."),
     CONFIG_UNREADABLE(
             4051, Level.SEVERE, "The operators' configuration cannot be decoded; the previous one stays active.");
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -5,9 +5,11 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -17,10 +19,10 @@
 import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
 import org.fulmarreach.core.exc.FrameException;
 import org.fulmarreach.core.jobs.DecisionLog;
+import org.fulmarreach.core.jobs.Job;
 import org.fulmarreach.core.jobs.JobConfig;
 import org.fulmarreach.core.jobs.JobRegistry;
 import org.fulmarreach.core.jobs.JobScheduler;
-import org.fulmarreach.core.jobs.JobSpec;
 import org.fulmarreach.core.jobs.JobTimeLimits;
 import org.fulmarreach.core.jobs.WorkerReport;
 import org.fulmarreach.platform.ingress.JobCodec;
@@ -36,7 +38,6 @@
 import org.fulmarreach.protocol.thrift.Frame;
 import org.fulmarreach.protocol.thrift.GuardReport;
 import org.fulmarreach.protocol.thrift.JobLeader;
-import org.fulmarreach.protocol.thrift.JobState;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameHandling;
 import org.fulmarreach.runtime.net.FrameLink;
@@ -74,6 +75,7 @@
     private final Random random;
     private final Election election;
     private final JobRegistry registry = new JobRegistry();
+    private final RecordApplier applier;
     private final LogTail requests;
     private final LogTail progress;
     private final LogTail config;
@@ -119,16 +121,17 @@
         this.decisionLog = (decision, subject, fields) -> JobEvent.emitDecision(log, decision, subject, fields);
         this.sessions = new GuardSessions(log);
         this.redirects = new GuardRedirects(log);
-        this.requests = follow(JobPartitions.REQUESTS, REQUEST_TIMES, this::onRequests);
-        this.progress = follow(JobPartitions.PROGRESS, PROGRESS_TIMES, this::onProgress);
-        this.config = follow(TopicPartition.OPERATOR, CONFIG_TIMES, this::onConfig);
+        this.applier = new RecordApplier(registry, this::onJobChanged, this::onJobRemoved, clock, log);
+        this.requests = follow(JobPartitions.REQUESTS, REQUEST_TIMES, applier::requestKeys, this::onRequests);
+        this.progress = follow(JobPartitions.PROGRESS, PROGRESS_TIMES, applier::progressKeys, this::onProgress);
+        this.config = follow(TopicPartition.OPERATOR, CONFIG_TIMES, Set::of, this::onConfig);
         this.election = new Election(identity, store, links, context.getSelf(), clock, log, random);
         this.forwarder = new RequestForwarder(
                 links, identity.guardAddress(), election::otherLeaderAddress, context.getSelf(), clock, log);
         this.writer = new RequestWriter(
                 JobPartitions.REQUESTS, store, forwarder, () -> !requests.isFailing(), context, clock);
         this.queries = new JobQueries(
-                registry, requests, this::progressAgeMs, store, context.getSelf(), this::applyRequest, clock, log);
+                registry, requests, this::progressAgeMs, store, context.getSelf(), applier::applyRequest, clock, log);
         this.lastReadAtMs = clock.nowMs();
         config.reload();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
@@ -218,7 +221,7 @@
         KeyedRecord entry = new KeyedRecord(JobTopics.jobKey(id), JobRecords.encode(submit.job()));
         writer.write(entry, submit.deadlineAtMs(), outcome -> {
             if (outcome instanceof WriteOutcome.Stored) {
-                addJob(submit.job());
+                applier.addJob(submit.job());
                 decide();
             }
             submit.reply().complete(outcome);
@@ -249,7 +252,7 @@
                 new KeyedRecord(JobTopics.cancelKey(id), JobRecords.encodeCancellation(System.currentTimeMillis()));
         writer.write(entry, cancel.deadlineAtMs(), outcome -> {
             if (outcome instanceof WriteOutcome.Stored) {
-                cancelJob(id);
+                applier.cancelJob(id);
                 decide();
             }
             cancel.reply().complete(outcome);
@@ -261,7 +264,7 @@
         KeyedRecord entry = new KeyedRecord(request.getKey(), request.getValue());
         writer.writeForwarded(entry, clock.nowMs() + request.getTimeoutMs(), outcome -> {
             if (outcome instanceof WriteOutcome.Stored) {
-                applyRequest(entry);
+                applier.applyRequest(entry);
                 decide();
             }
             link.send(correlationId, RequestForwarder.toFrame(outcome));
@@ -272,15 +275,20 @@
      * Log records
      */
 
-    private LogTail follow(TopicPartition partition, LogTail.Times tailTimes, Consumer<LogTail.Update> consumer) {
-        return new LogTail(partition, store, getContext(), log, clock, tailTimes, random, consumer);
+    private LogTail follow(
+            TopicPartition partition,
+            LogTail.Times tailTimes,
+            Supplier<Set<String>> knownKeys,
+            Consumer<LogTail.Update> consumer) {
+        return new LogTail(partition, store, getContext(), log, clock, tailTimes, random, knownKeys, consumer);
     }
 
     private void onRequests(LogTail.Update update) {
         if (!update.failed()) {
             lastReadAtMs = clock.nowMs();
         }
-        update.records().forEach(this::applyRequest);
+        update.records().forEach(applier::applyRequest);
+        applier.dropRemovedProgress(requests::covers);
         if (leaderTerm != null && !update.failed()) {
             leaderTerm.releaseHeld();
             decide();
@@ -288,32 +296,15 @@
         publishView();
     }
 
-    private void applyRequest(KeyedRecord entry) {
-        String key = entry.key();
-        try {
-            if (JobTopics.isCancel(key) && !entry.isRemoval()) {
-                cancelJob(JobTopics.jobId(key));
-            } else if (JobTopics.isJob(key) && entry.isRemoval()) {
-                registry.remove(JobTopics.jobId(key));
-            } else if (JobTopics.isJob(key)
-                    && registry.find(JobTopics.jobId(key)).isEmpty()) {
-                addJob(JobRecords.decodeJob(JobTopics.jobId(key), entry.value()));
-            }
-        } catch (FrameException e) {
-            log.emit(JobEvent.RECORD_SKIPPED, "key", key, "reason", e.getMessage());
-        }
-    }
-
-    private void addJob(JobSpec spec) {
-        if (registry.submit(spec) && leaderTerm != null) {
-            registry.find(spec.id()).ifPresent(leaderTerm::activate);
+    private void onJobChanged(Job job) {
+        if (leaderTerm != null) {
+            leaderTerm.activate(job);
         }
     }
 
-    private void cancelJob(String id) {
-        registry.cancel(id);
+    private void onJobRemoved(Job job) {
         if (leaderTerm != null) {
-            registry.find(id).ifPresent(leaderTerm::activate);
+            leaderTerm.drop(job);
         }
     }
 
@@ -334,11 +325,7 @@
 
     private void applyProgress(KeyedRecord entry) {
         if (JobTopics.isProgress(entry.key())) {
-            String id = JobTopics.jobId(entry.key());
-            if (!entry.isRemoval()) {
-                JobState state = JobRecords.decodeState(entry.value());
-                registry.restore(id, JobRecords.fromThrift(state.getProgress()));
-            }
+            applier.applyProgress(entry);
         } else if (entry.key().equals(JobTopics.LEADER_KEY) && !entry.isRemoval()) {
             election.onLeaderRecord(JobRecords.decodeState(entry.value()).getLeader(), progress.nextOffset());
             if (election.hasOtherLeader()) {
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -112,6 +112,11 @@
         scheduler.activate(job, clock.nowMs());
     }
 
+    /** Stops scheduling a job whose requests have been removed, which some leader did after the job had settled. */
+    void drop(Job job) {
+        scheduler.drop(job);
+    }
+
     boolean hasResigned() {
         return resigned;
     }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.fulmarreach.platform.store.KeyedRecord;
@@ -15,8 +17,9 @@
 import org.fulmarreach.runtime.util.MonotonicClock;
 
 /**
- * Follows a partition of the store: reads the newest record of each key, then all records appended later. Confined to
- * one actor.
+ * Follows a partition of the store: reads the newest record of each key, then all records appended later. If the store
+ * has forgotten records that were not read, it starts over, and the removals among them are inferred from the load
+ * ({@link PartitionLoad}). Confined to one actor.
  */
 final class LogTail {
     private static final int FIRST_BACKOFF_MS = 100;
@@ -30,6 +33,7 @@
     private final ActorContext<JobsCommand> context;
     private final EventLog log;
     private final MonotonicClock clock;
+    private final Supplier<Set<String>> knownKeys;
     private final Consumer<Update> consumer;
     private Times times;
     private long generation;
@@ -39,12 +43,14 @@
     private int backoffMs;
     private long knownUpToMs;
     private final Random random;
-    private Load load = new Load();
+    /** Pages that were read since the last reload; a failed read repeats only its own page. */
+    private PartitionLoad load = new PartitionLoad();
 
     /**
      * Constructs a tail that reads nothing until {@link #reload}.
      *
      * @param random source of the jitter of retries, so that entries do not repeat their reads at the same times
+     * @param knownKeys returns the keys of which the consumer holds records
      * @param consumer receives each update, on the actor
      */
     LogTail(
@@ -55,6 +61,7 @@
             MonotonicClock clock,
             Times times,
             Random random,
+            Supplier<Set<String>> knownKeys,
             Consumer<Update> consumer) {
         this.partition = partition;
         this.store = store;
@@ -64,17 +71,10 @@
         this.knownUpToMs = clock.nowMs();
         this.times = times;
         this.random = random;
+        this.knownKeys = knownKeys;
         this.consumer = consumer;
     }
 
-    /** Pages that were read since the last reload; a failed read repeats only its own page. */
-    private static final class Load {
-        private final List<KeyedRecord> records = new ArrayList<>();
-        private String lastKey = "";
-        private long endOffset = Long.MAX_VALUE;
-        private long startedAtMs = Long.MAX_VALUE;
-    }
-
     /**
      * Timing of reads, in milliseconds.
      *
@@ -132,7 +132,7 @@
         generation++;
         loaded = false;
         paused = false;
-        load = new Load();
+        load = new PartitionLoad();
         startRead();
     }
 
@@ -165,7 +165,7 @@
             }
             case ReadResult.Expired expired -> {
                 loaded = false;
-                load = new Load();
+                load = new PartitionLoad();
                 scheduleRead(0);
             }
             case ReadResult.Failed failed -> {
@@ -182,21 +182,23 @@
 
     private void onPage(ReadResult.Page page, long pageKnownUpToMs) {
         onReadSucceeded();
-        load.records.addAll(page.records());
-        load.lastKey = page.lastKey();
-        load.endOffset = Math.min(load.endOffset, page.endOffset());
-        load.startedAtMs = Math.min(load.startedAtMs, pageKnownUpToMs);
+        load.add(page, pageKnownUpToMs);
         if (page.hasMore()) {
             startRead();
             return;
         }
-        Load ended = load;
-        load = new Load();
+        PartitionLoad ended = load;
+        load = new PartitionLoad();
         loaded = true;
-        nextOffset = ended.endOffset;
-        knownUpToMs = Math.max(knownUpToMs, ended.startedAtMs);
-        log.emit(JobEvent.STORE_LOADED, "partition", name(), "records", ended.records.size(), "next", nextOffset);
-        consumer.accept(new Update(ended.records, false));
+        nextOffset = ended.endOffset();
+        knownUpToMs = Math.max(knownUpToMs, ended.startedAtMs());
+        List<KeyedRecord> records = new ArrayList<>(ended.recordsOfPages(knownKeys.get()));
+        log.emit(JobEvent.STORE_LOADED, "partition", name(), "records", records.size(), "next", nextOffset);
+        for (KeyedRecord removal : ended.missedRemovals()) {
+            log.emit(JobEvent.REMOVAL_MISSED, "partition", name(), "key", removal.key(), "next", nextOffset);
+            records.add(removal);
+        }
+        consumer.accept(new Update(records, false));
         scheduleRead(0);
     }
 
@@ -220,10 +222,13 @@
         long issued = generation;
         long issuedAtMs = clock.nowMs();
         int waitedMs = loaded ? waitMs : 0;
+        if (!loaded && load.isEmpty()) {
+            load.begin(knownKeys.get());
+        }
         var self = context.getSelf();
         var read = loaded
                 ? store.read(partition, nextOffset, waitMs)
-                : store.readNewest(partition, load.lastKey, MAX_LOAD_SILENCE_MS);
+                : store.readNewest(partition, load.lastKey(), MAX_LOAD_SILENCE_MS);
         read.thenAccept(result -> {
             long knownMs = Math.min(clock.nowMs(), issuedAtMs + storeWaitMs(result, waitedMs));
             self.tell(new JobsCommand.TailRead(this, issued, result, knownMs));
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
@@ -24,6 +24,12 @@
         return starts;
     }
 
+    List<String> stops() {
+        List<String> stops = new ArrayList<>();
+        sent.forEach(body -> body.getLeaderOrders().getStops().forEach(stop -> stops.add(stop.getTask())));
+        return stops;
+    }
+
     long acknowledgedEnd() {
         return sent.stream()
                 .mapToLong(body -> body.getLeaderOrders().getAcknowledgedEnd())
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -39,6 +39,12 @@
     private TopicPartition delayed;
     private int answerDelayMs;
     private int maxRecords = Integer.MAX_VALUE;
+    private TopicPartition failing;
+    private TopicPartition heldLoads;
+    private TopicPartition heldReads;
+    private int heldAnswers;
+    private CompletableFuture<Void> released = new CompletableFuture<>();
+    private final Map<TopicPartition, Integer> loads = new HashMap<>();
 
     /** Sets whether the answers to appends are lost; the appends are still executed. */
     synchronized void loseAnswers(boolean lose) {
@@ -81,6 +87,40 @@
         unloadable = partition;
     }
 
+    /** Makes further reads of a partition that wait for records fail, as those of a tail do; null for none. */
+    synchronized void failWaitingReads(TopicPartition partition) {
+        failing = partition;
+    }
+
+    /** Holds the answers to further loads of a partition, which keep the records at the time of the load. */
+    synchronized void holdLoads(TopicPartition partition) {
+        heldLoads = partition;
+    }
+
+    /** Holds the answers to further reads of a partition that do not wait for records. */
+    synchronized void holdReadsWithoutWait(TopicPartition partition) {
+        heldReads = partition;
+    }
+
+    /** Returns how many answers are being held. */
+    synchronized int heldAnswers() {
+        return heldAnswers;
+    }
+
+    /** Gives the answers that are held, and holds no further ones. */
+    synchronized void releaseAnswers() {
+        heldLoads = null;
+        heldReads = null;
+        heldAnswers = 0;
+        released.complete(null);
+        released = new CompletableFuture<>();
+    }
+
+    /** Returns how often the newest records of a partition have been read. */
+    synchronized int loads(TopicPartition partition) {
+        return loads.getOrDefault(partition, 0);
+    }
+
     /** Delays the answers to further reads of a partition; they still contain the records at the time of the read. */
     synchronized void delayReads(TopicPartition partition, int delayMs) {
         delayed = partition;
@@ -120,6 +160,9 @@
     @Override
     public synchronized CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, int waitMs) {
         List<KeyedRecord> log = log(partition);
+        if (partition.equals(failing) && waitMs > 0) {
+            return CompletableFuture.completedFuture(new ReadResult.Failed("status 503"));
+        }
         if (fromOffset < firstKept.getOrDefault(partition, 0)) {
             return CompletableFuture.completedFuture(new ReadResult.Expired());
         }
@@ -128,6 +171,10 @@
         if (partition.equals(silenced) || holdingReads && fromOffset >= log.size()) {
             return new CompletableFuture<>();
         }
+        if (partition.equals(heldReads) && waitMs == 0) {
+            heldAnswers++;
+            return released.thenApply(unused -> result);
+        }
         int delayMs = 1 + Math.min(waitMs, MAX_WAIT_MS) + (partition.equals(delayed) ? answerDelayMs : 0);
         return CompletableFuture.supplyAsync(
                 () -> result, CompletableFuture.delayedExecutor(delayMs, TimeUnit.MILLISECONDS));
@@ -139,8 +186,14 @@
         if (partition.equals(unloadable)) {
             return new CompletableFuture<>();
         }
-        return CompletableFuture.completedFuture(
-                new ReadResult.Page(newest(partition), "", false, log(partition).size()));
+        loads.merge(partition, 1, Integer::sum);
+        ReadResult page =
+                new ReadResult.Page(newest(partition), "", false, log(partition).size());
+        if (partition.equals(heldLoads)) {
+            heldAnswers++;
+            return released.thenApply(unused -> page);
+        }
+        return CompletableFuture.completedFuture(page);
     }
 
     private List<KeyedRecord> newest(TopicPartition partition) {
