Ignore the answer to a query's read if the log was read further meanwhile

What callers would see: a completed job runs again (TWICE). A query of a job that an entry does not know reads the requests after the last read. If the answer came after a load that had ended beyond it, the entry applied records of jobs whose removal it had taken into account already. Such a job came back without progress.

Cause: JobQueries applied each answer, whatever the tail had read meanwhile. An answer that the store had forgotten the records also restarted a load that was running.

Change: an answer is applied only if the tail has not passed its first record; otherwise the read is repeated from where the tail is, unless the tail has read as far. During a load queries are refused, as they are before the first one.

Evidence: LogReloadTest.lateAnswerToAQueryDoesNotBringARemovedJobBack, red with the former code (jobs=1 instead of 0), green with the change.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
@@ -65,10 +65,11 @@
     /**
      * A read of the requests that were stored after the last read.
      *
+     * @param fromOffset offset of the first record of the pending read
      * @param isSufficient tells whether the records read so far are enough
      * @param done receives the reason of a failure; empty if the read succeeded
      */
-    record CatchUp(BooleanSupplier isSufficient, Consumer<Optional<String>> done) {}
+    record CatchUp(long fromOffset, BooleanSupplier isSufficient, Consumer<Optional<String>> done) {}
 
     /** Answers with the status of a job as acknowledged by the store. */
     void answerStatus(String jobId, CompletableFuture<JobsCommand.StatusAnswer> reply) {
@@ -113,16 +114,12 @@
     void onReadEnded(JobsCommand.CatchUpReadEnded ended) {
         CatchUp catchUp = ended.catchUp();
         switch (ended.result()) {
-            case ReadResult.Records read -> {
-                read.records().forEach(applyRequest);
-                if (read.isComplete() || catchUp.isSufficient().getAsBoolean()) {
-                    catchUp.done().accept(Optional.empty());
-                } else {
-                    readFrom(read.nextOffset(), catchUp);
-                }
-            }
+            case ReadResult.Records read -> onRecords(catchUp, read);
+            case ReadResult.Expired expired when hasAdvanced(catchUp) -> readFrom(requests.nextOffset(), catchUp);
             case ReadResult.Expired expired -> {
-                requests.reload();
+                if (requests.isLoaded()) {
+                    requests.reload();
+                }
                 catchUp.done().accept(Optional.of("this entry is reloading the job log"));
             }
             case ReadResult.Page page -> catchUp.done().accept(Optional.of("unexpected answer of the store"));
@@ -134,6 +131,34 @@
      * Helpers
      */
 
+    /**
+     * Applies the records of a read, unless the tail has read or loaded the partition beyond its beginning meanwhile:
+     * the records may then include jobs whose removal has been applied, and would bring them back without progress.
+     */
+    private void onRecords(CatchUp catchUp, ReadResult.Records read) {
+        if (!requests.isLoaded()) {
+            catchUp.done().accept(Optional.of("this entry is reloading the job log"));
+        } else if (hasAdvanced(catchUp)) {
+            if (read.isComplete() && requests.nextOffset() >= read.nextOffset()) {
+                catchUp.done().accept(Optional.empty());
+            } else {
+                readFrom(requests.nextOffset(), catchUp);
+            }
+        } else {
+            read.records().forEach(applyRequest);
+            if (read.isComplete() || catchUp.isSufficient().getAsBoolean()) {
+                catchUp.done().accept(Optional.empty());
+            } else {
+                readFrom(read.nextOffset(), catchUp);
+            }
+        }
+    }
+
+    /** Tells whether the tail has read records that a pending read returns, too. */
+    private boolean hasAdvanced(CatchUp catchUp) {
+        return requests.isLoaded() && requests.nextOffset() > catchUp.fromOffset();
+    }
+
     private JobsCommand.StatusAnswer statusOf(Job job) {
         JobStatus status = job.acknowledgedStatus();
         // A job that looks queued or cancelled may have been completed before, which only its progress tells.
@@ -174,11 +199,12 @@
     }
 
     private void catchUp(BooleanSupplier isSufficient, Consumer<Optional<String>> done) {
-        readFrom(requests.nextOffset(), new CatchUp(isSufficient, done));
+        readFrom(requests.nextOffset(), new CatchUp(requests.nextOffset(), isSufficient, done));
     }
 
     private void readFrom(long offset, CatchUp catchUp) {
+        CatchUp next = new CatchUp(offset, catchUp.isSufficient(), catchUp.done());
         store.read(JobPartitions.REQUESTS, offset, 0)
-                .thenAccept(result -> actor.tell(new JobsCommand.CatchUpReadEnded(catchUp, result)));
+                .thenAccept(result -> actor.tell(new JobsCommand.CatchUpReadEnded(next, result)));
     }
 }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/LogReloadTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/LogReloadTest.java
@@ -41,6 +41,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
  * An entry that reads the newest records again, because the store has forgotten records that the entry had not read.
@@ -154,6 +155,30 @@
         assertEquals(List.of(), guard.starts());
     }
 
+    /** The answer to a read for a query may be older than a load that ended before it arrived. */
+    @Test
+    void lateAnswerToAQueryDoesNotBringARemovedJobBack() throws Exception {
+        keepLeaderAlive();
+        start();
+        await(() -> describe().contains("requestsLoaded=true"));
+        store.failWaitingReads(JobPartitions.REQUESTS);
+        // The read that is in flight may still contain a record.
+        Thread.sleep(100);
+        appendJob("job-1");
+        store.holdReadsWithoutWait(JobPartitions.REQUESTS);
+        CompletableFuture<JobsCommand.StatusAnswer> answer = new CompletableFuture<>();
+        entry.tell(new JobsCommand.Query("job-2", answer));
+        await(() -> store.heldAnswers() == 1);
+        int loads = store.loads(JobPartitions.REQUESTS);
+        store.removeAndExpire(JobPartitions.REQUESTS, JobTopics.jobKey("job-1"));
+        store.failWaitingReads(null);
+        await(() -> store.loads(JobPartitions.REQUESTS) > loads && describe().contains("requestsLoaded=true"));
+
+        store.releaseAnswers();
+        assertEquals(new JobsCommand.StatusAnswer.Missing(), answer.get(5, TimeUnit.SECONDS));
+        assertTrue(describe().contains("jobs=0"), describe());
+    }
+
     /*
      * Helpers
      */
