--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
@@ -38,6 +38,7 @@
     private final EventLog log;
     private List<Consumer<Optional<String>>> waiting = new ArrayList<>();
     private List<Consumer<Optional<String>>> reading = List.of();
+    private long readingFrom;
 
     /**
      * Constructs the queries.
@@ -110,16 +111,12 @@
 
     void onReadEnded(ReadResult result) {
         switch (result) {
-            case ReadResult.Records read -> {
-                read.records().forEach(applyRequest);
-                if (read.isComplete()) {
-                    endCatchUp(Optional.empty());
-                } else {
-                    readFrom(read.nextOffset());
-                }
-            }
+            case ReadResult.Records read -> onRecords(read);
+            case ReadResult.Expired expired when hasAdvanced() -> readFrom(requests.nextOffset());
             case ReadResult.Expired expired -> {
-                requests.reload();
+                if (requests.isLoaded()) {
+                    requests.reload();
+                }
                 endCatchUp(Optional.of("this entry is reloading the job log"));
             }
             case ReadResult.Page page -> endCatchUp(Optional.of("unexpected answer of the store"));
@@ -131,6 +128,35 @@
      * Helpers
      */
 
+    /**
+     * Applies the records of a read, without those that the tail has read or loaded meanwhile: these may include jobs
+     * whose removal has been applied, and would bring them back without progress.
+     */
+    private void onRecords(ReadResult.Records read) {
+        if (!requests.isLoaded()) {
+            endCatchUp(Optional.of("this entry is reloading the job log"));
+            return;
+        }
+        boolean skipsRecords = read.records().size() != read.nextOffset() - readingFrom;
+        if (hasAdvanced() && skipsRecords) {
+            // Records that cannot be decoded are left out, so the others have no known offsets.
+            readFrom(requests.nextOffset());
+            return;
+        }
+        long known = Math.max(0, requests.nextOffset() - readingFrom);
+        read.records().stream().skip(known).forEach(applyRequest);
+        if (read.isComplete()) {
+            endCatchUp(Optional.empty());
+        } else {
+            readFrom(Math.max(read.nextOffset(), requests.nextOffset()));
+        }
+    }
+
+    /** Tells whether the tail has read records that the pending read returns, too. */
+    private boolean hasAdvanced() {
+        return requests.isLoaded() && requests.nextOffset() > readingFrom;
+    }
+
     private JobsCommand.StatusAnswer statusOf(Job job) {
         JobStatus status = job.acknowledgedStatus();
         // A job that looks queued or cancelled may have been completed before, which only its progress tells.
@@ -206,6 +232,7 @@
     }
 
     private void readFrom(long offset) {
+        readingFrom = offset;
         store.read(JobPartitions.REQUESTS, offset, 0)
                 .thenAccept(result -> actor.tell(new JobsCommand.CatchUpReadEnded(result)));
     }
