Do not suspect runs of a crash whose start was never sent

A worker that crashed while starts waited for their append made suspects of all tasks that had been assigned to it. Each of them was then tried alone and waited for its turn, and the task that did crash the worker was not the only suspect, so that it was started once more.

The cause was that CrashTracker looked at assignments, and the leader did not record whether a start had been handed to a guard. LeaderTerm now reports it (JobScheduler.onStartSent), and only such runs are suspects. A new leader cannot know what the former one has sent and takes it for granted.

CrashTrackerTest.runWhoseStartWasNotSentIsNoSuspect failed before with one crash counted against a task whose start had not been sent (expected 0, was 1). The emulators now report the starts that they deliver.

--- a/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
@@ -14,9 +14,9 @@
 import org.fulmarreach.core.jobs.DecisionLog.Decision;
 
 /**
- * Finds the tasks that crash the workers that start them. After a crash, all runs that had not shown progress yet are
- * suspects. Suspects are tried one by one, each on a worker where nothing else starts meanwhile, so that the next crash
- * has only one suspect; a task with two such crashes is given up. Not thread-safe.
+ * Finds the tasks that crash the workers that start them. After a crash, all runs whose start was sent and that had not
+ * shown progress yet are suspects. Suspects are tried one by one, each on a worker where nothing else starts meanwhile,
+ * so that the next crash has only one suspect; a task with two such crashes is given up. Not thread-safe.
  */
 final class CrashTracker {
     /** Crashes with a task as the only suspect after which it is given up; callers may rely on two at least. */
@@ -115,6 +115,7 @@
         List<JobTask> suspects = new ArrayList<>();
         for (JobTask task : worker.assigned()) {
             if (task.state().worker().equals(crashed)
+                    && task.progress().sent()
                     && !hasShownProgress(task, worker.answeredAtMs())
                     && !listsProgress(report, task)) {
                 suspects.add(task);
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -131,6 +131,14 @@
         }
     }
 
+    /**
+     * Records that a start was handed to a session of its guard. Must be called for each such start before the next
+     * report or response of the guard, since a run whose start was not sent counts as not begun.
+     */
+    public void onStartSent(JobOrder.Start start) {
+        runs.onStartSent(start);
+    }
+
     /** Releases the task of a start that was not sent, because the guard of its worker has no session. */
     public void onStartNotSent(JobOrder.Start start) {
         onGuardLost(start.worker().guard());
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunProgress.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunProgress.java
@@ -5,6 +5,7 @@
  *
  * @param orderedAtMs when the run was ordered or, for a run of a former leader, when the new leader's term began
  * @param sentAtMs when the start order was last sent
+ * @param sent whether a start order may have been handed to a session of the guard, by this leader or a former one
  * @param repeated whether the start order may have been sent more than once, by this leader or a former one
  * @param startedAtMs when the worker first listed the run as running; 0 before
  * @param percent progress from 0 to 100 as last listed
@@ -17,6 +18,7 @@
 public record RunProgress(
         long orderedAtMs,
         long sentAtMs,
+        boolean sent,
         boolean repeated,
         long startedAtMs,
         int percent,
@@ -26,16 +28,16 @@
         long stopOrderedAtMs,
         boolean stopConfirmed) {
     /** Initial value, without a run. */
-    public static final RunProgress NONE = new RunProgress(0, 0, false, 0, 0, 0, 0, "", 0, false);
+    public static final RunProgress NONE = new RunProgress(0, 0, false, false, 0, 0, 0, 0, "", 0, false);
 
     /** Returns the progress of a run that is ordered for the first time. */
     static RunProgress firstOrderedAt(long nowMs) {
-        return new RunProgress(nowMs, nowMs, false, 0, 0, nowMs, 0, "", 0, false);
+        return new RunProgress(nowMs, nowMs, false, false, 0, 0, nowMs, 0, "", 0, false);
     }
 
     /** Returns the progress of a run that a former leader ordered, possibly more than once. */
     static RunProgress orderedAt(long nowMs) {
-        return new RunProgress(nowMs, nowMs, true, 0, 0, nowMs, 0, "", 0, false);
+        return new RunProgress(nowMs, nowMs, true, true, 0, 0, nowMs, 0, "", 0, false);
     }
 
     /** Tells whether the worker has listed the run as running. */
@@ -55,6 +57,7 @@
         return new RunProgress(
                 orderedAtMs,
                 sentAtMs,
+                sent,
                 repeated,
                 startedAtMs > 0 ? startedAtMs : nowMs,
                 newPercent,
@@ -65,10 +68,12 @@
                 stopConfirmed);
     }
 
-    RunProgress withSent(long nowMs) {
+    /** Returns the progress after the start order was queued once more. */
+    RunProgress withRepetition(long nowMs) {
         return new RunProgress(
                 orderedAtMs,
                 nowMs,
+                sent,
                 true,
                 startedAtMs,
                 percent,
@@ -79,10 +84,27 @@
                 stopConfirmed);
     }
 
+    /** Returns the progress after the start order was handed to a session of the guard. */
+    RunProgress withSent() {
+        return new RunProgress(
+                orderedAtMs,
+                sentAtMs,
+                true,
+                repeated,
+                startedAtMs,
+                percent,
+                advancedAtMs,
+                usage,
+                checkpoint,
+                stopOrderedAtMs,
+                stopConfirmed);
+    }
+
     RunProgress withStopOrdered(long nowMs) {
         return new RunProgress(
                 orderedAtMs,
                 sentAtMs,
+                sent,
                 repeated,
                 startedAtMs,
                 percent,
@@ -97,6 +119,7 @@
         return new RunProgress(
                 orderedAtMs,
                 sentAtMs,
+                sent,
                 repeated,
                 startedAtMs,
                 percent,
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -103,6 +103,14 @@
         }
     }
 
+    /** Records that a start was handed to a session of its guard, so that its run may have begun. */
+    void onStartSent(JobOrder.Start start) {
+        JobTask task = registry.findTask(start.task().toString());
+        if (task != null && task.isCurrent(start.worker(), start.run())) {
+            task.updateProgress(task.progress().withSent());
+        }
+    }
+
     /**
      * Releases the task of a start that was not sent, unless an earlier start of the same run was. A member of a gang
      * keeps its run, since the others wait for it and the start is repeated if the guard returns in time.
@@ -341,7 +349,7 @@
                             report.ref(), task.name().toString(), task.state().run()));
                 }
             } else if (nowMs - progress.sentAtMs() > JobTimeLimits.START_RETRY_MS) {
-                task.updateProgress(progress.withSent(nowMs));
+                task.updateProgress(progress.withRepetition(nowMs));
                 decisions.addStart(task);
             }
         }
--- a/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
@@ -208,6 +208,37 @@
         assertNotEquals(first, task("job").state().worker().guard());
     }
 
+    /**
+     * A start that waits for its append has crashed nothing. All tasks that were assigned to the worker were suspects,
+     * so that they were tried one by one, and the task that did crash it was not the only suspect.
+     */
+    @Test
+    void runWhoseStartWasNotSentIsNoSuspect() {
+        submitDeadly("deadly");
+        String guard = task("deadly").state().worker().guard();
+        pool.holdsStarts = true;
+        for (int i = 0; i < 3 * WORKERS; i++) {
+            submit("job-" + i, 600);
+        }
+        assertTrue(
+                pool.registry.jobs().stream()
+                                .filter(job -> job.tasks()
+                                        .get(0)
+                                        .state()
+                                        .worker()
+                                        .guard()
+                                        .equals(guard))
+                                .count()
+                        > 1,
+                "no task waits for its start beside the one that crashes the worker");
+        pool.run(1_500);
+        pool.holdsStarts = false;
+        for (int i = 0; i < 3 * WORKERS; i++) {
+            assertEquals(0, task("job-" + i).state().crashes(), "job-" + i);
+        }
+        assertEquals(1, task("deadly").state().soleCrashes());
+    }
+
     /** A gang gets no trial, so beside jobs that always begin its crashes never had it as the only suspect. */
     @Test
     void gangThatCrashesItsWorkersBesideFreshJobsIsGivenUp() {
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -31,6 +31,9 @@
     private JobScheduler scheduler;
     private long nowMs = 1_000_000;
 
+    /** Whether starts are handed to the sessions of their guards. */
+    private boolean connected = true;
+
     @BeforeEach
     void startLeader() {
         scheduler = new JobScheduler(registry, CONFIG, LIMITS, DecisionLog.NONE, nowMs);
@@ -425,7 +428,13 @@
     private void decide() {
         scheduler.tick(nowMs, nowMs, true);
         ordered.addAll(scheduler.takeImmediateOrders());
-        scheduler.onCommitted(scheduler.takeBatch());
+        JobBatch batch = scheduler.takeBatch();
+        scheduler.onCommitted(batch);
+        for (JobOrder order : batch.orders()) {
+            if (order instanceof JobOrder.Start start && connected) {
+                scheduler.onStartSent(start);
+            }
+        }
     }
 
     private JobTask task(int index) {
--- a/core/src/test/java/org/fulmarreach/core/jobs/LostAnswersTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/LostAnswersTest.java
@@ -141,6 +141,9 @@
                     orders.stream().filter(scheduler::isApplicable).toList()) {
                 for (GuardEmulator guard : guards) {
                     if (guard.worker().ref().equals(order.worker())) {
+                        if (order instanceof JobOrder.Start start) {
+                            scheduler.onStartSent(start);
+                        }
                         guard.handle(order, nowMs);
                     }
                 }
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -57,6 +57,9 @@
     int passes;
     int startedRuns;
 
+    /** Whether starts wait for their append, so that none reaches a worker; they are dropped. */
+    boolean holdsStarts;
+
     /** Hash of the sequence of orders, for checking that two versions of the leader give the same orders. */
     int ordersHash;
 
@@ -192,6 +195,12 @@
 
     private void apply(List<JobOrder> orders) {
         for (JobOrder order : orders) {
+            if (order instanceof JobOrder.Start start) {
+                if (holdsStarts) {
+                    continue;
+                }
+                scheduler.onStartSent(start);
+            }
             startedRuns += order instanceof JobOrder.Start ? 1 : 0;
             ordersHash = 31 * ordersHash + order.hashCode();
             FakeWorker worker = workers.get(order.worker().guard());
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -263,9 +263,12 @@
             Set<String> granted = sessions.send(term, applicable, writeAgeMs());
             granted.forEach(guard -> scheduler.onGrantSent(guard, nowMs));
             for (JobOrder order : applicable) {
-                if (order instanceof JobOrder.Start start
-                        && !granted.contains(start.worker().guard())) {
-                    scheduler.onStartNotSent(start);
+                if (order instanceof JobOrder.Start start) {
+                    if (granted.contains(start.worker().guard())) {
+                        scheduler.onStartSent(start);
+                    } else {
+                        scheduler.onStartNotSent(start);
+                    }
                 }
             }
         }
