Count a start as possibly executed only once it was handed to a guard

On an overloaded deployment a task whose start was refused waited for seconds: its run was withdrawn by a stop, which had to be confirmed and followed by two polls, although the refused start was the only one that had been sent.

The leader repeats a start that is not listed after 1 s, counted from the time it was ordered, and the run counted as repeated from then on. A leader that is late, or whose append takes longer, had not sent the first start by then.

RunProgress now holds when the start was queued and when it was first handed to a session of the guard (0 before). A run counts as repeated when its start is handed over a second time. A start that was not sent is not repeated; it releases its task without a stop when it is dropped as inapplicable (JobScheduler.onStartDropped), when the guard has no session, or 2.5 s after it was ordered, after which isApplicable refuses it. The times of a repetition and of the withdrawal count from the sending. Members of a gang keep their run and its repetitions, as before. A new leader takes for granted that the former one sent each start more than once.

The cases of starts that were not sent now say so in the fixture, which otherwise delivers all starts.

--- a/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
@@ -115,7 +115,7 @@
         List<JobTask> suspects = new ArrayList<>();
         for (JobTask task : worker.assigned()) {
             if (task.state().worker().equals(crashed)
-                    && task.progress().sent()
+                    && task.progress().mayHaveStarted()
                     && !hasShownProgress(task, worker.answeredAtMs())
                     && !listsProgress(report, task)) {
                 suspects.add(task);
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -135,14 +135,19 @@
      * Records that a start was handed to a session of its guard. Must be called for each such start before the next
      * report or response of the guard, since a run whose start was not sent counts as not begun.
      */
-    public void onStartSent(JobOrder.Start start) {
-        runs.onStartSent(start);
+    public void onStartSent(JobOrder.Start start, long nowMs) {
+        runs.onStartSent(start, nowMs);
     }
 
     /** Releases the task of a start that was not sent, because the guard of its worker has no session. */
     public void onStartNotSent(JobOrder.Start start) {
         onGuardLost(start.worker().guard());
-        runs.onStartNotSent(start);
+        runs.onStartNotSent(start, "not sent, the guard has no session");
+    }
+
+    /** Releases the task of a start that was dropped since it is not applicable any more. */
+    public void onStartDropped(JobOrder.Start start) {
+        runs.onStartNotSent(start, "not sent, not applicable any more");
     }
 
     /** Records that a grant is being sent to a guard. */
@@ -206,8 +211,8 @@
 
     /**
      * Tells whether an order still applies. The append that precedes a start may take seconds, and in the meantime the
-     * job may have been cancelled, the run withdrawn, or the capacity of the worker reduced. A start that is not sent
-     * is withdrawn in the end, and its task is placed again.
+     * job may have been cancelled, the run withdrawn, or the capacity of the worker reduced. The caller reports a start
+     * that it drops with {@link #onStartDropped} before it checks the next one, which may fit then.
      */
     public boolean isApplicable(JobOrder order) {
         if (!(order instanceof JobOrder.Start start)) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunProgress.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunProgress.java
@@ -4,9 +4,10 @@
  * The leader's observations of a run. Times are readings of the leader's monotonic clock. Immutable.
  *
  * @param orderedAtMs when the run was ordered or, for a run of a former leader, when the new leader's term began
- * @param sentAtMs when the start order was last sent
- * @param sent whether a start order may have been handed to a session of the guard, by this leader or a former one
- * @param repeated whether the start order may have been sent more than once, by this leader or a former one
+ * @param queuedAtMs when the start order was last queued; it is sent once the state with the run is stored
+ * @param sentAtMs when the start order was first handed to a session of the guard, or may have been by a former leader;
+ *     0 before
+ * @param repeated whether the start order may have been handed over more than once, by this leader or a former one
  * @param startedAtMs when the worker first listed the run as running; 0 before
  * @param percent progress from 0 to 100 as last listed
  * @param advancedAtMs when {@code percent} last changed
@@ -17,8 +18,8 @@
  */
 public record RunProgress(
         long orderedAtMs,
+        long queuedAtMs,
         long sentAtMs,
-        boolean sent,
         boolean repeated,
         long startedAtMs,
         int percent,
@@ -28,16 +29,16 @@
         long stopOrderedAtMs,
         boolean stopConfirmed) {
     /** Initial value, without a run. */
-    public static final RunProgress NONE = new RunProgress(0, 0, false, false, 0, 0, 0, 0, "", 0, false);
+    public static final RunProgress NONE = new RunProgress(0, 0, 0, false, 0, 0, 0, 0, "", 0, false);
 
     /** Returns the progress of a run that is ordered for the first time. */
     static RunProgress firstOrderedAt(long nowMs) {
-        return new RunProgress(nowMs, nowMs, false, false, 0, 0, nowMs, 0, "", 0, false);
+        return new RunProgress(nowMs, nowMs, 0, false, 0, 0, nowMs, 0, "", 0, false);
     }
 
     /** Returns the progress of a run that a former leader ordered, possibly more than once. */
     static RunProgress orderedAt(long nowMs) {
-        return new RunProgress(nowMs, nowMs, true, true, 0, 0, nowMs, 0, "", 0, false);
+        return new RunProgress(nowMs, nowMs, nowMs, true, 0, 0, nowMs, 0, "", 0, false);
     }
 
     /** Tells whether the worker has listed the run as running. */
@@ -45,19 +46,29 @@
         return startedAtMs > 0;
     }
 
+    /** Tells whether a start order may have been handed to a session of the guard. */
+    boolean isSent() {
+        return sentAtMs > 0;
+    }
+
+    /** Tells whether the run may have started: it is listed, or a start order may have reached the worker. */
+    boolean mayHaveStarted() {
+        return isListed() || isSent();
+    }
+
     /**
      * Tells whether the run may have started although a start order was refused. A refusal proves that it has not only
      * if that was the only start order sent: an earlier one may have been executed, or may still be.
      */
-    boolean mayHaveStarted() {
+    boolean mayHaveStartedDespiteRefusal() {
         return isListed() || repeated;
     }
 
     RunProgress withListing(int newPercent, long newUsage, String newCheckpoint, long nowMs) {
         return new RunProgress(
                 orderedAtMs,
+                queuedAtMs,
                 sentAtMs,
-                sent,
                 repeated,
                 startedAtMs > 0 ? startedAtMs : nowMs,
                 newPercent,
@@ -69,12 +80,12 @@
     }
 
     /** Returns the progress after the start order was queued once more. */
-    RunProgress withRepetition(long nowMs) {
+    RunProgress withQueued(long nowMs) {
         return new RunProgress(
                 orderedAtMs,
                 nowMs,
-                sent,
-                true,
+                sentAtMs,
+                repeated,
                 startedAtMs,
                 percent,
                 advancedAtMs,
@@ -85,12 +96,12 @@
     }
 
     /** Returns the progress after the start order was handed to a session of the guard. */
-    RunProgress withSent() {
+    RunProgress withSent(long nowMs) {
         return new RunProgress(
                 orderedAtMs,
-                sentAtMs,
-                true,
-                repeated,
+                queuedAtMs,
+                isSent() ? sentAtMs : nowMs,
+                isSent(),
                 startedAtMs,
                 percent,
                 advancedAtMs,
@@ -103,8 +114,8 @@
     RunProgress withStopOrdered(long nowMs) {
         return new RunProgress(
                 orderedAtMs,
+                queuedAtMs,
                 sentAtMs,
-                sent,
                 repeated,
                 startedAtMs,
                 percent,
@@ -118,8 +129,8 @@
     RunProgress withStopConfirmed() {
         return new RunProgress(
                 orderedAtMs,
+                queuedAtMs,
                 sentAtMs,
-                sent,
                 repeated,
                 startedAtMs,
                 percent,
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -89,7 +89,7 @@
         }
         log.record(Decision.START_REFUSED, name, "run", run, "worker", ref.id(), "outcome", outcome);
         boolean inconclusive = outcome.equals(OLD) || outcome.equals(UNCERTAIN);
-        if (inconclusive || task.progress().mayHaveStarted()) {
+        if (inconclusive || task.progress().mayHaveStartedDespiteRefusal()) {
             withdraw(task, nowMs);
         } else {
             task.release();
@@ -104,10 +104,10 @@
     }
 
     /** Records that a start was handed to a session of its guard, so that its run may have begun. */
-    void onStartSent(JobOrder.Start start) {
+    void onStartSent(JobOrder.Start start, long nowMs) {
         JobTask task = registry.findTask(start.task().toString());
         if (task != null && task.isCurrent(start.worker(), start.run())) {
-            task.updateProgress(task.progress().withSent());
+            task.updateProgress(task.progress().withSent(nowMs));
         }
     }
 
@@ -115,27 +115,31 @@
      * Releases the task of a start that was not sent, unless an earlier start of the same run was. A member of a gang
      * keeps its run, since the others wait for it and the start is repeated if the guard returns in time.
      */
-    void onStartNotSent(JobOrder.Start start) {
+    void onStartNotSent(JobOrder.Start start, String reason) {
         JobTask task = registry.findTask(start.task().toString());
         if (task != null
                 && task.isCurrent(start.worker(), start.run())
                 && !task.progress().mayHaveStarted()
                 && !task.step().gang()) {
-            log.record(
-                    Decision.START_REFUSED,
-                    start.task().toString(),
-                    "run",
-                    start.run(),
-                    "worker",
-                    start.worker().id(),
-                    "outcome",
-                    "not sent, the guard has no session");
-            task.release();
-            task.finish(TaskPhase.PENDING, task.state().failures(), "");
-            decisions.markChanged(task.job());
+            releaseUnsent(task, reason);
         }
     }
 
+    private void releaseUnsent(JobTask task, String reason) {
+        log.record(
+                Decision.START_REFUSED,
+                task.name().toString(),
+                "run",
+                task.state().run(),
+                "worker",
+                task.state().worker().id(),
+                "outcome",
+                reason);
+        task.release();
+        task.finish(TaskPhase.PENDING, task.state().failures(), "");
+        decisions.markChanged(task.job());
+    }
+
     /**
      * Orders a run to stop that may have started or may still start. A worker also refuses a start as old if the same
      * run has already ended there, so the worker's lists determine the outcome.
@@ -341,15 +345,21 @@
                 if (task.countPollWithoutRun(report.pollNumber()) >= POLLS_AFTER_STOP) {
                     markLost(task, worker, "withdrawn before it started");
                 }
+            } else if (!progress.isSent() && !task.step().gang()) {
+                // The start waits for its append, or it was dropped; from now on it is not applicable any more.
+                if (nowMs - progress.orderedAtMs() > JobTimeLimits.START_WITHDRAW_MS) {
+                    releaseUnsent(task, "not sent in time");
+                }
             } else if (progress.stopOrderedAtMs() > 0
-                    || nowMs - progress.orderedAtMs() > JobTimeLimits.START_WITHDRAW_MS) {
+                    || nowMs - Math.max(progress.orderedAtMs(), progress.sentAtMs())
+                            > JobTimeLimits.START_WITHDRAW_MS) {
                 if (nowMs - progress.stopOrderedAtMs() > JobTimeLimits.STOP_RETRY_MS) {
                     task.updateProgress(progress.withStopOrdered(nowMs));
                     decisions.addImmediate(new JobOrder.Stop(
                             report.ref(), task.name().toString(), task.state().run()));
                 }
-            } else if (nowMs - progress.sentAtMs() > JobTimeLimits.START_RETRY_MS) {
-                task.updateProgress(progress.withRepetition(nowMs));
+            } else if (nowMs - Math.max(progress.queuedAtMs(), progress.sentAtMs()) > JobTimeLimits.START_RETRY_MS) {
+                task.updateProgress(progress.withQueued(nowMs));
                 decisions.addStart(task);
             }
         }
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -110,6 +110,7 @@
     /** A task whose start was never sent waited until the lease of its worker was over. */
     @Test
     void taskWhoseStartWasNotSentIsPlacedOnAnotherWorker() {
+        connected = false;
         submit(step(1).build());
         report(second, 1, List.of(), List.of());
         scheduler.onGuardLost(first.guard());
@@ -121,6 +122,7 @@
     /** A late report made the worker look connected, so its tasks were assigned, released and assigned there again. */
     @Test
     void taskWhoseStartWasNotSentIsNotPlacedOnTheSameWorkerAgain() {
+        connected = false;
         submit(step(1).build());
         report(second, 1, List.of(), List.of());
         scheduler.onStartNotSent(start());
@@ -142,6 +144,67 @@
         assertEquals(2, task(0).state().run());
     }
 
+    /**
+     * A leader that is late sends a start more than 1 s after it was ordered. It counted as repeated, so that a refusal
+     * withdrew the run and the task waited for a stop and two more polls.
+     */
+    @Test
+    void refusalOfAStartThatWasSentLateReleasesItsTaskAtOnce() {
+        connected = false;
+        submit(step(1).build());
+        for (int i = 0; i < 3; i++) {
+            report(first, 1, List.of(), List.of());
+        }
+        scheduler.onStartSent(start(), nowMs);
+        connected = true;
+        report(second, 1, List.of(), List.of());
+        scheduler.onOrderOutcome(first, TASK, 1, true, "status 503", nowMs);
+        decide();
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 2, second, 0, ""), task(0).state());
+    }
+
+    /** A start that was sent late must be repeated and withdrawn after the usual times, not at once. */
+    @Test
+    void timesOfAStartThatWasSentLateCountFromItsSending() {
+        connected = false;
+        submit(step(1).build());
+        for (int i = 0; i < 4; i++) {
+            report(first, 1, List.of(), List.of());
+        }
+        scheduler.onStartSent(start(), nowMs);
+        for (int i = 0; i < 4; i++) {
+            report(first, 1, List.of(), List.of());
+        }
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
+        assertEquals(List.of(), ordered, "withdrawn although it was sent only 2 s ago");
+    }
+
+    /** A start that was never sent waited for a stop and two more polls until its task was placed again. */
+    @Test
+    void runWhoseStartIsNeverSentIsPlacedAgainWithoutAStop() {
+        connected = false;
+        submit(step(1).build());
+        JobOrder.Start start = start();
+        for (int i = 0; i < 6; i++) {
+            report(first, 1, List.of(), List.of());
+        }
+        assertEquals(2, task(0).state().run());
+        assertEquals(List.of(), ordered, "a run that cannot have started is not stopped");
+        assertFalse(scheduler.isApplicable(start), "the former start would still be sent");
+    }
+
+    /** A start that did not fit the capacity any more when it was sent was repeated for 2.5 s and then withdrawn. */
+    @Test
+    void taskWhoseStartWasDroppedIsPlacedAgainAtOnce() {
+        connected = false;
+        submit(step(1).build());
+        report(second, 1, List.of(), List.of());
+        scheduler.onGuardLost(first.guard());
+        scheduler.onStartDropped(start());
+        decide();
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 2, second, 0, ""), task(0).state());
+    }
+
     /** If the start was repeated, the first one may have been executed, so no other worker may run the task yet. */
     @Test
     void taskWhoseRepeatedStartWasNotSentStays() {
@@ -157,9 +220,11 @@
     /** The other members of the gang have the same run number and wait, so the start must be repeated. */
     @Test
     void memberOfAGangWhoseStartWasNotSentKeepsItsRun() {
+        connected = false;
         submitGang();
         scheduler.onStartNotSent(start());
         assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
+        waitForRepeatedStart();
     }
 
     /** Tasks were placed on a worker for up to 1.6 s after the session of its guard had ended. */
@@ -357,11 +422,11 @@
 
     /** Repeats a report without the run until the leader repeats the start. */
     private void waitForRepeatedStart() {
-        long sentAtMs = task(0).progress().sentAtMs();
+        long queuedAtMs = task(0).progress().queuedAtMs();
         for (int i = 0; i < 3; i++) {
             report(first, 1, List.of(), List.of());
         }
-        assertTrue(task(0).progress().sentAtMs() > sentAtMs, "the start was not repeated");
+        assertTrue(task(0).progress().queuedAtMs() > queuedAtMs, "the start was not repeated");
     }
 
     private static TestSteps step(int count) {
@@ -432,7 +497,7 @@
         scheduler.onCommitted(batch);
         for (JobOrder order : batch.orders()) {
             if (order instanceof JobOrder.Start start && connected) {
-                scheduler.onStartSent(start);
+                scheduler.onStartSent(start, nowMs);
             }
         }
     }
--- a/core/src/test/java/org/fulmarreach/core/jobs/LostAnswersTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/LostAnswersTest.java
@@ -137,12 +137,17 @@
         }
 
         private void send(List<JobOrder> orders) {
-            for (JobOrder order :
-                    orders.stream().filter(scheduler::isApplicable).toList()) {
+            for (JobOrder order : orders) {
+                if (!scheduler.isApplicable(order)) {
+                    if (order instanceof JobOrder.Start start) {
+                        scheduler.onStartDropped(start);
+                    }
+                    continue;
+                }
                 for (GuardEmulator guard : guards) {
                     if (guard.worker().ref().equals(order.worker())) {
                         if (order instanceof JobOrder.Start start) {
-                            scheduler.onStartSent(start);
+                            scheduler.onStartSent(start, nowMs);
                         }
                         guard.handle(order, nowMs);
                     }
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -199,7 +199,7 @@
                 if (holdsStarts) {
                     continue;
                 }
-                scheduler.onStartSent(start);
+                scheduler.onStartSent(start, nowMs);
             }
             startedRuns += order instanceof JobOrder.Start ? 1 : 0;
             ordersHash = 31 * ordersHash + order.hashCode();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -256,8 +256,7 @@
     }
 
     private void send(List<JobOrder> orders) {
-        List<JobOrder> applicable = cancellations.admit(
-                orders.stream().filter(scheduler::isApplicable).toList());
+        List<JobOrder> applicable = cancellations.admit(dropInapplicable(orders));
         if (!applicable.isEmpty() && mayGrant()) {
             long nowMs = clock.nowMs();
             Set<String> granted = sessions.send(term, applicable, writeAgeMs());
@@ -265,7 +264,7 @@
             for (JobOrder order : applicable) {
                 if (order instanceof JobOrder.Start start) {
                     if (granted.contains(start.worker().guard())) {
-                        scheduler.onStartSent(start);
+                        scheduler.onStartSent(start, nowMs);
                     } else {
                         scheduler.onStartNotSent(start);
                     }
@@ -274,6 +273,18 @@
         }
     }
 
+    private List<JobOrder> dropInapplicable(List<JobOrder> orders) {
+        List<JobOrder> applicable = new ArrayList<>();
+        for (JobOrder order : orders) {
+            if (scheduler.isApplicable(order)) {
+                applicable.add(order);
+            } else if (order instanceof JobOrder.Start start) {
+                scheduler.onStartDropped(start);
+            }
+        }
+        return applicable;
+    }
+
     private void flush() {
         if (inFlight != null || flushScheduled || resigned) {
             return;
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
@@ -24,6 +24,19 @@
         return starts;
     }
 
+    /** Returns the run numbers of all starts. */
+    List<Integer> startedRuns() {
+        List<Integer> runs = new ArrayList<>();
+        sent.forEach(body -> body.getLeaderOrders().getStarts().forEach(start -> runs.add(start.getRun())));
+        return runs;
+    }
+
+    List<String> stops() {
+        List<String> stops = new ArrayList<>();
+        sent.forEach(body -> body.getLeaderOrders().getStops().forEach(stop -> stops.add(stop.getTask())));
+        return stops;
+    }
+
     long acknowledgedEnd() {
         return sent.stream()
                 .mapToLong(body -> body.getLeaderOrders().getAcknowledgedEnd())
