Let suspects that fit go before those that wait for room

A suspect of a crash that fits on no worker while others run got a reserved worker and one of the slots for trials, for 3 s each time, and again right after. With few slots (a third of the workers) all other suspects waited behind it, although there was room for them.

CrashTracker.placeWaiting now reserves workers for the suspects that fit somewhere at the moment first. If no slot or no worker is left, they take those of a suspect that only waits for room. Such a suspect may wait longer when others keep coming; it has no room in that time anyway.

CrashTrackerTest.suspectsThatFitNowhereDoNotHoldUpOthers failed before: the small suspects were still QUEUED 2.5 s after their workers were back, now they are completed.

--- a/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
@@ -6,10 +6,14 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 
 import org.fulmarreach.core.jobs.DecisionLog.Decision;
 
@@ -315,45 +319,100 @@
                         && placement.isUsable(worker, worker.report().service(), workers, nowMs))
                 .count();
         long maxTrials = Math.max(1, usable / WORKERS_PER_TRIAL);
+        reserveFitting(workers, maxTrials, nowMs);
         for (Suspect suspect : waiting) {
-            JobTask task = suspect.task();
-            Trial trial = trials.get(task);
-            WorkerView worker = trial == null ? null : trial.worker();
-            if (worker == null && trials.size() < maxTrials) {
-                worker = findTrialWorker(task, suspect.service(), workers, nowMs);
+            if (trials.size() < maxTrials && !trials.containsKey(suspect.task())) {
+                WorkerView worker = findTrialWorker(suspect, workers, nowMs);
                 if (worker != null) {
-                    reserve(task, worker, nowMs);
+                    reserve(suspect.task(), worker, nowMs);
                 }
             }
-            if (worker != null
-                    && !hasRunWithoutProgress(worker, nowMs)
-                    && placement.canHost(task, suspect.service(), worker, workers, nowMs)) {
-                assign.accept(task, worker);
+        }
+        for (Suspect suspect : waiting) {
+            JobTask task = suspect.task();
+            Trial trial = trials.get(task);
+            if (trial != null
+                    && !hasRunWithoutProgress(trial.worker(), nowMs)
+                    && placement.canHost(task, suspect.service(), trial.worker(), workers, nowMs)) {
+                assign.accept(task, trial.worker());
             }
         }
     }
 
     /**
-     * Finds the worker on which a crash would do the least harm, preferably other than the last one. Workers that lack
-     * capacity are reserved only if no other is left; they get it back when their runs end.
+     * Reserves workers for the suspects that fit somewhere now. They come before those that wait on a reserved worker
+     * for its runs to end: these would hold the slots for seconds, and may not fit in the end.
      */
-    private WorkerView findTrialWorker(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
+    private void reserveFitting(Collection<WorkerView> workers, long maxTrials, long nowMs) {
+        Deque<JobTask> idle = new ArrayDeque<>();
+        for (Suspect suspect : waiting) {
+            Trial trial = trials.get(suspect.task());
+            if (trial != null
+                    && !placement.canHost(suspect.task(), suspect.service(), trial.worker(), workers, nowMs)) {
+                idle.add(suspect.task());
+            }
+        }
+        for (Suspect suspect : waiting) {
+            if (trials.size() >= maxTrials && idle.isEmpty()) {
+                return;
+            }
+            if (trials.containsKey(suspect.task())) {
+                continue;
+            }
+            WorkerView worker = findFittingWorker(suspect, idle, workers, nowMs);
+            if (worker != null) {
+                boolean freed = idle.removeIf(task -> trials.get(task).worker() == worker && endTrial(task));
+                if (!freed && trials.size() >= maxTrials) {
+                    endTrial(idle.removeLast());
+                }
+                reserve(suspect.task(), worker, nowMs);
+            }
+        }
+    }
+
+    /** Finds the worker with room now on which a crash would do the least harm; preferably one that is not reserved. */
+    private WorkerView findFittingWorker(
+            Suspect suspect, Collection<JobTask> idle, Collection<WorkerView> workers, long nowMs) {
+        Set<WorkerView> inUse = new HashSet<>();
+        trials.forEach((task, trial) -> {
+            if (!idle.contains(task)) {
+                inUse.add(trial.worker());
+            }
+        });
+        return findBest(
+                workers,
+                worker -> !inUse.contains(worker)
+                        && placement.canHost(suspect.task(), suspect.service(), worker, workers, nowMs),
+                worker -> score(suspect.task(), worker, nowMs) + (worker.isReservedForTrial() ? 8 : 0));
+    }
+
+    /** Finds the worker on which a crash would do the least harm, and that has room once its runs have ended. */
+    private WorkerView findTrialWorker(Suspect suspect, Collection<WorkerView> workers, long nowMs) {
+        return findBest(
+                workers,
+                worker -> !worker.isReservedForTrial()
+                        && placement.canEverHost(suspect.task(), suspect.service(), worker, workers, nowMs),
+                worker -> score(suspect.task(), worker, nowMs));
+    }
+
+    private static WorkerView findBest(
+            Collection<WorkerView> workers, Predicate<WorkerView> allowed, ToDoubleFunction<WorkerView> score) {
         WorkerView best = null;
         double bestScore = Double.MAX_VALUE;
         for (WorkerView worker : workers) {
-            if (worker.isReservedForTrial() || !placement.canEverHost(task, service, worker, workers, nowMs)) {
-                continue;
-            }
-            double score = score(task, service, worker, workers, nowMs);
-            if (score < bestScore) {
-                best = worker;
-                bestScore = score;
+            if (allowed.test(worker)) {
+                double each = score.applyAsDouble(worker);
+                if (each < bestScore) {
+                    best = worker;
+                    bestScore = each;
+                }
             }
         }
         return best;
     }
 
-    private double score(JobTask task, String service, WorkerView worker, Collection<WorkerView> workers, long nowMs) {
+    /** Rates a worker for a trial by its load; lower is better. Preferably it is not the last one of the task. */
+    private double score(JobTask task, WorkerView worker, long nowMs) {
         double score = worker.share(worker.reserved().milliCores() + worker.bestEffortMilliCores());
         boolean inRackOfTrial =
                 trials.values().stream().anyMatch(other -> other.worker().rack().equals(worker.rack()));
@@ -362,7 +421,6 @@
         boolean last =
                 task.state().worker() != null && task.state().worker().guard().equals(worker.guard());
         score += last || worker.report().ref().equals(task.avoided()) ? 2 : 0;
-        score += placement.canHost(task, service, worker, workers, nowMs) ? 0 : 8;
         return score;
     }
 
@@ -380,11 +438,13 @@
         worker.setReservedForTrial(true);
     }
 
-    private void endTrial(JobTask task) {
+    /** Ends a trial; returns false if the task has none. */
+    private boolean endTrial(JobTask task) {
         Trial ended = trials.remove(task);
         if (ended != null) {
             boolean reserved = trials.values().stream().anyMatch(trial -> trial.worker() == ended.worker());
             ended.worker().setReservedForTrial(reserved);
         }
+        return ended != null;
     }
 }
--- a/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
@@ -239,6 +239,32 @@
         assertEquals(1, task("deadly").state().soleCrashes());
     }
 
+    /**
+     * Suspects that fit on no worker while others run held the slots of the trials, and the workers with room, for 3 s
+     * each, time after time. Another suspect, which fits, waited behind them.
+     */
+    @Test
+    void suspectsThatFitNowhereDoNotHoldUpOthers() {
+        for (int i = 0; i < 4; i++) {
+            submit("large-" + i, new Resources(4_000, 1_000, 0), 500);
+        }
+        submit("small-0", 500);
+        submit("small-1", 500);
+        crashRack(0);
+        crashRack(1);
+        pool.run(2_000);
+        for (Job job : pool.registry.jobs()) {
+            assertEquals(1, job.tasks().get(0).state().crashes(), job.spec().id() + " is no suspect");
+        }
+        for (int i = 0; i < 4 * WORKERS - 3; i++) {
+            submit("other-" + i, 60_000);
+        }
+        pool.run(5_500);
+        for (String id : List.of("small-0", "small-1")) {
+            assertEquals(JobStatus.COMPLETED, job(id).acknowledgedStatus(), id);
+        }
+    }
+
     /** A gang gets no trial, so beside jobs that always begin its crashes never had it as the only suspect. */
     @Test
     void gangThatCrashesItsWorkersBesideFreshJobsIsGivenUp() {
@@ -274,7 +300,11 @@
     }
 
     private void submit(String id, long ms) {
-        JobStep step = TestSteps.of(1, size(), ms, List.of()).build();
+        submit(id, size(), ms);
+    }
+
+    private void submit(String id, Resources demand, long ms) {
+        JobStep step = TestSteps.of(1, demand, ms, List.of()).build();
         pool.submit(new JobSpec(id, "q", "", List.of(step), 0, 0, 0, pool.nowMs), Arrays.asList(ms));
     }
 
