Give back the reservation of a run whose end the worker has forgotten

A run that is not long-running, was listed, and was then neither running nor ended in the lists of its worker kept its reservation for as long as the worker ran. When its worker was replaced or the lease lapsed, the task was started again although it may have succeeded (TWICE). When its job was cancelled, stops were sent for ever and the job was never removed.

After three such polls the run counts as ended: its reservation is given back, and the task stays assigned and is not started again by this leader, whatever becomes of the worker. A run of a settled job is marked as lost, so the job is settled. A run that is listed again takes its room again, and an end that is listed later counts. A new leader does not know of such a run, since the stored state has no field for it.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -264,7 +264,7 @@
         for (JobTask task : job.tasks()) {
             WorkerView worker = null;
             if (task.isAssigned()) {
-                if (task.hasWorkerView()) {
+                if (task.hasWorkerView() || task.isEndForgotten()) {
                     continue;
                 }
                 task.updateProgress(RunProgress.orderedAt(nowMs));
@@ -323,7 +323,7 @@
         if (status.isFinal()) {
             boolean stopping = false;
             for (JobTask task : job.tasks()) {
-                if (task.isAssigned()) {
+                if (task.isAssigned() && !task.isEndForgotten()) {
                     stopping = true;
                     mover.stop(task, "job " + status, nowMs);
                 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -21,6 +21,7 @@
     private int pollsWithoutRun = NOT_COUNTING;
     private long lastPollNumber;
     private int cpuSharePercent = FULL_CPU_SHARE_PERCENT;
+    private boolean endForgotten;
 
     JobTask(Job job, TaskName name, JobStep step) {
         this.job = job;
@@ -99,6 +100,26 @@
         }
     }
 
+    /**
+     * Releases the task because its run has ended and the worker does not list the end. The task stays assigned, since
+     * it may have succeeded.
+     */
+    void releaseWithForgottenEnd() {
+        release();
+        endForgotten = true;
+    }
+
+    /** Tells whether the current run has ended and its worker does not list the end. */
+    boolean isEndForgotten() {
+        return endForgotten;
+    }
+
+    /** Takes the run up again on the worker that lists it after all. */
+    void resume(WorkerView worker) {
+        endForgotten = false;
+        worker.add(this);
+    }
+
     /*
      * State transitions
      */
@@ -119,6 +140,7 @@
                 state.crashes(),
                 state.soleCrashes()));
         progress = RunProgress.firstOrderedAt(nowMs);
+        endForgotten = false;
         pollsWithoutRun = NOT_COUNTING;
         cpuSharePercent = FULL_CPU_SHARE_PERCENT;
     }
@@ -127,6 +149,7 @@
         String kept = checkpoint.isEmpty() ? state.checkpoint() : checkpoint;
         change(new TaskState(phase, state.run(), state.worker(), failures, kept, state.crashes(), state.soleCrashes()));
         progress = RunProgress.NONE;
+        endForgotten = false;
     }
 
     /** Updates the observations of the run. A new checkpoint is written with the next change of the job. */
@@ -195,6 +218,7 @@
         progress = RunProgress.NONE;
         pollsWithoutRun = NOT_COUNTING;
         workerView = null;
+        endForgotten = false;
     }
 
     private void change(TaskState changed) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -19,8 +19,8 @@
     private static final int POLLS_AFTER_STOP = 2;
 
     /**
-     * Polls in a row that list a run of a long-running task neither as running nor as ended, after which it counts as
-     * lost. More than one, since the task must not run a second time beside a run that one poll left out.
+     * Polls in a row that list a run neither as running nor as ended, after which it counts as ended. More than one,
+     * since nothing must start in place of a run that one poll left out.
      */
     private static final int POLLS_TO_LOSE = 3;
 
@@ -62,6 +62,9 @@
         for (WorkerReport.Running running : report.running()) {
             JobTask task = registry.findTask(running.task());
             if (task != null && task.isCurrent(report.ref(), running.run())) {
+                if (task.isEndForgotten()) {
+                    task.resume(worker);
+                }
                 applyListing(task, running, nowMs);
                 listed.add(task);
             } else {
@@ -154,6 +157,17 @@
 
     /** Marks a run as lost that cannot be running any more; its task waits for a worker again. */
     void markLost(JobTask task, WorkerView worker, String reason) {
+        logLost(task, reason);
+        worker.remove(task);
+        task.finish(TaskPhase.PENDING, task.state().failures(), task.progress().checkpoint());
+        decisions.markChanged(task.job());
+    }
+
+    /*
+     * Helpers
+     */
+
+    private void logLost(JobTask task, String reason) {
         log.record(
                 Decision.RUN_LOST,
                 task.name().toString(),
@@ -163,15 +177,8 @@
                 task.state().worker().id(),
                 "reason",
                 reason);
-        worker.remove(task);
-        task.finish(TaskPhase.PENDING, task.state().failures(), task.progress().checkpoint());
-        decisions.markChanged(task.job());
     }
 
-    /*
-     * Helpers
-     */
-
     private void applyEnd(
             WorkerRef ref, WorkerView worker, WorkerReport.Ended end, ToIntFunction<Job> maxAttempts, long nowMs) {
         JobTask task = registry.findTask(end.task());
@@ -340,7 +347,7 @@
             if (listed.contains(task)) {
                 task.restartCountOfPolls();
             } else if (progress.isListed()) {
-                loseIfEndIsForgotten(task, report, worker);
+                releaseIfEndIsForgotten(task, report, worker);
             } else if (progress.stopConfirmed()) {
                 if (task.countPollWithoutRun(report.pollNumber()) >= POLLS_AFTER_STOP) {
                     markLost(task, worker, "withdrawn before it started");
@@ -366,14 +373,20 @@
     }
 
     /**
-     * Marks a run as lost that was listed before and is neither running nor ended now: the worker has forgotten its
-     * end, because a poll that acknowledges ends of a former lifetime was executed late. Only for long-running tasks,
-     * which are started again however they ended; another task may have succeeded.
+     * Releases a run that was listed before and is neither running nor ended now: the worker has forgotten its end. A
+     * long-running task is started again however it ended, and a task of a settled job never. Any other task may have
+     * succeeded, so it neither runs again nor counts as failed.
      */
-    private void loseIfEndIsForgotten(JobTask task, WorkerReport report, WorkerView worker) {
+    private void releaseIfEndIsForgotten(JobTask task, WorkerReport report, WorkerView worker) {
         boolean complete = report.ended().size() < MAX_LISTED_ENDS;
-        if (task.step().longRunning() && complete && task.countPollWithoutRun(report.pollNumber()) >= POLLS_TO_LOSE) {
+        if (!complete || task.countPollWithoutRun(report.pollNumber()) < POLLS_TO_LOSE) {
+            return;
+        }
+        if (task.step().longRunning() || task.job().status().isFinal()) {
             markLost(task, worker, "neither running nor ended");
+            return;
         }
+        logLost(task, "neither running nor ended, not started again since it may have succeeded");
+        task.releaseWithForgottenEnd();
     }
 }
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -107,6 +107,74 @@
         assertEquals(1, task(0).state().run());
     }
 
+    /** The reservation of a run that the worker does not list any more was kept for as long as the worker ran. */
+    @Test
+    void runWhoseEndIsForgottenTakesUpNoCapacity() {
+        submit(TestSteps.of(1, new Resources(3_000, 1_000, 0), 500, List.of()).build());
+        forgetEnd();
+        place("other", step(4).build());
+        for (JobTask other : registry.find("other").orElseThrow().tasks()) {
+            assertTrue(other.isAssigned(), other.name() + " waits for room");
+        }
+    }
+
+    /** Such a task may have succeeded; it was started again when its worker was replaced or its lease lapsed. */
+    @Test
+    void taskWhoseEndIsForgottenIsNotPlacedAgainWhenItsWorkerIsReplaced() {
+        submit(step(1).build());
+        forgetEnd();
+        nowMs += SILENCE_MS;
+        decide();
+        report(new WorkerRef(first.guard(), "next", 2), 1, List.of(), List.of());
+        scheduler.activate(registry.find("job").orElseThrow(), nowMs);
+        for (int poll = 2; poll <= 12; poll++) {
+            report(new WorkerRef(first.guard(), "next", 2), poll, List.of(), List.of());
+        }
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
+    }
+
+    /** Guards against work beside a run that was left out of several lists, and against the loss of its end. */
+    @Test
+    void runThatIsListedAgainAfterItsEndSeemedForgottenCounts() {
+        submit(TestSteps.of(1, new Resources(3_000, 1_000, 0), 500, List.of()).build());
+        forgetEnd();
+        report(first, 10, List.of(running(TASK, 1)), List.of());
+        place("other", step(4).build());
+        long assigned = registry.find("other").orElseThrow().tasks().stream()
+                .filter(JobTask::isAssigned)
+                .count();
+        assertEquals(1, assigned, "tasks beside the run");
+        report(first, 11, List.of(), List.of(end(1, TASK, 1, RunEnd.DONE)));
+        assertEquals(TaskPhase.DONE, task(0).state().phase());
+    }
+
+    /** The leader sent stops for such a run for ever, and never forgot its job. */
+    @Test
+    void cancelledJobWithARunWhoseEndIsForgottenIsSettled() {
+        submit(step(1).build());
+        forgetEnd();
+        registry.cancel("job");
+        scheduler.activate(registry.find("job").orElseThrow(), nowMs);
+        for (int poll = 10; poll <= 16; poll++) {
+            report(first, poll, List.of(), List.of());
+        }
+        assertEquals(0, scheduler.activeJobs());
+        assertEquals(1, task(0).state().run());
+    }
+
+    /** As before, but the end is forgotten while the run is being stopped. */
+    @Test
+    void cancelledJobWhoseRunIsForgottenLaterIsSettled() {
+        submit(step(1).build());
+        report(first, 1, List.of(running(TASK, 1)), List.of());
+        registry.cancel("job");
+        scheduler.activate(registry.find("job").orElseThrow(), nowMs);
+        for (int poll = 2; poll <= 10; poll++) {
+            report(first, poll, List.of(), List.of());
+        }
+        assertEquals(0, scheduler.activeJobs());
+    }
+
     /** A task whose start was never sent waited until the lease of its worker was over. */
     @Test
     void taskWhoseStartWasNotSentIsPlacedOnAnotherWorker() {
@@ -420,6 +488,14 @@
         return new JobOrder.Start(state.worker(), task(0).name(), state.run(), "", "");
     }
 
+    /** Lists the first run, and after that neither as running nor as ended. */
+    private void forgetEnd() {
+        report(first, 1, List.of(running(TASK, 1)), List.of());
+        for (int poll = 2; poll <= 6; poll++) {
+            report(first, poll, List.of(), List.of());
+        }
+    }
+
     /** Repeats a report without the run until the leader repeats the start. */
     private void waitForRepeatedStart() {
         long queuedAtMs = task(0).progress().queuedAtMs();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -26,7 +26,7 @@
     RUN_LOST(
             4016,
             Level.WARNING,
-            "A run was declared lost because it can no longer be running; its task is placed again."),
+            "A run can no longer be running; its task is placed again unless the reason says otherwise."),
     START_REFUSED(
             4017,
             Level.INFO,
