--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -19,8 +19,8 @@
     private static final int POLLS_AFTER_STOP = 2;
 
     /**
-     * Polls in a row that list a run of a long-running task neither as running nor as ended, after which it counts as
-     * lost. More than one, since the task must not run a second time beside a run that one poll left out.
+     * Polls in a row that list a run neither as running nor as ended, after which it counts as ended. More than one,
+     * since nothing must start in place of a run that one poll left out.
      */
     private static final int POLLS_TO_LOSE = 3;
 
@@ -62,6 +62,9 @@
         for (WorkerReport.Running running : report.running()) {
             JobTask task = registry.findTask(running.task());
             if (task != null && task.isCurrent(report.ref(), running.run())) {
+                if (task.isEndForgotten()) {
+                    task.resume(worker);
+                }
                 applyListing(task, running, nowMs);
                 listed.add(task);
             } else {
@@ -89,7 +92,7 @@
         }
         log.record(Decision.START_REFUSED, name, "run", run, "worker", ref.id(), "outcome", outcome);
         boolean inconclusive = outcome.equals(OLD) || outcome.equals(UNCERTAIN);
-        if (inconclusive || task.progress().mayHaveStarted()) {
+        if (inconclusive || task.progress().mayHaveStartedDespiteRefusal()) {
             withdraw(task, nowMs);
         } else {
             task.release();
@@ -103,31 +106,43 @@
         }
     }
 
+    /** Records that a start was handed to a session of its guard, so that its run may have begun. */
+    void onStartSent(JobOrder.Start start, long nowMs) {
+        JobTask task = registry.findTask(start.task().toString());
+        if (task != null && task.isCurrent(start.worker(), start.run())) {
+            task.updateProgress(task.progress().withSent(nowMs));
+        }
+    }
+
     /**
      * Releases the task of a start that was not sent, unless an earlier start of the same run was. A member of a gang
      * keeps its run, since the others wait for it and the start is repeated if the guard returns in time.
      */
-    void onStartNotSent(JobOrder.Start start) {
+    void onStartNotSent(JobOrder.Start start, String reason) {
         JobTask task = registry.findTask(start.task().toString());
         if (task != null
                 && task.isCurrent(start.worker(), start.run())
                 && !task.progress().mayHaveStarted()
                 && !task.step().gang()) {
-            log.record(
-                    Decision.START_REFUSED,
-                    start.task().toString(),
-                    "run",
-                    start.run(),
-                    "worker",
-                    start.worker().id(),
-                    "outcome",
-                    "not sent, the guard has no session");
-            task.release();
-            task.finish(TaskPhase.PENDING, task.state().failures(), "");
-            decisions.markChanged(task.job());
+            releaseUnsent(task, reason);
         }
     }
 
+    private void releaseUnsent(JobTask task, String reason) {
+        log.record(
+                Decision.START_REFUSED,
+                task.name().toString(),
+                "run",
+                task.state().run(),
+                "worker",
+                task.state().worker().id(),
+                "outcome",
+                reason);
+        task.release();
+        task.finish(TaskPhase.PENDING, task.state().failures(), "");
+        decisions.markChanged(task.job());
+    }
+
     /**
      * Orders a run to stop that may have started or may still start. A worker also refuses a start as old if the same
      * run has already ended there, so the worker's lists determine the outcome.
@@ -142,6 +157,17 @@
 
     /** Marks a run as lost that cannot be running any more; its task waits for a worker again. */
     void markLost(JobTask task, WorkerView worker, String reason) {
+        logLost(task, reason);
+        worker.remove(task);
+        task.finish(TaskPhase.PENDING, task.state().failures(), task.progress().checkpoint());
+        decisions.markChanged(task.job());
+    }
+
+    /*
+     * Helpers
+     */
+
+    private void logLost(JobTask task, String reason) {
         log.record(
                 Decision.RUN_LOST,
                 task.name().toString(),
@@ -151,15 +177,8 @@
                 task.state().worker().id(),
                 "reason",
                 reason);
-        worker.remove(task);
-        task.finish(TaskPhase.PENDING, task.state().failures(), task.progress().checkpoint());
-        decisions.markChanged(task.job());
     }
 
-    /*
-     * Helpers
-     */
-
     private void applyEnd(
             WorkerRef ref, WorkerView worker, WorkerReport.Ended end, ToIntFunction<Job> maxAttempts, long nowMs) {
         JobTask task = registry.findTask(end.task());
@@ -328,34 +347,46 @@
             if (listed.contains(task)) {
                 task.restartCountOfPolls();
             } else if (progress.isListed()) {
-                loseIfEndIsForgotten(task, report, worker);
+                releaseIfEndIsForgotten(task, report, worker);
             } else if (progress.stopConfirmed()) {
                 if (task.countPollWithoutRun(report.pollNumber()) >= POLLS_AFTER_STOP) {
                     markLost(task, worker, "withdrawn before it started");
                 }
+            } else if (!progress.isSent() && !task.step().gang()) {
+                // The start waits for its append, or it was dropped; from now on it is not applicable any more.
+                if (nowMs - progress.orderedAtMs() > JobTimeLimits.START_WITHDRAW_MS) {
+                    releaseUnsent(task, "not sent in time");
+                }
             } else if (progress.stopOrderedAtMs() > 0
-                    || nowMs - progress.orderedAtMs() > JobTimeLimits.START_WITHDRAW_MS) {
+                    || nowMs - Math.max(progress.orderedAtMs(), progress.sentAtMs())
+                            > JobTimeLimits.START_WITHDRAW_MS) {
                 if (nowMs - progress.stopOrderedAtMs() > JobTimeLimits.STOP_RETRY_MS) {
                     task.updateProgress(progress.withStopOrdered(nowMs));
                     decisions.addImmediate(new JobOrder.Stop(
                             report.ref(), task.name().toString(), task.state().run()));
                 }
-            } else if (nowMs - progress.sentAtMs() > JobTimeLimits.START_RETRY_MS) {
-                task.updateProgress(progress.withSent(nowMs));
+            } else if (nowMs - Math.max(progress.queuedAtMs(), progress.sentAtMs()) > JobTimeLimits.START_RETRY_MS) {
+                task.updateProgress(progress.withQueued(nowMs));
                 decisions.addStart(task);
             }
         }
     }
 
     /**
-     * Marks a run as lost that was listed before and is neither running nor ended now: the worker has forgotten its
-     * end, because a poll that acknowledges ends of a former lifetime was executed late. Only for long-running tasks,
-     * which are started again however they ended; another task may have succeeded.
+     * Releases a run that was listed before and is neither running nor ended now: the worker has forgotten its end. A
+     * long-running task is started again however it ended, and a task of a settled job never. Any other task may have
+     * succeeded, so it neither runs again nor counts as failed.
      */
-    private void loseIfEndIsForgotten(JobTask task, WorkerReport report, WorkerView worker) {
+    private void releaseIfEndIsForgotten(JobTask task, WorkerReport report, WorkerView worker) {
         boolean complete = report.ended().size() < MAX_LISTED_ENDS;
-        if (task.step().longRunning() && complete && task.countPollWithoutRun(report.pollNumber()) >= POLLS_TO_LOSE) {
+        if (!complete || task.countPollWithoutRun(report.pollNumber()) < POLLS_TO_LOSE) {
+            return;
+        }
+        if (task.step().longRunning() || task.job().status().isFinal()) {
             markLost(task, worker, "neither running nor ended");
+            return;
         }
+        logLost(task, "neither running nor ended, not started again since it may have succeeded");
+        task.releaseWithForgottenEnd();
     }
 }
--- a/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/CrashTrackerTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -88,6 +89,66 @@
         assertTrue(pool.crashes() <= MAX_CRASHES, "crashes " + pool.crashes());
     }
 
+    /**
+     * The leader is replaced after each crash, and the next one hears of the worker when its next lifetime runs. No
+     * crash was counted, so such a task was started for ever.
+     */
+    @Test
+    void crashesThatANewLeaderLearnsOfByTheNextLifetimeCount() {
+        submitDeadly("deadly");
+        for (int i = 0; i < 2 * MAX_CRASHES; i++) {
+            crashUnseen("deadly");
+        }
+        assertTrue(pool.crashes() <= MAX_CRASHES, "crashes " + pool.crashes());
+        assertEquals(JobStatus.FAILED, job("deadly").acknowledgedStatus());
+    }
+
+    /** Once a task is a suspect, such a crash counts also if other runs were lost in it. */
+    @Test
+    void suspectIsCountedByANewLeaderBesideOtherRuns() {
+        submitDeadly("deadly");
+        for (int i = 0; i < 100 && task("deadly").state().crashes() == 0; i++) {
+            pool.run(PoolEmulator.STEP_MS);
+        }
+        assertEquals(1, task("deadly").state().crashes());
+        for (int i = 0; i < 2 * WORKERS; i++) {
+            submit("job-" + i, 60_000);
+        }
+        crashUnseen("deadly");
+        pool.run(500);
+        assertEquals(2, task("deadly").state().crashes());
+        for (int i = 0; i < 2 * WORKERS; i++) {
+            assertEquals(0, task("job-" + i).state().crashes(), "job-" + i);
+        }
+    }
+
+    /**
+     * A worker that is replaced as planned while the leader changes looks the same. Guards against many suspects, which
+     * would be tried one by one, and against a task that is given up for it.
+     */
+    @Test
+    void workerThatIsReplacedWhileTheLeaderChangesMakesFewSuspects() {
+        submit("single", 60_000);
+        String guard = task("single").state().worker().guard();
+        for (int i = 0; i < 2; i++) {
+            pool.workers.get(task("single").state().worker().guard()).restart();
+            pool.replaceLeader();
+            pool.run(1_500);
+        }
+        assertEquals(0, task("single").state().soleCrashes());
+        assertTrue(task("single").isAssigned(), "given up although no crash was seen on " + guard);
+        for (int i = 0; i < 2 * WORKERS; i++) {
+            submit("job-" + i, 60_000);
+        }
+        pool.run(1_500);
+        pool.workers.values().forEach(FakeWorker::restart);
+        pool.replaceLeader();
+        pool.run(500);
+        for (int i = 0; i < 2 * WORKERS; i++) {
+            assertEquals(0, task("job-" + i).state().crashes(), "job-" + i);
+        }
+    }
+
     /** A leader ended when a suspect waited while another's trial ran on a worker that had not reported to it yet. */
     @Test
     void newLeaderPlacesSuspectsBeforeAllWorkersHaveReported() {
@@ -208,6 +269,63 @@
         assertNotEquals(first, task("job").state().worker().guard());
     }
 
+    /**
+     * A start that waits for its append has crashed nothing. All tasks that were assigned to the worker were suspects,
+     * so that they were tried one by one, and the task that did crash it was not the only suspect.
+     */
+    @Test
+    void runWhoseStartWasNotSentIsNoSuspect() {
+        submitDeadly("deadly");
+        String guard = task("deadly").state().worker().guard();
+        pool.holdsStarts = true;
+        for (int i = 0; i < 3 * WORKERS; i++) {
+            submit("job-" + i, 600);
+        }
+        assertTrue(
+                pool.registry.jobs().stream()
+                                .filter(job -> job.tasks()
+                                        .get(0)
+                                        .state()
+                                        .worker()
+                                        .guard()
+                                        .equals(guard))
+                                .count()
+                        > 1,
+                "no task waits for its start beside the one that crashes the worker");
+        pool.run(1_500);
+        pool.holdsStarts = false;
+        for (int i = 0; i < 3 * WORKERS; i++) {
+            assertEquals(0, task("job-" + i).state().crashes(), "job-" + i);
+        }
+        assertEquals(1, task("deadly").state().soleCrashes());
+    }
+
+    /**
+     * Suspects that fit on no worker while others run held the slots of the trials, and the workers with room, for 3 s
+     * each, time after time. Another suspect, which fits, waited behind them.
+     */
+    @Test
+    void suspectsThatFitNowhereDoNotHoldUpOthers() {
+        for (int i = 0; i < 4; i++) {
+            submit("large-" + i, new Resources(4_000, 1_000, 0), 500);
+        }
+        submit("small-0", 500);
+        submit("small-1", 500);
+        crashRack(0);
+        crashRack(1);
+        pool.run(2_000);
+        for (Job job : pool.registry.jobs()) {
+            assertEquals(1, job.tasks().get(0).state().crashes(), job.spec().id() + " is no suspect");
+        }
+        for (int i = 0; i < 4 * WORKERS - 3; i++) {
+            submit("other-" + i, 60_000);
+        }
+        pool.run(5_500);
+        for (String id : List.of("small-0", "small-1")) {
+            assertEquals(JobStatus.COMPLETED, job(id).acknowledgedStatus(), id);
+        }
+    }
+
     /** A gang gets no trial, so beside jobs that always begin its crashes never had it as the only suspect. */
     @Test
     void gangThatCrashesItsWorkersBesideFreshJobsIsGivenUp() {
@@ -229,6 +347,22 @@
      * Helpers
      */
 
+    /** Waits for the next crash by a task, and replaces the leader, which hears of the worker when it is back. */
+    private void crashUnseen(String id) {
+        int before = pool.crashes();
+        for (int i = 0; i < 100 && pool.crashes() == before; i++) {
+            pool.run(PoolEmulator.STEP_MS);
+        }
+        if (pool.crashes() > before) {
+            FakeWorker worker = pool.workers.get(task(id).state().worker().guard());
+            pool.silence(worker);
+            pool.replaceLeader();
+            pool.run(3_100);
+            assertFalse(worker.isDown());
+            pool.reconnect(worker);
+        }
+    }
+
     private void crashRack(int rack) {
         for (int i = 3 * rack; i < 3 * rack + 3; i++) {
             if (!pool.workers.get("guard-" + i).isDown()) {
@@ -243,7 +377,11 @@
     }
 
     private void submit(String id, long ms) {
-        JobStep step = TestSteps.of(1, size(), ms, List.of()).build();
+        submit(id, size(), ms);
+    }
+
+    private void submit(String id, Resources demand, long ms) {
+        JobStep step = TestSteps.of(1, demand, ms, List.of()).build();
         pool.submit(new JobSpec(id, "q", "", List.of(step), 0, 0, 0, pool.nowMs), Arrays.asList(ms));
     }
 
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -31,6 +31,9 @@
     private JobScheduler scheduler;
     private long nowMs = 1_000_000;
 
+    /** Whether starts are handed to the sessions of their guards. */
+    private boolean connected = true;
+
     @BeforeEach
     void startLeader() {
         scheduler = new JobScheduler(registry, CONFIG, LIMITS, DecisionLog.NONE, nowMs);
@@ -104,9 +107,78 @@
         assertEquals(1, task(0).state().run());
     }
 
+    /** The reservation of a run that the worker does not list any more was kept for as long as the worker ran. */
+    @Test
+    void runWhoseEndIsForgottenTakesUpNoCapacity() {
+        submit(TestSteps.of(1, new Resources(3_000, 1_000, 0), 500, List.of()).build());
+        forgetEnd();
+        place("other", step(4).build());
+        for (JobTask other : registry.find("other").orElseThrow().tasks()) {
+            assertTrue(other.isAssigned(), other.name() + " waits for room");
+        }
+    }
+
+    /** Such a task may have succeeded; it was started again when its worker was replaced or its lease lapsed. */
+    @Test
+    void taskWhoseEndIsForgottenIsNotPlacedAgainWhenItsWorkerIsReplaced() {
+        submit(step(1).build());
+        forgetEnd();
+        nowMs += SILENCE_MS;
+        decide();
+        report(new WorkerRef(first.guard(), "next", 2), 1, List.of(), List.of());
+        scheduler.activate(registry.find("job").orElseThrow(), nowMs);
+        for (int poll = 2; poll <= 12; poll++) {
+            report(new WorkerRef(first.guard(), "next", 2), poll, List.of(), List.of());
+        }
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
+    }
+
+    /** Guards against work beside a run that was left out of several lists, and against the loss of its end. */
+    @Test
+    void runThatIsListedAgainAfterItsEndSeemedForgottenCounts() {
+        submit(TestSteps.of(1, new Resources(3_000, 1_000, 0), 500, List.of()).build());
+        forgetEnd();
+        report(first, 10, List.of(running(TASK, 1)), List.of());
+        place("other", step(4).build());
+        long assigned = registry.find("other").orElseThrow().tasks().stream()
+                .filter(JobTask::isAssigned)
+                .count();
+        assertEquals(1, assigned, "tasks beside the run");
+        report(first, 11, List.of(), List.of(end(1, TASK, 1, RunEnd.DONE)));
+        assertEquals(TaskPhase.DONE, task(0).state().phase());
+    }
+
+    /** The leader sent stops for such a run for ever, and never forgot its job. */
+    @Test
+    void cancelledJobWithARunWhoseEndIsForgottenIsSettled() {
+        submit(step(1).build());
+        forgetEnd();
+        registry.cancel("job");
+        scheduler.activate(registry.find("job").orElseThrow(), nowMs);
+        for (int poll = 10; poll <= 16; poll++) {
+            report(first, poll, List.of(), List.of());
+        }
+        assertEquals(0, scheduler.activeJobs());
+        assertEquals(1, task(0).state().run());
+    }
+
+    /** As before, but the end is forgotten while the run is being stopped. */
+    @Test
+    void cancelledJobWhoseRunIsForgottenLaterIsSettled() {
+        submit(step(1).build());
+        report(first, 1, List.of(running(TASK, 1)), List.of());
+        registry.cancel("job");
+        scheduler.activate(registry.find("job").orElseThrow(), nowMs);
+        for (int poll = 2; poll <= 10; poll++) {
+            report(first, poll, List.of(), List.of());
+        }
+        assertEquals(0, scheduler.activeJobs());
+    }
+
     /** A task whose start was never sent waited until the lease of its worker was over. */
     @Test
     void taskWhoseStartWasNotSentIsPlacedOnAnotherWorker() {
+        connected = false;
         submit(step(1).build());
         report(second, 1, List.of(), List.of());
         scheduler.onGuardLost(first.guard());
@@ -118,6 +190,7 @@
     /** A late report made the worker look connected, so its tasks were assigned, released and assigned there again. */
     @Test
     void taskWhoseStartWasNotSentIsNotPlacedOnTheSameWorkerAgain() {
+        connected = false;
         submit(step(1).build());
         report(second, 1, List.of(), List.of());
         scheduler.onStartNotSent(start());
@@ -139,6 +212,67 @@
         assertEquals(2, task(0).state().run());
     }
 
+    /**
+     * A leader that is late sends a start more than 1 s after it was ordered. It counted as repeated, so that a refusal
+     * withdrew the run and the task waited for a stop and two more polls.
+     */
+    @Test
+    void refusalOfAStartThatWasSentLateReleasesItsTaskAtOnce() {
+        connected = false;
+        submit(step(1).build());
+        for (int i = 0; i < 3; i++) {
+            report(first, 1, List.of(), List.of());
+        }
+        scheduler.onStartSent(start(), nowMs);
+        connected = true;
+        report(second, 1, List.of(), List.of());
+        scheduler.onOrderOutcome(first, TASK, 1, true, "status 503", nowMs);
+        decide();
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 2, second, 0, ""), task(0).state());
+    }
+
+    /** A start that was sent late must be repeated and withdrawn after the usual times, not at once. */
+    @Test
+    void timesOfAStartThatWasSentLateCountFromItsSending() {
+        connected = false;
+        submit(step(1).build());
+        for (int i = 0; i < 4; i++) {
+            report(first, 1, List.of(), List.of());
+        }
+        scheduler.onStartSent(start(), nowMs);
+        for (int i = 0; i < 4; i++) {
+            report(first, 1, List.of(), List.of());
+        }
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
+        assertEquals(List.of(), ordered, "withdrawn although it was sent only 2 s ago");
+    }
+
+    /** A start that was never sent waited for a stop and two more polls until its task was placed again. */
+    @Test
+    void runWhoseStartIsNeverSentIsPlacedAgainWithoutAStop() {
+        connected = false;
+        submit(step(1).build());
+        JobOrder.Start start = start();
+        for (int i = 0; i < 6; i++) {
+            report(first, 1, List.of(), List.of());
+        }
+        assertEquals(2, task(0).state().run());
+        assertEquals(List.of(), ordered, "a run that cannot have started is not stopped");
+        assertFalse(scheduler.isApplicable(start), "the former start would still be sent");
+    }
+
+    /** A start that did not fit the capacity any more when it was sent was repeated for 2.5 s and then withdrawn. */
+    @Test
+    void taskWhoseStartWasDroppedIsPlacedAgainAtOnce() {
+        connected = false;
+        submit(step(1).build());
+        report(second, 1, List.of(), List.of());
+        scheduler.onGuardLost(first.guard());
+        scheduler.onStartDropped(start());
+        decide();
+        assertEquals(new TaskState(TaskPhase.ASSIGNED, 2, second, 0, ""), task(0).state());
+    }
+
     /** If the start was repeated, the first one may have been executed, so no other worker may run the task yet. */
     @Test
     void taskWhoseRepeatedStartWasNotSentStays() {
@@ -154,9 +288,11 @@
     /** The other members of the gang have the same run number and wait, so the start must be repeated. */
     @Test
     void memberOfAGangWhoseStartWasNotSentKeepsItsRun() {
+        connected = false;
         submitGang();
         scheduler.onStartNotSent(start());
         assertEquals(new TaskState(TaskPhase.ASSIGNED, 1, first, 0, ""), task(0).state());
+        waitForRepeatedStart();
     }
 
     /** Tasks were placed on a worker for up to 1.6 s after the session of its guard had ended. */
@@ -352,13 +488,21 @@
         return new JobOrder.Start(state.worker(), task(0).name(), state.run(), "", "");
     }
 
+    /** Lists the first run, and after that neither as running nor as ended. */
+    private void forgetEnd() {
+        report(first, 1, List.of(running(TASK, 1)), List.of());
+        for (int poll = 2; poll <= 6; poll++) {
+            report(first, poll, List.of(), List.of());
+        }
+    }
+
     /** Repeats a report without the run until the leader repeats the start. */
     private void waitForRepeatedStart() {
-        long sentAtMs = task(0).progress().sentAtMs();
+        long queuedAtMs = task(0).progress().queuedAtMs();
         for (int i = 0; i < 3; i++) {
             report(first, 1, List.of(), List.of());
         }
-        assertTrue(task(0).progress().sentAtMs() > sentAtMs, "the start was not repeated");
+        assertTrue(task(0).progress().queuedAtMs() > queuedAtMs, "the start was not repeated");
     }
 
     private static TestSteps step(int count) {
@@ -425,7 +569,13 @@
     private void decide() {
         scheduler.tick(nowMs, nowMs, true);
         ordered.addAll(scheduler.takeImmediateOrders());
-        scheduler.onCommitted(scheduler.takeBatch());
+        JobBatch batch = scheduler.takeBatch();
+        scheduler.onCommitted(batch);
+        for (JobOrder order : batch.orders()) {
+            if (order instanceof JobOrder.Start start && connected) {
+                scheduler.onStartSent(start, nowMs);
+            }
+        }
     }
 
     private JobTask task(int index) {
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -57,6 +57,9 @@
     int passes;
     int startedRuns;
 
+    /** Whether starts wait for their append, so that none reaches a worker; they are dropped. */
+    boolean holdsStarts;
+
     /** Hash of the sequence of orders, for checking that two versions of the leader give the same orders. */
     int ordersHash;
 
@@ -130,6 +133,11 @@
         registry.remove(jobId);
     }
 
+    /** Connects the guard of a silenced worker to the leader again. */
+    void reconnect(FakeWorker worker) {
+        silent.remove(worker);
+    }
+
     void cancel(String jobId) {
         registry.cancel(jobId);
         scheduler.activate(registry.find(jobId).orElseThrow(), nowMs);
@@ -198,6 +206,12 @@
 
     private void apply(List<JobOrder> orders) {
         for (JobOrder order : orders) {
+            if (order instanceof JobOrder.Start start) {
+                if (holdsStarts) {
+                    continue;
+                }
+                scheduler.onStartSent(start, nowMs);
+            }
             startedRuns += order instanceof JobOrder.Start ? 1 : 0;
             ordersHash = 31 * ordersHash + order.hashCode();
             FakeWorker worker = workers.get(order.worker().guard());
