Keep an entry running after a leader record that names no process

One record of another writer under the key "leader" of the log ended each entry that read it, again after each restart, because it stays the newest of its key: an address without a usable port failed with IllegalArgumentException when the silent leader was probed (600 ms after the start, before the entry could stand for election); a record without a node with NullPointerException; one that holds the progress of a job with RuntimeException of the Thrift union. Neither is caught on the actor, whose end is the end of the process. A term of Long.MAX_VALUE left the entries without a leader for ever, since the next term is negative.

JobRecords.decodeLeader now checks node, address and the range of the term, and fails with FrameException, which is logged as RECORD_SKIPPED. Election ignores a leader without a usable address (new event 4037 with term, node and address) and only counts its term as taken, so that its own epoch is higher. FrameTransport.connect takes the text of an address and reports a connection that could not be opened if it names no process (new event 1105); addresses of the settings file that name none are left out at the start, because the forwarder would try them again without a pause.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
@@ -4,6 +4,7 @@
 import java.util.Random;
 
 import org.apache.pekko.actor.typed.ActorRef;
+import org.fulmarreach.core.exc.FrameException;
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.AppendResult;
 import org.fulmarreach.platform.store.KeyedRecord;
@@ -11,6 +12,7 @@
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.protocol.thrift.JobLeader;
+import org.fulmarreach.runtime.cfg.Address;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.util.MonotonicClock;
@@ -137,7 +139,31 @@
      */
 
     /**
-     * Handles a leader record of the log.
+     * Handles a leader record of the log. A record without a usable address names no leader: only its term is taken, so
+     * that this entry stands for a higher one.
+     *
+     * @param end offset up to which the log was read
+     * @throws FrameException if the record is malformed
+     */
+    void onLeaderRecord(byte[] record, long end) {
+        JobLeader seen = JobRecords.decodeLeader(record);
+        if (Address.findPeer(seen.getAddress()).isPresent()) {
+            onLeaderRecord(seen, end);
+            return;
+        }
+        highestTerm = Math.max(highestTerm, seen.getTerm());
+        log.emit(
+                JobEvent.LEADER_RECORD_REFUSED,
+                "term",
+                seen.getTerm(),
+                "node",
+                seen.getNode(),
+                "address",
+                seen.getAddress());
+    }
+
+    /**
+     * Handles the naming of a leader.
      *
      * @param end offset up to which the log was read
      */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -63,6 +63,10 @@
             4036,
             Level.WARNING,
             "Starts are held because cancellations could not be read for a while; check the store."),
+    LEADER_RECORD_REFUSED(
+            4037,
+            Level.WARNING,
+            "A leader record of the log has no usable address and is ignored; see which program of its node wrote it."),
     STORE_LOST(
             4040,
             Level.WARNING,
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -340,7 +340,7 @@
                 registry.restore(id, JobRecords.fromThrift(state.getProgress()));
             }
         } else if (entry.key().equals(JobTopics.LEADER_KEY) && !entry.isRemoval()) {
-            election.onLeaderRecord(JobRecords.decodeState(entry.value()).getLeader(), progress.nextOffset());
+            election.onLeaderRecord(entry.value(), progress.nextOffset());
             if (election.hasOtherLeader()) {
                 redirects.redirectWaiting(election.leader());
             }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -2,13 +2,14 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
@@ -27,7 +28,6 @@
 import org.fulmarreach.runtime.net.FrameTransport;
 import org.fulmarreach.runtime.net.HttpBinding;
 import org.fulmarreach.runtime.net.HttpListener;
-import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.net.LinkSettings;
 import org.fulmarreach.runtime.util.ActorSystems;
 import org.fulmarreach.runtime.util.MonotonicClock;
@@ -106,8 +106,9 @@
         ActorSystem<JobsCommand> system = ActorSystems.construct(
                 Behaviors.setup(context -> JobsActor.create(
                         new HttpStoreClient(context.getSystem(), store.host(), store.port()),
-                        new NetworkLinks(
-                                new FrameTransport(context.getSystem(), FORWARD_LINKS, log), settings.entryAddresses()),
+                        new NetworkEntryLinks(
+                                new FrameTransport(context.getSystem(), FORWARD_LINKS, log),
+                                usableAddresses(settings.entryAddresses(), log)),
                         new JobsActor.Identity(settings.node(), guards.toString()),
                         limits,
                         clock,
@@ -172,6 +173,15 @@
      * Helpers
      */
 
+    /** Leaves out addresses that name no process, which would fail at once and be tried again without a pause. */
+    private static List<String> usableAddresses(List<String> addresses, EventLog log) {
+        Map<Boolean, List<String>> byUse = addresses.stream()
+                .collect(Collectors.partitioningBy(
+                        address -> Address.findPeer(address).isPresent()));
+        byUse.get(false).forEach(address -> log.emit(RuntimeEvent.ADDRESS_REFUSED, "address", address));
+        return byUse.get(true);
+    }
+
     private static CompletionStage<HttpBinding> bind(
             ActorSystem<?> system,
             String address,
@@ -206,12 +216,4 @@
     private static HttpResponse text(String body) {
         return HttpResponse.create().withEntity(ContentTypes.TEXT_PLAIN_UTF8, body.getBytes(StandardCharsets.UTF_8));
     }
-
-    private record NetworkLinks(FrameTransport transport, List<String> knownAddresses) implements EntryLinks {
-        @Override
-        public void connect(String address, Consumer<LinkEvent> listener) {
-            Address parsed = Address.parse(address);
-            transport.connect(parsed.host(), parsed.port(), listener);
-        }
-    }
 }
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -27,6 +27,9 @@
  * {@link FrameException}.
  */
 public final class JobRecords {
+    /** Largest term of a leader. Terms count elections; the next one must never exceed the range of a long. */
+    public static final long MAX_TERM = 1L << 53;
+
     private static final int NO_WORKER = -1;
 
     private JobRecords() {}
@@ -124,6 +127,25 @@
         return ThriftBytes.decode(bytes, new JobState());
     }
 
+    /**
+     * Decodes a record of the leader.
+     *
+     * @return the leader; its node and address are set, and its term is from 1 to {@link #MAX_TERM}
+     * @throws FrameException if the record is malformed
+     */
+    public static JobLeader decodeLeader(byte[] bytes) {
+        JobState state = decodeState(bytes);
+        if (!state.isSetLeader()) {
+            throw new FrameException("record of the leader holds " + state.getSetField());
+        }
+        JobLeader leader = state.getLeader();
+        boolean isNamed = leader.getNode() != null && !leader.getNode().isEmpty() && leader.getAddress() != null;
+        if (!isNamed || leader.getTerm() < 1 || leader.getTerm() > MAX_TERM) {
+            throw new FrameException("record of the leader lacks a node, an address or a valid term: " + leader);
+        }
+        return leader;
+    }
+
     /** Converts the progress of a job from Thrift. */
     public static JobSnapshot fromThrift(JobProgress progress) {
         List<WorkerRef> workers = new ArrayList<>();
--- a/runtime/src/main/java/org/fulmarreach/runtime/cfg/Address.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/cfg/Address.java
@@ -1,5 +1,7 @@
 package org.fulmarreach.runtime.cfg;
 
+import java.util.Optional;
+
 /**
  * A TCP address. Immutable.
  *
@@ -32,6 +34,21 @@
         }
     }
 
+    /**
+     * Returns the address of a process to connect to; empty if the text is null, malformed or has port 0. For addresses
+     * that other processes or records of the store name.
+     */
+    public static Optional<Address> findPeer(String text) {
+        if (text == null) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(parse(text)).filter(address -> address.port() > 0);
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
     /** Returns whether the host is a loopback address. */
     public boolean isLoopback() {
         return host.startsWith("127.") || host.equals("[::1]");
--- a/runtime/src/main/java/org/fulmarreach/runtime/log/RuntimeEvent.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/log/RuntimeEvent.java
@@ -26,6 +26,10 @@
             1104,
             Level.WARNING,
             "A malformed frame arrived, so its connection is closed; run the same version in both processes."),
+    ADDRESS_REFUSED(
+            1105,
+            Level.WARNING,
+            "An address of another process is malformed or has no usable port, so no connection is opened to it."),
     INVARIANT_VIOLATED(
             9001,
             Level.SEVERE,
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/FrameTransport.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/FrameTransport.java
@@ -29,6 +29,7 @@
 import org.fulmarreach.protocol.io.ThriftBytes;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.Frame;
+import org.fulmarreach.runtime.cfg.Address;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.log.RuntimeEvent;
 
@@ -81,6 +82,22 @@
         });
     }
 
+    /**
+     * Opens a connection to an address that came from another process, a record or a settings file.
+     *
+     * @param address {@code host:port}; one that names no process is logged
+     * @param listener gets {@link LinkEvent.Opened} or, if that fails, only {@link LinkEvent.Closed}
+     */
+    public void connect(String address, Consumer<LinkEvent> listener) {
+        Optional<Address> peer = Address.findPeer(address);
+        if (peer.isPresent()) {
+            connect(peer.get().host(), peer.get().port(), listener);
+        } else {
+            log.emit(RuntimeEvent.ADDRESS_REFUSED, "address", address);
+            listener.accept(new LinkEvent.Closed(null, "the address names no process"));
+        }
+    }
+
     /**
      * Accepts connections.
      *
