Keep a guard searching after an address that names no leader

A guard that read or was told an address without a usable port ended: IllegalArgumentException of Address.parse, or NullPointerException for a missing address, on its actor. It read the same record of the store after each restart, so its worker got no orders and lost its lease. If the record under the key of the leader held something else, the lookup failed without any answer, and the guard stayed without a leader until its restart.

A record or a hint without a usable address is logged with its sender (new event 4124: "store", or the address of the entry) and is not used; the search goes on after its usual delay.

NetworkRelayLinks was an inner class of RelayNode; the test needs it.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
@@ -33,10 +33,11 @@
             4123,
             Level.INFO,
             "The leader cannot write and the store names another one; the guard connects to that one."),
-    LEADER_SOUGHT(
-            4122,
-            Level.FINE,
-            "An address was tried in search of the leader, or the store's record of the leader is malformed.");
+    LEADER_SOUGHT(4122, Level.FINE, "An address was tried in search of the leader."),
+    LEADER_ADDRESS_REFUSED(
+            4124,
+            Level.WARNING,
+            "The sender named a leader without a usable address; the guard goes on with the other ways to find it.");
 
     private final int number;
     private final Level level;
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
@@ -5,7 +5,6 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.function.Consumer;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
@@ -14,24 +13,17 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.stream.Materializer;
 import org.apache.pekko.stream.SystemMaterializer;
-import org.fulmarreach.core.exc.FrameException;
 import org.fulmarreach.core.jobs.JobTimeLimits;
 import org.fulmarreach.platform.StrictEntities;
 import org.fulmarreach.platform.node.NodeSettings;
 import org.fulmarreach.platform.store.HttpStoreClient;
-import org.fulmarreach.platform.store.KeyedRecord;
-import org.fulmarreach.platform.store.ReadResult;
 import org.fulmarreach.platform.store.StoreClient;
-import org.fulmarreach.platform.store.TopicPartition;
 import org.fulmarreach.platform.worker.HeartbeatCodec;
 import org.fulmarreach.platform.worker.HttpWorkerCalls;
-import org.fulmarreach.protocol.io.JobRecords;
-import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.runtime.cfg.Address;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameTransport;
 import org.fulmarreach.runtime.net.HttpListener;
-import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.net.LinkSettings;
 import org.fulmarreach.runtime.util.ActorSystems;
 import org.fulmarreach.runtime.util.MonotonicClock;
@@ -49,9 +41,6 @@
     private static final long MAX_BODY_BYTES = 64 * 1024;
 
     /** The guard reports at least every 500 ms and the leader answers each; three missed answers end the session. */
-    /** The store answers in 4 ms; a guard without an answer asks an entry next. */
-    private static final int LOOKUP_SILENCE_MS = 1_000;
-
     private static final LinkSettings LINKS = new LinkSettings(1_600, 500, 4 << 20, 8 << 20);
 
     private final ActorSystem<RelayCommand> system;
@@ -76,7 +65,7 @@
                             new HttpStoreClient(context.getSystem(), storeAddress.host(), storeAddress.port());
                     return WorkerRelay.create(
                             new HttpWorkerCalls(context.getSystem(), workerAddress.host(), workerAddress.port()),
-                            new NetworkLinks(new FrameTransport(context.getSystem(), LINKS, log), store, log),
+                            new NetworkRelayLinks(new FrameTransport(context.getSystem(), LINKS, log), store, log),
                             settings.entryAddresses(),
                             settings.node(),
                             new JobTimeLimits(
@@ -143,39 +132,4 @@
                     }
                 });
     }
-
-    private record NetworkLinks(FrameTransport transport, StoreClient store, EventLog log)
-            implements WorkerRelay.Links {
-        @Override
-        public void connect(String address, Consumer<LinkEvent> listener) {
-            Address parsed = Address.parse(address);
-            transport.connect(parsed.host(), parsed.port(), listener);
-        }
-
-        @Override
-        public void findLeader(Consumer<String> answer) {
-            TopicPartition partition = new TopicPartition(JobTopics.TOPIC, JobTopics.LEADER_HINT_PART);
-            store.readNewest(partition, "", LOOKUP_SILENCE_MS).thenAccept(result -> answer.accept(findAddress(result)));
-        }
-
-        private String findAddress(ReadResult result) {
-            if (result instanceof ReadResult.Page page) {
-                for (KeyedRecord record : page.records()) {
-                    if (record.key().equals(JobTopics.LEADER_KEY) && !record.isRemoval()) {
-                        return decodeAddress(record);
-                    }
-                }
-            }
-            return "";
-        }
-
-        private String decodeAddress(KeyedRecord record) {
-            try {
-                return JobRecords.decodeState(record.value()).getLeader().getAddress();
-            } catch (FrameException e) {
-                log.emit(RelayEvent.LEADER_SOUGHT, "reason", e.getMessage());
-                return "";
-            }
-        }
-    }
 }
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -22,7 +22,9 @@
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.GuardReport;
+import org.fulmarreach.protocol.thrift.LeaderHint;
 import org.fulmarreach.protocol.thrift.LeaderOrders;
+import org.fulmarreach.runtime.cfg.Address;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameHandling;
 import org.fulmarreach.runtime.net.FrameLink;
@@ -509,11 +511,26 @@
             }
             onOrders(body.getLeaderOrders());
         } else if (body.isSetLeaderHint()) {
-            finder.setHint(body.getLeaderHint().getAddress());
-            link.close();
+            onLeaderHint(link, body.getLeaderHint());
         }
     }
 
+    private void onLeaderHint(FrameLink link, LeaderHint hint) {
+        if (Address.findPeer(hint.getAddress()).isPresent()) {
+            finder.setHint(hint.getAddress());
+        } else {
+            log.emit(
+                    RelayEvent.LEADER_ADDRESS_REFUSED,
+                    "sender",
+                    link.remoteAddress(),
+                    "term",
+                    hint.getTerm(),
+                    "address",
+                    hint.getAddress());
+        }
+        link.close();
+    }
+
     private void onTick() {
         long nowMs = clock.nowMs();
         boolean expired = workerRef != null && hasLeaseExpired(nowMs);
