--- a/core/src/main/java/org/fulmarreach/core/model/Resources.java
+++ b/core/src/main/java/org/fulmarreach/core/model/Resources.java
@@ -8,6 +8,18 @@
  * @param accelerators number of accelerators, not negative
  */
 public record Resources(int milliCores, long memoryMb, int accelerators) {
+    /**
+     * Largest processors of a VM or a task that reports and requests may name: 1,000 cores. Sums over 2,000 VMs fit
+     * into an int.
+     */
+    public static final int MAX_MILLI_CORES = 1_000_000;
+
+    /** Largest memory of a VM or a task that reports and requests may name: about a pebibyte. */
+    public static final long MAX_MEMORY_MB = 1_000_000_000L;
+
+    /** Largest number of accelerators of a VM or a task that reports and requests may name. */
+    public static final int MAX_ACCELERATORS = 10_000;
+
     /** No resources. */
     public static final Resources NONE = new Resources(0, 0, 0);
 
