Skip rows of a worker's lists that name no run

Run numbers in the lists of a worker were cast to int, so run 4,294,967,297 counted as run 1 of its task, and a number or name of another type as run 0 or as a task without a name. Ends with negative numbers were accepted.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
@@ -14,6 +14,8 @@
     WORKER_LEFT(4106, Level.INFO, "The worker deregistered."),
     HEARTBEAT_REFUSED(
             4107, Level.WARNING, "A heartbeat could not be decoded, or is older than one that was received before."),
+    ROWS_SKIPPED(
+            4108, Level.WARNING, "The worker's lists have another number of rows that name no run; they are left out."),
     START_DONE(4110, Level.INFO, "The worker accepted the start of a run."),
     START_REFUSED(4111, Level.INFO, "The worker, or the guard on its behalf, refused the start of a run."),
     START_EXPIRED(
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -321,6 +321,9 @@
         lease.updateClock(answer.clockMs(), nowMs);
         boolean newEnds = !answer.ended().isEmpty() && lastEnd(answer) > lastEnd(snapshot);
         boolean first = !hasSnapshot;
+        if (answer.skippedRows() != snapshot.skippedRows()) {
+            log.emit(RelayEvent.ROWS_SKIPPED, "worker", answer.id(), "rows", answer.skippedRows());
+        }
         snapshot = answer;
         dispatcher.onEnded(answer.ended());
         hasSnapshot = true;
