Bound the depth at which unknown Thrift fields are skipped

A field that the reader does not know is skipped by recursion. Thrift's own limit for it is Integer.MAX_VALUE, and the limit in TConfiguration does not apply there, so a record or frame of 100 KB of nested lists or structs ended in a StackOverflowError. That is no RuntimeException, so ThriftBytes.decode did not turn it into a FrameException, and on the entry's actor or in a connection's stream no catch clause sees it.

TProtocolUtil.setMaxSkipDepth now has the same limit as the structs. Sizes of lists and strings beyond the bytes at hand were already refused.

--- a/protocol/src/main/java/org/fulmarreach/protocol/io/ThriftBytes.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/ThriftBytes.java
@@ -4,6 +4,7 @@
 import org.apache.thrift.TConfiguration;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocolUtil;
 import org.apache.thrift.transport.TMemoryBuffer;
 import org.apache.thrift.transport.TMemoryInputTransport;
 import org.fulmarreach.core.exc.FrameException;
@@ -14,8 +15,14 @@
     public static final int MAX_STRUCT_BYTES = 4 * 1024 * 1024;
 
     private static final int INITIAL_BUFFER_BYTES = 256;
+    /** The structs of this project nest fewer than ten levels, and the programs' threads have stacks of 256 KB. */
     private static final int MAX_NESTING = 32;
 
+    static {
+        // Thrift skips unknown fields by recursion, and its limit for them is a static one without an upper bound.
+        TProtocolUtil.setMaxSkipDepth(MAX_NESTING);
+    }
+
     private ThriftBytes() {}
 
     /**
