Check the fields of job records and worker reports in one place

A record of another writer among those of the jobs ended each entry that read it, again after each restart: a job without steps, a step without demand, or progress without workers with NullPointerException; a record of a leader under the key of progress with RuntimeException of the Thrift union; a step that waits for one that does not exist with ArrayIndexOutOfBoundsException in Job, as soon as the entry led. The actor catches FrameException only (and IllegalArgumentException for progress). A step of 2,000,000,000 tasks in a record of 100 bytes was accepted, and Job creates an object for each. A guard's report without a service or with negative resources was accepted, too.

JobRecords and GuardMessages now check presence and range of each field (RecordFields) and fail with FrameException, which the actor logs as RECORD_SKIPPED or, for a frame, FRAME_REFUSED; unknown phases and ends of runs are FrameExceptions as well. The bounds are those of submissions, so no record that an entry writes is refused.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobSpec.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobSpec.java
@@ -23,6 +23,9 @@
         long intervalMs,
         int repetitions,
         long acceptedAtMs) {
+    /** Limit on the tasks of a job with all its occurrences; a larger one would not fit into a record of the store. */
+    public static final int MAX_TASKS = 20_000;
+
     /** Copies the list. */
     public JobSpec {
         steps = List.copyOf(steps);
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -36,7 +36,6 @@
 import org.fulmarreach.protocol.thrift.Frame;
 import org.fulmarreach.protocol.thrift.GuardReport;
 import org.fulmarreach.protocol.thrift.JobLeader;
-import org.fulmarreach.protocol.thrift.JobState;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameHandling;
 import org.fulmarreach.runtime.net.FrameLink;
@@ -324,7 +323,7 @@
         for (KeyedRecord entry : update.records()) {
             try {
                 applyProgress(entry);
-            } catch (FrameException | IllegalArgumentException e) {
+            } catch (FrameException e) {
                 log.emit(JobEvent.RECORD_SKIPPED, "key", entry.key(), "reason", e.getMessage());
             }
         }
@@ -336,8 +335,7 @@
         if (JobTopics.isProgress(entry.key())) {
             String id = JobTopics.jobId(entry.key());
             if (!entry.isRemoval()) {
-                JobState state = JobRecords.decodeState(entry.value());
-                registry.restore(id, JobRecords.fromThrift(state.getProgress()));
+                registry.restore(id, JobRecords.decodeProgress(entry.value()));
             }
         } else if (entry.key().equals(JobTopics.LEADER_KEY) && !entry.isRemoval()) {
             election.onLeaderRecord(entry.value(), progress.nextOffset());
--- /dev/null
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/OddJobRecordTest.java
@@ -0,0 +1,146 @@
+package org.fulmarreach.entry.jobs;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.awaitility.Awaitility;
+import org.fulmarreach.core.jobs.JobSnapshot;
+import org.fulmarreach.core.jobs.JobTimeLimits;
+import org.fulmarreach.platform.store.AppendCondition;
+import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.TopicPartition;
+import org.fulmarreach.protocol.io.JobRecords;
+import org.fulmarreach.protocol.io.JobTopics;
+import org.fulmarreach.protocol.io.ThriftBytes;
+import org.fulmarreach.protocol.thrift.JobProgress;
+import org.fulmarreach.protocol.thrift.JobRequest;
+import org.fulmarreach.protocol.thrift.JobState;
+import org.fulmarreach.protocol.thrift.JobStep;
+import org.fulmarreach.protocol.thrift.JobSubmitted;
+import org.fulmarreach.protocol.thrift.Resources;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.util.ActorSystems;
+import org.fulmarreach.runtime.util.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Records of another writer among those of the jobs. An entry that read one ended, and ended again after each restart.
+ */
+class OddJobRecordTest {
+    private static final String ROUTE = """
+            {"name":"q","host":"h","path_prefix":"/q/","service":"s"}""";
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    private final FakeStore store = new FakeStore();
+    private ActorSystem<JobsCommand> entry;
+
+    @AfterEach
+    void stop() {
+        entry.terminate();
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("oddRecords")
+    void entryOutlastsTheRecordAndLeads(String name, TopicPartition partition, String key, byte[] record) {
+        append(partition, key, record);
+        append(JobPartitions.REQUESTS, JobTopics.jobKey("job"), encode(new JobSubmitted(usual())));
+        start("{\"version\":7,\"routes\":[" + ROUTE + "]}");
+        Awaitility.await().atMost(TIMEOUT).until(() -> describe().contains("leads=true"));
+        Awaitility.await().atMost(TIMEOUT).until(() -> describe().contains("jobs=1"));
+    }
+
+    static Stream<Arguments> oddRecords() {
+        TopicPartition requests = JobPartitions.REQUESTS;
+        TopicPartition progress = JobPartitions.PROGRESS;
+        String job = JobTopics.jobKey("odd");
+        String state = JobTopics.progressKey("odd");
+        return Stream.of(
+                Arguments.of("job without fields", requests, job, encode(new JobSubmitted())),
+                Arguments.of("job without steps", requests, job, encode(usual().setSteps(List.of()))),
+                Arguments.of("step without fields", requests, job, encode(usual().setSteps(List.of(new JobStep())))),
+                Arguments.of("step that waits for a later one", requests, job, encode(waitingForItself())),
+                Arguments.of("text", requests, job, "{}".getBytes(StandardCharsets.UTF_8)),
+                Arguments.of("key without an id", requests, "j", new byte[] {1}),
+                Arguments.of(
+                        "progress without fields",
+                        progress,
+                        state,
+                        ThriftBytes.encode(JobState.progress(new JobProgress()))),
+                Arguments.of("leader as progress", progress, state, JobRecords.encodeLeader(1, "n", "10.0.0.1:80")),
+                Arguments.of("progress of a job without tasks", progress, state, JobRecords.encode(emptySnapshot())),
+                Arguments.of("empty union", progress, state, new byte[] {0}));
+    }
+
+    private static JobSubmitted usual() {
+        return new JobSubmitted("q", "text", List.of(step()), 0, 0, 0, System.currentTimeMillis());
+    }
+
+    private static JobSubmitted waitingForItself() {
+        return usual().setSteps(List.of(step().setAfter(List.of(3))));
+    }
+
+    private static JobStep step() {
+        return new JobStep(
+                1,
+                new Resources(100, 100, 0),
+                100,
+                List.of(),
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                false,
+                "",
+                0,
+                false,
+                0);
+    }
+
+    private static JobSnapshot emptySnapshot() {
+        return new JobSnapshot(List.of(), 0, false);
+    }
+
+    private static byte[] encode(JobSubmitted submission) {
+        return ThriftBytes.encode(JobRequest.submitted(submission));
+    }
+
+    private void start(String config) {
+        append(TopicPartition.OPERATOR, TopicPartition.CONFIG_KEY, config.getBytes(StandardCharsets.UTF_8));
+        entry = ActorSystems.construct(
+                JobsActor.create(
+                        store,
+                        new FakeEntryLinks(),
+                        new JobsActor.Identity("entry-0", "127.0.0.1:1"),
+                        new JobTimeLimits(6_000, 120_000, 3_000),
+                        MonotonicClock.system(),
+                        new EventLog("entry"),
+                        new AtomicReference<>(new JobsCommand.View(null, false)),
+                        new Random(1)),
+                "entry",
+                1);
+    }
+
+    private void append(TopicPartition partition, String key, byte[] value) {
+        store.append(partition, List.of(new KeyedRecord(key, value)), new AppendCondition.None());
+    }
+
+    private String describe() throws Exception {
+        CompletableFuture<String> described = new CompletableFuture<>();
+        entry.tell(new JobsCommand.Describe(described));
+        return described.get(5, TimeUnit.SECONDS);
+    }
+}
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/GuardMessages.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/GuardMessages.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.fulmarreach.core.exc.FrameException;
 import org.fulmarreach.core.jobs.JobOrder;
 import org.fulmarreach.core.jobs.RunEnd;
 import org.fulmarreach.core.jobs.WorkerRef;
@@ -15,6 +16,9 @@
 import org.fulmarreach.protocol.thrift.StopRun;
 import org.fulmarreach.protocol.thrift.WorkerStatus;
 
+import static org.fulmarreach.protocol.io.RecordFields.require;
+import static org.fulmarreach.protocol.io.RecordFields.requireCount;
+
 /** Converts the messages between a guard and the leader. Stateless and thread-safe. */
 public final class GuardMessages {
     private GuardMessages() {}
@@ -48,24 +52,36 @@
         return status;
     }
 
-    /** Converts the report of a worker from Thrift. */
+    /**
+     * Converts the report of a worker from Thrift.
+     *
+     * @throws FrameException if fields are missing or have impossible values
+     */
     public static WorkerReport fromThrift(WorkerStatus status) {
         List<WorkerReport.Running> running = new ArrayList<>();
-        for (RunStatus run : status.getRunning()) {
+        for (RunStatus run : require(status.getRunning(), "running")) {
             running.add(new WorkerReport.Running(
-                    run.getTask(), run.getRun(), run.getCheckpoint(), run.getPercent(), run.getUsage()));
+                    require(run.getTask(), "task"),
+                    requireCount(run.getRun(), "run"),
+                    require(run.getCheckpoint(), "checkpoint"),
+                    run.getPercent(),
+                    run.getUsage()));
         }
         List<WorkerReport.Ended> ended = new ArrayList<>();
-        for (EndedRun end : status.getEnded()) {
+        for (EndedRun end : require(status.getEnded(), "ended")) {
             ended.add(new WorkerReport.Ended(
-                    end.getNumber(), end.getTask(), end.getRun(), RunEnd.valueOf(end.getHow()), end.getCheckpoint()));
+                    end.getNumber(),
+                    require(end.getTask(), "task"),
+                    requireCount(end.getRun(), "run"),
+                    decodeRunEnd(end.getHow()),
+                    require(end.getCheckpoint(), "checkpoint")));
         }
         return new WorkerReport(
                 JobRecords.fromThrift(status.getRef()),
-                status.getServiceName(),
-                status.getZone(),
+                require(status.getServiceName(), "serviceName"),
+                require(status.getZone(), "zone"),
                 JobRecords.fromThrift(status.getCapacity()),
-                status.getLabels(),
+                require(status.getLabels(), "labels"),
                 status.isDraining(),
                 status.isReachable(),
                 status.isLeaseLapsed(),
@@ -75,6 +91,14 @@
                 status.isCrashed());
     }
 
+    private static RunEnd decodeRunEnd(String how) {
+        try {
+            return RunEnd.valueOf(require(how, "how"));
+        } catch (IllegalArgumentException e) {
+            throw new FrameException("unknown end of a run: " + how, e);
+        }
+    }
+
     /**
      * Constructs the message with the orders for one worker.
      *
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -13,6 +13,7 @@
 import org.fulmarreach.core.jobs.TaskState;
 import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.core.model.TimeBounds;
 import org.fulmarreach.protocol.thrift.JobCancelled;
 import org.fulmarreach.protocol.thrift.JobLeader;
 import org.fulmarreach.protocol.thrift.JobProgress;
@@ -22,6 +23,10 @@
 import org.fulmarreach.protocol.thrift.JobTaskState;
 import org.fulmarreach.protocol.thrift.JobWorkerRef;
 
+import static org.fulmarreach.protocol.io.RecordFields.require;
+import static org.fulmarreach.protocol.io.RecordFields.requireCount;
+import static org.fulmarreach.protocol.io.RecordFields.requireRange;
+
 /**
  * Encodes and decodes the job records in the log. Stateless and thread-safe; malformed bytes throw
  * {@link FrameException}.
@@ -67,17 +72,21 @@
         }
         JobSubmitted submitted = request.getSubmitted();
         List<JobStep> steps = new ArrayList<>();
-        for (org.fulmarreach.protocol.thrift.JobStep step : submitted.getSteps()) {
-            steps.add(fromThrift(step));
+        long tasks = 0;
+        for (org.fulmarreach.protocol.thrift.JobStep step : require(submitted.getSteps(), "steps")) {
+            steps.add(fromThrift(step, steps.size()));
+            tasks += step.getTaskCount();
         }
+        int repetitions = requireRange(submitted.getRepetitions(), 0, JobSpec.MAX_TASKS, "repetitions");
+        requireRange(tasks * Math.max(1, repetitions), 1, JobSpec.MAX_TASKS, "number of tasks");
         return new JobSpec(
                 id,
-                submitted.getQueue(),
-                submitted.getPayload(),
+                require(submitted.getQueue(), "queue"),
+                require(submitted.getPayload(), "payload"),
                 steps,
-                submitted.getFirstRunMs(),
-                submitted.getIntervalMs(),
-                submitted.getRepetitions(),
+                requireRange(submitted.getFirstRunMs(), 0, TimeBounds.MAX_UNIX_MS, "firstRunMs"),
+                requireRange(submitted.getIntervalMs(), 0, TimeBounds.MAX_DURATION_MS, "intervalMs"),
+                repetitions,
                 submitted.getAcceptedAtMs());
     }
 
@@ -146,23 +155,51 @@
         return leader;
     }
 
-    /** Converts the progress of a job from Thrift. */
+    /**
+     * Decodes a record of the progress of a job.
+     *
+     * @throws FrameException if the record is malformed
+     */
+    public static JobSnapshot decodeProgress(byte[] bytes) {
+        JobState state = decodeState(bytes);
+        if (!state.isSetProgress()) {
+            throw new FrameException("record of the progress of a job holds " + state.getSetField());
+        }
+        return fromThrift(state.getProgress());
+    }
+
+    /**
+     * Converts the progress of a job from Thrift.
+     *
+     * @throws FrameException if fields are missing or have impossible values
+     */
     public static JobSnapshot fromThrift(JobProgress progress) {
         List<WorkerRef> workers = new ArrayList<>();
-        progress.getWorkers().forEach(ref -> workers.add(fromThrift(ref)));
+        require(progress.getWorkers(), "workers").forEach(ref -> workers.add(fromThrift(ref)));
         List<TaskState> tasks = new ArrayList<>();
-        for (JobTaskState state : progress.getTasks()) {
-            boolean hasWorker = state.getWorker() >= 0 && state.getWorker() < workers.size();
-            tasks.add(new TaskState(
-                    TaskPhase.of(state.getPhase()),
-                    state.getRun(),
-                    hasWorker ? workers.get(state.getWorker()) : null,
-                    state.getFailures(),
-                    state.isSetCheckpoint() ? state.getCheckpoint() : "",
-                    state.getCrashes(),
-                    state.getSoleCrashes()));
+        for (JobTaskState state : require(progress.getTasks(), "tasks")) {
+            tasks.add(fromThrift(state, workers));
+        }
+        return new JobSnapshot(
+                tasks,
+                requireRange(progress.getSettledAtMs(), 0, TimeBounds.MAX_UNIX_MS, "settledAtMs"),
+                progress.isBegun());
+    }
+
+    private static TaskState fromThrift(JobTaskState state, List<WorkerRef> workers) {
+        TaskPhase phase = TaskPhase.of(requireRange(state.getPhase(), 0, TaskPhase.values().length - 1, "phase"));
+        int worker = requireRange(state.getWorker(), NO_WORKER, workers.size() - 1, "worker");
+        if (phase == TaskPhase.ASSIGNED && worker == NO_WORKER) {
+            throw new FrameException("a task is assigned to no worker");
         }
-        return new JobSnapshot(tasks, progress.getSettledAtMs(), progress.isBegun());
+        return new TaskState(
+                phase,
+                requireCount(state.getRun(), "run"),
+                worker == NO_WORKER ? null : workers.get(worker),
+                requireCount(state.getFailures(), "failures"),
+                state.isSetCheckpoint() ? state.getCheckpoint() : "",
+                requireCount(state.getCrashes(), "crashes"),
+                requireCount(state.getSoleCrashes(), "soleCrashes"));
     }
 
     /** Converts the lifetime of a worker to Thrift. */
@@ -170,9 +207,14 @@
         return new JobWorkerRef(ref.guard(), ref.id(), ref.startedAtMs());
     }
 
-    /** Converts the lifetime of a worker from Thrift. */
+    /**
+     * Converts the lifetime of a worker from Thrift.
+     *
+     * @throws FrameException if its guard or id is missing
+     */
     public static WorkerRef fromThrift(JobWorkerRef ref) {
-        return new WorkerRef(ref.getGuard(), ref.getId(), ref.getBornMs());
+        require(ref, "worker");
+        return new WorkerRef(require(ref.getGuard(), "guard"), require(ref.getId(), "id"), ref.getBornMs());
     }
 
     static org.fulmarreach.protocol.thrift.Resources toThrift(Resources resources) {
@@ -181,7 +223,11 @@
     }
 
     static Resources fromThrift(org.fulmarreach.protocol.thrift.Resources resources) {
-        return new Resources(resources.getMilliCores(), resources.getMemoryMb(), resources.getAccelerators());
+        require(resources, "resources");
+        return new Resources(
+                requireRange(resources.getMilliCores(), 0, Resources.MAX_MILLI_CORES, "milliCores"),
+                requireRange(resources.getMemoryMb(), 0, Resources.MAX_MEMORY_MB, "memoryMb"),
+                requireRange(resources.getAccelerators(), 0, Resources.MAX_ACCELERATORS, "accelerators"));
     }
 
     private static org.fulmarreach.protocol.thrift.JobStep toThrift(JobStep step) {
@@ -204,23 +250,26 @@
                 step.maxUnavailable());
     }
 
-    private static JobStep fromThrift(org.fulmarreach.protocol.thrift.JobStep step) {
+    private static JobStep fromThrift(org.fulmarreach.protocol.thrift.JobStep step, int number) {
+        for (int predecessor : require(step.getAfter(), "after")) {
+            requireRange(predecessor, 0, number - 1, "after");
+        }
         return new JobStep(
-                step.getTaskCount(),
+                requireRange(step.getTaskCount(), 1, JobSpec.MAX_TASKS, "taskCount"),
                 fromThrift(step.getDemand()),
-                step.getEstimatedMs(),
+                requireRange(step.getEstimatedMs(), 0, TimeBounds.MAX_DURATION_MS, "estimatedMs"),
                 step.getAfter(),
                 step.isCheckpoints(),
                 step.isGang(),
                 step.isRackLocal(),
-                step.getRequiredLabel(),
-                step.getDataRack(),
-                step.getMaxPerWorker(),
+                require(step.getRequiredLabel(), "requiredLabel"),
+                require(step.getDataRack(), "dataRack"),
+                requireCount(step.getMaxPerWorker(), "maxPerWorker"),
                 step.isSpeculative(),
                 step.isLongRunning(),
-                step.getImage(),
-                step.getTargetLatencyMs(),
+                require(step.getImage(), "image"),
+                requireCount(step.getTargetLatencyMs(), "targetLatencyMs"),
                 step.isFillsIdleCapacity(),
-                step.getMaxAbsent());
+                requireCount(step.getMaxAbsent(), "maxAbsent"));
     }
 }
