Serve the other routes if one route of the configuration is odd

A route without a service, with a name of another type, or an item that is no object made the whole configuration unreadable: no entry became ready, or the previous version stayed active for all queues.

Each of these is logged with the place (new event 4052). A configuration without version or routes is unreadable as before.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -77,7 +77,11 @@
     REMOVAL_FAILED(4044, Level.WARNING, "The requests of forgotten jobs could not be removed; this is tried again."),
     CONFIG_IN_FORCE(4050, Level.INFO, "A newer version of the operators' configuration is active."),
     CONFIG_UNREADABLE(
-            4051, Level.SEVERE, "The operators' configuration cannot be decoded; the previous one stays active.");
+            4051, Level.SEVERE, "The operators' configuration cannot be decoded; the previous one stays active."),
+    CONFIG_PART_SKIPPED(
+            4052,
+            Level.SEVERE,
+            "A part of the operators' configuration cannot be used; the reason names it. The rest of it is active.");
 
     private final int number;
     private final Level level;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -355,7 +355,8 @@
         for (KeyedRecord entry : update.records()) {
             if (entry.key().equals(TopicPartition.CONFIG_KEY) && !entry.isRemoval()) {
                 try {
-                    activateConfig(JobCodec.decodeConfig(entry.value()));
+                    activateConfig(JobCodec.decodeConfig(
+                            entry.value(), reason -> log.emit(JobEvent.CONFIG_PART_SKIPPED, "reason", reason)));
                 } catch (IOException e) {
                     log.emit(JobEvent.CONFIG_UNREADABLE, "reason", e.getMessage());
                 }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/OddJobRecordTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/OddJobRecordTest.java
@@ -34,7 +34,8 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Records of another writer among those of the jobs. An entry that read one ended, and ended again after each restart.
+ * Records of another writer among those of the jobs. An entry that read one ended, and ended again after each restart;
+ * a configuration with one odd route hid the others.
  */
 class OddJobRecordTest {
     private static final String ROUTE = """
@@ -43,6 +44,7 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
     private final FakeStore store = new FakeStore();
+    private final AtomicReference<JobsCommand.View> view = new AtomicReference<>(new JobsCommand.View(null, false));
     private ActorSystem<JobsCommand> entry;
 
     @AfterEach
@@ -82,6 +84,26 @@
                 Arguments.of("empty union", progress, state, new byte[] {0}));
     }
 
+    /** A route that lacks a field made the whole configuration unreadable, so no queue was served. */
+    @ParameterizedTest
+    @MethodSource("oddRoutes")
+    void otherRoutesAreServed(String route) {
+        start("{\"version\":7,\"routes\":[" + route + "," + ROUTE + "]}");
+        Awaitility.await().atMost(TIMEOUT).until(() -> view.get().ready());
+        Awaitility.await()
+                .atMost(TIMEOUT)
+                .until(() -> view.get().config().findByRequest("h", "/q/x").isPresent());
+    }
+
+    static Stream<String> oddRoutes() {
+        return Stream.of(
+                "{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/r/\"}",
+                "{\"name\":7,\"host\":\"h\",\"path_prefix\":\"/r/\",\"service\":\"s\"}",
+                "[]",
+                "\"r\"",
+                "null");
+    }
+
     private static JobSubmitted usual() {
         return new JobSubmitted("q", "text", List.of(step()), 0, 0, 0, System.currentTimeMillis());
     }
@@ -128,7 +150,7 @@
                         new JobTimeLimits(6_000, 120_000, 3_000),
                         MonotonicClock.system(),
                         new EventLog("entry"),
-                        new AtomicReference<>(new JobsCommand.View(null, false)),
+                        view,
                         new Random(1)),
                 "entry",
                 1);
