--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -63,6 +63,10 @@
             4036,
             Level.WARNING,
             "Starts are held because cancellations could not be read for a while; check the store."),
+    LEADER_RECORD_REFUSED(
+            4037,
+            Level.WARNING,
+            "A leader record of the log has no usable address and is ignored; see which program of its node wrote it."),
     STORE_LOST(
             4040,
             Level.WARNING,
@@ -77,7 +81,11 @@
             "A key was removed while the log could not be read; the newest records no longer contain it."),
     CONFIG_IN_FORCE(4050, Level.INFO, "A newer version of the operators' configuration is active."),
     CONFIG_UNREADABLE(
-            4051, Level.SEVERE, "The operators' configuration cannot be decoded; the previous one stays active.");
+            4051, Level.SEVERE, "The operators' configuration cannot be decoded; the previous one stays active."),
+    CONFIG_PART_SKIPPED(
+            4052,
+            Level.SEVERE,
+            "A part of the operators' configuration cannot be used; the reason names it. The rest of it is active.");
 
     private final int number;
     private final Level level;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -323,7 +323,7 @@
         for (KeyedRecord entry : update.records()) {
             try {
                 applyProgress(entry);
-            } catch (FrameException | IllegalArgumentException e) {
+            } catch (FrameException e) {
                 log.emit(JobEvent.RECORD_SKIPPED, "key", entry.key(), "reason", e.getMessage());
             }
         }
@@ -335,7 +335,7 @@
         if (JobTopics.isProgress(entry.key())) {
             applier.applyProgress(entry);
         } else if (entry.key().equals(JobTopics.LEADER_KEY) && !entry.isRemoval()) {
-            election.onLeaderRecord(JobRecords.decodeState(entry.value()).getLeader(), progress.nextOffset());
+            election.onLeaderRecord(entry.value(), progress.nextOffset());
             if (election.hasOtherLeader()) {
                 redirects.redirectWaiting(election.leader());
             }
@@ -352,7 +352,8 @@
         for (KeyedRecord entry : update.records()) {
             if (entry.key().equals(TopicPartition.CONFIG_KEY) && !entry.isRemoval()) {
                 try {
-                    activateConfig(JobCodec.decodeConfig(entry.value()));
+                    activateConfig(JobCodec.decodeConfig(
+                            entry.value(), reason -> log.emit(JobEvent.CONFIG_PART_SKIPPED, "reason", reason)));
                 } catch (IOException e) {
                     log.emit(JobEvent.CONFIG_UNREADABLE, "reason", e.getMessage());
                 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RecordApplier.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RecordApplier.java
@@ -14,7 +14,6 @@
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
-import org.fulmarreach.protocol.thrift.JobState;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
@@ -104,8 +103,7 @@
             progressRemovedAtMs.put(id, clock.nowMs());
         } else {
             progressRemovedAtMs.remove(id);
-            JobState state = JobRecords.decodeState(entry.value());
-            registry.restore(id, JobRecords.fromThrift(state.getProgress()));
+            registry.restore(id, JobRecords.decodeProgress(entry.value()));
         }
     }
 
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
@@ -14,6 +14,8 @@
     WORKER_LEFT(4106, Level.INFO, "The worker deregistered."),
     HEARTBEAT_REFUSED(
             4107, Level.WARNING, "A heartbeat could not be decoded, or is older than one that was received before."),
+    ROWS_SKIPPED(
+            4108, Level.WARNING, "The worker's lists have another number of rows that name no run; they are left out."),
     START_DONE(4110, Level.INFO, "The worker accepted the start of a run."),
     START_REFUSED(4111, Level.INFO, "The worker, or the guard on its behalf, refused the start of a run."),
     START_EXPIRED(
@@ -37,10 +39,11 @@
             4124,
             Level.INFO,
             "An entry has not answered for too long; the guard closes the connection and searches for the leader."),
-    LEADER_SOUGHT(
-            4122,
-            Level.FINE,
-            "An address was tried in search of the leader, or the store's record of the leader is malformed.");
+    LEADER_SOUGHT(4122, Level.FINE, "An address was tried in search of the leader."),
+    LEADER_ADDRESS_REFUSED(
+            4125,
+            Level.WARNING,
+            "The sender named a leader without a usable address; the guard goes on with the other ways to find it.");
 
     private final int number;
     private final Level level;
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
-import java.util.function.Consumer;
 
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -22,7 +21,9 @@
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.GuardReport;
+import org.fulmarreach.protocol.thrift.LeaderHint;
 import org.fulmarreach.protocol.thrift.LeaderOrders;
+import org.fulmarreach.runtime.cfg.Address;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameHandling;
 import org.fulmarreach.runtime.net.FrameLink;
@@ -63,7 +64,7 @@
     private static final int MIN_POLL_DELAY_MS = 60;
 
     private final WorkerCalls worker;
-    private final Links links;
+    private final RelayLinks links;
     private final LeaderFinder finder;
     private final LeaderSilence silence;
     private final WorkerLease lease;
@@ -92,29 +93,11 @@
     private long reportedAtMs;
     private long leaderCheckedAtMs;
 
-    /** Network operations that the relay needs. */
-    public interface Links {
-        /**
-         * Opens a connection to an entry.
-         *
-         * @param address {@code host:port}
-         * @param listener receives its events
-         */
-        void connect(String address, Consumer<LinkEvent> listener);
-
-        /**
-         * Looks up the leader in the store.
-         *
-         * @param answer receives {@code host:port}, or an empty string if the leader is not known
-         */
-        void findLeader(Consumer<String> answer);
-    }
-
     private WorkerRelay(
             ActorContext<RelayCommand> context,
             TimerScheduler<RelayCommand> timers,
             WorkerCalls worker,
-            Links links,
+            RelayLinks links,
             List<String> entries,
             String guard,
             JobTimeLimits limits,
@@ -151,7 +134,7 @@
      */
     public static Behavior<RelayCommand> create(
             WorkerCalls worker,
-            Links links,
+            RelayLinks links,
             List<String> entries,
             String guard,
             JobTimeLimits limits,
@@ -320,8 +303,11 @@
         portClosedSinceMs = 0;
         expiryReported = false;
         lease.updateClock(answer.clockMs(), nowMs);
-        boolean newEnds = !answer.ended().isEmpty() && lastEnd(answer) > lastEnd(snapshot);
+        boolean newEnds = !answer.ended().isEmpty() && answer.lastEndNumber() > snapshot.lastEndNumber();
         boolean first = !hasSnapshot;
+        if (answer.skippedRows() != snapshot.skippedRows()) {
+            log.emit(RelayEvent.ROWS_SKIPPED, "worker", answer.id(), "rows", answer.skippedRows());
+        }
         snapshot = answer;
         dispatcher.onEnded(answer.ended());
         hasSnapshot = true;
@@ -331,12 +317,6 @@
         }
     }
 
-    private static long lastEnd(WorkerSnapshot answer) {
-        return answer.ended().isEmpty()
-                ? 0
-                : answer.ended().get(answer.ended().size() - 1).number();
-    }
-
     private void onPollFailed(String reason, boolean portClosed, long nowMs) {
         failedPolls++;
         portClosedSinceMs = portClosed ? (portClosedSinceMs == 0 ? nowMs : portClosedSinceMs) : 0;
@@ -519,9 +499,24 @@
             }
             onOrders(body.getLeaderOrders());
         } else if (body.isSetLeaderHint()) {
-            finder.setHint(body.getLeaderHint().getAddress());
-            link.close();
+            onLeaderHint(link, body.getLeaderHint());
+        }
+    }
+
+    private void onLeaderHint(FrameLink link, LeaderHint hint) {
+        if (Address.findPeer(hint.getAddress()).isPresent()) {
+            finder.setHint(hint.getAddress());
+        } else {
+            log.emit(
+                    RelayEvent.LEADER_ADDRESS_REFUSED,
+                    "sender",
+                    link.remoteAddress(),
+                    "term",
+                    hint.getTerm(),
+                    "address",
+                    hint.getAddress());
         }
+        link.close();
     }
 
     private void onTick() {
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -434,7 +434,7 @@
     }
 
     /** Accepts a connection to any address; the store names one address as the leader. */
-    private static final class FakeEntries implements WorkerRelay.Links {
+    private static final class FakeEntries implements RelayLinks {
         private final List<FakeLink> links = new CopyOnWriteArrayList<>();
         private final List<String> connected = new CopyOnWriteArrayList<>();
         private volatile String leader = "10.0.0.1:1";
