Run framed connections on TCP actors instead of streams

The cause was the materialization of the streams of a connection, two for each, in code that has just been loaded. Each frame also passed several stages.

A connection is now one actor on Pekko's TCP actors, which the streams used, too. It splits the received bytes into frames in place and merges the queued frames into one write. The limits, the order of events, the interval of the silence check, TCP_NODELAY on both sides (the accepting side has it by default of Pekko) and the log events are as before, with these differences: - a frame with a length that is negative or over the limit is also logged as FRAME_REFUSED, not only as closed - the reasons of a silent peer and of an end within a frame have other texts - SEND_BUFFER_FULL is logged once for each connection, and frames sent after its end are no longer counted - a listener that fails when it is supplied or told of an opened connection ends that connection; it stopped the port - bind returns a FrameBinding with the same methods instead of the binding of Pekko's streams

--- a/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/EntryNode.java
@@ -17,7 +17,6 @@
 import org.apache.pekko.actor.typed.Terminated;
 import org.apache.pekko.actor.typed.javadsl.AskPattern;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
-import org.apache.pekko.stream.javadsl.Tcp;
 import org.fulmarreach.entry.budget.BudgetCommand;
 import org.fulmarreach.entry.calls.CallService;
 import org.fulmarreach.entry.http.EntryActors;
@@ -32,6 +31,7 @@
 import org.fulmarreach.runtime.cfg.Setting;
 import org.fulmarreach.runtime.cfg.Settings;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.FrameBinding;
 import org.fulmarreach.runtime.net.FrameTransport;
 import org.fulmarreach.runtime.net.LinkSettings;
 import org.fulmarreach.runtime.util.ActorSystems;
@@ -52,7 +52,7 @@
 
     private final ActorSystem<Void> system;
     private final EntryParts parts;
-    private final Tcp.ServerBinding frames;
+    private final FrameBinding frames;
     private final EntryHttp http;
     private final long drainTimeoutMs;
     private final MonotonicClock clock;
@@ -61,7 +61,7 @@
     private EntryNode(
             ActorSystem<Void> system,
             EntryParts parts,
-            Tcp.ServerBinding frames,
+            FrameBinding frames,
             EntryHttp http,
             long drainTimeoutMs,
             MonotonicClock clock) {
@@ -136,7 +136,7 @@
                     ready.orTimeout(START_TIMEOUT_MS, TimeUnit.MILLISECONDS).join();
             EntryActors actors = parts.actors();
             Address listen = settings.address(Setting.LISTEN);
-            CompletionStage<Tcp.ServerBinding> frames = transport[0].bind(
+            CompletionStage<FrameBinding> frames = transport[0].bind(
                     listen.host(), listen.port(), () -> new LinkAcceptor(actors.directory(), actors.peers(), log));
             CompletionStage<EntryHttp> http = EntryHttp.start(system, settings, actors, parts.calls(), log, meters);
             return frames.thenCombine(
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/ThriftBytes.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/ThriftBytes.java
@@ -51,17 +51,32 @@
      * @throws FrameException if the bytes are malformed or over {@link #MAX_STRUCT_BYTES}
      */
     public static <T extends TBase<?, ?>> T decode(byte[] bytes, T target) {
-        if (bytes.length > MAX_STRUCT_BYTES) {
-            throw new FrameException("struct of " + bytes.length + " bytes, the limit is " + MAX_STRUCT_BYTES);
+        return decode(bytes, 0, bytes.length, target);
+    }
+
+    /**
+     * Decodes a struct from a range of an array. Binary fields of the struct refer to the array, so the range must not
+     * be changed afterwards.
+     *
+     * @param bytes array that contains bytes in compact protocol
+     * @param offset index of the first byte of the struct
+     * @param length size of the struct in bytes
+     * @param target empty struct that receives the fields
+     * @param <T> type of the struct
+     * @return {@code target}
+     * @throws FrameException if the bytes are malformed or over {@link #MAX_STRUCT_BYTES}
+     */
+    public static <T extends TBase<?, ?>> T decode(byte[] bytes, int offset, int length, T target) {
+        if (length > MAX_STRUCT_BYTES) {
+            throw new FrameException("struct of " + length + " bytes, the limit is " + MAX_STRUCT_BYTES);
         }
         try {
             TConfiguration limits = new TConfiguration(MAX_STRUCT_BYTES, MAX_STRUCT_BYTES, MAX_NESTING);
-            target.read(
-                    new TCompactProtocol(new TMemoryInputTransport(limits, bytes), MAX_STRUCT_BYTES, MAX_STRUCT_BYTES));
+            target.read(new TCompactProtocol(
+                    new TMemoryInputTransport(limits, bytes, offset, length), MAX_STRUCT_BYTES, MAX_STRUCT_BYTES));
             return target;
         } catch (TException | RuntimeException e) {
-            throw new FrameException(
-                    "malformed " + target.getClass().getSimpleName() + " of " + bytes.length + " bytes", e);
+            throw new FrameException("malformed " + target.getClass().getSimpleName() + " of " + length + " bytes", e);
         }
     }
 }
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/package-info.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/package-info.java
@@ -1,2 +1,2 @@
-/** Framed Thrift connections over Pekko streams TCP. */
+/** Framed Thrift connections and HTTP listeners. */
 package org.fulmarreach.runtime.net;
