Do not wait at a stop for the rest of a body that was answered early

A caller that went on sending the body of a request after its answer, a 413 for instance, delayed a planned stop until its end: the entry waited for the peer until its time limit and logged a request in progress.

HttpConnections takes received bytes for a request that has begun until the next answer, and none follows once the HTTP layer has ended the output of the connection. ConnectionStage now reports that end; what is received after it is discarded as before, and neither counts as a request nor ends the quiet time.

--- a/runtime/src/main/java/org/fulmarreach/runtime/net/ConnectionStage.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/ConnectionStage.java
@@ -102,6 +102,7 @@
          */
         private void endOutput() {
             complete(toNet);
+            connection.outputEnded();
             scheduleOnce("linger", LINGER);
             discardInput();
         }
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/HttpBinding.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/HttpBinding.java
@@ -69,7 +69,7 @@
 
     /** Waits once more for quiet: connections may have been accepted just before the listener closed. */
     private void awaitConnections(Deadlines deadlines, CompletableFuture<Integer> drained) {
-        if (connections.countOpen() == 0 && connections.quietMs() >= deadlines.quietMs()
+        if (connections.countAwaited() == 0 && connections.quietMs() >= deadlines.quietMs()
                 || clock.nowMs() >= deadlines.endAtMs()) {
             drained.complete(connections.countInProgress());
             return;
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/HttpConnections.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/HttpConnections.java
@@ -11,6 +11,11 @@
 
 /** The open connections of a listener, and which of them have a request in progress. Thread-safe. */
 final class HttpConnections {
+    /** A stop waits this long for a peer to close after its last answer; closing at once could cut the answer off. */
+    private static final long MAX_AWAITED_MS = 1_000;
+
+    private static final long NOT_ENDED = -1;
+
     private final MonotonicClock clock;
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
     private final AtomicLong lastReceivedAtMs;
@@ -42,6 +47,12 @@
         return open.size();
     }
 
+    /** Returns the number of open connections that a stop waits for: all but those answered some time ago. */
+    int countAwaited() {
+        return (int)
+                open.stream().filter(connection -> !connection.isAnswered()).count();
+    }
+
     /** Closes each connection that has no request in progress. */
     void closeIdle() {
         open.stream().filter(connection -> !connection.isInProgress()).forEach(Connection::close);
@@ -56,6 +67,7 @@
         private final AtomicInteger handled = new AtomicInteger();
         private final CompletableFuture<Connection> ended = new CompletableFuture<>();
         private volatile boolean receivedSinceAnswer;
+        private volatile long outputEndedAtMs = NOT_ENDED;
         private volatile Runnable closer = () -> {};
 
         /** Sets what closes this connection. */
@@ -64,6 +76,9 @@
         }
 
         void received() {
+            if (outputEndedAtMs != NOT_ENDED) {
+                return;
+            }
             receivedSinceAnswer = true;
             lastReceivedAtMs.set(clock.nowMs());
         }
@@ -74,6 +89,12 @@
             }
         }
 
+        /** The last answer was passed to the transport; what is received from now on is discarded. */
+        void outputEnded() {
+            outputEndedAtMs = clock.nowMs();
+            receivedSinceAnswer = false;
+        }
+
         void handlerStarted() {
             handled.incrementAndGet();
         }
@@ -96,6 +117,10 @@
             return receivedSinceAnswer || handled.get() > 0;
         }
 
+        private boolean isAnswered() {
+            return outputEndedAtMs != NOT_ENDED && clock.nowMs() - outputEndedAtMs >= MAX_AWAITED_MS;
+        }
+
         private void close() {
             closer.run();
         }
--- a/runtime/src/test/java/org/fulmarreach/runtime/net/HttpConnectionsTest.java
+++ b/runtime/src/test/java/org/fulmarreach/runtime/net/HttpConnectionsTest.java
@@ -43,6 +43,32 @@
         assertTrue(connection.isInProgress());
     }
 
+    /** The rest of a body that arrived after the last answer kept the connection in progress. */
+    @Test
+    void bytesAfterTheEndOfTheOutputAreNoRequest() {
+        connection.received();
+        connection.handlerStarted();
+        connection.handlerEnded();
+        connection.sent();
+        connection.received();
+        assertTrue(connection.isInProgress(), "a further request may have begun");
+        connection.outputEnded();
+        assertFalse(connection.isInProgress());
+        connection.received();
+        assertFalse(connection.isInProgress());
+    }
+
+    /** A peer that goes on sending would delay a stop; one that reads its answer must be waited for. */
+    @Test
+    void stopWaitsForAnAnsweredConnectionOnlyForAWhile() {
+        connection.outputEnded();
+        nowMs.set(999);
+        assertEquals(1, connections.countAwaited());
+        nowMs.set(1_000);
+        assertEquals(0, connections.countAwaited());
+        assertEquals(1, connections.countOpen());
+    }
+
     @Test
     void onlyIdleConnectionsAreClosed() {
         AtomicLong closed = new AtomicLong();
