Stop a run of a settled job that is listed again after its end seemed forgotten

A run that three polls had left out, and whose job was cancelled then, ran on when it was listed again: the job was not scheduled any more, and the run was still the current one of its task, so it was no stray one either.

The task of such a run now ends its run when its job is settled, so a run that is listed again is stopped as a stray one.

DuplicateRunTest.runOfACancelledJobThatIsListedAgainIsStopped failed before (no stop was ordered). The weight for reserved workers in CrashTracker has a name now.

--- a/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
@@ -50,6 +50,9 @@
     /** Part of the pool, as a divisor, on which suspects may be tried at the same time. */
     private static final int WORKERS_PER_TRIAL = 3;
 
+    /** Keeps a suspect off a worker that another one waits for while there is any other; outweighs all of a score. */
+    private static final double RESERVED_PENALTY = 8;
+
     private final DecisionBuffer decisions;
     private final DecisionLog log;
     private final Placement placement;
@@ -404,7 +407,7 @@
                 workers,
                 worker -> !inUse.contains(worker)
                         && placement.canHost(suspect.task(), suspect.service(), worker, workers, nowMs),
-                worker -> score(suspect.task(), worker, nowMs) + (worker.isReservedForTrial() ? 8 : 0));
+                worker -> score(suspect.task(), worker, nowMs) + (worker.isReservedForTrial() ? RESERVED_PENALTY : 0));
     }
 
     /** Finds the worker on which a crash would do the least harm, and that has room once its runs have ended. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -326,7 +326,9 @@
         if (status.isFinal()) {
             boolean stopping = false;
             for (JobTask task : job.tasks()) {
-                if (task.isAssigned() && !task.isEndForgotten()) {
+                if (task.isEndForgotten()) {
+                    runs.settleForgotten(task);
+                } else if (task.isAssigned()) {
                     stopping = true;
                     mover.stop(task, "job " + status, nowMs);
                 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -155,6 +155,12 @@
         }
     }
 
+    /** Ends a run whose end its worker has forgotten, after its job was settled; if listed again, it is stopped. */
+    void settleForgotten(JobTask task) {
+        task.finish(TaskPhase.PENDING, task.state().failures(), task.progress().checkpoint());
+        decisions.markChanged(task.job());
+    }
+
     /** Marks a run as lost that cannot be running any more; its task waits for a worker again. */
     void markLost(JobTask task, WorkerView worker, String reason) {
         logLost(task, reason);
@@ -353,7 +359,7 @@
                     markLost(task, worker, "withdrawn before it started");
                 }
             } else if (!progress.isSent() && !task.step().gang()) {
-                // The start waits for its append, or it was dropped; from now on it is not applicable any more.
+                // A start that still waits for its append is not applicable any more once its task is released.
                 if (nowMs - progress.orderedAtMs() > JobTimeLimits.START_WITHDRAW_MS) {
                     releaseUnsent(task, "not sent in time");
                 }
--- a/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/DuplicateRunTest.java
@@ -162,6 +162,19 @@
         assertEquals(1, task(0).state().run());
     }
 
+    /** Such a job is not scheduled any more, so nothing stopped a run of it that was listed again after all. */
+    @Test
+    void runOfACancelledJobThatIsListedAgainIsStopped() {
+        submit(step(1).build());
+        forgetEnd();
+        registry.cancel("job");
+        scheduler.activate(registry.find("job").orElseThrow(), nowMs);
+        decide();
+        ordered.clear();
+        report(first, 10, List.of(new WorkerReport.Running(TASK, 1, "", 20, 1_000)), List.of());
+        assertEquals(List.of(new JobOrder.Stop(first, TASK, 1)), ordered);
+    }
+
     /** As before, but the end is forgotten while the run is being stopped. */
     @Test
     void cancelledJobWhoseRunIsForgottenLaterIsSettled() {
