Refuse forwarded requests that are no record of a caller's request

A frame with a forwarded request was appended to the log as it came. One without a key failed when the outcome of its append was handled, outside the handling of frames: NullPointerException on the actor, which ends the process. One with another key (for example that of the leader), a key longer than the one byte of its length allows, or a value that is no job was stored.

RequestForwarder.toRecord checks key and value before anything is written and fails with FrameException, so that the frame is logged as FRAME_REFUSED and the connection closed.

Evidence: OddJobRecordTest.submissionsAreStoredAfterAForwardedRequest, 4 of 6 cases failed before: no answer within 5 s after the NullPointerException, and three odd records in the log. All pass now, as does RequestForwardingTest.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -257,7 +257,7 @@
 
     /** Stores a request for an entry that cannot reach the store. */
     private void onForwardedRequest(FrameLink link, long correlationId, ForwardedRequest request) {
-        KeyedRecord entry = new KeyedRecord(request.getKey(), request.getValue());
+        KeyedRecord entry = RequestForwarder.toRecord(request);
         writer.writeForwarded(entry, clock.nowMs() + request.getTimeoutMs(), outcome -> {
             if (outcome instanceof WriteOutcome.Stored) {
                 applyRequest(entry);
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
@@ -1,5 +1,6 @@
 package org.fulmarreach.entry.jobs;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -10,7 +11,10 @@
 import java.util.function.Supplier;
 
 import org.apache.pekko.actor.typed.ActorRef;
+import org.fulmarreach.core.exc.FrameException;
 import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.protocol.io.JobRecords;
+import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.ForwardOutcome;
 import org.fulmarreach.protocol.thrift.ForwardStatus;
@@ -118,6 +122,26 @@
         }
     }
 
+    /**
+     * Returns the record of a request that another entry has forwarded.
+     *
+     * @throws FrameException if it is not the record of a submission or a cancellation
+     */
+    static KeyedRecord toRecord(ForwardedRequest request) {
+        String key = request.getKey();
+        boolean isRequest = key != null && (JobTopics.isJob(key) || JobTopics.isCancel(key));
+        if (!isRequest || key.getBytes(StandardCharsets.UTF_8).length > JobTopics.MAX_KEY_BYTES) {
+            throw new FrameException("a forwarded request has no key of a job");
+        }
+        if (!request.isSetValue() || request.getValue().length == 0) {
+            throw new FrameException("the forwarded request " + key + " has no value");
+        }
+        if (JobTopics.isJob(key)) {
+            JobRecords.decodeJob(JobTopics.jobId(key), request.getValue());
+        }
+        return new KeyedRecord(key, request.getValue());
+    }
+
     /** Returns the answer to another entry that has forwarded a request. */
     static Body toFrame(WriteOutcome outcome) {
         return Body.forwardOutcome(
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/OddJobRecordTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/OddJobRecordTest.java
@@ -19,6 +19,9 @@
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.protocol.io.ThriftBytes;
+import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.ForwardedRequest;
+import org.fulmarreach.protocol.thrift.Frame;
 import org.fulmarreach.protocol.thrift.JobProgress;
 import org.fulmarreach.protocol.thrift.JobRequest;
 import org.fulmarreach.protocol.thrift.JobState;
@@ -26,6 +29,7 @@
 import org.fulmarreach.protocol.thrift.JobSubmitted;
 import org.fulmarreach.protocol.thrift.Resources;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.util.ActorSystems;
 import org.fulmarreach.runtime.util.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
@@ -33,6 +37,9 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
 /**
  * Records of another writer among those of the jobs. An entry that read one ended, and ended again after each restart;
  * a configuration with one odd route hid the others.
@@ -104,6 +111,38 @@
                 "null");
     }
 
+    /** A frame without a key stopped the writer of requests, so that no later submission was stored. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("oddRequests")
+    void submissionsAreStoredAfterAForwardedRequest(String name, ForwardedRequest request) throws Exception {
+        start("{\"version\":7,\"routes\":[" + ROUTE + "]}");
+        Awaitility.await().atMost(TIMEOUT).until(() -> describe().contains("leads=true"));
+        entry.tell(new JobsCommand.GuardLink(
+                new LinkEvent.Received(new FakeLink(), new Frame(1, Body.forwardedRequest(request)))));
+        CompletableFuture<WriteOutcome> outcome = new CompletableFuture<>();
+        byte[] record = encode(usual());
+        entry.tell(new JobsCommand.Submit(
+                JobRecords.decodeJob("job", record), MonotonicClock.system().nowMs() + 3_000, outcome));
+        assertInstanceOf(WriteOutcome.Stored.class, outcome.get(5, TimeUnit.SECONDS));
+        assertEquals(List.of(JobTopics.jobKey("job")), store.newestKeys(JobPartitions.REQUESTS));
+    }
+
+    static Stream<Arguments> oddRequests() {
+        byte[] record = encode(usual());
+        String key = JobTopics.jobKey("odd");
+        return Stream.of(
+                Arguments.of("no fields", new ForwardedRequest()),
+                Arguments.of("no key", new ForwardedRequest().setValue(record)),
+                Arguments.of("no value", new ForwardedRequest().setKey(key)),
+                Arguments.of("key of something else", request("leader", record)),
+                Arguments.of("key too long", request(key.repeat(100), record)),
+                Arguments.of("value that is no job", request(key, new byte[] {1, 2, 3})));
+    }
+
+    private static ForwardedRequest request(String key, byte[] value) {
+        return new ForwardedRequest().setKey(key).setValue(value).setTimeoutMs(1_000);
+    }
+
     private static JobSubmitted usual() {
         return new JobSubmitted("q", "text", List.of(step()), 0, 0, 0, System.currentTimeMillis());
     }
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobTopics.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobTopics.java
@@ -20,6 +20,9 @@
     /** Producer name that the leader uses for the sequence numbers of its appends. */
     public static final String LEADER_PRODUCER = "leader";
 
+    /** Largest key in bytes: its length is one byte in the store's records. */
+    public static final int MAX_KEY_BYTES = 255;
+
     private static final String JOB_PREFIX = "j/";
     private static final String CANCEL_PREFIX = "c/";
     private static final String PROGRESS_PREFIX = "s/";
