Count an entry as tried if no connection to it could be opened

While the store turned an entry away and the leader that it knew had ended, each of its callers was answered at the deadline, although other entries would have stored the job.

Cause: an address counted as tried only once its connection was open, and the named leader is the first candidate. Its address was dialled again without a pause, which also cost the entry its processor time.

Change: a failed connection counts as a try for all waiting requests.

Evidence: RequestForwardingTest.jobIsHandedToAnotherEntryWhenTheLeaderHasEnded, red before (Refused in place of Stored).

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
@@ -181,6 +181,9 @@
                 }
             }
             case LinkEvent.Closed closed -> {
+                if (link == null) {
+                    pending.values().forEach(forward -> forward.tried.add(address));
+                }
                 link = null;
                 address = "";
                 leaving = false;
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/RequestForwardingTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/RequestForwardingTest.java
@@ -108,6 +108,25 @@
         assertStored("job");
     }
 
+    /**
+     * An address counted as tried only once a connection to it was open. While a leader that had ended was still named,
+     * its address was dialled again without a pause until the deadline, and the other entries never.
+     */
+    @Test
+    void jobIsHandedToAnotherEntryWhenTheLeaderHasEnded() throws Exception {
+        int leader = 0;
+        while (!describe(entries.get(leader)).contains("leads=true")) {
+            leader++;
+        }
+        int cut = (leader + 1) % ENTRIES;
+        links.remove(address(leader));
+        paths.get(cut).set(CutStore.Path.REFUSED);
+        long startedAtMs = nowMs();
+        assertInstanceOf(WriteOutcome.Stored.class, submit(cut, "job"));
+        assertTrue(nowMs() - startedAtMs < PROMPT_MS, "took " + (nowMs() - startedAtMs) + " ms");
+        assertStored("job");
+    }
+
     @Test
     void cancellationIsForwarded() throws Exception {
         assertInstanceOf(WriteOutcome.Stored.class, submit(0, "job"));
