Say what was known of a worker when its lease or a run is given up

RUN_LOST named a reason only.

RUN_LOST (4016) now has the lifetime, whether the run had begun, and the ages of the worker's last answer and of the last grant. LEASE_LAPSED (4105) has the lifetime, the time until which a lease may last, for how long the port has refused connections, and the age of the last answer; WORKER_SILENT (4103) has the time that is left of the lease.

WorkerRelayTest, LeaderSilenceTest, OddLeaderAddressTest and DuplicateRunTest pass.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -117,9 +117,9 @@
         worker.recordReport(report, nowMs);
         for (JobTask task : List.copyOf(worker.assigned())) {
             if (!task.state().worker().equals(report.ref())) {
-                runs.markLost(task, worker, "newer lifetime " + report.ref().startedAtMs());
+                runs.markLost(task, worker, "newer lifetime " + report.ref().startedAtMs(), nowMs);
             } else if (report.leaseExpired()) {
-                runs.markLost(task, worker, "lease lapsed on an unreachable worker");
+                runs.markLost(task, worker, "lease lapsed on an unreachable worker", nowMs);
             }
         }
         runs.apply(report, worker, this::maxAttempts, nowMs);
@@ -324,7 +324,7 @@
             long ageMs = nowMs - worker.grantedAtMs();
             if (ageMs > limits.leaseExpiryMs() && worker.isReportOverdue(nowMs)) {
                 for (JobTask task : List.copyOf(worker.assigned())) {
-                    runs.markLost(task, worker, "no grant for " + ageMs + " ms");
+                    runs.markLost(task, worker, "no grant for " + ageMs + " ms", nowMs);
                 }
             }
         }
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -162,8 +162,8 @@
     }
 
     /** Marks a run as lost that cannot be running any more; its task waits for a worker again. */
-    void markLost(JobTask task, WorkerView worker, String reason) {
-        logLost(task, reason);
+    void markLost(JobTask task, WorkerView worker, String reason, long nowMs) {
+        logLost(task, worker, reason, nowMs);
         worker.remove(task);
         task.finish(TaskPhase.PENDING, task.state().failures(), task.progress().checkpoint());
         decisions.markChanged(task.job());
@@ -173,7 +173,7 @@
      * Helpers
      */
 
-    private void logLost(JobTask task, String reason) {
+    private void logLost(JobTask task, WorkerView worker, String reason, long nowMs) {
         log.record(
                 Decision.RUN_LOST,
                 task.name().toString(),
@@ -181,8 +181,16 @@
                 task.state().run(),
                 "worker",
                 task.state().worker().id(),
+                "bornMs",
+                task.state().worker().startedAtMs(),
                 "reason",
-                reason);
+                reason,
+                "begun",
+                task.progress().isListed(),
+                "answerAgeMs",
+                nowMs - worker.answeredAtMs(),
+                "grantAgeMs",
+                nowMs - worker.grantedAtMs());
     }
 
     private void applyEnd(
@@ -353,10 +361,10 @@
             if (listed.contains(task)) {
                 task.restartCountOfPolls();
             } else if (progress.isListed()) {
-                releaseIfEndIsForgotten(task, report, worker);
+                releaseIfEndIsForgotten(task, report, worker, nowMs);
             } else if (progress.stopConfirmed()) {
                 if (task.countPollWithoutRun(report.pollNumber()) >= POLLS_AFTER_STOP) {
-                    markLost(task, worker, "withdrawn before it started");
+                    markLost(task, worker, "withdrawn before it started", nowMs);
                 }
             } else if (!progress.isSent() && !task.step().gang()) {
                 // A start that still waits for its append is not applicable any more once its task is released.
@@ -383,16 +391,16 @@
      * long-running task is started again however it ended, and a task of a settled job never. Any other task may have
      * succeeded, so it neither runs again nor counts as failed.
      */
-    private void releaseIfEndIsForgotten(JobTask task, WorkerReport report, WorkerView worker) {
+    private void releaseIfEndIsForgotten(JobTask task, WorkerReport report, WorkerView worker, long nowMs) {
         boolean complete = report.ended().size() < MAX_LISTED_ENDS;
         if (!complete || task.countPollWithoutRun(report.pollNumber()) < POLLS_TO_LOSE) {
             return;
         }
         if (task.step().longRunning() || task.job().status().isFinal()) {
-            markLost(task, worker, "neither running nor ended");
+            markLost(task, worker, "neither running nor ended", nowMs);
             return;
         }
-        logLost(task, "neither running nor ended, not started again since it may have succeeded");
+        logLost(task, worker, "neither running nor ended, not started again since it may have succeeded", nowMs);
         task.releaseWithForgottenEnd();
     }
 }
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerLease.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerLease.java
@@ -97,7 +97,15 @@
 
     /** Returns whether every lease that was sent has expired at the worker. */
     boolean hasExpired(long nowMs) {
-        return nowMs > sentUntilMs + leaseMs * CLOCK_DRIFT_PERCENT / 100 + LAPSE_MARGIN_MS;
+        return expiresInMs(nowMs) < 0;
+    }
+
+    /**
+     * Returns the time after which every lease that was sent has expired at the worker, in milliseconds; negative if
+     * that is past.
+     */
+    long expiresInMs(long nowMs) {
+        return sentUntilMs + leaseMs * CLOCK_DRIFT_PERCENT / 100 + LAPSE_MARGIN_MS - nowMs;
     }
 
     /*
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -21,13 +21,8 @@
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.GuardReport;
-import org.fulmarreach.protocol.thrift.LeaderHint;
 import org.fulmarreach.protocol.thrift.LeaderOrders;
-import org.fulmarreach.runtime.cfg.Address;
 import org.fulmarreach.runtime.log.EventLog;
-import org.fulmarreach.runtime.net.FrameHandling;
-import org.fulmarreach.runtime.net.FrameLink;
-import org.fulmarreach.runtime.net.LinkEvent;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
 /**
@@ -54,19 +49,11 @@
 
     private static final int REPORT_INTERVAL_MS = 500;
 
-    /** A leader that could not write for this long may have been replaced: followers stand for election after 1.5 s. */
-    private static final long LEADER_WRITE_AGE_MS = 1_800;
-
-    /** Minimum interval between two lookups of the leader in the store while the connected leader cannot write. */
-    private static final long LEADER_CHECK_INTERVAL_MS = 700;
-
     /** Limits the rate of polls if the worker answers them at once. */
     private static final int MIN_POLL_DELAY_MS = 60;
 
     private final WorkerCalls worker;
-    private final RelayLinks links;
-    private final LeaderFinder finder;
-    private final LeaderSilence silence;
+    private final LeaderConnection leader;
     private final WorkerLease lease;
     private final String guard;
     private final long startValidMs;
@@ -83,15 +70,11 @@
     private boolean workerReplaced;
     private long portClosedSinceMs;
     private boolean expiryReported;
+    private long answeredAtMs;
     private boolean deregistered;
     private long acknowledgedEnd;
     private long term;
-    private FrameLink leaderLink;
-    private boolean leaderNamed;
-    private boolean sessionAccepted;
-    private long linkAttempt;
     private long reportedAtMs;
-    private long leaderCheckedAtMs;
 
     private WorkerRelay(
             ActorContext<RelayCommand> context,
@@ -106,9 +89,13 @@
             Random random) {
         super(context);
         this.worker = worker;
-        this.links = links;
-        this.finder = new LeaderFinder(entries, random);
-        this.silence = new LeaderSilence(limits.leaseMs(), TICK_MS);
+        this.leader = new LeaderConnection(
+                links,
+                new LeaderFinder(entries, random),
+                new LeaderSilence(limits.leaseMs(), TICK_MS),
+                context,
+                clock,
+                log);
         this.lease = new WorkerLease(limits.leaseMs(), clock.nowMs());
         this.guard = guard;
         this.startValidMs = limits.startValidMs();
@@ -117,7 +104,7 @@
         this.dispatcher = new OrderDispatcher(worker, lease, context, clock, log);
         timers.startTimerWithFixedDelay(new RelayCommand.Tick(), Duration.ofMillis(TICK_MS));
         sendPoll();
-        searchLeader();
+        leader.search();
     }
 
     /**
@@ -168,9 +155,10 @@
                     dispatcher.send(destination(), due.order());
                 }
             }
-            case RelayCommand.LinkChanged link -> onLinkChanged(link.attempt(), link.event());
-            case RelayCommand.LeaderSearchDue due -> searchLeader();
-            case RelayCommand.LeaderLookupCompleted lookup -> onLeaderLookupCompleted(lookup.address());
+            case RelayCommand.LinkChanged link ->
+                leader.onLinkChanged(link.attempt(), link.event(), this::report, this::onOrders);
+            case RelayCommand.LeaderSearchDue due -> leader.search();
+            case RelayCommand.LeaderLookupCompleted lookup -> leader.onLookupCompleted(lookup.address());
             case RelayCommand.Tick tick -> onTick();
         }
         return this;
@@ -302,6 +290,7 @@
         failedPolls = 0;
         portClosedSinceMs = 0;
         expiryReported = false;
+        answeredAtMs = nowMs;
         lease.updateClock(answer.clockMs(), nowMs);
         boolean newEnds = !answer.ended().isEmpty() && answer.lastEndNumber() > snapshot.lastEndNumber();
         boolean first = !hasSnapshot;
@@ -327,6 +316,8 @@
                     workerRef == null ? "unknown" : workerRef.id(),
                     "reason",
                     reason,
+                    "leaseLeftMs",
+                    lease.expiresInMs(nowMs),
                     "running",
                     snapshot.running().size());
             report();
@@ -366,11 +357,7 @@
             return;
         }
         term = orders.getTerm();
-        if (orders.getWriteAgeMs() > LEADER_WRITE_AGE_MS
-                && clock.nowMs() - leaderCheckedAtMs > LEADER_CHECK_INTERVAL_MS) {
-            leaderCheckedAtMs = clock.nowMs();
-            lookUpLeader();
-        }
+        leader.reviewWriteAge(orders.getWriteAgeMs());
         lease.grant(orders.getEchoedTickMs());
         if (orders.getAcknowledgedEnd() > acknowledgedEnd) {
             acknowledgedEnd = orders.getAcknowledgedEnd();
@@ -404,155 +391,36 @@
      * The leader
      */
 
-    private void searchLeader() {
-        if (leaderLink != null) {
-            return;
-        }
-        boolean hinted = finder.hasHint();
-        String address = finder.nextAddress();
-        if (address.isEmpty()) {
-            lookUpLeader();
-        } else {
-            connect(address, hinted);
-        }
-    }
-
-    private void lookUpLeader() {
-        var self = getContext().getSelf();
-        links.findLeader(found -> self.tell(new RelayCommand.LeaderLookupCompleted(found)));
-    }
-
-    private void onLeaderLookupCompleted(String address) {
-        if (leaderLink != null) {
-            if (!address.isEmpty() && !address.equals(leaderLink.remoteAddress())) {
-                log.emit(
-                        RelayEvent.LEADER_DOUBTED,
-                        "former",
-                        leaderLink.remoteAddress(),
-                        "address",
-                        address,
-                        "term",
-                        term);
-                finder.setHint(address);
-                leaderLink.close();
-            }
-            return;
-        }
-        if (address.isEmpty()) {
-            schedule(finder.retryDelayMs(), new RelayCommand.LeaderSearchDue());
-        } else {
-            connect(address, true);
-        }
-    }
-
-    private void connect(String address, boolean named) {
-        linkAttempt++;
-        leaderNamed = named;
-        long attempt = linkAttempt;
-        var self = getContext().getSelf();
-        log.emit(RelayEvent.LEADER_SOUGHT, "address", address, "attempt", attempt);
-        links.connect(address, event -> self.tell(new RelayCommand.LinkChanged(attempt, event)));
-    }
-
-    private void onLinkChanged(long attempt, LinkEvent event) {
-        if (attempt != linkAttempt) {
-            if (event instanceof LinkEvent.Opened opened) {
-                opened.link().close();
-            }
-            return;
-        }
-        switch (event) {
-            case LinkEvent.Opened opened -> {
-                leaderLink = opened.link();
-                sessionAccepted = false;
-                silence.onOpened(leaderNamed);
-                report();
-            }
-            case LinkEvent.Received received ->
-                FrameHandling.handle(
-                        received.link(),
-                        log,
-                        () -> onMessage(received.link(), received.frame().getBody()));
-            case LinkEvent.Closed closed -> {
-                if (sessionAccepted) {
-                    log.emit(RelayEvent.LEADER_LOST, "term", term, "reason", closed.reason());
-                    finder.resetAttempts();
-                }
-                leaderLink = null;
-                sessionAccepted = false;
-                schedule(finder.retryDelayMs(), new RelayCommand.LeaderSearchDue());
-            }
-        }
-    }
-
-    private void onMessage(FrameLink link, Body body) {
-        if (body.isSetLeaderOrders()) {
-            silence.onAnswer();
-            if (!sessionAccepted) {
-                sessionAccepted = true;
-                log.emit(
-                        RelayEvent.LEADER_FOUND,
-                        "address",
-                        link.remoteAddress(),
-                        "term",
-                        body.getLeaderOrders().getTerm());
-            }
-            onOrders(body.getLeaderOrders());
-        } else if (body.isSetLeaderHint()) {
-            onLeaderHint(link, body.getLeaderHint());
-        }
-    }
-
-    private void onLeaderHint(FrameLink link, LeaderHint hint) {
-        if (Address.findPeer(hint.getAddress()).isPresent()) {
-            finder.setHint(hint.getAddress());
-        } else {
-            log.emit(
-                    RelayEvent.LEADER_ADDRESS_REFUSED,
-                    "sender",
-                    link.remoteAddress(),
-                    "term",
-                    hint.getTerm(),
-                    "address",
-                    hint.getAddress());
-        }
-        link.close();
-    }
-
     private void onTick() {
-        if (leaderLink != null) {
-            reviewSession();
-        }
+        leader.onTick();
         long nowMs = clock.nowMs();
         boolean expired = workerRef != null && hasLeaseExpired(nowMs);
         if (expired && !expiryReported) {
             expiryReported = true;
-            log.emit(RelayEvent.LEASE_LAPSED, "worker", workerRef.id(), "portClosed", portClosedSinceMs > 0);
+            log.emit(
+                    RelayEvent.LEASE_LAPSED,
+                    "worker",
+                    workerRef.id(),
+                    "bornMs",
+                    workerRef.startedAtMs(),
+                    "leaseLeftMs",
+                    lease.expiresInMs(nowMs),
+                    "refusedForMs",
+                    portClosedSinceMs > 0 ? nowMs - portClosedSinceMs : 0,
+                    "answerAgeMs",
+                    nowMs - answeredAtMs,
+                    "failed",
+                    failedPolls,
+                    "running",
+                    snapshot.running().size());
             report();
         } else if (nowMs - reportedAtMs >= REPORT_INTERVAL_MS) {
             report();
         }
     }
 
-    private void reviewSession() {
-        LeaderSilence.Verdict verdict = silence.onTick();
-        if (verdict == LeaderSilence.Verdict.LOOK_UP) {
-            lookUpLeader();
-        } else if (verdict == LeaderSilence.Verdict.LEAVE) {
-            log.emit(
-                    RelayEvent.LEADER_SILENT,
-                    "address",
-                    leaderLink.remoteAddress(),
-                    "silentForMs",
-                    silence.silentMs(),
-                    "accepted",
-                    sessionAccepted);
-            leaderLink.close();
-        }
-    }
-
     private void report() {
-        if (leaderLink == null) {
+        if (!leader.isConnected()) {
             return;
         }
         long nowMs = clock.nowMs();
@@ -569,7 +437,7 @@
             dispatcher.clearOutcomes();
         }
         reportedAtMs = nowMs;
-        leaderLink.send(0, Body.guardReport(message));
+        leader.send(Body.guardReport(message));
     }
 
     private WorkerReport describeWorker(long nowMs) {
