Count a start that the next lifetime of a worker has carried out

Cause: an order names its worker by id, so the new lifetime carries out a start that was meant for the former one. The leader learns of the lifetime with its first heartbeat, marked every run of the former lifetime as lost, and started the tasks elsewhere; the run that the new lifetime listed was then stopped as a stray one.

Change: before a report of a new lifetime under the same id takes effect, the runs and ends that it lists are assigned to it, if they are the current runs of their tasks. A start that the new lifetime does not list but may still carry out (sent and never listed, or sent more than once) is withdrawn there first, and its task is placed elsewhere after the polls that follow the stop. A run that the former lifetime had begun is started elsewhere at once, as before; so is every run of a worker with another id, which refuses these orders. Runs that are carried over are no suspects of the crash. A task that is convicted while its start is being withdrawn is given up when that is done.

The emulated guard of PoolEmulator now confirms stops, as GuardEmulator and real guards do.

--- a/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
@@ -80,11 +80,10 @@
 
     /** Continues the trial of, or the verdict on, a task that a former leader suspected. */
     void adopt(JobTask task, WorkerView worker, long nowMs) {
-        if (task.isAssigned()) {
-            if (task.isTriedAlone()) {
-                reserve(task, worker, nowMs);
-            }
-        } else if (awaitsVerdict(task)) {
+        if (task.isAssigned() && task.isTriedAlone()) {
+            reserve(task, worker, nowMs);
+        }
+        if (isConvicted(task)) {
             verdictsAtMs.putIfAbsent(task, nowMs + POWER_LOSS_MS);
         }
     }
@@ -268,11 +267,13 @@
 
     /** Tells whether a task must not start again, since it is given up unless its crashes prove to be a power loss. */
     static boolean awaitsVerdict(JobTask task) {
-        boolean convicted =
+        return isConvicted(task) && task.state().phase() == TaskPhase.PENDING;
+    }
+
+    private static boolean isConvicted(JobTask task) {
+        boolean enough =
                 task.state().soleCrashes() >= MAX_SOLE_CRASHES || task.state().crashes() >= MAX_CRASHES;
-        return convicted
-                && task.state().phase() == TaskPhase.PENDING
-                && !task.step().longRunning();
+        return enough && !task.step().longRunning();
     }
 
     /*
@@ -291,8 +292,13 @@
         }
     }
 
+    /** Gives a convicted task up; returns false while a start of it is being withdrawn, which may have begun. */
     private boolean decide(JobTask task) {
-        if (awaitsVerdict(task) && !task.job().status().isFinal()) {
+        boolean open = !task.job().status().isFinal();
+        if (open && isConvicted(task) && task.isAssigned()) {
+            return false;
+        }
+        if (open && awaitsVerdict(task)) {
             TaskState state = task.state();
             log.record(
                     Decision.TASK_GIVEN_UP,
--- a/core/src/main/java/org/fulmarreach/core/jobs/DecisionLog.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/DecisionLog.java
@@ -31,6 +31,8 @@
         RUN_MOVED,
         /** A run was declared lost, because it can no longer be running on its worker. */
         RUN_LOST,
+        /** A run of a worker's former lifetime counts for the next one, which has or may have carried out its start. */
+        RUN_CARRIED_OVER,
         /** A start order was refused or could not be confirmed. */
         START_REFUSED,
         /** A job was completed, failed or was cancelled. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -29,6 +29,7 @@
     private final Map<String, WorkerView> workers = new LinkedHashMap<>();
     private final Set<Job> active = new LinkedHashSet<>();
     private final RunTracker runs;
+    private final LifetimeChange lifetimes;
     private final RunMover mover;
     private final BestEffortPacer pacer;
     private final Placement placement;
@@ -57,6 +58,7 @@
         this.placement = new Placement(model);
         this.crashes = new CrashTracker(decisions, log, placement);
         this.runs = new RunTracker(registry, decisions, log, crashes);
+        this.lifetimes = new LifetimeChange(registry, runs, decisions, log);
         for (Job job : registry.jobs()) {
             adopt(job, nowMs);
         }
@@ -107,6 +109,7 @@
             return;
         }
         logWorkerChange(worker, report);
+        lifetimes.adoptListed(report, worker, nowMs);
         if (worker.report() == null) {
             crashes.onUnseenEnd(worker, report, nowMs);
         }
@@ -116,10 +119,10 @@
         }
         worker.recordReport(report, nowMs);
         for (JobTask task : List.copyOf(worker.assigned())) {
-            if (!task.state().worker().equals(report.ref())) {
-                runs.markLost(task, worker, "newer lifetime " + report.ref().startedAtMs(), nowMs);
-            } else if (report.leaseExpired()) {
+            if (report.leaseExpired()) {
                 runs.markLost(task, worker, "lease lapsed on an unreachable worker", nowMs);
+            } else if (!task.state().worker().equals(report.ref())) {
+                lifetimes.leaveFormer(task, report, worker, nowMs);
             }
         }
         runs.apply(report, worker, this::maxAttempts, nowMs);
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -145,6 +145,23 @@
         cpuSharePercent = FULL_CPU_SHARE_PERCENT;
     }
 
+    /**
+     * Assigns the current run to a later lifetime of its worker, which may have carried out the start. What was seen of
+     * it at the former lifetime does not count any more.
+     */
+    void moveToLifetime(WorkerRef worker, long nowMs) {
+        change(new TaskState(
+                TaskPhase.ASSIGNED,
+                state.run(),
+                worker,
+                state.failures(),
+                state.checkpoint(),
+                state.crashes(),
+                state.soleCrashes()));
+        progress = RunProgress.orderedAt(nowMs);
+        pollsWithoutRun = NOT_COUNTING;
+    }
+
     void finish(TaskPhase phase, int failures, String checkpoint) {
         String kept = checkpoint.isEmpty() ? state.checkpoint() : checkpoint;
         change(new TaskState(phase, state.run(), state.worker(), failures, kept, state.crashes(), state.soleCrashes()));
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -219,6 +219,11 @@
             if (refused != null && order instanceof JobOrder.Start start) {
                 scheduler.onOrderOutcome(order.worker(), start.task().toString(), start.run(), true, refused, nowMs);
             }
+            if (order instanceof JobOrder.Stop stop
+                    && !worker.isDown()
+                    && stop.worker().equals(worker.ref())) {
+                scheduler.onOrderOutcome(stop.worker(), stop.task(), stop.run(), false, "done", nowMs);
+            }
         }
     }
 
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -16,6 +16,10 @@
     JOB_SETTLED(4006, Level.INFO, "A job was completed, failed or was cancelled; no more of its tasks are started."),
     JOB_FORGOTTEN(4007, Level.FINE, "The records of a settled job are removed after its retention time."),
     QUEUE_COUNTED(4008, Level.INFO, "The waiting jobs of a queue were counted, from records of the given ages."),
+    RUN_CARRIED_OVER(
+            4009,
+            Level.WARNING,
+            "A worker started again under its id; a run of its former lifetime counts there, or is withdrawn there."),
     RUN_ASSIGNED(
             4010, Level.INFO, "A run was assigned to a worker; the start order is sent after the record is stored."),
     RUN_STARTED(4011, Level.INFO, "A worker lists a run as running for the first time."),
@@ -130,6 +134,7 @@
             case STRAY_STOPPED -> STRAY_STOPPED;
             case RUN_MOVED -> RUN_MOVED;
             case RUN_LOST -> RUN_LOST;
+            case RUN_CARRIED_OVER -> RUN_CARRIED_OVER;
             case START_REFUSED -> START_REFUSED;
             case JOB_SETTLED -> JOB_SETTLED;
             case JOB_FORGOTTEN -> JOB_FORGOTTEN;
