Acknowledge an end only in response to an answer that lists it

What callers would see: a start after an end that was taken note of, though nobody had read it (TWICE), or a task that waits for an end for ever.

Cause: each poll carried the number of the last acknowledged end. A worker that starts again under its id counts its ends anew, so the first poll that reached the new lifetime made it forget all ends up to the former number.

Change: the number is sent only if the last poll was answered and that answer lists an end up to it. Every other poll acknowledges nothing.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -41,9 +41,6 @@
 
     private static final int FAILED_POLL_DELAY_MS = 200;
 
-    /** A single lost answer is not conclusive; after two in a row the worker counts as unreachable. */
-    private static final int FAILED_POLLS_UNTIL_UNREACHABLE = 2;
-
     /** If the port refuses connections for this long, the worker process has ended. */
     private static final long PORT_CLOSED_MS = 700;
 
@@ -60,17 +57,15 @@
     private final MonotonicClock clock;
     private final EventLog log;
     private final OrderDispatcher dispatcher;
+    private final WorkerContact contact = new WorkerContact();
     private WorkerHeartbeat heartbeat;
     private WorkerRef workerRef;
     private WorkerSnapshot snapshot = new WorkerSnapshot("", 0, 0, List.of(), List.of());
     private boolean hasSnapshot;
     private long pollNumber;
     private boolean pollInFlight;
-    private int failedPolls;
     private boolean workerReplaced;
-    private long portClosedSinceMs;
     private boolean expiryReported;
-    private long answeredAtMs;
     private boolean deregistered;
     private long acknowledgedEnd;
     private long term;
@@ -223,18 +218,13 @@
         snapshot = new WorkerSnapshot("", 0, 0, List.of(), List.of());
         hasSnapshot = false;
         acknowledgedEnd = 0;
-        failedPolls = 0;
+        contact.reset();
         workerReplaced = false;
-        portClosedSinceMs = 0;
         expiryReported = false;
         deregistered = false;
         dispatcher.clear();
     }
 
-    private boolean isReachable() {
-        return failedPolls < FAILED_POLLS_UNTIL_UNREACHABLE;
-    }
-
     private void sendPoll() {
         if (pollInFlight) {
             return;
@@ -243,13 +233,24 @@
         long nowMs = clock.nowMs();
         boolean known = workerRef != null && !workerReplaced;
         // A poll without the id of the worker may reach another one, whose ends and lease it must not affect.
-        long leaseUntilMs = known && isReachable() ? lease.issueUntilMs(nowMs) : WorkerCalls.NO_LEASE;
+        long leaseUntilMs = known && contact.isReachable() ? lease.issueUntilMs(nowMs) : WorkerCalls.NO_LEASE;
         int waitMs = snapshot.ended().isEmpty() ? POLL_WAIT_MS : 0;
         var self = getContext().getSelf();
-        worker.poll(known ? workerRef.id() : "", leaseUntilMs, term, known ? acknowledgedEnd : 0, waitMs)
+        worker.poll(known ? workerRef.id() : "", leaseUntilMs, term, known ? endToAcknowledge() : 0, waitMs)
                 .thenAccept(result -> self.tell(new RelayCommand.PollCompleted(result, nowMs)));
     }
 
+    /**
+     * Returns the number of the last end that the worker is told to forget; 0 for none. Numbers count anew in each
+     * lifetime, and the next one under the same id may receive the poll. So the number is sent only in response to an
+     * answer that lists such an end.
+     */
+    private long endToAcknowledge() {
+        boolean listed =
+                contact.isConfirmed() && snapshot.ended().stream().anyMatch(end -> end.number() <= acknowledgedEnd);
+        return listed ? acknowledgedEnd : 0;
+    }
+
     private void onPollCompleted(CallResult<WorkerSnapshot> result, long sentAtMs) {
         pollInFlight = false;
         long nowMs = clock.nowMs();
@@ -262,10 +263,10 @@
             case CallResult.Unanswered<WorkerSnapshot> noAnswer ->
                 onPollFailed(noAnswer.reason(), noAnswer.portClosed(), nowMs);
         }
-        if (nowMs - sentAtMs < 1 && snapshot.ended().isEmpty() && isReachable()) {
+        if (nowMs - sentAtMs < 1 && snapshot.ended().isEmpty() && contact.isReachable()) {
             // A worker holds a poll until something has happened, so an immediate answer is rare.
             schedule(MIN_POLL_DELAY_MS, new RelayCommand.PollDue());
-        } else if (!isReachable() || failedPolls > 0) {
+        } else if (contact.failedPolls() > 0) {
             schedule(FAILED_POLL_DELAY_MS, new RelayCommand.PollDue());
         } else if (snapshot.ended().isEmpty()) {
             sendPoll();
@@ -279,18 +280,16 @@
         if (!answer.id().isEmpty() && answer.startedAtMs() > 0) {
             updateLifetime(answer.id(), answer.startedAtMs());
         }
-        if (!isReachable()) {
+        if (!contact.isReachable()) {
             log.emit(
                     RelayEvent.WORKER_ANSWERS,
                     "worker",
                     workerRef == null ? "unknown" : workerRef.id(),
                     "failed",
-                    failedPolls);
+                    contact.failedPolls());
         }
-        failedPolls = 0;
-        portClosedSinceMs = 0;
+        contact.onAnswered(nowMs);
         expiryReported = false;
-        answeredAtMs = nowMs;
         lease.updateClock(answer.clockMs(), nowMs);
         boolean newEnds = !answer.ended().isEmpty() && answer.lastEndNumber() > snapshot.lastEndNumber();
         boolean first = !hasSnapshot;
@@ -307,9 +306,8 @@
     }
 
     private void onPollFailed(String reason, boolean portClosed, long nowMs) {
-        failedPolls++;
-        portClosedSinceMs = portClosed ? (portClosedSinceMs == 0 ? nowMs : portClosedSinceMs) : 0;
-        if (failedPolls == FAILED_POLLS_UNTIL_UNREACHABLE) {
+        contact.onFailed(portClosed, nowMs);
+        if (contact.hasBecomeUnreachable()) {
             log.emit(
                     RelayEvent.WORKER_SILENT,
                     "worker",
@@ -325,16 +323,16 @@
     }
 
     private boolean hasLeaseExpired(long nowMs) {
-        return !isReachable() && (hasProcessEnded(nowMs) || lease.hasExpired(nowMs));
+        return !contact.isReachable() && (hasProcessEnded(nowMs) || lease.hasExpired(nowMs));
     }
 
     private boolean hasProcessEnded(long nowMs) {
-        return portClosedSinceMs > 0 && nowMs - portClosedSinceMs > PORT_CLOSED_MS;
+        return contact.refusedForMs(nowMs) > PORT_CLOSED_MS;
     }
 
     /** Tells whether the worker's process ended unannounced; a worker that is merely silent may still run its tasks. */
     private boolean hasCrashed(long nowMs) {
-        return !isReachable() && hasProcessEnded(nowMs) && !heartbeat.draining() && !deregistered;
+        return !contact.isReachable() && hasProcessEnded(nowMs) && !heartbeat.draining() && !deregistered;
     }
 
     /*
@@ -384,7 +382,7 @@
     }
 
     private OrderDispatcher.Destination destination() {
-        return new OrderDispatcher.Destination(workerRef.id(), term, isReachable());
+        return new OrderDispatcher.Destination(workerRef.id(), term, contact.isReachable());
     }
 
     /*
@@ -406,11 +404,11 @@
                     "leaseLeftMs",
                     lease.expiresInMs(nowMs),
                     "refusedForMs",
-                    portClosedSinceMs > 0 ? nowMs - portClosedSinceMs : 0,
+                    contact.refusedForMs(nowMs),
                     "answerAgeMs",
-                    nowMs - answeredAtMs,
+                    contact.answerAgeMs(nowMs),
                     "failed",
-                    failedPolls,
+                    contact.failedPolls(),
                     "running",
                     snapshot.running().size());
             report();
@@ -448,7 +446,7 @@
                 heartbeat.capacity(),
                 heartbeat.labels(),
                 heartbeat.draining(),
-                isReachable() && hasSnapshot,
+                contact.isReachable() && hasSnapshot,
                 hasLeaseExpired(nowMs),
                 snapshot.running(),
                 snapshot.ended(),
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -104,7 +104,7 @@
         order(link, 1, 1_000, start("former.0.0.0"), 0);
         Awaitility.await().atMost(TIMEOUT).until(() -> worker.started.contains("former.0.0.0"));
         worker.heldStart = null;
-        worker.startedAtMs = 2_000;
+        worker.lifetime = new Lifetime("w", 2_000);
         relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(2_000, 1, false)));
         // The clock of a new lifetime is known only after a poll; nothing is started before that.
         awaitPolls(3);
@@ -159,7 +159,7 @@
         FakeLink link = awaitReport();
         stop(link, "job.0.0.0");
         Awaitility.await().atMost(TIMEOUT).until(() -> worker.stopped.size() == 1);
-        worker.ended = List.of(new WorkerReport.Ended(1, "job.0.0.0", 1, RunEnd.STOPPED, ""));
+        worker.lifetime.ended = List.of(new WorkerReport.Ended(1, "job.0.0.0", 1, RunEnd.STOPPED, ""));
         awaitPolls(3);
         held.complete(new CallResult.Unanswered<>("no answer", false));
         awaitPolls(5);
@@ -199,7 +199,7 @@
     void heartbeatOfFormerLifetimeIsIgnored() {
         relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
         FakeLink link = awaitReport();
-        worker.startedAtMs = 2_000;
+        worker.lifetime = new Lifetime("w", 2_000);
         int polls = worker.polls.get();
         Awaitility.await().atMost(TIMEOUT).until(() -> worker.polls.get() >= polls + 3);
         int before = link.reports().size();
@@ -218,16 +218,36 @@
         orders.setAcknowledgedEnd(9);
         link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(orders))));
         awaitPolls(3);
-        worker.startedAtMs = 2_000;
-        worker.ended = List.of(new WorkerReport.Ended(1, "job.0.0.0", 1, RunEnd.DONE, ""));
-        worker.id = "next";
+        worker.lifetime = new Lifetime("next", 2_000, new WorkerReport.Ended(1, "job.0.0.0", 1, RunEnd.DONE, ""));
         awaitPolls(5);
-        assertEquals(1, worker.ended.size(), "ends that the next worker lists");
+        assertEquals(1, worker.lifetime.ended.size(), "ends that the next worker lists");
         relay.tell(new RelayCommand.HeartbeatReceived(
                 new WorkerHeartbeat("next", 2_000, "s", "z", new Resources(1, 1, 0), List.of(), false, 1)));
         Awaitility.await().atMost(TIMEOUT).until(() -> link.ends().contains("job.0.0.0"));
     }
 
+    /**
+     * As before, but the worker starts again under its id, so that it carries out a poll for its former lifetime. An
+     * end before that poll was taken note of without having been read, and its task was started again.
+     */
+    @Test
+    void endOfTheNextLifetimeIsNotAcknowledgedByAPollForTheFormerOne() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        worker.lifetime.ended = List.of(new WorkerReport.Ended(9, "job.0.0.9", 1, RunEnd.DONE, ""));
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.ends().contains("job.0.0.9"));
+        LeaderOrders orders = emptyOrders();
+        orders.setAcknowledgedEnd(9);
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(orders))));
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.lifetime.ended.isEmpty());
+        awaitPolls(2);
+        worker.lifetime = new Lifetime("w", 2_000, new WorkerReport.Ended(1, "job.0.0.0", 1, RunEnd.DONE, ""));
+        awaitPolls(5);
+        assertEquals(1, worker.lifetime.ended.size(), "ends that the next lifetime lists");
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(2_000, 1, false)));
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.ends().contains("job.0.0.0"));
+    }
+
     /** Without this the leader cannot tell a crash, for which a task may be to blame, from a silence. */
     @Test
     void closedPortIsReportedAsACrash() {
@@ -380,13 +400,11 @@
     private static final class FakeCalls implements WorkerCalls {
         private final List<String> started = new CopyOnWriteArrayList<>();
         private final AtomicInteger polls = new AtomicInteger();
-        private volatile String id = "w";
-        private volatile long startedAtMs = 1_000;
+        private volatile Lifetime lifetime = new Lifetime("w", 1_000);
         private volatile boolean answering = true;
         private volatile CallResult<WorkerSnapshot> failure;
         private final List<String> stopped = new CopyOnWriteArrayList<>();
         private final List<Integer> shares = new CopyOnWriteArrayList<>();
-        private volatile List<WorkerReport.Ended> ended = List.of();
         private volatile CompletableFuture<CallResult<Void>> heldStart;
         private volatile CompletableFuture<CallResult<Void>> heldStop;
         private volatile CompletableFuture<CallResult<Void>> heldShare;
@@ -425,11 +443,30 @@
         }
 
         private CallResult<WorkerSnapshot> answerPoll(String workerId, long acknowledgedEnd) {
-            if (!workerId.isEmpty() && !workerId.equals(id)) {
+            Lifetime answering = lifetime;
+            if (!workerId.isEmpty() && !workerId.equals(answering.id)) {
                 return new CallResult.Refused<>(OTHER_WORKER);
             }
-            ended = ended.stream().filter(end -> end.number() > acknowledgedEnd).toList();
-            return new CallResult.Done<>(new WorkerSnapshot(id, startedAtMs, 1, List.of(), ended));
+            List<WorkerReport.Ended> ended = answering.forget(acknowledgedEnd);
+            return new CallResult.Done<>(new WorkerSnapshot(answering.id, answering.startedAtMs, 1, List.of(), ended));
+        }
+    }
+
+    /** One lifetime of the fake worker, with the ends that it lists. */
+    private static final class Lifetime {
+        private final String id;
+        private final long startedAtMs;
+        private volatile List<WorkerReport.Ended> ended;
+
+        Lifetime(String id, long startedAtMs, WorkerReport.Ended... ended) {
+            this.id = id;
+            this.startedAtMs = startedAtMs;
+            this.ended = List.of(ended);
+        }
+
+        List<WorkerReport.Ended> forget(long upToNumber) {
+            ended = ended.stream().filter(end -> end.number() > upToNumber).toList();
+            return ended;
         }
     }
 
