Hold starts and leases until a poll has told which lifetime answers

Cause: when a worker crashes, the poll that it holds fails at once. The guard went on sending starts by id, and asked again after 200 ms; a worker that was back by then carried them out. The poll also carried a lease on the former clock, which the next lifetime reads as a time far in the future and shortens to the longest lease, so that its runs may outlast what guard and leader believe.

Change: after a poll without an answer the guard asks again after 60 ms, without a lease and without being held, and keeps starts until an answer has come; a new lifetime drops them. Until the first heartbeat of that lifetime the former one is reported as unreachable, without a word on its runs.

Tests of WorkerLifetimeTest that were red before: startWaitsUntilAPollHasToldWhichLifetimeAnswers (the start was carried out), startThatWaitedIsSentToTheSameLifetime, formerLifetimeIsReportedAsUnreachableOnceTheNextOneAnswers; pollAfterAFailedOneCarriesNoLease was written together with the change and not run before it.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/OrderDispatcher.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/OrderDispatcher.java
@@ -40,6 +40,7 @@
     private final EventLog log;
     private final List<OrderOutcome> outcomes = new ArrayList<>();
     private final Set<String> pendingStarts = new HashSet<>();
+    private final List<WorkerOrder.Start> heldStarts = new ArrayList<>();
     private final Set<String> pendingStops = new HashSet<>();
     private final Map<String, Integer> newestShares = new HashMap<>();
     private final RecentKeys cancelledStarts = new RecentKeys(KEY_RETENTION_MS);
@@ -64,8 +65,9 @@
      * @param workerId id of the worker
      * @param term fencing token
      * @param reachable whether the worker answers
+     * @param confirmed whether the last poll was answered; otherwise another lifetime may be running under the id
      */
-    record Destination(String workerId, long term, boolean reachable) {}
+    record Destination(String workerId, long term, boolean reachable, boolean confirmed) {}
 
     /** Returns the outcomes that are not yet reported to the leader. */
     List<OrderOutcome> outcomes() {
@@ -79,6 +81,7 @@
     /** Discards all orders and outcomes, because the worker was restarted. */
     void clear() {
         pendingStarts.clear();
+        heldStarts.clear();
         pendingStops.clear();
         newestShares.clear();
         cancelledStarts.clear();
@@ -92,7 +95,8 @@
     }
 
     /**
-     * Sends a start, unless a start of the same run is in flight.
+     * Sends a start, unless a start of the same run is in flight. It is held until a poll has told which lifetime
+     * answers, since the next one under the same id would carry it out as well.
      *
      * @param validUntilMs monotonic time until which it may be sent
      */
@@ -103,6 +107,13 @@
         }
     }
 
+    /** Sends the starts that were held, because a poll has confirmed the lifetime of the worker. */
+    void sendHeldStarts(Destination destination) {
+        List<WorkerOrder.Start> held = List.copyOf(heldStarts);
+        heldStarts.clear();
+        held.forEach(start -> send(destination, start));
+    }
+
     /** Sends a stop, unless a stop of the same run is in flight or will be sent again. */
     void stop(Destination destination, String task, int run) {
         WorkerOrder order = new WorkerOrder.Stop(task, run, 0);
@@ -140,6 +151,10 @@
                     pendingStarts.remove(order.key());
                     yield null;
                 }
+                if (!destination.confirmed() && nowMs <= start.validUntilMs()) {
+                    heldStarts.add(start);
+                    yield null;
+                }
                 if (nowMs > start.validUntilMs()) {
                     log.emit(
                             RelayEvent.START_EXPIRED,
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -233,10 +233,12 @@
         long nowMs = clock.nowMs();
         boolean known = workerRef != null && !workerReplaced;
         // A poll without the id of the worker may reach another one, whose ends and lease it must not affect.
-        long leaseUntilMs = known && contact.isReachable() ? lease.issueUntilMs(nowMs) : WorkerCalls.NO_LEASE;
-        int waitMs = snapshot.ended().isEmpty() ? POLL_WAIT_MS : 0;
+        // Without a confirmed lifetime the poll only asks which one answers, and the worker does not hold it.
+        boolean confirmed = known && contact.isConfirmed();
+        long leaseUntilMs = confirmed ? lease.issueUntilMs(nowMs) : WorkerCalls.NO_LEASE;
+        int waitMs = confirmed && snapshot.ended().isEmpty() ? POLL_WAIT_MS : 0;
         var self = getContext().getSelf();
-        worker.poll(known ? workerRef.id() : "", leaseUntilMs, term, known ? endToAcknowledge() : 0, waitMs)
+        worker.poll(known ? workerRef.id() : "", leaseUntilMs, term, confirmed ? endToAcknowledge() : 0, waitMs)
                 .thenAccept(result -> self.tell(new RelayCommand.PollCompleted(result, nowMs)));
     }
 
@@ -246,8 +248,7 @@
      * answer that lists such an end.
      */
     private long endToAcknowledge() {
-        boolean listed =
-                contact.isConfirmed() && snapshot.ended().stream().anyMatch(end -> end.number() <= acknowledgedEnd);
+        boolean listed = snapshot.ended().stream().anyMatch(end -> end.number() <= acknowledgedEnd);
         return listed ? acknowledgedEnd : 0;
     }
 
@@ -267,7 +268,9 @@
             // A worker holds a poll until something has happened, so an immediate answer is rare.
             schedule(MIN_POLL_DELAY_MS, new RelayCommand.PollDue());
         } else if (contact.failedPolls() > 0) {
-            schedule(FAILED_POLL_DELAY_MS, new RelayCommand.PollDue());
+            // Starts are held until the worker answers again, so the first attempt follows soon.
+            int delayMs = contact.failedPolls() == 1 ? MIN_POLL_DELAY_MS : FAILED_POLL_DELAY_MS;
+            schedule(delayMs, new RelayCommand.PollDue());
         } else if (snapshot.ended().isEmpty()) {
             sendPoll();
         } else {
@@ -300,6 +303,9 @@
         dispatcher.onEnded(answer.ended());
         hasSnapshot = true;
         pollNumber++;
+        if (workerRef != null) {
+            dispatcher.sendHeldStarts(destination());
+        }
         if (newEnds || first || nowMs - reportedAtMs >= REPORT_INTERVAL_MS / 2) {
             report();
         }
@@ -382,7 +388,7 @@
     }
 
     private OrderDispatcher.Destination destination() {
-        return new OrderDispatcher.Destination(workerRef.id(), term, contact.isReachable());
+        return new OrderDispatcher.Destination(workerRef.id(), term, contact.isReachable(), contact.isConfirmed());
     }
 
     /*
@@ -427,11 +433,10 @@
         message.setTickMs(nowMs);
         message.setTerm(term);
         message.setOutcomes(dispatcher.outcomes());
-        if (heartbeat != null
-                && workerRef != null
-                && workerRef.id().equals(heartbeat.id())
-                && workerRef.startedAtMs() == heartbeat.startedAtMs()) {
-            message.setWorker(GuardMessages.toThrift(describeWorker(nowMs)));
+        if (heartbeat != null && workerRef != null) {
+            WorkerRef described = new WorkerRef(guard, heartbeat.id(), heartbeat.startedAtMs());
+            message.setWorker(GuardMessages.toThrift(
+                    described.equals(workerRef) ? describeWorker(nowMs) : describeFormerLifetime(described)));
             dispatcher.clearOutcomes();
         }
         reportedAtMs = nowMs;
@@ -454,6 +459,25 @@
                 hasCrashed(nowMs));
     }
 
+    /**
+     * Describes a lifetime that has ended, while there is no heartbeat of the next one yet. Nothing is said about its
+     * runs, because the next lifetime may have carried out their starts.
+     */
+    private WorkerReport describeFormerLifetime(WorkerRef former) {
+        return new WorkerReport(
+                former,
+                heartbeat.service(),
+                heartbeat.zone(),
+                heartbeat.capacity(),
+                heartbeat.labels(),
+                heartbeat.draining(),
+                false,
+                false,
+                List.of(),
+                List.of(),
+                pollNumber);
+    }
+
     private void schedule(int delayMs, RelayCommand command) {
         getContext().scheduleOnce(Duration.ofMillis(delayMs), getContext().getSelf(), command);
     }
--- /dev/null
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/RelayTestBase.java
@@ -0,0 +1,291 @@
+package org.fulmarreach.guard.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.awaitility.Awaitility;
+import org.fulmarreach.core.jobs.JobTimeLimits;
+import org.fulmarreach.core.jobs.WorkerReport;
+import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.platform.worker.CallResult;
+import org.fulmarreach.platform.worker.WorkerCalls;
+import org.fulmarreach.platform.worker.WorkerHeartbeat;
+import org.fulmarreach.platform.worker.WorkerSnapshot;
+import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.Frame;
+import org.fulmarreach.protocol.thrift.JobWorkerRef;
+import org.fulmarreach.protocol.thrift.LeaderOrders;
+import org.fulmarreach.protocol.thrift.PaceRun;
+import org.fulmarreach.protocol.thrift.StartRun;
+import org.fulmarreach.protocol.thrift.StopRun;
+import org.fulmarreach.protocol.thrift.WorkerStatus;
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.FrameLink;
+import org.fulmarreach.runtime.net.LinkEvent;
+import org.fulmarreach.runtime.util.ActorSystems;
+import org.fulmarreach.runtime.util.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+
+/** A guard's relay with a fake worker and fake entries, for the tests of it. */
+abstract class RelayTestBase {
+    static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    /** Time after an acknowledged cancellation from which the platform accepts no start of the job. */
+    static final long CANCEL_LIMIT_MS = 3_000;
+
+    final FakeCalls worker = new FakeCalls();
+    final FakeEntries entries = new FakeEntries();
+    final ActorSystem<RelayCommand> relay = ActorSystems.construct(
+            WorkerRelay.create(
+                    worker,
+                    entries,
+                    List.of(),
+                    "guard",
+                    new JobTimeLimits(6_000, 120_000, CANCEL_LIMIT_MS),
+                    MonotonicClock.system(),
+                    new EventLog("guard"),
+                    new Random(1)),
+            "relay",
+            1);
+
+    @AfterEach
+    void stop() {
+        relay.terminate();
+    }
+
+    FakeLink awaitReport() {
+        Awaitility.await()
+                .atMost(TIMEOUT)
+                .until(() -> !entries.links.isEmpty()
+                        && !entries.links.get(0).reports().isEmpty());
+        return entries.links.get(0);
+    }
+
+    void awaitPolls(int count) {
+        int before = worker.polls.get();
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.polls.get() >= before + count);
+    }
+
+    void order(FakeLink link, long term, long startedAtMs, List<StartRun> starts, long writeAgeMs) {
+        order(link, term, startedAtMs, starts, writeAgeMs, 0);
+    }
+
+    void order(FakeLink link, long term, long startedAtMs, List<StartRun> starts, long writeAgeMs, long delayMs) {
+        LeaderOrders orders = new LeaderOrders(
+                term,
+                MonotonicClock.system().nowMs() - delayMs,
+                new JobWorkerRef("guard", "w", startedAtMs),
+                starts,
+                List.of(),
+                List.of(),
+                0,
+                writeAgeMs);
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(orders))));
+    }
+
+    static void stop(FakeLink link, String task) {
+        LeaderOrders orders = emptyOrders();
+        orders.setStops(List.of(new StopRun(task, 1)));
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(orders))));
+    }
+
+    static void setCpuShare(FakeLink link, String task, int percent) {
+        LeaderOrders orders = emptyOrders();
+        orders.setPaces(List.of(new PaceRun(task, 1, percent)));
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(orders))));
+    }
+
+    static LeaderOrders emptyOrders() {
+        return new LeaderOrders(
+                1,
+                MonotonicClock.system().nowMs(),
+                new JobWorkerRef("guard", "w", 1_000),
+                List.of(),
+                List.of(),
+                List.of(),
+                0,
+                0);
+    }
+
+    static List<StartRun> start(String task) {
+        return List.of(new StartRun(task, 1, "text", ""));
+    }
+
+    static WorkerHeartbeat heartbeat(long startedAtMs, long sequence, boolean draining) {
+        return new WorkerHeartbeat("w", startedAtMs, "s", "z", new Resources(1, 1, 0), List.of(), draining, sequence);
+    }
+
+    /** Worker that accepts every order, or leaves starts unanswered. */
+    static final class FakeCalls implements WorkerCalls {
+        final List<String> started = new CopyOnWriteArrayList<>();
+        final AtomicInteger polls = new AtomicInteger();
+        volatile Lifetime lifetime = new Lifetime("w", 1_000);
+        volatile boolean answering = true;
+        volatile CallResult<WorkerSnapshot> failure;
+        /** End of the lease that each poll carried. */
+        final List<Long> leasesUntilMs = new CopyOnWriteArrayList<>();
+        /** Numbers of the polls that were not answered, from 0. */
+        final List<Integer> failedPolls = new CopyOnWriteArrayList<>();
+
+        final List<String> stopped = new CopyOnWriteArrayList<>();
+        final List<Integer> shares = new CopyOnWriteArrayList<>();
+        volatile CompletableFuture<CallResult<Void>> heldStart;
+        volatile CompletableFuture<CallResult<Void>> heldStop;
+        volatile CompletableFuture<CallResult<Void>> heldShare;
+
+        @Override
+        public CompletionStage<CallResult<Void>> start(
+                String workerId, RunStartCall start, long leaseUntilMs, long term, long validForMs) {
+            started.add(start.task());
+            if (heldStart != null) {
+                return heldStart;
+            }
+            return CompletableFuture.completedFuture(
+                    answering ? new CallResult.Done<>(null) : new CallResult.Unanswered<>("no answer", false));
+        }
+
+        @Override
+        public CompletionStage<CallResult<Void>> stop(String workerId, String task, int run, long term) {
+            stopped.add(task);
+            return heldStop != null ? heldStop : CompletableFuture.completedFuture(new CallResult.Done<>(null));
+        }
+
+        @Override
+        public CompletionStage<CallResult<Void>> setCpuShare(
+                String workerId, String task, int run, int percent, long term) {
+            shares.add(percent);
+            return heldShare != null ? heldShare : CompletableFuture.completedFuture(new CallResult.Done<>(null));
+        }
+
+        @Override
+        public CompletionStage<CallResult<WorkerSnapshot>> poll(
+                String workerId, long leaseUntilMs, long term, long acknowledgedEnd, int waitMs) {
+            leasesUntilMs.add(leaseUntilMs);
+            int number = polls.getAndIncrement();
+            return CompletableFuture.supplyAsync(
+                    () -> {
+                        CallResult<WorkerSnapshot> failed = failure;
+                        if (failed != null) {
+                            failedPolls.add(number);
+                        }
+                        return failed != null ? failed : answerPoll(workerId, acknowledgedEnd);
+                    },
+                    CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS));
+        }
+
+        private CallResult<WorkerSnapshot> answerPoll(String workerId, long acknowledgedEnd) {
+            Lifetime answering = lifetime;
+            if (!workerId.isEmpty() && !workerId.equals(answering.id)) {
+                return new CallResult.Refused<>(OTHER_WORKER);
+            }
+            List<WorkerReport.Ended> ended = answering.forget(acknowledgedEnd);
+            return new CallResult.Done<>(new WorkerSnapshot(answering.id, answering.startedAtMs, 1, List.of(), ended));
+        }
+    }
+
+    /** One lifetime of the fake worker, with the ends that it lists. */
+    static final class Lifetime {
+        final String id;
+        final long startedAtMs;
+        volatile List<WorkerReport.Ended> ended;
+
+        Lifetime(String id, long startedAtMs, WorkerReport.Ended... ended) {
+            this.id = id;
+            this.startedAtMs = startedAtMs;
+            this.ended = List.of(ended);
+        }
+
+        List<WorkerReport.Ended> forget(long upToNumber) {
+            ended = ended.stream().filter(end -> end.number() > upToNumber).toList();
+            return ended;
+        }
+    }
+
+    /** Accepts a connection to any address; the store names one address as the leader. */
+    static final class FakeEntries implements RelayLinks {
+        final List<FakeLink> links = new CopyOnWriteArrayList<>();
+        final List<String> connected = new CopyOnWriteArrayList<>();
+        volatile String leader = "10.0.0.1:1";
+
+        @Override
+        public void connect(String address, Consumer<LinkEvent> listener) {
+            connected.add(address);
+            FakeLink link = new FakeLink(address, listener);
+            links.add(link);
+            listener.accept(new LinkEvent.Opened(link));
+        }
+
+        @Override
+        public void findLeader(Consumer<String> answer) {
+            answer.accept(leader);
+        }
+    }
+
+    /** Connection that records the messages sent on it. */
+    static final class FakeLink implements FrameLink {
+        final String address;
+        final Consumer<LinkEvent> listener;
+        final List<Body> sent = new CopyOnWriteArrayList<>();
+
+        FakeLink(String address, Consumer<LinkEvent> listener) {
+            this.address = address;
+            this.listener = listener;
+        }
+
+        List<JobWorkerRef> reports() {
+            List<JobWorkerRef> refs = new ArrayList<>();
+            for (Body body : sent) {
+                if (body.getGuardReport().isSetWorker()) {
+                    refs.add(body.getGuardReport().getWorker().getRef());
+                }
+            }
+            return refs;
+        }
+
+        List<String> ends() {
+            List<String> ends = new ArrayList<>();
+            for (Body body : sent) {
+                if (body.getGuardReport().isSetWorker()) {
+                    body.getGuardReport().getWorker().getEnded().forEach(end -> ends.add(end.getTask()));
+                }
+            }
+            return ends;
+        }
+
+        WorkerStatus lastStatus() {
+            return sent.get(sent.size() - 1).getGuardReport().getWorker();
+        }
+
+        List<String> outcomes() {
+            List<String> outcomes = new ArrayList<>();
+            for (Body body : sent) {
+                body.getGuardReport().getOutcomes().forEach(outcome -> outcomes.add(outcome.getOutcome()));
+            }
+            return outcomes;
+        }
+
+        @Override
+        public void send(long correlationId, Body body) {
+            sent.add(body);
+        }
+
+        @Override
+        public void close() {
+            listener.accept(new LinkEvent.Closed(this, "closed"));
+        }
+
+        @Override
+        public String remoteAddress() {
+            return address;
+        }
+    }
+}
--- /dev/null
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLifetimeTest.java
@@ -0,0 +1,208 @@
+package org.fulmarreach.guard.jobs;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.awaitility.Awaitility;
+import org.fulmarreach.core.jobs.RunEnd;
+import org.fulmarreach.core.jobs.WorkerReport;
+import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.platform.worker.CallResult;
+import org.fulmarreach.platform.worker.WorkerCalls;
+import org.fulmarreach.platform.worker.WorkerHeartbeat;
+import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.Frame;
+import org.fulmarreach.protocol.thrift.LeaderOrders;
+import org.fulmarreach.runtime.net.LinkEvent;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests what a guard's relay does when its worker ends, is replaced, or starts again under its id. */
+class WorkerLifetimeTest extends RelayTestBase {
+    /**
+     * A start for a worker that had crashed was retried at the restarted worker. The leader abandons the runs of the
+     * former lifetime and places their tasks elsewhere, so the task ran twice at once.
+     */
+    @Test
+    void unansweredStartIsNotRetriedAtRestartedWorker() {
+        CompletableFuture<CallResult<Void>> held = new CompletableFuture<>();
+        worker.heldStart = held;
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        order(link, 1, 1_000, start("former.0.0.0"), 0);
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.started.contains("former.0.0.0"));
+        worker.heldStart = null;
+        worker.lifetime = new Lifetime("w", 2_000);
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(2_000, 1, false)));
+        // The clock of a new lifetime is known only after a poll; nothing is started before that.
+        awaitPolls(3);
+        held.complete(new CallResult.Unanswered<>("no answer", false));
+        awaitPolls(5);
+        order(link, 1, 2_000, start("next.0.0.0"), 0);
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.started.contains("next.0.0.0"));
+        assertEquals(List.of("former.0.0.0", "next.0.0.0"), worker.started);
+    }
+
+    /**
+     * A worker crashed and started again under its id; starts that came before a poll had told so were carried out by
+     * the next lifetime, while the leader started the tasks elsewhere.
+     */
+    @Test
+    void startWaitsUntilAPollHasToldWhichLifetimeAnswers() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        order(link, 1, 1_000, start("former.0.0.0"), 0);
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.started.contains("former.0.0.0"));
+        worker.failure = new CallResult.Unanswered<>("connection closed", false);
+        awaitPolls(2);
+        order(link, 1, 1_000, start("former.0.0.1"), 0);
+        worker.lifetime = new Lifetime("w", 2_000);
+        worker.failure = null;
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(2_000, 1, false)));
+        awaitPolls(4);
+        order(link, 1, 2_000, start("next.0.0.0"), 0);
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.started.contains("next.0.0.0"));
+        assertEquals(List.of("former.0.0.0", "next.0.0.0"), worker.started);
+    }
+
+    /** Guards against starts that are lost because a single poll was not answered. */
+    @Test
+    void startThatWaitedIsSentToTheSameLifetime() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        worker.failure = new CallResult.Unanswered<>("timed out", false);
+        awaitPolls(2);
+        order(link, 1, 1_000, start("job.0.0.0"), 0);
+        awaitPolls(1);
+        assertEquals(List.of(), worker.started);
+        worker.failure = null;
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.started.contains("job.0.0.0"));
+    }
+
+    /**
+     * The next lifetime took the lease of the former one, whose end on its own clock is far in the future, so runs
+     * there outlasted what guard and leader believed.
+     */
+    @Test
+    void pollAfterAFailedOneCarriesNoLease() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        order(link, 1, 1_000, List.of(), 0);
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.leasesUntilMs.getLast() != WorkerCalls.NO_LEASE);
+        worker.failure = new CallResult.Unanswered<>("connection closed", false);
+        awaitPolls(2);
+        worker.failure = null;
+        int first = worker.failedPolls.getFirst();
+        assertNotEquals(WorkerCalls.NO_LEASE, worker.leasesUntilMs.get(first));
+        assertEquals(WorkerCalls.NO_LEASE, worker.leasesUntilMs.get(first + 1));
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.leasesUntilMs.getLast() != WorkerCalls.NO_LEASE);
+    }
+
+    /** Until the first heartbeat of the next lifetime the leader placed tasks on the former one, for up to 1.6 s. */
+    @Test
+    void formerLifetimeIsReportedAsUnreachableOnceTheNextOneAnswers() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        Awaitility.await()
+                .atMost(TIMEOUT)
+                .until(() -> link.lastStatus() != null && link.lastStatus().isReachable());
+        worker.lifetime = new Lifetime("w", 2_000, new WorkerReport.Ended(1, "job.0.0.0", 1, RunEnd.DONE, ""));
+        Awaitility.await()
+                .atMost(TIMEOUT)
+                .until(() -> link.lastStatus() != null && !link.lastStatus().isReachable());
+        assertEquals(1_000, link.lastStatus().getRef().getBornMs());
+        assertFalse(link.lastStatus().isLeaseLapsed(), "its starts may have been carried out by the next lifetime");
+        assertEquals(List.of(), link.lastStatus().getEnded());
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(2_000, 1, false)));
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.ends().contains("job.0.0.0"));
+        assertEquals(2_000, link.lastStatus().getRef().getBornMs());
+    }
+
+    /** A heartbeat may arrive after its worker has crashed and was restarted at the same address. */
+    @Test
+    void heartbeatOfFormerLifetimeIsIgnored() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        worker.lifetime = new Lifetime("w", 2_000);
+        int polls = worker.polls.get();
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.polls.get() >= polls + 3);
+        int before = link.reports().size();
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 9, false)));
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(2_000, 1, false)));
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.reports().size() >= before + 2);
+        link.reports().subList(before, link.reports().size()).forEach(ref -> assertEquals(2_000, ref.getBornMs()));
+    }
+
+    /** A poll for a worker that had been replaced made the next one forget an end that nobody had read. */
+    @Test
+    void endOfTheNextWorkerIsNotAcknowledgedByAPollForTheFormerOne() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        LeaderOrders orders = emptyOrders();
+        orders.setAcknowledgedEnd(9);
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(orders))));
+        awaitPolls(3);
+        worker.lifetime = new Lifetime("next", 2_000, new WorkerReport.Ended(1, "job.0.0.0", 1, RunEnd.DONE, ""));
+        awaitPolls(5);
+        assertEquals(1, worker.lifetime.ended.size(), "ends that the next worker lists");
+        relay.tell(new RelayCommand.HeartbeatReceived(
+                new WorkerHeartbeat("next", 2_000, "s", "z", new Resources(1, 1, 0), List.of(), false, 1)));
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.ends().contains("job.0.0.0"));
+    }
+
+    /**
+     * As before, but the worker starts again under its id, so that it carries out a poll for its former lifetime. An
+     * end before that poll was taken note of without having been read, and its task was started again.
+     */
+    @Test
+    void endOfTheNextLifetimeIsNotAcknowledgedByAPollForTheFormerOne() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        worker.lifetime.ended = List.of(new WorkerReport.Ended(9, "job.0.0.9", 1, RunEnd.DONE, ""));
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.ends().contains("job.0.0.9"));
+        LeaderOrders orders = emptyOrders();
+        orders.setAcknowledgedEnd(9);
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(orders))));
+        Awaitility.await().atMost(TIMEOUT).until(() -> worker.lifetime.ended.isEmpty());
+        awaitPolls(2);
+        worker.lifetime = new Lifetime("w", 2_000, new WorkerReport.Ended(1, "job.0.0.0", 1, RunEnd.DONE, ""));
+        awaitPolls(5);
+        assertEquals(1, worker.lifetime.ended.size(), "ends that the next lifetime lists");
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(2_000, 1, false)));
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.ends().contains("job.0.0.0"));
+    }
+
+    /** Without this the leader cannot tell a crash, for which a task may be to blame, from a silence. */
+    @Test
+    void closedPortIsReportedAsACrash() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        worker.failure = new CallResult.Unanswered<>("connection refused", true);
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.lastStatus().isCrashed());
+        assertTrue(link.lastStatus().isLeaseLapsed());
+    }
+
+    /** A silent worker may still run its tasks, and one that announced its end has not crashed. */
+    @Test
+    void silenceAndAnnouncedEndsAreNotReportedAsCrashes() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        worker.failure = new CallResult.Unanswered<>("timed out", false);
+        awaitPolls(8);
+        assertFalse(link.lastStatus().isCrashed(), "silent");
+        relay.tell(new RelayCommand.Deregistered("w"));
+        worker.failure = new CallResult.Unanswered<>("connection refused", true);
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.lastStatus().isLeaseLapsed());
+        assertFalse(link.lastStatus().isCrashed(), "deregistered");
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(2_000, 1, true)));
+        Awaitility.await()
+                .atMost(TIMEOUT)
+                .until(() -> link.lastStatus().getRef().getBornMs() == 2_000
+                        && link.lastStatus().isLeaseLapsed());
+        assertFalse(link.lastStatus().isCrashed(), "draining");
+    }
+}
