Keep the runs of a worker whose port refuses connections until its lease is over

Cause: a guard took 700 ms of refused connections for the end of the worker's process and reported the lease as lapsed. A listener that is reopened, a proxy or a packet filter refuses as well, and the worker works on under its lease of up to 6 s. All its tasks were started elsewhere at once.

Change: such a lease is over when it has run out. A port that refuses still makes suspects of a crash, as before, and ends the lease only of a worker that has deregistered.

--- a/core/src/main/java/org/fulmarreach/core/jobs/DecisionLog.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/DecisionLog.java
@@ -45,7 +45,7 @@
         WORKER_CHANGED,
         /** A worker gets no new runs for a while, after several faults in a row. */
         WORKER_SUSPECTED,
-        /** A worker's process ended unannounced; the runs on it are lost. */
+        /** A worker's process seems to have ended unannounced; its runs are lost once its lease is over. */
         WORKER_CRASHED,
         /** A worker crashed before a run of the task had shown progress. */
         TASK_SUSPECTED,
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -65,7 +65,7 @@
                 if (task.isEndForgotten()) {
                     task.resume(worker);
                 }
-                applyListing(task, running, nowMs);
+                applyListing(task, running, worker, nowMs);
                 listed.add(task);
             } else {
                 stopStray(report.ref(), running, task);
@@ -313,10 +313,11 @@
         }
     }
 
-    private void applyListing(JobTask task, WorkerReport.Running running, long nowMs) {
+    private void applyListing(JobTask task, WorkerReport.Running running, WorkerView worker, long nowMs) {
         RunProgress before = task.progress();
         task.updateProgress(before.withListing(running.percent(), running.usage(), running.checkpoint(), nowMs));
-        if (CrashTracker.hasShownProgress(task, nowMs)) {
+        // The guard of a worker that does not answer repeats the last lists, which show no progress since.
+        if (CrashTracker.hasShownProgress(task, worker.answeredAtMs())) {
             crashes.acquit(task);
         }
         recordBegun(task.job());
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerReport.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerReport.java
@@ -18,7 +18,7 @@
  * @param running runs that the worker lists as running
  * @param ended ended runs that the worker lists, which are not acknowledged yet
  * @param pollNumber number of the guard's poll from which the lists come; increases until the guard restarts
- * @param crashed whether the process of the worker is known to have ended without having announced it
+ * @param crashed whether the process of the worker seems to have ended without having announced it
  */
 public record WorkerReport(
         WorkerRef ref,
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -43,7 +43,9 @@
     WORKER_CHANGED(4021, Level.INFO, "A worker became reachable, unreachable or began to drain."),
     WORKER_SUSPECTED(4022, Level.WARNING, "Several runs in a row failed on a worker; it gets no new runs for a while."),
     WORKER_CRASHED(
-            4028, Level.WARNING, "A worker's process ended unannounced; runs without progress so far are suspects."),
+            4028,
+            Level.WARNING,
+            "A worker's process seems to have ended unannounced; runs without progress are suspects."),
     TASK_SUSPECTED(
             4029,
             Level.WARNING,
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -41,7 +41,7 @@
 
     private static final int FAILED_POLL_DELAY_MS = 200;
 
-    /** If the port refuses connections for this long, the worker process has ended. */
+    /** If the port refuses connections for this long, the process of the worker has probably ended. */
     private static final long PORT_CLOSED_MS = 700;
 
     private static final int REPORT_INTERVAL_MS = 500;
@@ -66,6 +66,7 @@
     private boolean pollInFlight;
     private boolean workerReplaced;
     private boolean expiryReported;
+    private boolean crashReported;
     private boolean deregistered;
     private long acknowledgedEnd;
     private long term;
@@ -221,6 +222,7 @@
         contact.reset();
         workerReplaced = false;
         expiryReported = false;
+        crashReported = false;
         deregistered = false;
         dispatcher.clear();
     }
@@ -293,6 +295,7 @@
         }
         contact.onAnswered(nowMs);
         expiryReported = false;
+        crashReported = false;
         lease.updateClock(answer.clockMs(), nowMs);
         boolean newEnds = !answer.ended().isEmpty() && answer.lastEndNumber() > snapshot.lastEndNumber();
         boolean first = !hasSnapshot;
@@ -328,17 +331,21 @@
         }
     }
 
+    /**
+     * Tells whether nothing is left running on the worker. A port that refuses connections does not show it: the
+     * listener may be reopened, or something on the way may refuse, while the worker works on under its lease.
+     */
     private boolean hasLeaseExpired(long nowMs) {
-        return !contact.isReachable() && (hasProcessEnded(nowMs) || lease.hasExpired(nowMs));
+        return !contact.isReachable() && (lease.hasExpired(nowMs) || deregistered && isPortClosed(nowMs));
     }
 
-    private boolean hasProcessEnded(long nowMs) {
+    private boolean isPortClosed(long nowMs) {
         return contact.refusedForMs(nowMs) > PORT_CLOSED_MS;
     }
 
-    /** Tells whether the worker's process ended unannounced; a worker that is merely silent may still run its tasks. */
-    private boolean hasCrashed(long nowMs) {
-        return !contact.isReachable() && hasProcessEnded(nowMs) && !heartbeat.draining() && !deregistered;
+    /** Tells whether the worker's process seems to have ended unannounced, so that a task may have crashed it. */
+    private boolean seemsCrashed(long nowMs) {
+        return !contact.isReachable() && isPortClosed(nowMs) && !heartbeat.draining() && !deregistered;
     }
 
     /*
@@ -399,6 +406,11 @@
         leader.onTick();
         long nowMs = clock.nowMs();
         boolean expired = workerRef != null && hasLeaseExpired(nowMs);
+        boolean crashed = heartbeat != null && workerRef != null && seemsCrashed(nowMs);
+        if (crashed && !crashReported) {
+            crashReported = true;
+            report();
+        }
         if (expired && !expiryReported) {
             expiryReported = true;
             log.emit(
@@ -456,7 +468,7 @@
                 snapshot.running(),
                 snapshot.ended(),
                 pollNumber,
-                hasCrashed(nowMs));
+                seemsCrashed(nowMs));
     }
 
     /**
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkerStatus.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkerStatus.java
@@ -62,7 +62,7 @@
      */
     LOOK_NUMBER((short)11, "lookNumber"),
     /**
-     * True when the process of the worker has ended without having announced it; absent otherwise.
+     * True when the process of the worker seems to have ended without having announced it; absent otherwise.
      */
     CRASHED((short)12, "crashed");
 
@@ -624,14 +624,14 @@
   }
 
   /**
-   * True when the process of the worker has ended without having announced it; absent otherwise.
+   * True when the process of the worker seems to have ended without having announced it; absent otherwise.
    */
   public boolean isCrashed() {
     return this.crashed;
   }
 
   /**
-   * True when the process of the worker has ended without having announced it; absent otherwise.
+   * True when the process of the worker seems to have ended without having announced it; absent otherwise.
    */
   public WorkerStatus setCrashed(boolean crashed) {
     this.crashed = crashed;
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -324,7 +324,7 @@
   10: list<EndedRun> ended,
   /** Number of the worker's answer that the lists come from. */
   11: i64 lookNumber,
-  /** True when the process of the worker has ended without having announced it; absent otherwise. */
+  /** True when the process of the worker seems to have ended without having announced it; absent otherwise. */
   12: optional bool crashed
 }
 /** Sent by a guard to the leader; the first one opens the session. */
