Assume that the next lifetime of a worker holds the lease of the former one

A lease that is sent to a worker which has just started again under its id ends, by its former clock, far in the future; the new lifetime shortens it to the longest lease. The guard counted only until the end that it had meant, so it could report the runs of the new lifetime as ended while they went on (TWICE).

When the lifetime changes under the same id, the guard now assumes that a whole lease was received just then. WorkerLifetimeTest.leaseMayLastAtTheNextLifetime failed without the call (lapsed after 3334 ms in place of 6000); WorkerLeaseTest.leaseOfTheFormerLifetimeIsAssumedToLastAtTheNextOne covers the rule.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerLease.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerLease.java
@@ -76,6 +76,14 @@
         readings.clear();
     }
 
+    /**
+     * Assumes that a lease was received just now by the next lifetime of the worker. One that was meant for the former
+     * lifetime ends far in the future on the new clock, and the worker shortens it to the longest lease.
+     */
+    void assumeReceived(long nowMs) {
+        sentUntilMs = Math.max(sentUntilMs, nowMs + leaseMs);
+    }
+
     boolean isGranted(long nowMs) {
         ClockReading before = granted ? readingBeforeTick() : null;
         return before != null
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -214,6 +214,9 @@
         if (workerRef != null && workerRef.id().equals(id) && workerRef.startedAtMs() == startedAtMs) {
             return;
         }
+        if (workerRef != null && workerRef.id().equals(id)) {
+            lease.assumeReceived(clock.nowMs());
+        }
         workerRef = new WorkerRef(guard, id, startedAtMs);
         lease.resetClock();
         snapshot = new WorkerSnapshot("", 0, 0, List.of(), List.of());
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLeaseTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLeaseTest.java
@@ -38,6 +38,22 @@
         assertFalse(lease.isGranted(10_001));
     }
 
+    /**
+     * The next lifetime under the same id takes a lease that was sent to the former one for its own clock, so its runs
+     * may go on for a whole lease. They were started elsewhere before.
+     */
+    @Test
+    void leaseOfTheFormerLifetimeIsAssumedToLastAtTheNextOne() {
+        WorkerLease lease = new WorkerLease(LEASE_MS, 0);
+        lease.updateClock(500_000, 10_000);
+        lease.grant(10_000);
+        lease.issueUntilMs(10_001);
+        lease.assumeReceived(15_000);
+        lease.resetClock();
+        assertFalse(lease.hasExpired(15_000 + LEASE_MS));
+        assertTrue(lease.hasExpired(15_000 + LEASE_MS + LEASE_MS / 50 + 301));
+    }
+
     /**
      * The monotonic clock does not count a suspension of the VM, so a guard extended the lease by it, while the leader
      * took the lease for expired and started the tasks elsewhere.
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLifetimeTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLifetimeTest.java
@@ -210,6 +210,23 @@
         assertTrue(link.lastStatus().isCrashed());
     }
 
+    /** The next lifetime may hold a lease that was sent to the former one; its runs were started elsewhere early. */
+    @Test
+    void leaseMayLastAtTheNextLifetime() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        long startedAtMs = MonotonicClock.system().nowMs();
+        Awaitility.await().until(() -> MonotonicClock.system().nowMs() - startedAtMs > LEASE_MS / 2);
+        worker.lifetime = new Lifetime("w", 2_000);
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(2_000, 1, false)));
+        long changedAtMs = MonotonicClock.system().nowMs();
+        awaitStatus(link, status -> status.getRef().getBornMs() == 2_000);
+        worker.failure = new CallResult.Unanswered<>("timed out", false);
+        awaitStatus(link, WorkerStatus::isLeaseLapsed);
+        long lapsedAfterMs = MonotonicClock.system().nowMs() - changedAtMs;
+        assertTrue(lapsedAfterMs >= LEASE_MS, "lapsed after " + lapsedAfterMs + " ms");
+    }
+
     /** A worker that has announced its end and refuses connections runs nothing, so its tasks need not wait. */
     @Test
     void closedPortOfADeregisteredWorkerEndsTheLease() {
