Tell the lifetime of an answer by the start time that it names

Cause: the guard took a new lifetime from the answer to a poll only if a response header named the worker. So no answer ever told a new lifetime there, only a heartbeat did, up to 1.1 s later. Until then the lists of the new lifetime were reported as those of the former one. Its ends count from 1 again, so the leader took them for ends that it had handled, acknowledged them, and started their tasks once more when the heartbeat came.

Change: an answer belongs to the worker that the poll named, and to the lifetime whose start time it names. An answer that came after a newer heartbeat, or of a worker that no heartbeat has named yet, is not used. Where an answer names no start time, a clock that went back shows a restart. The fake worker of the tests names no id any more; listsOfAnotherWorkerAreNotReportedAsThoseOfTheFormerOne is new.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayCommand.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayCommand.java
@@ -1,5 +1,6 @@
 package org.fulmarreach.guard.jobs;
 
+import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.platform.worker.CallResult;
 import org.fulmarreach.platform.worker.WorkerHeartbeat;
 import org.fulmarreach.platform.worker.WorkerSnapshot;
@@ -13,8 +14,15 @@
     /** The worker deregistered. */
     record Deregistered(String workerId) implements RelayCommand {}
 
-    /** A poll of the worker was answered or failed. */
-    record PollCompleted(CallResult<WorkerSnapshot> result, long sentAtMs) implements RelayCommand {}
+    /**
+     * A poll of the worker was answered or failed.
+     *
+     * @param expected lifetime that was expected to answer, or null if none was known
+     * @param named whether the poll named the worker, so that no other worker answered it
+     * @param sentAtMs when it was sent, on the monotonic clock
+     */
+    record PollCompleted(CallResult<WorkerSnapshot> result, WorkerRef expected, boolean named, long sentAtMs)
+            implements RelayCommand {}
 
     /** The next poll of the worker is due. */
     record PollDue() implements RelayCommand {}
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerLease.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerLease.java
@@ -71,6 +71,11 @@
         }
     }
 
+    /** Tells whether a reading of the worker's clock precedes the last one, since the worker was restarted. */
+    boolean isBefore(long clockMs) {
+        return !readings.isEmpty() && clockMs < readings.getLast().clockMs();
+    }
+
     /** Discards the readings of the clock, because a restarted worker has a different clock. */
     void resetClock() {
         readings.clear();
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -60,7 +60,7 @@
     private final WorkerContact contact = new WorkerContact();
     private WorkerHeartbeat heartbeat;
     private WorkerRef workerRef;
-    private WorkerSnapshot snapshot = new WorkerSnapshot("", 0, 0, List.of(), List.of());
+    private WorkerSnapshot snapshot = new WorkerSnapshot(0, 0, List.of(), List.of());
     private boolean hasSnapshot;
     private long pollNumber;
     private boolean pollInFlight;
@@ -139,7 +139,7 @@
         switch (command) {
             case RelayCommand.HeartbeatReceived message -> onHeartbeat(message.heartbeat());
             case RelayCommand.Deregistered message -> onDeregistered(message.workerId());
-            case RelayCommand.PollCompleted message -> onPollCompleted(message.result(), message.sentAtMs());
+            case RelayCommand.PollCompleted message -> onPollCompleted(message);
             case RelayCommand.PollDue due -> sendPoll();
             case RelayCommand.OrderCompleted done -> {
                 if (workerRef != null && dispatcher.onResult(destination(), done.order(), done.result())) {
@@ -219,7 +219,7 @@
         }
         workerRef = new WorkerRef(guard, id, startedAtMs);
         lease.resetClock();
-        snapshot = new WorkerSnapshot("", 0, 0, List.of(), List.of());
+        snapshot = new WorkerSnapshot(0, 0, List.of(), List.of());
         hasSnapshot = false;
         acknowledgedEnd = 0;
         contact.reset();
@@ -238,13 +238,14 @@
         long nowMs = clock.nowMs();
         boolean known = workerRef != null && !workerReplaced;
         // A poll without the id of the worker may reach another one, whose ends and lease it must not affect.
-        // Without a confirmed lifetime the poll only asks which one answers, and the worker does not hold it.
+        // Without a confirmed lifetime the poll only asks which one answers, and the worker need not hold it.
         boolean confirmed = known && contact.isConfirmed();
         long leaseUntilMs = confirmed ? lease.issueUntilMs(nowMs) : WorkerCalls.NO_LEASE;
-        int waitMs = confirmed && snapshot.ended().isEmpty() ? POLL_WAIT_MS : 0;
+        int waitMs = (confirmed || workerRef == null) && snapshot.ended().isEmpty() ? POLL_WAIT_MS : 0;
         var self = getContext().getSelf();
+        WorkerRef expected = workerRef;
         worker.poll(known ? workerRef.id() : "", leaseUntilMs, term, confirmed ? endToAcknowledge() : 0, waitMs)
-                .thenAccept(result -> self.tell(new RelayCommand.PollCompleted(result, nowMs)));
+                .thenAccept(result -> self.tell(new RelayCommand.PollCompleted(result, expected, known, nowMs)));
     }
 
     /**
@@ -257,11 +258,11 @@
         return listed ? acknowledgedEnd : 0;
     }
 
-    private void onPollCompleted(CallResult<WorkerSnapshot> result, long sentAtMs) {
+    private void onPollCompleted(RelayCommand.PollCompleted poll) {
         pollInFlight = false;
         long nowMs = clock.nowMs();
-        switch (result) {
-            case CallResult.Done<WorkerSnapshot> done -> onAnswer(done.answer(), nowMs);
+        switch (poll.result()) {
+            case CallResult.Done<WorkerSnapshot> done -> onAnswer(done.answer(), poll, nowMs);
             case CallResult.Refused<WorkerSnapshot> refused -> {
                 workerReplaced |= refused.reason().equals(WorkerCalls.OTHER_WORKER);
                 onPollFailed(refused.reason(), false, nowMs);
@@ -269,7 +270,7 @@
             case CallResult.Unanswered<WorkerSnapshot> noAnswer ->
                 onPollFailed(noAnswer.reason(), noAnswer.portClosed(), nowMs);
         }
-        if (nowMs - sentAtMs < 1 && snapshot.ended().isEmpty() && contact.isReachable()) {
+        if (nowMs - poll.sentAtMs() < 1 && snapshot.ended().isEmpty() && contact.isReachable()) {
             // A worker holds a poll until something has happened, so an immediate answer is rare.
             schedule(MIN_POLL_DELAY_MS, new RelayCommand.PollDue());
         } else if (contact.failedPolls() > 0) {
@@ -283,18 +284,29 @@
         }
     }
 
-    private void onAnswer(WorkerSnapshot answer, long nowMs) {
-        workerReplaced = false;
-        if (!answer.id().isEmpty() && answer.startedAtMs() > 0) {
-            updateLifetime(answer.id(), answer.startedAtMs());
+    /** Finds out which lifetime has answered; one that started again under its id tells so only by its start time. */
+    private void onAnswer(WorkerSnapshot answer, RelayCommand.PollCompleted poll, long nowMs) {
+        boolean expectedLifetime = workerRef != null && answer.startedAtMs() == workerRef.startedAtMs();
+        if (!expectedLifetime && (workerRef == null || !workerRef.equals(poll.expected()))) {
+            // Without a heartbeat the worker is not known; one that came during the poll is newer than the answer.
+            return;
+        }
+        if (!expectedLifetime && !poll.named()) {
+            onPollFailed("another worker answers, whose heartbeat has not come yet", false, nowMs);
+        } else if (answer.startedAtMs() == 0 && lease.isBefore(answer.clockMs())) {
+            onPollFailed("the worker's clock went back, so it has started again", false, nowMs);
+        } else {
+            workerReplaced = false;
+            if (answer.startedAtMs() > 0) {
+                updateLifetime(workerRef.id(), answer.startedAtMs());
+            }
+            onLists(answer, nowMs);
         }
+    }
+
+    private void onLists(WorkerSnapshot answer, long nowMs) {
         if (!contact.isReachable()) {
-            log.emit(
-                    RelayEvent.WORKER_ANSWERS,
-                    "worker",
-                    workerRef == null ? "unknown" : workerRef.id(),
-                    "failed",
-                    contact.failedPolls());
+            log.emit(RelayEvent.WORKER_ANSWERS, "worker", workerRef.id(), "failed", contact.failedPolls());
         }
         contact.onAnswered(nowMs);
         expiryReported = false;
@@ -303,15 +315,13 @@
         boolean newEnds = !answer.ended().isEmpty() && answer.lastEndNumber() > snapshot.lastEndNumber();
         boolean first = !hasSnapshot;
         if (answer.skippedRows() != snapshot.skippedRows()) {
-            log.emit(RelayEvent.ROWS_SKIPPED, "worker", answer.id(), "rows", answer.skippedRows());
+            log.emit(RelayEvent.ROWS_SKIPPED, "worker", workerRef.id(), "rows", answer.skippedRows());
         }
         snapshot = answer;
         dispatcher.onEnded(answer.ended());
         hasSnapshot = true;
         pollNumber++;
-        if (workerRef != null) {
-            dispatcher.sendHeldStarts(destination());
-        }
+        dispatcher.sendHeldStarts(destination());
         if (newEnds || first || nowMs - reportedAtMs >= REPORT_INTERVAL_MS / 2) {
             report();
         }
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/RelayTestBase.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/RelayTestBase.java
@@ -189,7 +189,7 @@
                 return new CallResult.Refused<>(OTHER_WORKER);
             }
             List<WorkerReport.Ended> ended = answering.forget(acknowledgedEnd);
-            return new CallResult.Done<>(new WorkerSnapshot(answering.id, answering.startedAtMs, 1, List.of(), ended));
+            return new CallResult.Done<>(new WorkerSnapshot(answering.startedAtMs, 1, List.of(), ended));
         }
     }
 
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLifetimeTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLifetimeTest.java
@@ -161,6 +161,23 @@
         Awaitility.await().atMost(TIMEOUT).until(() -> link.ends().contains("job.0.0.0"));
     }
 
+    /**
+     * The lists of the next worker were reported as those of the former one until the first heartbeat. An end in them
+     * was taken for one that had been handled before, and its task was started again.
+     */
+    @Test
+    void listsOfAnotherWorkerAreNotReportedAsThoseOfTheFormerOne() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        worker.lifetime = new Lifetime("next", 2_000, new WorkerReport.Ended(1, "job.0.0.0", 1, RunEnd.DONE, ""));
+        awaitStatus(link, status -> status != null && !status.isReachable());
+        assertEquals(1_000, link.lastStatus().getRef().getBornMs());
+        assertEquals(List.of(), link.ends());
+        relay.tell(new RelayCommand.HeartbeatReceived(
+                new WorkerHeartbeat("next", 2_000, "s", "z", new Resources(1, 1, 0), List.of(), false, 1)));
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.ends().contains("job.0.0.0"));
+    }
+
     /**
      * As before, but the worker starts again under its id, so that it carries out a poll for its former lifetime. An
      * end before that poll was taken note of without having been read, and its task was started again.
