Add a soak of real processes with workers that start again and refuse connections

bin/worker-soak runs entries and guards as the deploy file does, beside stand-ins of the store and of the workers on loopback. Workers start again under their id, at once and late, close their listener and work on, hold orders back and carry them out later, and answer polls late, so that calls overtake each other; guards and entries are paused and killed. Faults overlap; their schedule depends on the seed only. TWICE is checked from what the workers ran, and that every job is completed from what callers see. Like the users' platform, the stand-in of a worker names its lifetime in heartbeats and lists, by `born`, and in no header.

--- /dev/null
+++ b/it/src/main/java/org/fulmarreach/it/platform/PlatformSite.java
@@ -0,0 +1,274 @@
+package org.fulmarreach.it.platform;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.fulmarreach.it.ManagedProcess;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * A deployment on loopback addresses as the users' platform runs it: entries and guards as real processes, with
+ * stand-ins of the store and of the workers. The bounds are those of their smaller sites. Not thread-safe.
+ */
+final class PlatformSite implements AutoCloseable {
+    static final String SERVICE = "service";
+    private static final String HOST_HEADER = "shop.example";
+    private static final String PREFIX = "/jobs/";
+    private static final int READY_MS = 40_000;
+    private static final int PORTS = 9;
+
+    static {
+        // Jobs of all queues go to the same address, so the Host header is set by hand.
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    }
+
+    final RunHistory history = new RunHistory();
+    final List<PlatformWorker> workers = new ArrayList<>();
+    private final PlatformStore store;
+    private final Path directory;
+    private final String network;
+    private final int firstPort;
+    private final int entryCount;
+    private final Map<String, ManagedProcess> processes = new ConcurrentHashMap<>();
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofMillis(500))
+            .build();
+
+    /** Starts a deployment and waits until all entries are ready. */
+    PlatformSite(int entryCount, int workerCount) {
+        this.entryCount = entryCount;
+        // The process id keeps several deployments on one machine apart.
+        long pid = ProcessHandle.current().pid();
+        network = "127." + (10 + pid % 200) + "." + (1 + pid / 200 % 250) + ".";
+        firstPort = findPorts(network + "200");
+        store = new PlatformStore(network + "200", firstPort);
+        try {
+            directory = Files.createTempDirectory("fulmarreach-soak");
+            publishConfig();
+            for (int i = 0; i < entryCount; i++) {
+                writeSettings(entryName(i), "entry", network + (1 + i));
+                startProcess(entryName(i));
+            }
+            for (int i = 0; i < workerCount; i++) {
+                String host = network + (50 + i);
+                writeSettings(guardName(i), "guard", host);
+                startProcess(guardName(i));
+                PlatformWorker worker =
+                        new PlatformWorker("i-" + i, host, firstPort + 3, host + ":" + (firstPort + 2), history);
+                workers.add(worker);
+                worker.start(0);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        awaitReady();
+    }
+
+    /** Returns the directory with the output of the processes. */
+    Path directory() {
+        return directory;
+    }
+
+    String entryName(int index) {
+        return "entry-" + index;
+    }
+
+    String guardName(int index) {
+        return "guard-" + index;
+    }
+
+    /** Starts a process, for the first time or again. */
+    void startProcess(String name) {
+        processes.put(
+                name,
+                ManagedProcess.start(
+                        name,
+                        directory,
+                        "platform-node",
+                        List.of(name.startsWith("entry") ? "entry" : "guard"),
+                        Map.of(
+                                "FULMARREACH_NODE_FILE",
+                                directory.resolve(name + ".json").toString())));
+    }
+
+    ManagedProcess process(String name) {
+        return processes.get(name);
+    }
+
+    /** Submits a job of some tasks; returns the status of the answer, or 0 without one. */
+    int submit(int entry, String id, int tasks, int workMs) {
+        ObjectNode body = JsonServer.JSON.createObjectNode().put("specification", String.valueOf(workMs));
+        body.putArray("steps")
+                .addObject()
+                .put("count", tasks)
+                .put("cpu", 500)
+                .put("mem_mb", 64)
+                .put("estimated_ms", workMs);
+        HttpRequest.Builder request =
+                request(entry, firstPort, PREFIX + id).POST(HttpRequest.BodyPublishers.ofString(body.toString()));
+        return send(request).status();
+    }
+
+    /** Returns the state of a job; empty without an answer. */
+    String state(int entry, String id) {
+        Reply reply = send(request(entry, firstPort, PREFIX + id).GET());
+        try {
+            return reply.status() == 200
+                    ? JsonServer.JSON.readTree(reply.body()).path("state").asText()
+                    : "";
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    @Override
+    public void close() {
+        processes.values().forEach(ManagedProcess::close);
+        workers.forEach(PlatformWorker::crash);
+        store.close();
+    }
+
+    /*
+     * Helpers
+     */
+
+    private record Reply(int status, String body) {}
+
+    private HttpRequest.Builder request(int entry, int port, String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + network + (1 + entry) + ":" + port + path))
+                .timeout(Duration.ofSeconds(3))
+                .header("Host", HOST_HEADER)
+                .header("Content-Type", "application/json")
+                .header("Fulmarreach-Deadline-Ms", "3000");
+    }
+
+    private Reply send(HttpRequest.Builder request) {
+        try {
+            HttpResponse<String> response = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+            return new Reply(response.statusCode(), response.body());
+        } catch (IOException e) {
+            return new Reply(0, "");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return new Reply(0, "");
+        }
+    }
+
+    private static int findPorts(String host) {
+        for (int first = 21_000; first < 31_000; first += PORTS) {
+            boolean free = true;
+            for (int port = first; free && port < first + PORTS; port++) {
+                try (ServerSocket probe = new ServerSocket()) {
+                    probe.bind(new InetSocketAddress(host, port));
+                } catch (IOException e) {
+                    free = false;
+                }
+            }
+            if (free) {
+                return first;
+            }
+        }
+        throw new IllegalStateException("no free ports on " + host + ". Remedy: end other deployments.");
+    }
+
+    private void publishConfig() {
+        ObjectNode config = JsonServer.JSON.createObjectNode().put("version", 1);
+        config.putArray("routes")
+                .addObject()
+                .put("name", "jobs")
+                .put("host", HOST_HEADER)
+                .put("path_prefix", PREFIX)
+                .put("kind", "unsafe")
+                .put("timeout_ms", 3_000)
+                .put("target_latency_ms", 1_000)
+                .put("priority", 0)
+                .put("service", SERVICE)
+                .put("max_attempts", 3)
+                .put("stretch", 2.0);
+        config.putArray("services")
+                .addObject()
+                .put("name", SERVICE)
+                .put("health_check_path", "/health")
+                .put("enforces_capacity", false);
+        config.putObject("limits").put("max_body_bytes", 262_144);
+        store.publish("config", config);
+    }
+
+    private void writeSettings(String name, String role, String host) throws IOException {
+        ObjectNode settings = JsonServer.JSON.createObjectNode();
+        settings.put("node_name", name).put("role", role).put("ip_address", host);
+        settings.put("machine_class", role.equals("entry") ? "frontend" : "side");
+        settings.put("zone", "z1").put("region", "g1").put("bootstrap", true);
+        settings.putObject("zones").put("z1", "g1");
+        settings.put("heartbeat_interval_ms", 1_100).put("orders", "direct_call");
+        settings.putArray("internal_port_range").add(firstPort + 5).add(firstPort + PORTS - 1);
+        ArrayNode seeds = settings.putArray("seed_nodes");
+        for (int i = 0; i < Math.min(3, entryCount); i++) {
+            seeds.add(network + (1 + i) + ":" + (firstPort + 2));
+        }
+        List.of("base", "drain", "config", "recover", "sched", "platform")
+                .forEach(settings.withArray("contracts")::add);
+        ObjectNode listen = settings.putObject("listen_addresses");
+        listen.put("control_plane", host + ":" + (firstPort + 2));
+        if (role.equals("entry")) {
+            listen.put("frontend_address", host + ":" + firstPort)
+                    .put("readiness_address", host + ":" + (firstPort + 1));
+            settings.putArray("serves").add("frontend").add("control_plane");
+        } else {
+            settings.put("app", host + ":" + (firstPort + 3)).put("service", SERVICE);
+            settings.putArray("serves").add("side");
+        }
+        ObjectNode bounds = settings.putObject("bounds");
+        bounds.put("stable_window_ms", 3_000)
+                .put("ack_timeout_ms", 4_000)
+                .put("drain_ms", 2_500)
+                .put("grace_s", 6);
+        bounds.put("config_apply_ms", 2_500).put("recovery_s", 12).put("max_hold_ms", 6_000);
+        bounds.put("stop_grace_ms", 900)
+                .put("gang_wait_ms", 3_000)
+                .put("cancel_ms", 3_000)
+                .put("visible_ms", 3_000);
+        bounds.put("finish_s", 14)
+                .put("status_s", 120)
+                .put("checkpoint_interval_s", 0.5)
+                .put("restore_ms", 100);
+        settings.putObject("platform")
+                .put("address", network + "200:" + firstPort)
+                .put("form", "log")
+                .put("parts", 12)
+                .put("record_bytes", 262_144)
+                .put("request_bytes", 2_097_152)
+                .put("keep_s", 300);
+        Files.writeString(directory.resolve(name + ".json"), settings.toString());
+    }
+
+    private void awaitReady() {
+        long untilMs = System.currentTimeMillis() + READY_MS;
+        for (int entry = 0; entry < entryCount; ) {
+            if (send(request(entry, firstPort + 1, "/v1/readiness").GET()).status() == 200) {
+                entry++;
+            } else if (System.currentTimeMillis() > untilMs) {
+                close();
+                throw new IllegalStateException(entryName(entry) + " is not ready; see " + directory);
+            } else {
+                PlatformWorker.sleep(50);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/it/src/main/java/org/fulmarreach/it/platform/PlatformWorker.java
@@ -0,0 +1,300 @@
+package org.fulmarreach.it.platform;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+
+import org.fulmarreach.it.platform.JsonServer.Answer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Stand-in of a worker of the users' platform, with its faults. It keeps its id when it starts again; its clock and the
+ * numbers of its ends begin anew. Like the platform it names its lifetime in heartbeats and lists, and not in the
+ * answers to orders. Thread-safe.
+ */
+final class PlatformWorker {
+    private static final int MAX_HOLD_MS = 6_000;
+    private static final int STOP_MS = 300;
+    private static final int HEARTBEAT_MS = 1_100;
+    private static final int TICK_MS = 5;
+
+    private final String id;
+    private final String host;
+    private final int port;
+    private final String heartbeatUrl;
+    private final RunHistory history;
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofMillis(500))
+            .build();
+    private JsonServer server;
+    private Lifetime lifetime;
+    private Lifetime refusing;
+    private long ordersHeldUntilMs;
+    private long pollsHeldUntilMs;
+
+    /** One lifetime of the process. */
+    private static final class Lifetime {
+        private final long bornMs = System.currentTimeMillis();
+        private final long clockOffsetMs = ThreadLocalRandom.current().nextLong(10_000_000);
+        private final Map<String, RunHistory.Run> running = new LinkedHashMap<>();
+        private final Map<String, Long> stopAtMs = new HashMap<>();
+        private final Map<String, Integer> refusedUpTo = new HashMap<>();
+        private final Map<Long, RunHistory.Run> ended = new LinkedHashMap<>();
+        private long lastEnd;
+        private long fence;
+        private long leaseUntilMs;
+        private long beats;
+        private boolean over;
+
+        long clockMs() {
+            return System.currentTimeMillis() - bornMs + clockOffsetMs;
+        }
+    }
+
+    PlatformWorker(String id, String host, int port, String guardAddress, RunHistory history) {
+        this.id = id;
+        this.host = host;
+        this.port = port;
+        this.heartbeatUrl = "http://" + guardAddress + "/v1/instances/" + id + "/heartbeat";
+        this.history = history;
+    }
+
+    /** Starts a lifetime; its first heartbeat follows after a delay. */
+    synchronized void start(int firstHeartbeatMs) {
+        Lifetime started = new Lifetime();
+        lifetime = started;
+        server = new JsonServer(host, port, (path, query, body) -> answer(started, path, query, body));
+        Thread.ofVirtual().start(() -> sendHeartbeats(started, firstHeartbeatMs));
+        Thread.ofVirtual().start(() -> work(started));
+    }
+
+    /** Ends the process with all that it runs. */
+    synchronized void crash() {
+        if (lifetime.over) {
+            return;
+        }
+        lifetime.over = true;
+        if (refusing != lifetime) {
+            server.close();
+        }
+        lifetime.running.values().forEach(run -> run.end("lost"));
+        notifyAll();
+    }
+
+    synchronized boolean isUp() {
+        return !lifetime.over;
+    }
+
+    /** Closes the listener and all connections, and works on; {@link #accept} ends it. */
+    synchronized void refuse() {
+        if (!lifetime.over && refusing == null) {
+            refusing = lifetime;
+            server.close();
+        }
+    }
+
+    /** Opens the listener again, unless the lifetime that had closed it is over. */
+    synchronized void accept() {
+        if (refusing == lifetime && !lifetime.over) {
+            server.open();
+        }
+        refusing = null;
+    }
+
+    /** Leaves orders unanswered for a while; each is carried out after a delay all the same. */
+    synchronized void holdOrders(int forMs) {
+        ordersHeldUntilMs = System.currentTimeMillis() + forMs;
+    }
+
+    /** Answers polls late for a while, so that later calls overtake them. */
+    synchronized void holdPolls(int forMs) {
+        pollsHeldUntilMs = System.currentTimeMillis() + forMs;
+    }
+
+    private void sendHeartbeats(Lifetime current, int firstMs) {
+        sleep(firstMs);
+        while (!current.over) {
+            ObjectNode body = JsonServer.JSON.createObjectNode();
+            body.put("service", PlatformSite.SERVICE)
+                    .put("address", host + ":" + port)
+                    .put("zone", "z1");
+            body.put("version", "v1").put("slots", 8).put("state", "ready").put("cold_remaining_ms", 0);
+            body.putObject("capacity").put("cpu", 64_000).put("mem_mb", 250_000).put("gpu", 0);
+            body.putArray("labels").add("a").add("r1-" + id);
+            body.put("born", current.bornMs).put("clock_ms", current.clockMs()).put("sequence", ++current.beats);
+            HttpRequest request = HttpRequest.newBuilder(URI.create(heartbeatUrl))
+                    .timeout(Duration.ofSeconds(1))
+                    .POST(HttpRequest.BodyPublishers.ofString(body.toString()))
+                    .build();
+            boolean accepted = false;
+            try {
+                accepted = client.send(request, HttpResponse.BodyHandlers.discarding())
+                                        .statusCode()
+                                / 100
+                        == 2;
+            } catch (IOException e) {
+                accepted = false;
+            } catch (InterruptedException e) {
+                return;
+            }
+            sleep(accepted ? HEARTBEAT_MS : 200);
+        }
+    }
+
+    private void work(Lifetime current) {
+        while (!current.over) {
+            synchronized (this) {
+                long nowMs = System.currentTimeMillis();
+                boolean lapsed = current.clockMs() > current.leaseUntilMs;
+                for (RunHistory.Run run : List.copyOf(current.running.values())) {
+                    if (lapsed) {
+                        end(current, run, "lapsed");
+                    } else if (current.stopAtMs.getOrDefault(run.task(), Long.MAX_VALUE) <= nowMs) {
+                        end(current, run, "stopped");
+                    } else if (nowMs - run.startedAtMs() >= run.workMs()) {
+                        end(current, run, "done");
+                    }
+                }
+                if (lapsed) {
+                    current.ended.values().forEach(RunHistory.Run::excuse);
+                }
+            }
+            sleep(TICK_MS);
+        }
+    }
+
+    private void end(Lifetime current, RunHistory.Run run, String how) {
+        current.running.remove(run.task());
+        current.stopAtMs.remove(run.task());
+        current.refusedUpTo.merge(run.task(), run.number(), Math::max);
+        run.end(how);
+        current.ended.put(++current.lastEnd, run);
+        notifyAll();
+    }
+
+    private Answer answer(Lifetime current, String path, Map<String, String> query, byte[] body)
+            throws InterruptedException, IOException {
+        if (query.containsKey("expected") && !query.get("expected").equals(id)) {
+            return Answer.json(421, clock(current));
+        }
+        JsonNode call = JsonServer.JSON.readTree(body);
+        boolean poll = path.equals("/v1/hold");
+        long heldUntilMs = poll ? pollsHeldUntilMs : ordersHeldUntilMs;
+        boolean held = System.currentTimeMillis() < heldUntilMs;
+        if (held) {
+            Thread.sleep(ThreadLocalRandom.current().nextInt(poll ? 800 : 2_000));
+        }
+        synchronized (this) {
+            if (current.over) {
+                return null;
+            }
+            long fence = call.path("fencing_token").asLong(0);
+            if (fence < current.fence) {
+                return Answer.json(409, clock(current).put("reason", "fence"));
+            }
+            current.fence = fence;
+            if (call.has("deadline_ms")) {
+                long longestMs = current.clockMs() + MAX_HOLD_MS;
+                current.leaseUntilMs = Math.max(
+                        current.leaseUntilMs, Math.min(call.get("deadline_ms").asLong(), longestMs));
+            }
+            Answer answer = switch (path) {
+                case "/v1/run-start" -> start(current, call);
+                case "/v1/run-stop" -> stop(current, call);
+                case "/v1/hold" -> list(current, call);
+                default -> Answer.json(200, clock(current));
+            };
+            return held && !poll ? null : answer;
+        }
+    }
+
+    private static ObjectNode clock(Lifetime current) {
+        return JsonServer.JSON.createObjectNode().put("clock_ms", current.clockMs());
+    }
+
+    private Answer start(Lifetime current, JsonNode call) {
+        String task = call.get("task").asText();
+        int number = call.get("run_id").asInt();
+        RunHistory.Run present = current.running.get(task);
+        if (present != null && present.number() == number) {
+            return Answer.json(200, clock(current));
+        }
+        if (present != null || current.refusedUpTo.getOrDefault(task, 0) >= number) {
+            return Answer.json(409, clock(current).put("reason", "old"));
+        }
+        if (current.clockMs() > current.leaseUntilMs) {
+            return Answer.json(409, clock(current).put("reason", "late"));
+        }
+        long workMs = Long.parseLong(call.get("specification").asText());
+        current.running.put(task, history.start(task, number, id + "/" + current.bornMs, workMs));
+        return Answer.json(200, clock(current));
+    }
+
+    private Answer stop(Lifetime current, JsonNode call) {
+        String task = call.get("task").asText();
+        int number = call.get("run_id").asInt();
+        current.refusedUpTo.merge(task, number, Math::max);
+        RunHistory.Run present = current.running.get(task);
+        if (present != null && present.number() <= number) {
+            current.stopAtMs.putIfAbsent(task, System.currentTimeMillis() + STOP_MS);
+        }
+        return Answer.json(200, clock(current));
+    }
+
+    private Answer list(Lifetime current, JsonNode call) throws InterruptedException {
+        long lastSeen = call.path("last_seen").asLong(0);
+        current.ended
+                .entrySet()
+                .removeIf(end -> end.getKey() <= lastSeen && end.getValue().note());
+        long untilMs = System.currentTimeMillis() + call.path("wait_ms").asLong(0);
+        for (long nowMs = System.currentTimeMillis();
+                current.ended.isEmpty() && !current.over && nowMs < untilMs;
+                nowMs = System.currentTimeMillis()) {
+            wait(untilMs - nowMs);
+        }
+        if (current.over) {
+            return null;
+        }
+        ObjectNode answer = clock(current).put("born", current.bornMs);
+        ArrayNode running = answer.putArray("running");
+        for (RunHistory.Run run : current.running.values()) {
+            long percent = Math.min(99, 100 * (System.currentTimeMillis() - run.startedAtMs()) / run.workMs());
+            running.addArray()
+                    .add(run.task())
+                    .add(run.number())
+                    .add("")
+                    .add(percent)
+                    .add(100);
+        }
+        ArrayNode ended = answer.putArray("ended");
+        List<Map.Entry<Long, RunHistory.Run>> ends = new ArrayList<>(current.ended.entrySet());
+        ends.forEach(end -> ended.addArray()
+                .add(end.getKey())
+                .add(end.getValue().task())
+                .add(end.getValue().number())
+                .add(end.getValue().how())
+                .add(""));
+        return Answer.json(200, answer);
+    }
+
+    static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/it/src/main/java/org/fulmarreach/it/platform/WorkerSoakMain.java
@@ -0,0 +1,215 @@
+package org.fulmarreach.it.platform;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+
+/**
+ * Runs jobs on the processes of the users' platform while workers start again under their id, refuse connections, and
+ * hold orders and polls back, and while guards and entries are paused and killed. Checks, from what the workers ran,
+ * that no task runs twice, and from what callers see, that every job is completed. The schedule of faults depends only
+ * on the seed; faults overlap.
+ */
+public final class WorkerSoakMain {
+    private static final int ENTRIES = 3;
+    private static final int JOB_INTERVAL_MS = 150;
+
+    /** Jobs must be completed this long after the last fault: a lease, and the time to run what is left. */
+    private static final int COMPLETION_MS = 40_000;
+
+    /** Shorter than a lease, so that the worker is back while its runs go on. */
+    private static final int MAX_REFUSAL_MS = 4_000;
+
+    private final PlatformSite site;
+    private final SplittableRandom random;
+    private final PrintStream out;
+    private final List<String> jobs = new ArrayList<>();
+    private final ExecutorService faults = Executors.newVirtualThreadPerTaskExecutor();
+
+    /** Kinds of faults. */
+    private enum Fault {
+        RESTART_WORKER,
+        RESTART_WORKER_LATE,
+        REFUSE_CONNECTIONS,
+        HOLD_ORDERS,
+        HOLD_POLLS,
+        PAUSE_GUARD,
+        KILL_GUARD,
+        PAUSE_ENTRY,
+        KILL_ENTRY
+    }
+
+    private WorkerSoakMain(PlatformSite site, long seed, PrintStream out) {
+        this.site = site;
+        this.random = new SplittableRandom(seed);
+        this.out = out;
+    }
+
+    /** Parses the arguments and runs the soak. */
+    public static void main(String[] args) {
+        ArgumentParser parser = ArgumentParsers.newFor("worker-soak")
+                .build()
+                .description("Runs jobs while workers, guards and entries fail, and checks that no task runs twice.");
+        parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of the schedule of faults");
+        parser.addArgument("--seconds").type(Integer.class).setDefault(30).help("time in which faults are injected");
+        parser.addArgument("--workers").type(Integer.class).setDefault(6).help("number of workers and guards");
+        try {
+            Namespace options = parser.parseArgs(args);
+            System.exit(run(
+                    System.out, options.getLong("seed"), options.getInt("seconds") * 1_000, options.getInt("workers")));
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(2);
+        }
+    }
+
+    /**
+     * Runs the soak once.
+     *
+     * @param out stream for the faults and the summary
+     * @param seed seed of the schedule of faults
+     * @param runMs time in which faults are injected, in milliseconds
+     * @param workers number of workers, each with a guard
+     * @return 0 without violations, otherwise 1
+     */
+    static int run(PrintStream out, long seed, int runMs, int workers) {
+        try (PlatformSite site = new PlatformSite(ENTRIES, workers)) {
+            out.println("seed " + seed + ", output in " + site.directory());
+            return new WorkerSoakMain(site, seed, out).run(runMs);
+        }
+    }
+
+    private int run(int runMs) {
+        // A leader that has just been elected learns of the workers from their guards.
+        submitFor(4_000, false);
+        submitFor(runMs, true);
+        awaitFaults();
+        List<String> unfinished = awaitJobs();
+        List<String> violations = site.history.findViolations();
+        violations.forEach(violation -> out.println("TWICE " + violation));
+        unfinished.forEach(job -> out.println("NOT COMPLETED " + job));
+        out.println("jobs " + jobs.size() + ", starts " + site.history.starts() + ", run twice " + violations.size()
+                + ", not completed " + unfinished.size());
+        return violations.isEmpty() && unfinished.isEmpty() ? 0 : 1;
+    }
+
+    /*
+     * Jobs
+     */
+
+    private void submitFor(int forMs, boolean withFaults) {
+        long untilMs = System.currentTimeMillis() + forMs;
+        long nextFaultMs = 0;
+        while (System.currentTimeMillis() < untilMs) {
+            if (withFaults && System.currentTimeMillis() >= nextFaultMs) {
+                nextFaultMs = System.currentTimeMillis() + random.nextInt(200, 1_500);
+                inject();
+            }
+            String id = String.format("%016x", 1 + jobs.size());
+            int tasks = random.nextInt(1, 4);
+            int workMs = random.nextInt(100, 2_500);
+            jobs.add(id);
+            faults.submit(() -> submit(id, tasks, workMs));
+            PlatformWorker.sleep(JOB_INTERVAL_MS);
+        }
+    }
+
+    /** Submits a job until an entry has accepted it. */
+    private void submit(String id, int tasks, int workMs) {
+        for (int attempt = 0; site.submit(attempt % ENTRIES, id, tasks, workMs) / 100 != 2; attempt++) {
+            PlatformWorker.sleep(200);
+        }
+    }
+
+    private List<String> awaitJobs() {
+        long untilMs = System.currentTimeMillis() + COMPLETION_MS;
+        List<String> open = new ArrayList<>(jobs);
+        for (int attempt = 0; !open.isEmpty() && System.currentTimeMillis() < untilMs; attempt++) {
+            int entry = attempt % ENTRIES;
+            open.removeIf(id -> site.state(entry, id).equals("completed"));
+            PlatformWorker.sleep(100);
+        }
+        return open;
+    }
+
+    /*
+     * Faults
+     */
+
+    private void inject() {
+        Fault fault = Fault.values()[random.nextInt(Fault.values().length)];
+        int index = random.nextInt(site.workers.size());
+        PlatformWorker worker = site.workers.get(index);
+        String guard = site.guardName(index);
+        String entry = site.entryName(random.nextInt(ENTRIES));
+        int shortMs = random.nextInt(50, 900);
+        int longMs = random.nextInt(900, 8_000);
+        int heartbeatMs = random.nextInt(0, 1_100);
+        out.println(fault + " worker " + index + " " + entry + " " + shortMs + " " + longMs + " " + heartbeatMs);
+        Runnable action = switch (fault) {
+            case RESTART_WORKER -> () -> restart(worker, shortMs, heartbeatMs);
+            case RESTART_WORKER_LATE -> () -> restart(worker, longMs, heartbeatMs);
+            case REFUSE_CONNECTIONS -> () -> refuse(worker, Math.min(longMs, MAX_REFUSAL_MS));
+            case HOLD_ORDERS -> () -> worker.holdOrders(longMs);
+            case HOLD_POLLS -> () -> worker.holdPolls(longMs);
+            case PAUSE_GUARD -> () -> pause(guard, longMs);
+            case KILL_GUARD -> () -> kill(guard, shortMs);
+            case PAUSE_ENTRY -> () -> pause(entry, longMs);
+            case KILL_ENTRY -> () -> kill(entry, shortMs);
+        };
+        faults.submit(action);
+    }
+
+    private void awaitFaults() {
+        faults.shutdown();
+        try {
+            if (!faults.awaitTermination(COMPLETION_MS, TimeUnit.MILLISECONDS)) {
+                out.println("A job was not accepted, or a fault did not end, within " + COMPLETION_MS + " ms.");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void restart(PlatformWorker worker, int downMs, int heartbeatMs) {
+        synchronized (worker) {
+            if (!worker.isUp()) {
+                return;
+            }
+            worker.crash();
+        }
+        PlatformWorker.sleep(downMs);
+        worker.start(heartbeatMs);
+    }
+
+    private static void refuse(PlatformWorker worker, int forMs) {
+        worker.refuse();
+        PlatformWorker.sleep(forMs);
+        worker.accept();
+    }
+
+    private void pause(String name, int forMs) {
+        synchronized (site.process(name)) {
+            site.process(name).pause();
+            PlatformWorker.sleep(forMs);
+            site.process(name).resume();
+        }
+    }
+
+    private void kill(String name, int downMs) {
+        synchronized (site.process(name)) {
+            site.process(name).close();
+            PlatformWorker.sleep(downMs);
+            site.startProcess(name);
+        }
+    }
+}
