--- a/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/CrashTracker.java
@@ -122,6 +122,7 @@
         for (JobTask task : worker.assigned()) {
             if (task.state().worker().equals(crashed)
                     && task.progress().mayHaveStarted()
+                    && !task.progress().isWithdrawn()
                     && !hasShownProgress(task, worker.answeredAtMs())
                     && !listsProgress(report, task)) {
                 suspects.add(task);
@@ -185,8 +186,12 @@
         return false;
     }
 
+    /** Counts a crash for a suspect, unless the crash of a former lifetime counts for the same start already. */
     private void blame(JobTask task, Crash crash, boolean single, boolean powerLost, long nowMs) {
         TaskState state = task.state();
+        if (state.crashes() >= state.run()) {
+            return;
+        }
         int crashes = state.crashes() + 1;
         boolean counts = single && (!powerLost || crashes > MAX_EXCUSED_CRASHES);
         task.setCrashes(crashes, state.soleCrashes() + (counts ? 1 : 0));
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunProgress.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunProgress.java
@@ -64,6 +64,11 @@
         return isListed() || repeated;
     }
 
+    /** Tells whether a start that the worker has not listed as running is being withdrawn. */
+    boolean isWithdrawn() {
+        return stopOrderedAtMs > 0 && !isListed();
+    }
+
     RunProgress withListing(int newPercent, long newUsage, String newCheckpoint, long nowMs) {
         return new RunProgress(
                 orderedAtMs,
