--- a/it/src/main/java/org/fulmarreach/it/platform/PlatformSite.java
+++ b/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
@@ -1,4 +1,4 @@
-package org.fulmarreach.it.platform;
+package org.fulmarreach.it.site;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -17,7 +17,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.fulmarreach.it.ManagedProcess;
+import org.fulmarreach.standin.site.PlatformStore;
+import org.fulmarreach.standin.site.PlatformWorker;
+import org.fulmarreach.standin.site.RunHistory;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
@@ -26,7 +30,8 @@
  * stand-ins of the store and of the workers. The bounds are those of their smaller sites. Not thread-safe.
  */
 final class PlatformSite implements AutoCloseable {
-    static final String SERVICE = "service";
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String SERVICE = "service";
     private static final String HOST_HEADER = "shop.example";
     private static final String PREFIX = "/jobs/";
     private static final int READY_MS = 40_000;
@@ -69,8 +74,8 @@
                 String host = network + (50 + i);
                 writeSettings(guardName(i), "guard", host);
                 startProcess(guardName(i));
-                PlatformWorker worker =
-                        new PlatformWorker("i-" + i, host, firstPort + 3, host + ":" + (firstPort + 2), history);
+                PlatformWorker worker = new PlatformWorker(
+                        "i-" + i, SERVICE, host, firstPort + 3, host + ":" + (firstPort + 2), history);
                 workers.add(worker);
                 worker.start(0);
             }
@@ -113,7 +118,7 @@
 
     /** Submits a job of some tasks; returns the status of the answer, or 0 without one. */
     int submit(int entry, String id, int tasks, int workMs) {
-        ObjectNode body = JsonServer.JSON.createObjectNode().put("specification", String.valueOf(workMs));
+        ObjectNode body = JSON.createObjectNode().put("specification", String.valueOf(workMs));
         body.putArray("steps")
                 .addObject()
                 .put("count", tasks)
@@ -130,7 +135,7 @@
         Reply reply = send(request(entry, firstPort, PREFIX + id).GET());
         try {
             return reply.status() == 200
-                    ? JsonServer.JSON.readTree(reply.body()).path("state").asText()
+                    ? JSON.readTree(reply.body()).path("state").asText()
                     : "";
         } catch (IOException e) {
             return "";
@@ -188,7 +193,7 @@
     }
 
     private void publishConfig() {
-        ObjectNode config = JsonServer.JSON.createObjectNode().put("version", 1);
+        ObjectNode config = JSON.createObjectNode().put("version", 1);
         config.putArray("routes")
                 .addObject()
                 .put("name", "jobs")
@@ -211,7 +216,7 @@
     }
 
     private void writeSettings(String name, String role, String host) throws IOException {
-        ObjectNode settings = JsonServer.JSON.createObjectNode();
+        ObjectNode settings = JSON.createObjectNode();
         settings.put("node_name", name).put("role", role).put("ip_address", host);
         settings.put("machine_class", role.equals("entry") ? "frontend" : "side");
         settings.put("zone", "z1").put("region", "g1").put("bootstrap", true);
@@ -267,8 +272,16 @@
                 close();
                 throw new IllegalStateException(entryName(entry) + " is not ready; see " + directory);
             } else {
-                PlatformWorker.sleep(50);
+                sleep(50);
             }
         }
     }
+
+    static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/it/src/main/java/org/fulmarreach/it/platform/WorkerSoakMain.java
+++ b/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
@@ -1,4 +1,4 @@
-package org.fulmarreach.it.platform;
+package org.fulmarreach.it.site;
 
 import java.io.PrintStream;
 import java.util.ArrayList;
@@ -8,6 +8,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
+import org.fulmarreach.standin.site.PlatformWorker;
+
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
@@ -119,14 +121,14 @@
             int workMs = random.nextInt(100, 2_500);
             jobs.add(id);
             faults.submit(() -> submit(id, tasks, workMs));
-            PlatformWorker.sleep(JOB_INTERVAL_MS);
+            PlatformSite.sleep(JOB_INTERVAL_MS);
         }
     }
 
     /** Submits a job until an entry has accepted it. */
     private void submit(String id, int tasks, int workMs) {
         for (int attempt = 0; site.submit(attempt % ENTRIES, id, tasks, workMs) / 100 != 2; attempt++) {
-            PlatformWorker.sleep(200);
+            PlatformSite.sleep(200);
         }
     }
 
@@ -136,7 +138,7 @@
         for (int attempt = 0; !open.isEmpty() && System.currentTimeMillis() < untilMs; attempt++) {
             int entry = attempt % ENTRIES;
             open.removeIf(id -> site.state(entry, id).equals("completed"));
-            PlatformWorker.sleep(100);
+            PlatformSite.sleep(100);
         }
         return open;
     }
@@ -187,20 +189,20 @@
             }
             worker.crash();
         }
-        PlatformWorker.sleep(downMs);
+        PlatformSite.sleep(downMs);
         worker.start(heartbeatMs);
     }
 
     private static void refuse(PlatformWorker worker, int forMs) {
         worker.refuse();
-        PlatformWorker.sleep(forMs);
+        PlatformSite.sleep(forMs);
         worker.accept();
     }
 
     private void pause(String name, int forMs) {
         synchronized (site.process(name)) {
             site.process(name).pause();
-            PlatformWorker.sleep(forMs);
+            PlatformSite.sleep(forMs);
             site.process(name).resume();
         }
     }
@@ -208,7 +210,7 @@
     private void kill(String name, int downMs) {
         synchronized (site.process(name)) {
             site.process(name).close();
-            PlatformWorker.sleep(downMs);
+            PlatformSite.sleep(downMs);
             site.startProcess(name);
         }
     }
--- a/it/src/test/java/org/fulmarreach/it/platform/WorkerSoakTest.java
+++ b/it/src/test/java/org/fulmarreach/it/site/WorkerSoakTest.java
@@ -1,4 +1,4 @@
-package org.fulmarreach.it.platform;
+package org.fulmarreach.it.site;
 
 import org.junit.jupiter.api.Test;
 
--- a/it/src/main/java/org/fulmarreach/it/platform/JsonServer.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/JsonServer.java
@@ -1,4 +1,4 @@
-package org.fulmarreach.it.platform;
+package org.fulmarreach.standin.site;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/it/src/main/java/org/fulmarreach/it/platform/PlatformStore.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/PlatformStore.java
@@ -1,4 +1,4 @@
-package org.fulmarreach.it.platform;
+package org.fulmarreach.standin.site;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -11,13 +11,13 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.fulmarreach.it.platform.JsonServer.Answer;
+import org.fulmarreach.standin.site.JsonServer.Answer;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /** Stand-in of the platform's store: a log with partitions and, in keyed topics, the newest record of each key. */
-final class PlatformStore implements AutoCloseable {
+public final class PlatformStore implements AutoCloseable {
     private static final int ANSWER_MS = 2;
     private static final int REPEATED_APPENDS = 5;
 
@@ -34,7 +34,8 @@
 
     private record Keyed(long offset, byte[] value) {}
 
-    PlatformStore(String host, int port) {
+    /** Constructs a store that listens at an address. */
+    public PlatformStore(String host, int port) {
         server = new JsonServer(host, port, this::answer);
     }
 
@@ -44,7 +45,7 @@
     }
 
     /** Writes a record as the operators do. */
-    synchronized void publish(String key, ObjectNode value) {
+    public synchronized void publish(String key, ObjectNode value) {
         byte[] name = key.getBytes(StandardCharsets.UTF_8);
         byte[] text = value.toString().getBytes(StandardCharsets.UTF_8);
         add(
--- a/it/src/main/java/org/fulmarreach/it/platform/PlatformWorker.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/PlatformWorker.java
@@ -1,4 +1,4 @@
-package org.fulmarreach.it.platform;
+package org.fulmarreach.standin.site;
 
 import java.io.IOException;
 import java.net.URI;
@@ -13,7 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 
-import org.fulmarreach.it.platform.JsonServer.Answer;
+import org.fulmarreach.standin.site.JsonServer.Answer;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -24,13 +24,14 @@
  * numbers of its ends begin anew. Like the platform it names its lifetime in heartbeats and lists, and not in the
  * answers to orders. Thread-safe.
  */
-final class PlatformWorker {
+public final class PlatformWorker {
     private static final int MAX_HOLD_MS = 6_000;
     private static final int STOP_MS = 300;
     private static final int HEARTBEAT_MS = 1_100;
     private static final int TICK_MS = 5;
 
     private final String id;
+    private final String service;
     private final String host;
     private final int port;
     private final String heartbeatUrl;
@@ -64,8 +65,19 @@
         }
     }
 
-    PlatformWorker(String id, String host, int port, String guardAddress, RunHistory history) {
+    /**
+     * Constructs a worker that is not started yet.
+     *
+     * @param id its id, in all lifetimes
+     * @param service service that it belongs to
+     * @param host IP address that it listens on
+     * @param port port that it listens on
+     * @param guardAddress {@code host:port} that receives its heartbeats
+     * @param history receives its runs
+     */
+    public PlatformWorker(String id, String service, String host, int port, String guardAddress, RunHistory history) {
         this.id = id;
+        this.service = service;
         this.host = host;
         this.port = port;
         this.heartbeatUrl = "http://" + guardAddress + "/v1/instances/" + id + "/heartbeat";
@@ -73,7 +85,7 @@
     }
 
     /** Starts a lifetime; its first heartbeat follows after a delay. */
-    synchronized void start(int firstHeartbeatMs) {
+    public synchronized void start(int firstHeartbeatMs) {
         Lifetime started = new Lifetime();
         lifetime = started;
         server = new JsonServer(host, port, (path, query, body) -> answer(started, path, query, body));
@@ -82,7 +94,7 @@
     }
 
     /** Ends the process with all that it runs. */
-    synchronized void crash() {
+    public synchronized void crash() {
         if (lifetime.over) {
             return;
         }
@@ -94,12 +106,13 @@
         notifyAll();
     }
 
-    synchronized boolean isUp() {
+    /** Returns whether a lifetime is running. */
+    public synchronized boolean isUp() {
         return !lifetime.over;
     }
 
     /** Closes the listener and all connections, and works on; {@link #accept} ends it. */
-    synchronized void refuse() {
+    public synchronized void refuse() {
         if (!lifetime.over && refusing == null) {
             refusing = lifetime;
             server.close();
@@ -107,7 +120,7 @@
     }
 
     /** Opens the listener again, unless the lifetime that had closed it is over. */
-    synchronized void accept() {
+    public synchronized void accept() {
         if (refusing == lifetime && !lifetime.over) {
             server.open();
         }
@@ -115,12 +128,12 @@
     }
 
     /** Leaves orders unanswered for a while; each is carried out after a delay all the same. */
-    synchronized void holdOrders(int forMs) {
+    public synchronized void holdOrders(int forMs) {
         ordersHeldUntilMs = System.currentTimeMillis() + forMs;
     }
 
     /** Answers polls late for a while, so that later calls overtake them. */
-    synchronized void holdPolls(int forMs) {
+    public synchronized void holdPolls(int forMs) {
         pollsHeldUntilMs = System.currentTimeMillis() + forMs;
     }
 
@@ -128,9 +141,7 @@
         sleep(firstMs);
         while (!current.over) {
             ObjectNode body = JsonServer.JSON.createObjectNode();
-            body.put("service", PlatformSite.SERVICE)
-                    .put("address", host + ":" + port)
-                    .put("zone", "z1");
+            body.put("service", service).put("address", host + ":" + port).put("zone", "z1");
             body.put("version", "v1").put("slots", 8).put("state", "ready").put("cold_remaining_ms", 0);
             body.putObject("capacity").put("cpu", 64_000).put("mem_mb", 250_000).put("gpu", 0);
             body.putArray("labels").add("a").add("r1-" + id);
@@ -290,7 +301,7 @@
         return Answer.json(200, answer);
     }
 
-    static void sleep(long ms) {
+    private static void sleep(long ms) {
         try {
             Thread.sleep(ms);
         } catch (InterruptedException e) {
--- a/it/src/main/java/org/fulmarreach/it/platform/RunHistory.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/RunHistory.java
@@ -1,4 +1,4 @@
-package org.fulmarreach.it.platform;
+package org.fulmarreach.standin.site;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -6,7 +6,7 @@
 import java.util.Map;
 
 /** What the workers ran, whatever the leader believes, and the check that no task runs twice. Thread-safe. */
-final class RunHistory {
+public final class RunHistory {
     private final Map<String, List<Run>> runsByTask = new LinkedHashMap<>();
     private final List<String> violations = new ArrayList<>();
     private final long beganAtMs = System.currentTimeMillis();
@@ -93,7 +93,7 @@
     }
 
     /** Returns the violations, also starts after an end that was taken note of at any time. */
-    synchronized List<String> findViolations() {
+    public synchronized List<String> findViolations() {
         List<String> found = new ArrayList<>(violations);
         for (List<Run> runs : runsByTask.values()) {
             for (Run run : runs) {
@@ -109,7 +109,7 @@
     }
 
     /** Returns the number of starts. */
-    synchronized int starts() {
+    public synchronized int starts() {
         return runsByTask.values().stream().mapToInt(List::size).sum();
     }
 }
