--- a/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
+++ b/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
@@ -83,7 +83,7 @@
      * @param workers number of workers, each with a guard
      * @return 0 without violations, otherwise 1
      */
-    static int run(PrintStream out, long seed, int runMs, int workers) {
+    private static int run(PrintStream out, long seed, int runMs, int workers) {
         try (PlatformSite site = new PlatformSite(ENTRIES, workers)) {
             out.println("seed " + seed + ", output in " + site.directory());
             return new WorkerSoakMain(site, seed, out).run(runMs);
--- a/it/src/test/java/org/fulmarreach/it/site/WorkerSoakTest.java
+++ b/it/src/test/java/org/fulmarreach/it/site/WorkerSoakTest.java
@@ -1,5 +1,8 @@
 package org.fulmarreach.it.site;
 
+import java.io.IOException;
+
+import org.fulmarreach.it.ManagedProcess;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -9,11 +12,13 @@
  * refuse connections, and hold orders and polls back, and guards and entries are paused and killed.
  */
 class WorkerSoakTest {
-    private static final int WORKERS = 5;
-    private static final int FAULTS_MS = 15_000;
-
+    /** Runs as a process of its own, since the soak sets system properties that the HTTP client reads once. */
     @Test
-    void noTaskRunsTwiceWhileWorkersGuardsAndEntriesFail() {
-        assertEquals(0, WorkerSoakMain.run(System.out, 1, FAULTS_MS, WORKERS));
+    void noTaskRunsTwiceWhileWorkersGuardsAndEntriesFail() throws IOException, InterruptedException {
+        String soak = ManagedProcess.findRoot().resolve("bin/worker-soak").toString();
+        Process process = new ProcessBuilder(soak, "--seed", "1", "--seconds", "15", "--workers", "5")
+                .inheritIO()
+                .start();
+        assertEquals(0, process.waitFor());
     }
 }
