--- a/guard/src/test/java/org/fulmarreach/guard/jobs/RelayTestBase.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/RelayTestBase.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.awaitility.Awaitility;
@@ -76,6 +77,14 @@
         Awaitility.await().atMost(TIMEOUT).until(() -> worker.polls.get() >= before + count);
     }
 
+    /** Waits for a report; the leader answers meanwhile, since a guard leaves one that is silent. */
+    void awaitStatus(FakeLink link, Predicate<WorkerStatus> condition) {
+        Awaitility.await().atMost(TIMEOUT).until(() -> {
+            link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(emptyOrders()))));
+            return link.lastStatus() != null && condition.test(link.lastStatus());
+        });
+    }
+
     void order(FakeLink link, long term, long startedAtMs, List<StartRun> starts, long writeAgeMs) {
         order(link, term, startedAtMs, starts, writeAgeMs, 0);
     }
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLifetimeTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLifetimeTest.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Predicate;
 
 import org.awaitility.Awaitility;
 import org.fulmarreach.core.jobs.RunEnd;
@@ -274,12 +273,4 @@
         awaitStatus(link, status -> status.getRef().getBornMs() == 2_000 && status.isLeaseLapsed());
         assertFalse(link.lastStatus().isCrashed(), "draining");
     }
-
-    /** Waits for a report; the leader answers meanwhile, since a guard leaves one that is silent. */
-    private void awaitStatus(FakeLink link, Predicate<WorkerStatus> condition) {
-        Awaitility.await().atMost(TIMEOUT).until(() -> {
-            link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(emptyOrders()))));
-            return condition.test(link.lastStatus());
-        });
-    }
 }
--- a/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
+++ b/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.fulmarreach.standin.site.PlatformWorker;
+import org.fulmarreach.standin.site.StrangeHeartbeat;
 
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -17,9 +18,9 @@
 
 /**
  * Runs jobs on the processes of the users' platform while workers start again under their id, refuse connections, and
- * hold orders and polls back, and while guards and entries are paused and killed. Checks, from what the workers ran,
- * that no task runs twice, and from what callers see, that every job is completed. The schedule of faults depends only
- * on the seed; faults overlap.
+ * hold orders and polls back, while other writers send heartbeats, and while guards and entries are paused and killed.
+ * Checks, from what the workers ran, that no task runs twice, and from what callers see, that every job is completed.
+ * The schedule of faults depends only on the seed and on the kinds of faults; faults overlap.
  */
 public final class WorkerSoakMain {
     private static final int ENTRIES = 3;
@@ -31,8 +32,12 @@
     /** Shorter than a lease, so that the worker is back while its runs go on. */
     private static final int MAX_REFUSAL_MS = 4_000;
 
+    private static final int STRANGE_HEARTBEATS = 3;
+    private static final int STRANGE_INTERVAL_MS = 700;
+
     private final PlatformSite site;
     private final SplittableRandom random;
+    private final Fault[] kinds;
     private final PrintStream out;
     private final List<String> jobs = new ArrayList<>();
     private final ExecutorService faults = Executors.newVirtualThreadPerTaskExecutor();
@@ -47,11 +52,13 @@
         PAUSE_GUARD,
         KILL_GUARD,
         PAUSE_ENTRY,
-        KILL_ENTRY
+        KILL_ENTRY,
+        STRANGE_HEARTBEATS
     }
 
-    private WorkerSoakMain(PlatformSite site, long seed, PrintStream out) {
+    private WorkerSoakMain(PlatformSite site, long seed, Fault[] kinds, PrintStream out) {
         this.site = site;
+        this.kinds = kinds;
         this.random = new SplittableRandom(seed);
         this.out = out;
     }
@@ -64,10 +71,20 @@
         parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of the schedule of faults");
         parser.addArgument("--seconds").type(Integer.class).setDefault(30).help("time in which faults are injected");
         parser.addArgument("--workers").type(Integer.class).setDefault(6).help("number of workers and guards");
+        parser.addArgument("--faults")
+                .type(Fault.class)
+                .nargs("+")
+                .setDefault(List.of(Fault.values()))
+                .help("kinds of faults to inject; all if left out");
         try {
             Namespace options = parser.parseArgs(args);
+            List<Fault> kinds = options.getList("faults");
             System.exit(run(
-                    System.out, options.getLong("seed"), options.getInt("seconds") * 1_000, options.getInt("workers")));
+                    System.out,
+                    options.getLong("seed"),
+                    options.getInt("seconds") * 1_000,
+                    options.getInt("workers"),
+                    kinds.toArray(new Fault[0])));
         } catch (ArgumentParserException e) {
             parser.handleError(e);
             System.exit(2);
@@ -81,12 +98,13 @@
      * @param seed seed of the schedule of faults
      * @param runMs time in which faults are injected, in milliseconds
      * @param workers number of workers, each with a guard
+     * @param kinds kinds of faults
      * @return 0 without violations, otherwise 1
      */
-    private static int run(PrintStream out, long seed, int runMs, int workers) {
+    private static int run(PrintStream out, long seed, int runMs, int workers, Fault[] kinds) {
         try (PlatformSite site = new PlatformSite(ENTRIES, workers)) {
             out.println("seed " + seed + ", output in " + site.directory());
-            return new WorkerSoakMain(site, seed, out).run(runMs);
+            return new WorkerSoakMain(site, seed, kinds, out).run(runMs);
         }
     }
 
@@ -148,7 +166,7 @@
      */
 
     private void inject() {
-        Fault fault = Fault.values()[random.nextInt(Fault.values().length)];
+        Fault fault = draw(kinds, random);
         int index = random.nextInt(site.workers.size());
         PlatformWorker worker = site.workers.get(index);
         String guard = site.guardName(index);
@@ -167,10 +185,28 @@
             case KILL_GUARD -> () -> kill(guard, shortMs);
             case PAUSE_ENTRY -> () -> pause(entry, longMs);
             case KILL_ENTRY -> () -> kill(entry, shortMs);
+            case STRANGE_HEARTBEATS -> {
+                SplittableRandom draws = random.split();
+                StrangeHeartbeat strange = draw(StrangeHeartbeat.values(), draws);
+                out.println(strange);
+                yield () -> sendStrange(worker, strange, draws);
+            }
         };
         faults.submit(action);
     }
 
+    private static <T> T draw(T[] values, SplittableRandom random) {
+        return values[random.nextInt(values.length)];
+    }
+
+    /** Sends the same a few times, between the worker's own heartbeats. */
+    private static void sendStrange(PlatformWorker worker, StrangeHeartbeat strange, SplittableRandom random) {
+        for (int i = 0; i < STRANGE_HEARTBEATS; i++) {
+            worker.sendStrange(strange, random);
+            PlatformSite.sleep(STRANGE_INTERVAL_MS);
+        }
+    }
+
     private void awaitFaults() {
         faults.shutdown();
         try {
--- a/standin/src/main/java/org/fulmarreach/standin/site/PlatformWorker.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/PlatformWorker.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.random.RandomGenerator;
 
 import org.fulmarreach.standin.site.JsonServer.Answer;
 
@@ -34,7 +35,7 @@
     private final String service;
     private final String host;
     private final int port;
-    private final String heartbeatUrl;
+    private final String guardUrl;
     private final RunHistory history;
     private final HttpClient client = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
@@ -80,7 +81,7 @@
         this.service = service;
         this.host = host;
         this.port = port;
-        this.heartbeatUrl = "http://" + guardAddress + "/v1/instances/" + id + "/heartbeat";
+        this.guardUrl = "http://" + guardAddress + "/v1/instances/";
         this.history = history;
     }
 
@@ -140,31 +141,48 @@
     private void sendHeartbeats(Lifetime current, int firstMs) {
         sleep(firstMs);
         while (!current.over) {
-            ObjectNode body = JsonServer.JSON.createObjectNode();
-            body.put("service", service).put("address", host + ":" + port).put("zone", "z1");
-            body.put("version", "v1").put("slots", 8).put("state", "ready").put("cold_remaining_ms", 0);
-            body.putObject("capacity").put("cpu", 64_000).put("mem_mb", 250_000).put("gpu", 0);
-            body.putArray("labels").add("a").add("r1-" + id);
-            body.put("born", current.bornMs).put("clock_ms", current.clockMs()).put("sequence", ++current.beats);
-            HttpRequest request = HttpRequest.newBuilder(URI.create(heartbeatUrl))
-                    .timeout(Duration.ofSeconds(1))
-                    .POST(HttpRequest.BodyPublishers.ofString(body.toString()))
-                    .build();
-            boolean accepted = false;
-            try {
-                accepted = client.send(request, HttpResponse.BodyHandlers.discarding())
-                                        .statusCode()
-                                / 100
-                        == 2;
-            } catch (IOException e) {
-                accepted = false;
-            } catch (InterruptedException e) {
-                return;
-            }
+            ObjectNode body = describe(current).put("sequence", ++current.beats);
+            boolean accepted = send(id + "/heartbeat", body.toString());
             sleep(accepted ? HEARTBEAT_MS : 200);
         }
     }
 
+    /** Sends what no worker sends to the guard. */
+    public void sendStrange(StrangeHeartbeat strange, RandomGenerator random) {
+        Lifetime current;
+        synchronized (this) {
+            current = lifetime;
+        }
+        ObjectNode body = describe(current).put("sequence", current.beats + 1);
+        String text = strange.text(body, System.currentTimeMillis(), random);
+        send(strange.workerId(id, random) + "/" + strange.call(), text);
+    }
+
+    private ObjectNode describe(Lifetime current) {
+        ObjectNode body = JsonServer.JSON.createObjectNode();
+        body.put("service", service).put("address", host + ":" + port).put("zone", "z1");
+        body.put("version", "v1").put("slots", 8).put("state", "ready").put("cold_remaining_ms", 0);
+        body.putObject("capacity").put("cpu", 64_000).put("mem_mb", 250_000).put("gpu", 0);
+        body.putArray("labels").add("a").add("r1-" + id);
+        return body.put("born", current.bornMs).put("clock_ms", current.clockMs());
+    }
+
+    /** Sends a text to the guard; returns whether it was accepted. */
+    private boolean send(String path, String text) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create(guardUrl + path))
+                .timeout(Duration.ofSeconds(1))
+                .POST(HttpRequest.BodyPublishers.ofString(text))
+                .build();
+        try {
+            return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() / 100 == 2;
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     private void work(Lifetime current) {
         while (!current.over) {
             synchronized (this) {
