Believe the lifetime that a worker names in its answers, not one that a heartbeat names

Cause: any heartbeat that could be decoded decided alone that the former lifetime of the worker was over. The guard reported the lifetime that it names, and the leader gave up all listed runs of the former one at once, while the worker worked on under its lease. A start time in the future hid the worker's own heartbeats for ever. Heartbeats may come from other writers and name no worker to use (PROTOCOL, service discovery).

Change: a heartbeat of another lifetime than the present one is a claim. The next poll asks the worker: it names the id, so any other worker refuses it, and the answer has the start time. The claim holds once an answer confirms it, and any other answer to a poll that was sent after it came refutes it. A deregistration ends the lease early only if the worker drains, refuses connections and has not answered a second later. LIFETIME_CLAIMED and HEARTBEAT_REFUSED say which lifetime was claimed and which one answers.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayCommand.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayCommand.java
@@ -1,6 +1,5 @@
 package org.fulmarreach.guard.jobs;
 
-import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.platform.worker.CallResult;
 import org.fulmarreach.platform.worker.WorkerHeartbeat;
 import org.fulmarreach.platform.worker.WorkerSnapshot;
@@ -17,11 +16,11 @@
     /**
      * A poll of the worker was answered or failed.
      *
-     * @param expected lifetime that was expected to answer, or null if none was known
-     * @param named whether the poll named the worker, so that no other worker answered it
+     * @param id id of the worker that the poll named, so that no other worker answered it; empty for none
+     * @param number number of the poll, from 1
      * @param sentAtMs when it was sent, on the monotonic clock
      */
-    record PollCompleted(CallResult<WorkerSnapshot> result, WorkerRef expected, boolean named, long sentAtMs)
+    record PollCompleted(CallResult<WorkerSnapshot> result, String id, long number, long sentAtMs)
             implements RelayCommand {}
 
     /** The next poll of the worker is due. */
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
@@ -6,14 +6,25 @@
 
 /** Events of a guard that manages a worker for jobs: 4100 to 4199. Each constant's description is its documentation. */
 public enum RelayEvent implements Event {
-    WORKER_LIFETIME(4101, Level.INFO, "The worker reported for the first time, or started again."),
-    WORKER_STATE(4102, Level.INFO, "The worker became ready or began to drain."),
+    WORKER_LIFETIME(
+            4101,
+            Level.INFO,
+            "The worker has answered for the first time, or after it started again, and a heartbeat describes it."),
+    WORKER_STATE(4102, Level.INFO, "The worker became ready or began to drain, or is another one than was believed."),
     WORKER_SILENT(4103, Level.WARNING, "The worker does not answer; its lease is not extended until it does."),
     WORKER_ANSWERS(4104, Level.INFO, "The worker answers again."),
     LEASE_LAPSED(4105, Level.WARNING, "The lease of a worker that does not answer has run out; nothing runs on it."),
-    WORKER_LEFT(4106, Level.INFO, "The worker deregistered."),
+    WORKER_LEFT(
+            4106, Level.INFO, "A worker deregistered. Its lease ends early only if it drains and refuses connections."),
     HEARTBEAT_REFUSED(
-            4107, Level.WARNING, "A heartbeat could not be decoded, or is older than one that was received before."),
+            4107,
+            Level.WARNING,
+            "A heartbeat could not be decoded, is older than one that was received before or contradicts it, or names a"
+                    + " lifetime that the worker has not confirmed."),
+    LIFETIME_CLAIMED(
+            4109,
+            Level.INFO,
+            "A heartbeat names a lifetime of the worker that has not answered yet; the guard asks the worker."),
     ROWS_SKIPPED(
             4108, Level.WARNING, "The worker's lists have another number of rows that name no run; they are left out."),
     START_DONE(4110, Level.INFO, "The worker accepted the start of a run."),
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 
 import org.apache.pekko.actor.typed.Behavior;
@@ -44,6 +45,9 @@
     /** If the port refuses connections for this long, the process of the worker has probably ended. */
     private static final long PORT_CLOSED_MS = 700;
 
+    /** A worker that has deregistered ends at once; one that answers a poll sent later than this works on. */
+    private static final long DEREGISTERED_ANSWERS_MS = 1_000;
+
     private static final int REPORT_INTERVAL_MS = 500;
 
     /** Limits the rate of polls if the worker answers them at once. */
@@ -58,16 +62,21 @@
     private final EventLog log;
     private final OrderDispatcher dispatcher;
     private final WorkerContact contact = new WorkerContact();
-    private WorkerHeartbeat heartbeat;
+    private final LifetimeClaims claims = new LifetimeClaims();
+    private final WorkerDescription description = new WorkerDescription();
+    /** Lifetime that has answered a poll last; null before the first. */
     private WorkerRef workerRef;
+
     private WorkerSnapshot snapshot = new WorkerSnapshot(0, 0, List.of(), List.of());
     private boolean hasSnapshot;
     private long pollNumber;
+    private long pollsSent;
     private boolean pollInFlight;
     private boolean workerReplaced;
     private boolean expiryReported;
     private boolean crashReported;
     private boolean deregistered;
+    private long deregisteredAtMs;
     private long acknowledgedEnd;
     private long term;
     private long reportedAtMs;
@@ -164,52 +173,80 @@
      * The worker
      */
 
-    private void onHeartbeat(WorkerHeartbeat newHeartbeat) {
-        boolean sameLifetime = heartbeat != null
-                && heartbeat.id().equals(newHeartbeat.id())
-                && heartbeat.startedAtMs() == newHeartbeat.startedAtMs();
-        // A heartbeat may arrive after its worker has crashed and was restarted at the same address.
-        boolean stale = sameLifetime && newHeartbeat.sequence() <= heartbeat.sequence()
-                || workerRef != null && newHeartbeat.startedAtMs() < workerRef.startedAtMs();
-        if (stale) {
-            log.emit(
-                    RelayEvent.HEARTBEAT_REFUSED,
-                    "worker",
-                    newHeartbeat.id(),
-                    "number",
-                    newHeartbeat.sequence(),
-                    "bornMs",
-                    newHeartbeat.startedAtMs(),
-                    "reason",
-                    "older than a heartbeat that was received before");
-            return;
-        }
-        boolean changed = !sameLifetime || heartbeat.draining() != newHeartbeat.draining();
-        heartbeat = newHeartbeat;
-        if (changed) {
-            log.emit(
-                    sameLifetime ? RelayEvent.WORKER_STATE : RelayEvent.WORKER_LIFETIME,
-                    "worker",
-                    newHeartbeat.id(),
-                    "bornMs",
-                    newHeartbeat.startedAtMs(),
-                    "draining",
-                    newHeartbeat.draining(),
-                    "number",
-                    newHeartbeat.sequence());
+    private void onHeartbeat(WorkerHeartbeat heartbeat) {
+        if (workerRef == null
+                || workerReplaced
+                || !heartbeat.id().equals(workerRef.id())
+                || heartbeat.startedAtMs() != workerRef.startedAtMs()) {
+            logHeartbeat(RelayEvent.LIFETIME_CLAIMED, heartbeat);
+            claims.add(heartbeat, pollsSent);
+            sendPoll();
+        } else if (!description.describes(workerRef)) {
+            beginDescription(heartbeat);
+            report();
+        } else {
+            updateDescription(heartbeat);
         }
-        updateLifetime(newHeartbeat.id(), newHeartbeat.startedAtMs());
-        if (changed) {
+    }
+
+    private void beginDescription(WorkerHeartbeat first) {
+        description.begin(first);
+        logHeartbeat(RelayEvent.WORKER_LIFETIME, first);
+    }
+
+    private void updateDescription(WorkerHeartbeat heartbeat) {
+        WorkerDescription.Effect effect = description.update(heartbeat);
+        if (effect == WorkerDescription.Effect.IGNORED) {
+            refuseHeartbeat(heartbeat, "older than one that was received before, or contradicts it");
+        } else if (effect == WorkerDescription.Effect.CHANGED) {
+            logHeartbeat(RelayEvent.WORKER_STATE, heartbeat);
             report();
         }
     }
 
+    private void logHeartbeat(RelayEvent event, WorkerHeartbeat heartbeat) {
+        log.emit(
+                event,
+                "worker",
+                heartbeat.id(),
+                "bornMs",
+                heartbeat.startedAtMs(),
+                "draining",
+                heartbeat.draining(),
+                "number",
+                heartbeat.sequence(),
+                "service",
+                heartbeat.service());
+    }
+
+    private void refuseHeartbeat(WorkerHeartbeat heartbeat, String reason) {
+        log.emit(
+                RelayEvent.HEARTBEAT_REFUSED,
+                "worker",
+                heartbeat.id(),
+                "number",
+                heartbeat.sequence(),
+                "bornMs",
+                heartbeat.startedAtMs(),
+                "presentBornMs",
+                workerRef == null ? 0 : workerRef.startedAtMs(),
+                "reason",
+                reason);
+    }
+
+    private void refuseHeartbeats(List<WorkerHeartbeat> refuted, String reason) {
+        refuted.forEach(heartbeat -> refuseHeartbeat(heartbeat, reason));
+    }
+
     private void onDeregistered(String workerId) {
-        deregistered |= workerRef != null && workerRef.id().equals(workerId);
-        log.emit(RelayEvent.WORKER_LEFT, "worker", workerId);
+        if (workerRef != null && workerRef.id().equals(workerId)) {
+            deregistered = true;
+            deregisteredAtMs = clock.nowMs();
+        }
+        log.emit(RelayEvent.WORKER_LEFT, "worker", workerId, "present", deregistered, "draining", isDraining());
     }
 
-    /** Discards the state of the former lifetime of the worker when a new one is seen. */
+    /** Discards the state of the former lifetime of the worker when another one has answered a poll. */
     private void updateLifetime(String id, long startedAtMs) {
         if (workerRef != null && workerRef.id().equals(id) && workerRef.startedAtMs() == startedAtMs) {
             return;
@@ -235,17 +272,20 @@
             return;
         }
         pollInFlight = true;
+        long number = ++pollsSent;
         long nowMs = clock.nowMs();
         boolean known = workerRef != null && !workerReplaced;
         // A poll without the id of the worker may reach another one, whose ends and lease it must not affect.
         // Without a confirmed lifetime the poll only asks which one answers, and the worker need not hold it.
         boolean confirmed = known && contact.isConfirmed();
+        String id = known ? workerRef.id() : claims.nextId();
         long leaseUntilMs = confirmed ? lease.issueUntilMs(nowMs) : WorkerCalls.NO_LEASE;
-        int waitMs = (confirmed || workerRef == null) && snapshot.ended().isEmpty() ? POLL_WAIT_MS : 0;
+        boolean mayWait = (confirmed || workerRef == null)
+                && claims.isEmpty()
+                && snapshot.ended().isEmpty();
         var self = getContext().getSelf();
-        WorkerRef expected = workerRef;
-        worker.poll(known ? workerRef.id() : "", leaseUntilMs, term, confirmed ? endToAcknowledge() : 0, waitMs)
-                .thenAccept(result -> self.tell(new RelayCommand.PollCompleted(result, expected, known, nowMs)));
+        worker.poll(id, leaseUntilMs, term, confirmed ? endToAcknowledge() : 0, mayWait ? POLL_WAIT_MS : 0)
+                .thenAccept(result -> self.tell(new RelayCommand.PollCompleted(result, id, number, nowMs)));
     }
 
     /**
@@ -264,7 +304,9 @@
         switch (poll.result()) {
             case CallResult.Done<WorkerSnapshot> done -> onAnswer(done.answer(), poll, nowMs);
             case CallResult.Refused<WorkerSnapshot> refused -> {
-                workerReplaced |= refused.reason().equals(WorkerCalls.OTHER_WORKER);
+                if (refused.reason().equals(WorkerCalls.OTHER_WORKER)) {
+                    onOtherWorker(poll);
+                }
                 onPollFailed(refused.reason(), false, nowMs);
             }
             case CallResult.Unanswered<WorkerSnapshot> noAnswer ->
@@ -284,24 +326,39 @@
         }
     }
 
+    /** Handles the refusal of a poll by a worker with another id than the one that the poll named. */
+    private void onOtherWorker(RelayCommand.PollCompleted poll) {
+        workerReplaced |= workerRef != null && workerRef.id().equals(poll.id());
+        refuseHeartbeats(claims.takeRefuted(poll.id(), poll.number()), "a worker with another id answers");
+    }
+
     /** Finds out which lifetime has answered; one that started again under its id tells so only by its start time. */
     private void onAnswer(WorkerSnapshot answer, RelayCommand.PollCompleted poll, long nowMs) {
-        boolean expectedLifetime = workerRef != null && answer.startedAtMs() == workerRef.startedAtMs();
-        if (!expectedLifetime && (workerRef == null || !workerRef.equals(poll.expected()))) {
-            // Without a heartbeat the worker is not known; one that came during the poll is newer than the answer.
+        if (poll.id().isEmpty()) {
+            if (workerRef != null) {
+                onPollFailed("another worker answers, whose heartbeat has not come yet", false, nowMs);
+            }
             return;
         }
-        if (!expectedLifetime && !poll.named()) {
-            onPollFailed("another worker answers, whose heartbeat has not come yet", false, nowMs);
-        } else if (answer.startedAtMs() == 0 && lease.isBefore(answer.clockMs())) {
+        boolean sameId = workerRef != null && workerRef.id().equals(poll.id());
+        boolean startedAgain = sameId && answer.startedAtMs() == 0 && lease.isBefore(answer.clockMs());
+        Optional<WorkerHeartbeat> claimed = claims.findNewest(poll.id());
+        if (startedAgain && claimed.isEmpty()) {
             onPollFailed("the worker's clock went back, so it has started again", false, nowMs);
-        } else {
-            workerReplaced = false;
-            if (answer.startedAtMs() > 0) {
-                updateLifetime(workerRef.id(), answer.startedAtMs());
-            }
-            onLists(answer, nowMs);
+            return;
+        }
+        long startedAtMs = answer.startedAtMs();
+        if (startedAtMs == 0) {
+            startedAtMs = sameId && !startedAgain
+                    ? workerRef.startedAtMs()
+                    : claimed.map(WorkerHeartbeat::startedAtMs).orElse(0L);
         }
+        workerReplaced = false;
+        updateLifetime(poll.id(), startedAtMs);
+        claims.take(poll.id(), startedAtMs).ifPresent(this::beginDescription);
+        refuseHeartbeats(claims.takeRefuted(poll.number()), "another lifetime answers");
+        deregistered &= poll.sentAtMs() - deregisteredAtMs <= DEREGISTERED_ANSWERS_MS;
+        onLists(answer, nowMs);
     }
 
     private void onLists(WorkerSnapshot answer, long nowMs) {
@@ -349,7 +406,12 @@
      * listener may be reopened, or something on the way may refuse, while the worker works on under its lease.
      */
     private boolean hasLeaseExpired(long nowMs) {
-        return !contact.isReachable() && (lease.hasExpired(nowMs) || deregistered && isPortClosed(nowMs));
+        return !contact.isReachable() && (lease.hasExpired(nowMs) || hasLeftAsAnnounced(nowMs));
+    }
+
+    /** A worker announces its end by draining, so any other deregistration may come from another writer. */
+    private boolean hasLeftAsAnnounced(long nowMs) {
+        return deregistered && isDraining() && isPortClosed(nowMs);
     }
 
     private boolean isPortClosed(long nowMs) {
@@ -358,7 +420,11 @@
 
     /** Tells whether the worker's process seems to have ended unannounced, so that a task may have crashed it. */
     private boolean seemsCrashed(long nowMs) {
-        return !contact.isReachable() && isPortClosed(nowMs) && !heartbeat.draining() && !deregistered;
+        return !contact.isReachable() && isPortClosed(nowMs) && !isDraining() && !deregistered;
+    }
+
+    private boolean isDraining() {
+        return description.describes(workerRef) && description.known().draining();
     }
 
     /*
@@ -399,7 +465,7 @@
     }
 
     private void start(WorkerCalls.RunStartCall call, long validUntilMs) {
-        if (heartbeat != null && heartbeat.draining()) {
+        if (isDraining()) {
             dispatcher.refuse(call, "draining");
             report();
         } else {
@@ -419,7 +485,7 @@
         leader.onTick();
         long nowMs = clock.nowMs();
         boolean expired = workerRef != null && hasLeaseExpired(nowMs);
-        boolean crashed = heartbeat != null && workerRef != null && seemsCrashed(nowMs);
+        boolean crashed = description.describes(workerRef) && seemsCrashed(nowMs);
         if (crashed && !crashReported) {
             crashReported = true;
             report();
@@ -458,24 +524,24 @@
         message.setTickMs(nowMs);
         message.setTerm(term);
         message.setOutcomes(dispatcher.outcomes());
-        if (heartbeat != null && workerRef != null) {
-            WorkerRef described = new WorkerRef(guard, heartbeat.id(), heartbeat.startedAtMs());
+        WorkerHeartbeat known = description.known();
+        if (known != null) {
             message.setWorker(GuardMessages.toThrift(
-                    described.equals(workerRef) ? describeWorker(nowMs) : describeFormerLifetime(described)));
+                    description.describes(workerRef) ? describeWorker(known, nowMs) : describeFormerLifetime(known)));
             dispatcher.clearOutcomes();
         }
         reportedAtMs = nowMs;
         leader.send(Body.guardReport(message));
     }
 
-    private WorkerReport describeWorker(long nowMs) {
+    private WorkerReport describeWorker(WorkerHeartbeat known, long nowMs) {
         return new WorkerReport(
                 workerRef,
-                heartbeat.service(),
-                heartbeat.zone(),
-                heartbeat.capacity(),
-                heartbeat.labels(),
-                heartbeat.draining(),
+                known.service(),
+                known.zone(),
+                known.capacity(),
+                known.labels(),
+                known.draining(),
                 contact.isReachable() && hasSnapshot,
                 hasLeaseExpired(nowMs),
                 snapshot.running(),
@@ -488,14 +554,14 @@
      * Describes a lifetime that has ended, while there is no heartbeat of the next one yet. Nothing is said about its
      * runs, because the next lifetime may have carried out their starts.
      */
-    private WorkerReport describeFormerLifetime(WorkerRef former) {
+    private WorkerReport describeFormerLifetime(WorkerHeartbeat former) {
         return new WorkerReport(
-                former,
-                heartbeat.service(),
-                heartbeat.zone(),
-                heartbeat.capacity(),
-                heartbeat.labels(),
-                heartbeat.draining(),
+                new WorkerRef(guard, former.id(), former.startedAtMs()),
+                former.service(),
+                former.zone(),
+                former.capacity(),
+                former.labels(),
+                former.draining(),
                 false,
                 false,
                 List.of(),
