Believe a report of another lifetime only once the worker has answered as it

Cause: the latest start time decided alone which lifetime is the present one, and a report that was ignored for it still got a grant, so that neither the runs of the believed lifetime expired nor the reported one was used.

Change: a report of an unknown lifetime counts if the worker has answered as it, or if all leases are over. A report that does not count gets no grant, so the runs of the believed lifetime end with their lease. A guard without a worker that counts gets the term alone: a worker answers only polls with the term it knows, and a guard that has started again cannot ask it otherwise. Orders for a guard whose session names no worker are not sent, as it grants nothing.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -92,21 +92,28 @@
         job.discard();
     }
 
-    /** Handles the report of a guard; the caller sends a grant in return. */
-    public void onReport(WorkerReport report, long nowMs) {
+    /**
+     * Handles the report of a guard.
+     *
+     * @return whether it counts, so that the caller sends a grant in return; false for one of a lifetime of the worker
+     *     that is over or that has not answered
+     */
+    public boolean onReport(WorkerReport report, long nowMs) {
         WorkerView worker = workers.computeIfAbsent(report.ref().guard(), guard -> new WorkerView(guard, nowMs));
-        long newestStartMs = worker.newestStartMs();
-        if (report.ref().startedAtMs() < newestStartMs) {
+        String ignored = worker.findReasonToIgnore(report, nowMs);
+        if (ignored != null) {
             log.record(
                     Decision.WORKER_CHANGED,
                     report.ref().id(),
                     "bornMs",
                     report.ref().startedAtMs(),
                     "newestBornMs",
-                    newestStartMs,
+                    worker.newestStartMs(),
+                    "look",
+                    report.pollNumber(),
                     "outcome",
-                    "ignored report of a former lifetime");
-            return;
+                    ignored);
+            return false;
         }
         logWorkerChange(worker, report);
         lifetimes.adoptListed(report, worker, nowMs);
@@ -128,6 +135,7 @@
         runs.apply(report, worker, this::maxAttempts, nowMs);
         mover.review(worker, nowMs);
         pacer.review(worker, nowMs);
+        return true;
     }
 
     /** Handles the worker's response to a start or stop order. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -17,6 +17,7 @@
     private final String guard;
     private final Set<JobTask> assigned = new LinkedHashSet<>();
     private final ReleasedRuns released = new ReleasedRuns();
+    private final LifetimeOrder lifetimeOrder = new LifetimeOrder();
     private Resources reserved = Resources.NONE;
     private Resources reservedByLongRunning = Resources.NONE;
     private int bestEffortMilliCores;
@@ -62,6 +63,25 @@
         return newestMs;
     }
 
+    /**
+     * Returns why a report says nothing about the present lifetime of the worker, or null if it does. One of another
+     * lifetime than the known ones counts only if the worker has answered as it, or if all leases are over.
+     */
+    String findReasonToIgnore(WorkerReport newReport, long nowMs) {
+        if (!newReport.reachable() && !newReport.leaseExpired() && !knows(newReport.ref())) {
+            return "ignored report of a lifetime that has not answered";
+        }
+        return lifetimeOrder.isPresent(newReport, newestStartMs(), nowMs)
+                ? null
+                : "ignored report of a former lifetime";
+    }
+
+    private boolean knows(WorkerRef lifetime) {
+        return report == null && assigned.isEmpty()
+                || report != null && report.ref().equals(lifetime)
+                || assigned.stream().anyMatch(task -> task.state().worker().equals(lifetime));
+    }
+
     /** Returns the tasks that are assigned to the worker. */
     Set<JobTask> assigned() {
         return assigned;
--- a/core/src/main/java/org/fulmarreach/core/model/Resources.java
+++ b/core/src/main/java/org/fulmarreach/core/model/Resources.java
@@ -31,6 +31,14 @@
                 Math.addExact(accelerators, other.accelerators));
     }
 
+    /** Returns the smaller amount of each resource. */
+    public Resources min(Resources other) {
+        return new Resources(
+                Math.min(milliCores, other.milliCores),
+                Math.min(memoryMb, other.memoryMb),
+                Math.min(accelerators, other.accelerators));
+    }
+
     /** Returns this minus {@code other}; a dimension is negative if {@code other} is larger in it. */
     public Resources minus(Resources other) {
         return new Resources(
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/GuardSessions.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/GuardSessions.java
@@ -58,6 +58,19 @@
         return taken;
     }
 
+    /** Sends the term alone, as orders for no worker. */
+    void sendTerm(String guard, long term, long writeAgeMs) {
+        Session session = byGuard.get(guard);
+        if (session != null) {
+            WorkerRef none = new WorkerRef(guard, "", 0);
+            session.link()
+                    .send(
+                            0,
+                            Body.leaderOrders(
+                                    GuardMessages.toThrift(term, session.tickMs(), none, List.of(), writeAgeMs)));
+        }
+    }
+
     /** Sends a grant without orders. */
     void grant(String guard, long term, long writeAgeMs) {
         Session session = byGuard.get(guard);
@@ -71,8 +84,9 @@
     }
 
     /**
-     * Sends orders, and with them a grant, to the guards that have a session. Orders for other guards are dropped:
-     * stops that are still needed are sent again when the guard reports, and so are starts that were sent before.
+     * Sends orders, and with them a grant, to the guards that have a session and have reported a worker in it. Orders
+     * for other guards are dropped: stops that are still needed are sent again when the guard reports, and so are
+     * starts that were sent before.
      *
      * @return guards to which a grant was sent
      */
@@ -85,7 +99,7 @@
         Set<String> granted = new HashSet<>();
         byWorker.forEach((worker, each) -> {
             Session session = byGuard.get(worker.guard());
-            if (session != null) {
+            if (session != null && session.worker() != null) {
                 session.link()
                         .send(
                                 0,
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -542,6 +542,7 @@
         WorkerReport report = message.isSetWorker() ? GuardMessages.fromThrift(message.getWorker()) : null;
         sessions.onReport(message.getGuard(), link, message.getTickMs(), report == null ? null : report.ref());
         if (report == null) {
+            leaderTerm.onGuardWithoutWorker(message.getGuard());
             return;
         }
         leaderTerm.onOutcomes(report.ref(), message.getOutcomes());
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -140,12 +140,15 @@
      */
     void onReport(WorkerReport report, boolean decide) {
         long nowMs = clock.nowMs();
+        boolean present = true;
         if (knowsPlacedJobs()) {
-            scheduler.onReport(report, nowMs);
+            present = scheduler.onReport(report, nowMs);
         } else {
             heldReports.put(report.ref().guard(), report);
         }
-        if (mayGrant()) {
+        if (!present) {
+            onGuardWithoutWorker(report.ref().guard());
+        } else if (mayGrant()) {
             sessions.grant(report.ref().guard(), term, writeAgeMs());
             scheduler.onGrantSent(report.ref().guard(), nowMs);
         }
@@ -154,6 +157,16 @@
         }
     }
 
+    /**
+     * Answers a guard that has reported no present lifetime of a worker. It gets no grant, but the term: a worker that
+     * knows the term answers only polls that carry it.
+     */
+    void onGuardWithoutWorker(String guard) {
+        if (mayGrant()) {
+            sessions.sendTerm(guard, term, writeAgeMs());
+        }
+    }
+
     /** Applies the responses of a worker to orders. */
     void onOutcomes(WorkerRef worker, List<OrderOutcome> outcomes) {
         long nowMs = clock.nowMs();
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.LeaderOrders;
 import org.fulmarreach.runtime.net.FrameLink;
 
 /** Connection to a guard that records the frames sent to it. */
@@ -18,6 +19,13 @@
                 .toList();
     }
 
+    List<LeaderOrders> orders() {
+        return sent.stream()
+                .filter(Body::isSetLeaderOrders)
+                .map(Body::getLeaderOrders)
+                .toList();
+    }
+
     List<String> starts() {
         List<String> starts = new ArrayList<>();
         sent.forEach(body -> body.getLeaderOrders().getStarts().forEach(start -> starts.add(start.getTask())));
