Ask a worker with the present term, and weigh contradicting heartbeats by time

Any three heartbeats in a row replaced the description of a worker, also late ones that came at once, and a smaller capacity waited for the third. The draining in the first heartbeat of a claim was lost to a later one. Each claim began another sequence of polls while nothing answered. A guard that was paused after two refused connections counted the pause as refused. An answer without a start time confirmed the present lifetime.

Change: orders of the leader raise the term whatever worker they name. A contradiction counts if three heartbeats say the same, over 2 s, and nothing agrees with the former ones meanwhile; draining and less room count at once. One timer holds the next poll. The refusals are measured from the first to the last. An answer without the start time counts as none where the lifetime has one.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/LifetimeClaims.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/LifetimeClaims.java
@@ -33,14 +33,24 @@
     void add(WorkerHeartbeat heartbeat, long lastPoll) {
         Lifetime lifetime = new Lifetime(heartbeat.id(), heartbeat.startedAtMs());
         Claim before = claims.get(lifetime);
-        if (before == null || before.heartbeat().sequence() < heartbeat.sequence()) {
-            claims.put(lifetime, new Claim(heartbeat, before == null ? lastPoll : before.lastPoll()));
+        if (before == null) {
+            claims.put(lifetime, new Claim(heartbeat, lastPoll));
+        } else {
+            WorkerHeartbeat newer =
+                    before.heartbeat().sequence() < heartbeat.sequence() ? heartbeat : before.heartbeat();
+            // A worker that drains does not become ready again.
+            boolean draining = before.heartbeat().draining() || heartbeat.draining();
+            claims.put(lifetime, new Claim(newer.withDraining(draining), before.lastPoll()));
         }
         if (claims.size() > MAX_CLAIMS) {
             claims.remove(claims.keySet().iterator().next());
         }
     }
 
+    boolean contains(String id, long startedAtMs) {
+        return claims.containsKey(new Lifetime(id, startedAtMs));
+    }
+
     boolean isEmpty() {
         return claims.isEmpty();
     }
@@ -50,15 +60,6 @@
         return claims.isEmpty() ? "" : claims.keySet().iterator().next().id();
     }
 
-    /** Returns the heartbeat of a worker's newest claim; empty if there is none. */
-    Optional<WorkerHeartbeat> findNewest(String id) {
-        WorkerHeartbeat newest = null;
-        for (Claim claim : claims.values()) {
-            newest = claim.heartbeat().id().equals(id) ? claim.heartbeat() : newest;
-        }
-        return Optional.ofNullable(newest);
-    }
-
     /** Removes and returns the heartbeat of a lifetime that has answered; empty if none has come yet. */
     Optional<WorkerHeartbeat> take(String id, long startedAtMs) {
         return Optional.ofNullable(claims.remove(new Lifetime(id, startedAtMs))).map(Claim::heartbeat);
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerContact.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerContact.java
@@ -14,6 +14,7 @@
     private int failedPolls;
     private boolean confirmed;
     private long refusedSinceMs;
+    private long refusedAtMs;
     private long answeredAtMs;
 
     /** Forgets what was known, because another lifetime is expected to answer. */
@@ -44,6 +45,7 @@
         } else if (refusedSinceMs == 0) {
             refusedSinceMs = nowMs;
         }
+        refusedAtMs = nowMs;
     }
 
     /** Tells whether the last poll was answered by the expected lifetime. */
@@ -65,9 +67,12 @@
         return failedPolls;
     }
 
-    /** Returns for how long connections have been refused, in milliseconds; 0 if the last one was not. */
-    long refusedForMs(long nowMs) {
-        return refusedSinceMs == 0 ? 0 : nowMs - refusedSinceMs;
+    /**
+     * Returns the time from the first to the last of the connections in a row that were refused, in milliseconds; 0 if
+     * the last one was not. What followed is not known: this process may have been suspended.
+     */
+    long refusedForMs() {
+        return refusedSinceMs == 0 ? 0 : refusedAtMs - refusedSinceMs;
     }
 
     /** Returns the time since the last answer in milliseconds. */
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerDescription.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerDescription.java
@@ -1,31 +1,37 @@
 package org.fulmarreach.guard.jobs;
 
 import org.fulmarreach.core.jobs.WorkerRef;
+import org.fulmarreach.core.model.Resources;
 import org.fulmarreach.platform.worker.WorkerHeartbeat;
 
 /**
- * What the heartbeats say of the worker. A heartbeat may be late or come from another writer that names the present
- * lifetime. So one that contradicts those before it counts only if more follow without one that agrees. Owned by one
- * actor; not thread-safe.
+ * What the heartbeats say of the worker. A heartbeat may be late, or come from another writer that names the present
+ * lifetime. So one that contradicts those before it counts only if the same is said again, for longer than heartbeats
+ * are late, and nothing agrees with what was known meanwhile. Owned by one actor; not thread-safe.
  *
- * <p>Service, zone, room and labels do not change during a lifetime, and a worker that drains does not become ready
- * again. A start on a worker that drains is worse than none on one that is ready, so draining counts at once.
+ * <p>Service, zone and labels do not change during a lifetime, and a worker that drains does not become ready again. A
+ * start that the worker has no room for, or that it gets while it drains, is worse than none. So draining and less room
+ * count at once.
  */
 final class WorkerDescription {
-    /** Contradicting heartbeats in a row that replace what was known. */
+    /** Heartbeats that must say the same to replace what was known. */
     private static final int CONTRADICTIONS_TO_REPLACE = 3;
 
+    /** Time from the first to the last of them; about two intervals of heartbeats. */
+    private static final long CONTRADICTION_MS = 2_000;
+
     private WorkerHeartbeat known;
-    private long lastContradiction;
+    private WorkerHeartbeat contradiction;
     private int contradictions;
+    private long contradictedSinceMs;
 
     /** What a heartbeat of the lifetime that is described has changed. */
     enum Effect {
         /** Nothing that matters to the leader. */
         NONE,
-        /** The worker drains, or is another one than was believed. */
+        /** The worker drains, has other room, or is another one than was believed. */
         CHANGED,
-        /** It is older than the newest one, or contradicts it, and does not count. */
+        /** It contradicts what is known and does not count, or not yet. */
         IGNORED
     }
 
@@ -37,7 +43,7 @@
                 && known.startedAtMs() == lifetime.startedAtMs();
     }
 
-    /** Returns the heartbeat that counts, or null before the first. */
+    /** Returns what is known, or null before the first heartbeat. */
     WorkerHeartbeat known() {
         return known;
     }
@@ -45,31 +51,48 @@
     /** Begins the description of a lifetime. */
     void begin(WorkerHeartbeat first) {
         known = first;
-        contradictions = 0;
+        contradiction = null;
     }
 
     /** Handles a heartbeat of the lifetime that is described. */
-    Effect update(WorkerHeartbeat heartbeat) {
-        boolean sameWorker = heartbeat
-                .withDraining(known.draining())
-                .withSequence(known.sequence())
-                .equals(known);
+    Effect update(WorkerHeartbeat heartbeat, long nowMs) {
+        Resources room = known.capacity().min(heartbeat.capacity());
         boolean newer = heartbeat.sequence() > known.sequence();
-        if (sameWorker && newer && (heartbeat.draining() || !known.draining())) {
-            boolean changed = heartbeat.draining() != known.draining();
-            begin(heartbeat);
+        boolean lessRoom = newer && isSameWorker(heartbeat) && !room.equals(known.capacity());
+        boolean changed = lessRoom || heartbeat.draining() && !known.draining();
+        if (changed) {
+            begin(known.withCapacity(lessRoom ? room : known.capacity())
+                    .withDraining(known.draining() || heartbeat.draining()));
+        }
+        if (saysTheSame(heartbeat, known)) {
+            begin(known.withSequence(Math.max(known.sequence(), heartbeat.sequence())));
             return changed ? Effect.CHANGED : Effect.NONE;
         }
-        if (heartbeat.draining() && !known.draining()) {
-            begin(known.withDraining(true));
+        if (isContradictedLongEnough(heartbeat, nowMs)) {
+            begin(heartbeat);
             return Effect.CHANGED;
         }
-        contradictions = contradictions > 0 && heartbeat.sequence() > lastContradiction ? contradictions + 1 : 1;
-        lastContradiction = heartbeat.sequence();
-        if (contradictions < CONTRADICTIONS_TO_REPLACE) {
-            return Effect.IGNORED;
+        return changed ? Effect.CHANGED : Effect.IGNORED;
+    }
+
+    private boolean isSameWorker(WorkerHeartbeat heartbeat) {
+        return saysTheSame(heartbeat.withCapacity(known.capacity()).withDraining(known.draining()), known);
+    }
+
+    private boolean isContradictedLongEnough(WorkerHeartbeat heartbeat, long nowMs) {
+        if (contradiction == null || !saysTheSame(heartbeat, contradiction)) {
+            contradictions = 0;
+            contradictedSinceMs = nowMs;
+        } else if (heartbeat.sequence() <= contradiction.sequence()) {
+            return false;
         }
-        begin(heartbeat);
-        return Effect.CHANGED;
+        contradiction = heartbeat;
+        contradictions++;
+        return contradictions >= CONTRADICTIONS_TO_REPLACE && nowMs - contradictedSinceMs >= CONTRADICTION_MS;
+    }
+
+    /** Tells whether two heartbeats of one lifetime differ in their numbers at most. */
+    private static boolean saysTheSame(WorkerHeartbeat one, WorkerHeartbeat other) {
+        return one.withSequence(other.sequence()).equals(other);
     }
 }
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
 
 import org.apache.pekko.actor.typed.Behavior;
@@ -61,6 +60,7 @@
     private final MonotonicClock clock;
     private final EventLog log;
     private final OrderDispatcher dispatcher;
+    private final TimerScheduler<RelayCommand> timers;
     private final WorkerContact contact = new WorkerContact();
     private final LifetimeClaims claims = new LifetimeClaims();
     private final WorkerDescription description = new WorkerDescription();
@@ -107,6 +107,7 @@
         this.clock = clock;
         this.log = log;
         this.dispatcher = new OrderDispatcher(worker, lease, context, clock, log);
+        this.timers = timers;
         timers.startTimerWithFixedDelay(new RelayCommand.Tick(), Duration.ofMillis(TICK_MS));
         sendPoll();
         leader.search();
@@ -189,15 +190,24 @@
         }
     }
 
+    /** Handles the heartbeat of a lifetime that has answered. */
+    private void onConfirmed(WorkerHeartbeat heartbeat) {
+        if (description.describes(workerRef)) {
+            updateDescription(heartbeat);
+        } else {
+            beginDescription(heartbeat);
+        }
+    }
+
     private void beginDescription(WorkerHeartbeat first) {
         description.begin(first);
         logHeartbeat(RelayEvent.WORKER_LIFETIME, first);
     }
 
     private void updateDescription(WorkerHeartbeat heartbeat) {
-        WorkerDescription.Effect effect = description.update(heartbeat);
+        WorkerDescription.Effect effect = description.update(heartbeat, clock.nowMs());
         if (effect == WorkerDescription.Effect.IGNORED) {
-            refuseHeartbeat(heartbeat, "older than one that was received before, or contradicts it");
+            refuseHeartbeat(heartbeat, "contradicts the heartbeats before it");
         } else if (effect == WorkerDescription.Effect.CHANGED) {
             logHeartbeat(RelayEvent.WORKER_STATE, heartbeat);
             report();
@@ -214,9 +224,7 @@
                 "draining",
                 heartbeat.draining(),
                 "number",
-                heartbeat.sequence(),
-                "service",
-                heartbeat.service());
+                heartbeat.sequence());
     }
 
     private void refuseHeartbeat(WorkerHeartbeat heartbeat, String reason) {
@@ -239,11 +247,12 @@
     }
 
     private void onDeregistered(String workerId) {
-        if (workerRef != null && workerRef.id().equals(workerId)) {
+        boolean present = workerRef != null && workerRef.id().equals(workerId);
+        if (present) {
             deregistered = true;
             deregisteredAtMs = clock.nowMs();
         }
-        log.emit(RelayEvent.WORKER_LEFT, "worker", workerId, "present", deregistered, "draining", isDraining());
+        log.emit(RelayEvent.WORKER_LEFT, "worker", workerId, "present", present, "draining", isDraining());
     }
 
     /** Discards the state of the former lifetime of the worker when another one has answered a poll. */
@@ -272,6 +281,7 @@
             return;
         }
         pollInFlight = true;
+        timers.cancel(new RelayCommand.PollDue());
         long number = ++pollsSent;
         long nowMs = clock.nowMs();
         boolean known = workerRef != null && !workerReplaced;
@@ -314,15 +324,15 @@
         }
         if (nowMs - poll.sentAtMs() < 1 && snapshot.ended().isEmpty() && contact.isReachable()) {
             // A worker holds a poll until something has happened, so an immediate answer is rare.
-            schedule(MIN_POLL_DELAY_MS, new RelayCommand.PollDue());
+            pollIn(MIN_POLL_DELAY_MS);
         } else if (contact.failedPolls() > 0) {
             // Starts are held until the worker answers again, so the first attempt follows soon.
             int delayMs = contact.failedPolls() == 1 ? MIN_POLL_DELAY_MS : FAILED_POLL_DELAY_MS;
-            schedule(delayMs, new RelayCommand.PollDue());
+            pollIn(delayMs);
         } else if (snapshot.ended().isEmpty()) {
             sendPoll();
         } else {
-            schedule(UNACKNOWLEDGED_POLL_DELAY_MS, new RelayCommand.PollDue());
+            pollIn(UNACKNOWLEDGED_POLL_DELAY_MS);
         }
     }
 
@@ -341,21 +351,18 @@
             return;
         }
         boolean sameId = workerRef != null && workerRef.id().equals(poll.id());
-        boolean startedAgain = sameId && answer.startedAtMs() == 0 && lease.isBefore(answer.clockMs());
-        Optional<WorkerHeartbeat> claimed = claims.findNewest(poll.id());
-        if (startedAgain && claimed.isEmpty()) {
-            onPollFailed("the worker's clock went back, so it has started again", false, nowMs);
+        boolean startUnknown = sameId ? workerRef.startedAtMs() > 0 : !claims.contains(poll.id(), 0);
+        if (answer.startedAtMs() == 0 && startUnknown) {
+            onPollFailed("an answer that does not tell the worker's start", false, nowMs);
             return;
         }
-        long startedAtMs = answer.startedAtMs();
-        if (startedAtMs == 0) {
-            startedAtMs = sameId && !startedAgain
-                    ? workerRef.startedAtMs()
-                    : claimed.map(WorkerHeartbeat::startedAtMs).orElse(0L);
+        if (sameId && answer.startedAtMs() == 0 && lease.isBefore(answer.clockMs())) {
+            onPollFailed("the worker's clock went back, so it has started again", false, nowMs);
+            return;
         }
         workerReplaced = false;
-        updateLifetime(poll.id(), startedAtMs);
-        claims.take(poll.id(), startedAtMs).ifPresent(this::beginDescription);
+        updateLifetime(poll.id(), answer.startedAtMs());
+        claims.take(poll.id(), answer.startedAtMs()).ifPresent(this::onConfirmed);
         refuseHeartbeats(claims.takeRefuted(poll.number()), "another lifetime answers");
         deregistered &= poll.sentAtMs() - deregisteredAtMs <= DEREGISTERED_ANSWERS_MS;
         onLists(answer, nowMs);
@@ -406,21 +413,21 @@
      * listener may be reopened, or something on the way may refuse, while the worker works on under its lease.
      */
     private boolean hasLeaseExpired(long nowMs) {
-        return !contact.isReachable() && (lease.hasExpired(nowMs) || hasLeftAsAnnounced(nowMs));
+        return !contact.isReachable() && (lease.hasExpired(nowMs) || hasLeftAsAnnounced());
     }
 
     /** A worker announces its end by draining, so any other deregistration may come from another writer. */
-    private boolean hasLeftAsAnnounced(long nowMs) {
-        return deregistered && isDraining() && isPortClosed(nowMs);
+    private boolean hasLeftAsAnnounced() {
+        return deregistered && isDraining() && isPortClosed();
     }
 
-    private boolean isPortClosed(long nowMs) {
-        return contact.refusedForMs(nowMs) > PORT_CLOSED_MS;
+    private boolean isPortClosed() {
+        return contact.refusedForMs() > PORT_CLOSED_MS;
     }
 
     /** Tells whether the worker's process seems to have ended unannounced, so that a task may have crashed it. */
-    private boolean seemsCrashed(long nowMs) {
-        return !contact.isReachable() && isPortClosed(nowMs) && !isDraining() && !deregistered;
+    private boolean seemsCrashed() {
+        return !contact.isReachable() && isPortClosed() && !isDraining() && !deregistered;
     }
 
     private boolean isDraining() {
@@ -433,20 +440,22 @@
 
     private void onOrders(LeaderOrders orders) {
         WorkerRef intendedWorker = JobRecords.fromThrift(orders.getWorker());
-        if (orders.getTerm() < term || !intendedWorker.equals(workerRef)) {
+        long newestTerm = term;
+        // A worker refuses polls with an older term, so a guard that has started again needs it before all else.
+        term = Math.max(term, orders.getTerm());
+        if (orders.getTerm() < newestTerm || !intendedWorker.equals(workerRef)) {
             log.emit(
                     RelayEvent.ORDERS_IGNORED,
                     "term",
                     orders.getTerm(),
                     "newest",
-                    term,
+                    newestTerm,
                     "worker",
                     intendedWorker.id(),
                     "starts",
                     orders.getStartsSize());
             return;
         }
-        term = orders.getTerm();
         leader.reviewWriteAge(orders.getWriteAgeMs());
         lease.grant(orders.getEchoedTickMs());
         if (orders.getAcknowledgedEnd() > acknowledgedEnd) {
@@ -485,7 +494,7 @@
         leader.onTick();
         long nowMs = clock.nowMs();
         boolean expired = workerRef != null && hasLeaseExpired(nowMs);
-        boolean crashed = description.describes(workerRef) && seemsCrashed(nowMs);
+        boolean crashed = description.describes(workerRef) && seemsCrashed();
         if (crashed && !crashReported) {
             crashReported = true;
             report();
@@ -501,7 +510,7 @@
                     "leaseLeftMs",
                     lease.expiresInMs(nowMs),
                     "refusedForMs",
-                    contact.refusedForMs(nowMs),
+                    contact.refusedForMs(),
                     "answerAgeMs",
                     contact.answerAgeMs(nowMs),
                     "failed",
@@ -547,7 +556,7 @@
                 snapshot.running(),
                 snapshot.ended(),
                 pollNumber,
-                seemsCrashed(nowMs));
+                seemsCrashed());
     }
 
     /**
@@ -569,7 +578,9 @@
                 pollNumber);
     }
 
-    private void schedule(int delayMs, RelayCommand command) {
-        getContext().scheduleOnce(Duration.ofMillis(delayMs), getContext().getSelf(), command);
+    /** A poll that is sent earlier replaces this one, so that there is one sequence of polls. */
+    private void pollIn(int delayMs) {
+        RelayCommand.PollDue due = new RelayCommand.PollDue();
+        timers.startSingleTimer(due, due, Duration.ofMillis(delayMs));
     }
 }
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/RelayTestBase.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/RelayTestBase.java
@@ -141,6 +141,8 @@
         volatile Lifetime lifetime = new Lifetime("w", 1_000);
         volatile boolean answering = true;
         volatile CallResult<WorkerSnapshot> failure;
+        /** Newest term that it has seen; it refuses polls with an older one. */
+        volatile long fence;
         /** End of the lease that each poll carried. */
         final List<Long> leasesUntilMs = new CopyOnWriteArrayList<>();
         /** Numbers of the polls that were not answered, from 0. */
@@ -180,6 +182,10 @@
         public CompletionStage<CallResult<WorkerSnapshot>> poll(
                 String workerId, long leaseUntilMs, long term, long acknowledgedEnd, int waitMs) {
             leasesUntilMs.add(leaseUntilMs);
+            if (term < fence) {
+                polls.incrementAndGet();
+                return CompletableFuture.completedFuture(new CallResult.Refused<>("fence"));
+            }
             int number = polls.getAndIncrement();
             return CompletableFuture.supplyAsync(
                     () -> {
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLifetimeTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLifetimeTest.java
@@ -13,6 +13,7 @@
 import org.fulmarreach.platform.worker.WorkerHeartbeat;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.Frame;
+import org.fulmarreach.protocol.thrift.JobWorkerRef;
 import org.fulmarreach.protocol.thrift.LeaderOrders;
 import org.fulmarreach.protocol.thrift.WorkerStatus;
 import org.fulmarreach.runtime.net.LinkEvent;
@@ -278,4 +279,40 @@
         awaitStatus(link, WorkerStatus::isLeaseLapsed);
         assertFalse(link.lastStatus().isCrashed(), "draining");
     }
+
+    /**
+     * A worker refuses polls with an older term than it knows, so a guard that had started again could not learn which
+     * lifetime answers: the worker was not used any more, and its leases ran out.
+     */
+    @Test
+    void guardThatStartsAgainLearnsTheTermBeforeAWorkerIsKnown() {
+        worker.fence = 7;
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        awaitPolls(3);
+        FakeLink link = entries.links.get(0);
+        LeaderOrders termOnly = emptyOrders();
+        termOnly.setTerm(7);
+        termOnly.setWorker(new JobWorkerRef("guard", "", 0));
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(termOnly))));
+        awaitPolls(1);
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 2, false)));
+        Awaitility.await()
+                .atMost(TIMEOUT)
+                .until(() -> link.lastStatus() != null && link.lastStatus().isReachable());
+    }
+
+    /** Each heartbeat of an unknown lifetime began a sequence of polls of its own, and each poll has a price. */
+    @Test
+    void heartbeatsOfManyLifetimesDoNotMultiplyThePolls() {
+        worker.failure = new CallResult.Unanswered<>("timed out", false);
+        for (int other = 0; other < 30; other++) {
+            relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(2_000 + other, 1, false)));
+            awaitPolls(1);
+        }
+        int before = worker.polls.get();
+        long startedAtMs = MonotonicClock.system().nowMs();
+        Awaitility.await().until(() -> MonotonicClock.system().nowMs() - startedAtMs > 2_000);
+        int polls = worker.polls.get() - before;
+        assertTrue(polls <= 12, polls + " polls in 2 s");
+    }
 }
