Give the test of a guard without a worker the config that a leader needs

GuardWithoutWorkerTest, new in, failed there: an entry without a config leads no term, so no answer came. It passes now; the assertions are the same.

--- a/entry/src/test/java/org/fulmarreach/entry/jobs/GuardWithoutWorkerTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/GuardWithoutWorkerTest.java
@@ -1,5 +1,6 @@
 package org.fulmarreach.entry.jobs;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
@@ -8,6 +9,9 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.awaitility.Awaitility;
 import org.fulmarreach.core.jobs.JobTimeLimits;
+import org.fulmarreach.platform.store.AppendCondition;
+import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.TopicPartition;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.Frame;
 import org.fulmarreach.protocol.thrift.GuardReport;
@@ -22,9 +26,10 @@
 
 /** Answers of the leader to a guard that does not know yet which worker runs beside it. */
 class GuardWithoutWorkerTest {
+    private final FakeStore store = new FakeStore();
     private final ActorSystem<JobsCommand> entry = ActorSystems.construct(
             JobsActor.create(
-                    new FakeStore(),
+                    store,
                     new FakeEntryLinks(),
                     new JobsActor.Identity("entry-0", "127.0.0.1:1"),
                     new JobTimeLimits(6_000, 120_000, 3_000),
@@ -46,6 +51,11 @@
      */
     @Test
     void guardWithoutAWorkerLearnsTheTerm() {
+        String config = "{\"version\":7,\"routes\":[],\"services\":[],\"limits\":{}}";
+        store.append(
+                TopicPartition.OPERATOR,
+                List.of(new KeyedRecord(TopicPartition.CONFIG_KEY, config.getBytes(StandardCharsets.UTF_8))),
+                new AppendCondition.None());
         FakeLink guard = new FakeLink();
         GuardReport report = new GuardReport();
         report.setGuard("guard");
