Do not count a poll whose lists leave something out as one without a run

Change: such an answer still renews the lease and lists what can be read, but the number of the poll, from which the leader counts polls without a run, does not rise.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -384,7 +384,8 @@
         snapshot = answer;
         dispatcher.onEnded(answer.ended());
         hasSnapshot = true;
-        pollNumber++;
+        // The leader concludes from several polls without a run that it has ended.
+        pollNumber += answer.isComplete() ? 1 : 0;
         dispatcher.sendHeldStarts(destination());
         if (newEnds || first || nowMs - reportedAtMs >= REPORT_INTERVAL_MS / 2) {
             report();
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/RelayTestBase.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/RelayTestBase.java
@@ -141,6 +141,9 @@
         volatile Lifetime lifetime = new Lifetime("w", 1_000);
         volatile boolean answering = true;
         volatile CallResult<WorkerSnapshot> failure;
+        /** Rows of its lists that cannot be read. */
+        volatile int skippedRows;
+
         /** Newest term that it has seen; it refuses polls with an older one. */
         volatile long fence;
         /** End of the lease that each poll carried. */
@@ -204,7 +207,7 @@
                 return new CallResult.Refused<>(OTHER_WORKER);
             }
             List<WorkerReport.Ended> ended = answering.forget(acknowledgedEnd);
-            return new CallResult.Done<>(new WorkerSnapshot(answering.startedAtMs, 1, List.of(), ended));
+            return new CallResult.Done<>(new WorkerSnapshot(answering.startedAtMs, 1, List.of(), ended, skippedRows));
         }
     }
 
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -11,6 +11,7 @@
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.Frame;
 import org.fulmarreach.protocol.thrift.LeaderOrders;
+import org.fulmarreach.protocol.thrift.WorkerStatus;
 import org.fulmarreach.runtime.net.LinkEvent;
 import org.junit.jupiter.api.Test;
 
@@ -171,4 +172,28 @@
                 .atMost(TIMEOUT)
                 .until(() -> entries.connected.equals(List.of("10.0.0.1:1")));
     }
+
+    /**
+     * A run that was left out of the lists, since its row could not be read, was taken for one that had ended after
+     * three polls, and a long-running task was started elsewhere.
+     */
+    @Test
+    void pollWithRowsThatCannotBeReadDoesNotShowThatARunIsAbsent() {
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        worker.skippedRows = 1;
+        awaitPolls(2);
+        long before = awaitNextReport(link).getLookNumber();
+        awaitPolls(4);
+        assertEquals(before, awaitNextReport(link).getLookNumber());
+        worker.skippedRows = 0;
+        awaitPolls(4);
+        assertTrue(awaitNextReport(link).getLookNumber() > before);
+    }
+
+    private static WorkerStatus awaitNextReport(FakeLink link) {
+        int reports = link.reports().size();
+        Awaitility.await().atMost(TIMEOUT).until(() -> link.reports().size() > reports);
+        return link.lastStatus();
+    }
 }
