Store the settings of its queue with each accepted job

Cause: a leader remembered removed queues only in memory. The next one knew queues only by the newest configuration, found no service for the job, and placed nothing. It also had no bound on failed runs for such a job.

The record of a request now holds what the scheduler needs of the queue: service, priority, attempts, target (QueuePolicy, an optional field, so that records of former versions are still read). A configuration that has the queue counts first.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobQueue.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobQueue.java
@@ -22,4 +22,9 @@
         int maxAttempts,
         long timeoutMs,
         long targetLatencyMs,
-        double criticalPathFactor) {}
+        double criticalPathFactor) {
+    /** Returns the settings that are stored with each job of the queue. */
+    public QueuePolicy policy() {
+        return new QueuePolicy(service, priority, maxAttempts, targetLatencyMs, criticalPathFactor);
+    }
+}
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -34,7 +34,7 @@
     private final BestEffortPacer pacer;
     private final Placement placement;
     private final CrashTracker crashes;
-    private final Map<String, JobQueue> knownQueues = new HashMap<>();
+    private final Map<String, QueuePolicy> knownPolicies = new HashMap<>();
     private final Set<String> forgotten = new HashSet<>();
     private JobConfig config;
 
@@ -71,7 +71,7 @@
     /** Replaces the queue configuration. */
     public void configure(JobConfig newConfig) {
         config = newConfig;
-        newConfig.queues().forEach(queue -> knownQueues.put(queue.name(), queue));
+        newConfig.queues().forEach(queue -> knownPolicies.put(queue.name(), queue.policy()));
     }
 
     /**
@@ -190,7 +190,7 @@
         }
         Map<Job, JobUrgency.Rank> ranks = new HashMap<>();
         for (Job job : ordered) {
-            ranks.put(job, JobUrgency.rank(job, queue(job), unixMs));
+            ranks.put(job, JobUrgency.rank(job, policy(job), unixMs));
         }
         ordered.sort(Comparator.comparing(ranks::get));
         for (Job job : ordered) {
@@ -366,8 +366,8 @@
         if (!placing) {
             return;
         }
-        JobQueue queue = queue(job);
-        String service = queue == null ? null : queue.service();
+        QueuePolicy policy = policy(job);
+        String service = policy == null ? null : policy.service();
         for (int occurrence = 0; occurrence < job.spec().occurrences(); occurrence++) {
             if (job.spec().dueMs(occurrence) > unixMs) {
                 break;
@@ -477,13 +477,16 @@
         }
     }
 
-    /** Returns the last known configuration of a job's queue, also after the queue was removed; null if never known. */
-    private JobQueue queue(Job job) {
-        return knownQueues.get(job.spec().queue());
+    /**
+     * Returns the settings of a job's queue: those of the last configuration in this term that has the queue, or else
+     * those stored with the job, since the queue may have been removed before the term; null if neither is known.
+     */
+    private QueuePolicy policy(Job job) {
+        return knownPolicies.getOrDefault(job.spec().queue(), job.spec().queuePolicy());
     }
 
     private int maxAttempts(Job job) {
-        JobQueue queue = queue(job);
-        return queue == null ? Integer.MAX_VALUE : queue.maxAttempts();
+        QueuePolicy policy = policy(job);
+        return policy == null ? Integer.MAX_VALUE : policy.maxAttempts();
     }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobSpec.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobSpec.java
@@ -13,6 +13,7 @@
  * @param intervalMs time between two occurrences in milliseconds
  * @param repetitions number of occurrences; 0 for a job that runs once, immediately
  * @param acceptedAtMs when an entry accepted the job, in Unix milliseconds
+ * @param queuePolicy settings of the queue when the job was accepted; null if its record does not hold them
  */
 public record JobSpec(
         String id,
@@ -22,7 +23,8 @@
         long firstRunMs,
         long intervalMs,
         int repetitions,
-        long acceptedAtMs) {
+        long acceptedAtMs,
+        QueuePolicy queuePolicy) {
     /** Limit on the tasks of a job with all its occurrences; a larger one would not fit into a record of the store. */
     public static final int MAX_TASKS = 20_000;
 
@@ -31,6 +33,19 @@
         steps = List.copyOf(steps);
     }
 
+    /** Constructs the specification of a job whose record does not hold the settings of its queue. */
+    public JobSpec(
+            String id,
+            String queue,
+            String payload,
+            List<JobStep> steps,
+            long firstRunMs,
+            long intervalMs,
+            int repetitions,
+            long acceptedAtMs) {
+        this(id, queue, payload, steps, firstRunMs, intervalMs, repetitions, acceptedAtMs, null);
+    }
+
     /** Returns how often the steps run, at least 1. */
     public int occurrences() {
         return Math.max(1, repetitions);
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
@@ -50,32 +50,32 @@
         }
     }
 
-    /** Ranks a job; {@code queue} is null if the configuration of its queue is not known. */
-    static Rank rank(Job job, JobQueue queue, long unixMs) {
-        if (queue == null) {
+    /** Ranks a job; {@code policy} is null if the settings of its queue are not known. */
+    static Rank rank(Job job, QueuePolicy policy, long unixMs) {
+        if (policy == null) {
             return new Rank(Integer.MAX_VALUE, Prospect.VERY_LATE, 0, 0);
         }
         boolean standing = job.spec().steps().stream().anyMatch(JobStep::longRunning);
         if (standing || job.spec().isTimed()) {
-            return new Rank(queue.priority(), Prospect.STANDING, 0, job.spec().acceptedAtMs());
+            return new Rank(policy.priority(), Prospect.STANDING, 0, job.spec().acceptedAtMs());
         }
-        long targetMs = targetMs(job.spec(), queue);
+        long targetMs = targetMs(job.spec(), policy);
         long ageMs = unixMs - job.spec().acceptedAtMs();
         long criticalPathMs = criticalPathMs(job.spec(), step -> remainingMs(job, step));
         int remainingPermille = remainingPermille(job);
         long slackMs = targetMs - ageMs - criticalPathMs;
         if (slackMs >= 0) {
-            return new Rank(queue.priority(), Prospect.ON_TIME, remainingPermille, slackMs);
+            return new Rank(policy.priority(), Prospect.ON_TIME, remainingPermille, slackMs);
         }
         long lateSlackMs = LATE_FACTOR * targetMs - ageMs - criticalPathMs;
         Prospect prospect = lateSlackMs >= 0 ? Prospect.LATE : Prospect.VERY_LATE;
-        return new Rank(queue.priority(), prospect, remainingPermille, lateSlackMs);
+        return new Rank(policy.priority(), prospect, remainingPermille, lateSlackMs);
     }
 
     /** Returns the target completion time of a job, in milliseconds after its submission. */
-    static long targetMs(JobSpec spec, JobQueue queue) {
+    static long targetMs(JobSpec spec, QueuePolicy policy) {
         long longest = criticalPathMs(spec, step -> spec.steps().get(step).estimatedMs());
-        return (long) (queue.criticalPathFactor() * longest) + queue.targetLatencyMs();
+        return (long) (policy.criticalPathFactor() * longest) + policy.targetLatencyMs();
     }
 
     /** Returns the duration of the critical path through the steps in milliseconds. */
--- a/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
@@ -106,12 +106,12 @@
     /** Partial work has no value until the whole job is done. */
     @Test
     void jobWithLessRemainingWorkIsRankedFirst() {
-        JobQueue queue = CONFIG.findByName("q").orElseThrow();
+        QueuePolicy policy = CONFIG.findByName("q").orElseThrow().policy();
         submit("begun", List.of(step(2).build()), 500, 5_000);
         pool.run(1_000);
         submit("fresh", List.of(step(2).build()), 5_000, 5_000);
-        JobUrgency.Rank begun = JobUrgency.rank(job("begun"), queue, pool.nowMs);
-        JobUrgency.Rank fresh = JobUrgency.rank(job("fresh"), queue, pool.nowMs);
+        JobUrgency.Rank begun = JobUrgency.rank(job("begun"), policy, pool.nowMs);
+        JobUrgency.Rank fresh = JobUrgency.rank(job("fresh"), policy, pool.nowMs);
         assertTrue(begun.remainingPermille() < fresh.remainingPermille(), begun + " " + fresh);
         assertTrue(begun.prospect() != fresh.prospect() || begun.compareTo(fresh) < 0, begun + " " + fresh);
     }
--- a/core/src/test/java/org/fulmarreach/core/jobs/LargePool.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/LargePool.java
@@ -126,8 +126,8 @@
             Job job = pool.registry.find(id).orElseThrow();
             if (job.spec().acceptedAtMs() < submittedBeforeMs) {
                 all++;
-                long targetMs =
-                        JobUrgency.targetMs(job.spec(), CONFIG.findByName(queue).orElseThrow());
+                long targetMs = JobUrgency.targetMs(
+                        job.spec(), CONFIG.findByName(queue).orElseThrow().policy());
                 long latencyMs = pool.latencyMs(id);
                 onTime += latencyMs >= 0 && latencyMs <= targetMs ? 1 : 0;
             }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
@@ -184,7 +184,7 @@
                     }
                     try {
                         JobSpec job = JobCodec.decodeJob(
-                                id, queue.name(), strict.getData().toArrayUnsafe(), System.currentTimeMillis());
+                                id, queue, strict.getData().toArrayUnsafe(), System.currentTimeMillis());
                         return store(request, job, deadlineAtMs, config.version());
                     } catch (IOException e) {
                         return refuse(request, id, 400, e.getMessage());
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -9,6 +9,7 @@
 import org.fulmarreach.core.jobs.JobSnapshot;
 import org.fulmarreach.core.jobs.JobSpec;
 import org.fulmarreach.core.jobs.JobStep;
+import org.fulmarreach.core.jobs.QueuePolicy;
 import org.fulmarreach.core.jobs.TaskPhase;
 import org.fulmarreach.core.jobs.TaskState;
 import org.fulmarreach.core.jobs.WorkerRef;
@@ -17,6 +18,7 @@
 import org.fulmarreach.protocol.thrift.JobCancelled;
 import org.fulmarreach.protocol.thrift.JobLeader;
 import org.fulmarreach.protocol.thrift.JobProgress;
+import org.fulmarreach.protocol.thrift.JobQueuePolicy;
 import org.fulmarreach.protocol.thrift.JobRequest;
 import org.fulmarreach.protocol.thrift.JobState;
 import org.fulmarreach.protocol.thrift.JobSubmitted;
@@ -49,14 +51,18 @@
         for (JobStep step : job.steps()) {
             steps.add(toThrift(step));
         }
-        return ThriftBytes.encode(JobRequest.submitted(new JobSubmitted(
+        JobSubmitted submitted = new JobSubmitted(
                 job.queue(),
                 job.payload(),
                 steps,
                 job.firstRunMs(),
                 job.intervalMs(),
                 job.repetitions(),
-                job.acceptedAtMs())));
+                job.acceptedAtMs());
+        if (job.queuePolicy() != null) {
+            submitted.setQueuePolicy(toThrift(job.queuePolicy()));
+        }
+        return ThriftBytes.encode(JobRequest.submitted(submitted));
     }
 
     /** Encodes a cancellation. */
@@ -87,7 +93,27 @@
                 requireRange(submitted.getFirstRunMs(), 0, TimeBounds.MAX_UNIX_MS, "firstRunMs"),
                 requireRange(submitted.getIntervalMs(), 0, TimeBounds.MAX_DURATION_MS, "intervalMs"),
                 repetitions,
-                submitted.getAcceptedAtMs());
+                submitted.getAcceptedAtMs(),
+                submitted.isSetQueuePolicy() ? fromThrift(submitted.getQueuePolicy()) : null);
+    }
+
+    private static JobQueuePolicy toThrift(QueuePolicy policy) {
+        return new JobQueuePolicy(
+                policy.service(),
+                policy.priority(),
+                policy.maxAttempts(),
+                policy.targetLatencyMs(),
+                policy.criticalPathFactor());
+    }
+
+    private static QueuePolicy fromThrift(JobQueuePolicy policy) {
+        return new QueuePolicy(
+                require(policy.getServiceName(), "serviceName"),
+                requireCount(policy.getPriority(), "priority"),
+                requireRange(policy.getMaxAttempts(), 1, Integer.MAX_VALUE, "maxAttempts"),
+                requireRange(policy.getTargetLatencyMs(), 0, TimeBounds.MAX_DURATION_MS, "targetLatencyMs"),
+                requireRange(
+                        policy.getCriticalPathFactor(), 0, QueuePolicy.MAX_CRITICAL_PATH_FACTOR, "criticalPathFactor"));
     }
 
     /*
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/RecordFields.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/RecordFields.java
@@ -36,6 +36,15 @@
         return (int) requireRange((long) value, min, max, name);
     }
 
+    /** As {@link #requireRange(long, long, long, String)}, for fractions; NaN is in no range. */
+    static double requireRange(double value, double min, double max, String name) {
+        if (!(value >= min && value <= max)) {
+            throw new FrameException(
+                    "expected a number from " + min + " to " + max + " in the field " + name + ", found " + value);
+        }
+        return value;
+    }
+
     /** Returns the number in a field that counts something. */
     static int requireCount(int value, String name) {
         return requireRange(value, 0, Integer.MAX_VALUE, name);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/JobSubmitted.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/JobSubmitted.java
@@ -6,9 +6,6 @@
  */
 package org.fulmarreach.protocol.thrift;
 
-/**
- * Records of the topic of jobs, partition of requests; the key is the job's id.
- */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class JobSubmitted implements org.apache.thrift.TBase<JobSubmitted, JobSubmitted._Fields>, java.io.Serializable, Cloneable, Comparable<JobSubmitted> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("JobSubmitted");
@@ -20,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField INTERVAL_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("intervalMs", org.apache.thrift.protocol.TType.I64, (short)5);
   private static final org.apache.thrift.protocol.TField REPETITIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("repetitions", org.apache.thrift.protocol.TType.I32, (short)6);
   private static final org.apache.thrift.protocol.TField ACCEPTED_AT_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("acceptedAtMs", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField QUEUE_POLICY_FIELD_DESC = new org.apache.thrift.protocol.TField("queuePolicy", org.apache.thrift.protocol.TType.STRUCT, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new JobSubmittedStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new JobSubmittedTupleSchemeFactory();
@@ -31,6 +29,7 @@
   private long intervalMs; // required
   private int repetitions; // required
   private long acceptedAtMs; // required
+  private @org.apache.thrift.annotation.Nullable JobQueuePolicy queuePolicy; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -40,7 +39,11 @@
     FIRST_RUN_MS((short)4, "firstRunMs"),
     INTERVAL_MS((short)5, "intervalMs"),
     REPETITIONS((short)6, "repetitions"),
-    ACCEPTED_AT_MS((short)7, "acceptedAtMs");
+    ACCEPTED_AT_MS((short)7, "acceptedAtMs"),
+    /**
+     * Settings of the queue at acceptance; absent in records of versions that did not store them.
+     */
+    QUEUE_POLICY((short)8, "queuePolicy");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -70,6 +73,8 @@
           return REPETITIONS;
         case 7: // ACCEPTED_AT_MS
           return ACCEPTED_AT_MS;
+        case 8: // QUEUE_POLICY
+          return QUEUE_POLICY;
         default:
           return null;
       }
@@ -118,6 +123,7 @@
   private static final int __REPETITIONS_ISSET_ID = 2;
   private static final int __ACCEPTEDATMS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.QUEUE_POLICY};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -136,6 +142,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.ACCEPTED_AT_MS, new org.apache.thrift.meta_data.FieldMetaData("acceptedAtMs", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.QUEUE_POLICY, new org.apache.thrift.meta_data.FieldMetaData("queuePolicy", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, JobQueuePolicy.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(JobSubmitted.class, metaDataMap);
   }
@@ -188,6 +196,9 @@
     this.intervalMs = other.intervalMs;
     this.repetitions = other.repetitions;
     this.acceptedAtMs = other.acceptedAtMs;
+    if (other.isSetQueuePolicy()) {
+      this.queuePolicy = new JobQueuePolicy(other.queuePolicy);
+    }
   }
 
   @Override
@@ -208,6 +219,7 @@
     this.repetitions = 0;
     setAcceptedAtMsIsSet(false);
     this.acceptedAtMs = 0;
+    this.queuePolicy = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -393,6 +405,37 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ACCEPTEDATMS_ISSET_ID, value);
   }
 
+  /**
+   * Settings of the queue at acceptance; absent in records of versions that did not store them.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public JobQueuePolicy getQueuePolicy() {
+    return this.queuePolicy;
+  }
+
+  /**
+   * Settings of the queue at acceptance; absent in records of versions that did not store them.
+   */
+  public JobSubmitted setQueuePolicy(@org.apache.thrift.annotation.Nullable JobQueuePolicy queuePolicy) {
+    this.queuePolicy = queuePolicy;
+    return this;
+  }
+
+  public void unsetQueuePolicy() {
+    this.queuePolicy = null;
+  }
+
+  /** Returns true if field queuePolicy is set (has been assigned a value) and false otherwise */
+  public boolean isSetQueuePolicy() {
+    return this.queuePolicy != null;
+  }
+
+  public void setQueuePolicyIsSet(boolean value) {
+    if (!value) {
+      this.queuePolicy = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -452,6 +495,14 @@
       }
       break;
 
+    case QUEUE_POLICY:
+      if (value == null) {
+        unsetQueuePolicy();
+      } else {
+        setQueuePolicy((JobQueuePolicy)value);
+      }
+      break;
+
     }
   }
 
@@ -480,6 +531,9 @@
     case ACCEPTED_AT_MS:
       return getAcceptedAtMs();
 
+    case QUEUE_POLICY:
+      return getQueuePolicy();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -506,6 +560,8 @@
       return isSetRepetitions();
     case ACCEPTED_AT_MS:
       return isSetAcceptedAtMs();
+    case QUEUE_POLICY:
+      return isSetQueuePolicy();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -586,6 +642,15 @@
         return false;
     }
 
+    boolean this_present_queuePolicy = true && this.isSetQueuePolicy();
+    boolean that_present_queuePolicy = true && that.isSetQueuePolicy();
+    if (this_present_queuePolicy || that_present_queuePolicy) {
+      if (!(this_present_queuePolicy && that_present_queuePolicy))
+        return false;
+      if (!this.queuePolicy.equals(that.queuePolicy))
+        return false;
+    }
+
     return true;
   }
 
@@ -613,6 +678,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(acceptedAtMs);
 
+    hashCode = hashCode * 8191 + ((isSetQueuePolicy()) ? 131071 : 524287);
+    if (isSetQueuePolicy())
+      hashCode = hashCode * 8191 + queuePolicy.hashCode();
+
     return hashCode;
   }
 
@@ -694,6 +763,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetQueuePolicy(), other.isSetQueuePolicy());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQueuePolicy()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.queuePolicy, other.queuePolicy);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -757,6 +836,16 @@
     sb.append("acceptedAtMs:");
     sb.append(this.acceptedAtMs);
     first = false;
+    if (isSetQueuePolicy()) {
+      if (!first) sb.append(", ");
+      sb.append("queuePolicy:");
+      if (this.queuePolicy == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.queuePolicy);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -764,6 +853,9 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // check for sub-struct validity
+    if (queuePolicy != null) {
+      queuePolicy.validate();
+    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -871,6 +963,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 8: // QUEUE_POLICY
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+              struct.queuePolicy = new JobQueuePolicy();
+              struct.queuePolicy.read(iprot);
+              struct.setQueuePolicyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -921,6 +1022,13 @@
       oprot.writeFieldBegin(ACCEPTED_AT_MS_FIELD_DESC);
       oprot.writeI64(struct.acceptedAtMs);
       oprot.writeFieldEnd();
+      if (struct.queuePolicy != null) {
+        if (struct.isSetQueuePolicy()) {
+          oprot.writeFieldBegin(QUEUE_POLICY_FIELD_DESC);
+          struct.queuePolicy.write(oprot);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -961,7 +1069,10 @@
       if (struct.isSetAcceptedAtMs()) {
         optionals.set(6);
       }
-      oprot.writeBitSet(optionals, 7);
+      if (struct.isSetQueuePolicy()) {
+        optionals.set(7);
+      }
+      oprot.writeBitSet(optionals, 8);
       if (struct.isSetQueue()) {
         oprot.writeString(struct.queue);
       }
@@ -989,12 +1100,15 @@
       if (struct.isSetAcceptedAtMs()) {
         oprot.writeI64(struct.acceptedAtMs);
       }
+      if (struct.isSetQueuePolicy()) {
+        struct.queuePolicy.write(oprot);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, JobSubmitted struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(7);
+      java.util.BitSet incoming = iprot.readBitSet(8);
       if (incoming.get(0)) {
         struct.queue = iprot.readString();
         struct.setQueueIsSet(true);
@@ -1033,6 +1147,11 @@
         struct.acceptedAtMs = iprot.readI64();
         struct.setAcceptedAtMsIsSet(true);
       }
+      if (incoming.get(7)) {
+        struct.queuePolicy = new JobQueuePolicy();
+        struct.queuePolicy.read(iprot);
+        struct.setQueuePolicyIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -267,6 +267,14 @@
   16: i32 maxAbsent
 }
 /** Records of the topic of jobs, partition of requests; the key is the job's id. */
+/** Settings of a queue that the scheduler needs for its jobs. */
+struct JobQueuePolicy {
+  1: string serviceName,
+  2: i32 priority,
+  3: i32 maxAttempts,
+  4: i64 targetLatencyMs,
+  5: double criticalPathFactor
+}
 struct JobSubmitted {
   1: string queue,
   2: string payload,
@@ -274,7 +282,9 @@
   4: i64 firstRunMs,
   5: i64 intervalMs,
   6: i32 repetitions,
-  7: i64 acceptedAtMs
+  7: i64 acceptedAtMs,
+  /** Settings of the queue at acceptance; absent in records of versions that did not store them. */
+  8: optional JobQueuePolicy queuePolicy
 }
 struct JobCancelled { 1: i64 cancelledAtMs }
 union JobRequest { 1: JobSubmitted submitted, 2: JobCancelled cancelled }
--- a/protocol/src/test/java/org/fulmarreach/protocol/io/JobRecordsTest.java
+++ b/protocol/src/test/java/org/fulmarreach/protocol/io/JobRecordsTest.java
@@ -3,7 +3,10 @@
 import java.util.List;
 
 import org.fulmarreach.core.jobs.JobSnapshot;
+import org.fulmarreach.core.jobs.JobSpec;
 import org.fulmarreach.core.jobs.JobStatus;
+import org.fulmarreach.core.jobs.JobStep;
+import org.fulmarreach.core.jobs.QueuePolicy;
 import org.fulmarreach.core.jobs.TaskPhase;
 import org.fulmarreach.core.jobs.TaskState;
 import org.fulmarreach.core.jobs.WorkerRef;
@@ -16,10 +19,28 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 
-/** Guards against progress of jobs that is lost between two leaders, or between two versions. */
+/** Guards against jobs, and progress of them, that is lost between two leaders, or between two versions. */
 class JobRecordsTest {
     private static final WorkerRef WORKER = new WorkerRef("guard-1", "worker-1", 7);
+    private static final JobStep STEP = new JobStep(
+            1,
+            new Resources(100, 100, 0),
+            100,
+            List.of(),
+            false,
+            false,
+            false,
+            "",
+            "",
+            0,
+            false,
+            false,
+            "",
+            0,
+            false,
+            0);
 
     /** A new leader reads the count from the record of its predecessor; without it the task would start anew. */
     @Test
@@ -36,6 +57,23 @@
                         JobRecords.decodeState(JobRecords.encode(snapshot)).getProgress()));
     }
 
+    /** A leader that does not know the queue any more finds no service for the job without them. */
+    @Test
+    void settingsOfTheQueueAreStoredWithTheJob() {
+        QueuePolicy policy = new QueuePolicy("service", 3, 2, 1_000, 2.5);
+        JobSpec job = new JobSpec("job", "q", "text", List.of(STEP), 0, 0, 0, 5, policy);
+        assertEquals(job, JobRecords.decodeJob("job", JobRecords.encode(job)));
+    }
+
+    /** Records of the former version have no settings of the queue; refusing them would lose their jobs. */
+    @Test
+    void jobWithoutSettingsOfItsQueueIsRead() {
+        JobSpec job = new JobSpec("job", "q", "text", List.of(STEP), 0, 0, 0, 5);
+        JobSpec read = JobRecords.decodeJob("job", JobRecords.encode(job));
+        assertNull(read.queuePolicy());
+        assertEquals(job, read);
+    }
+
     /** Records of the former version have no counts. */
     @Test
     void recordWithoutCrashesIsRead() {
--- a/protocol/src/test/java/org/fulmarreach/protocol/io/OddRecordsTest.java
+++ b/protocol/src/test/java/org/fulmarreach/protocol/io/OddRecordsTest.java
@@ -7,6 +7,7 @@
 import org.fulmarreach.core.jobs.JobSpec;
 import org.fulmarreach.protocol.thrift.EndedRun;
 import org.fulmarreach.protocol.thrift.JobProgress;
+import org.fulmarreach.protocol.thrift.JobQueuePolicy;
 import org.fulmarreach.protocol.thrift.JobRequest;
 import org.fulmarreach.protocol.thrift.JobStep;
 import org.fulmarreach.protocol.thrift.JobSubmitted;
@@ -45,7 +46,15 @@
                 submission -> submission.setRepetitions(TOO_MANY_TASKS),
                 submission -> submission.setFirstRunMs(Long.MAX_VALUE),
                 submission -> submission.setIntervalMs(-1),
-                submission -> submission.setIntervalMs(Long.MAX_VALUE));
+                submission -> submission.setIntervalMs(Long.MAX_VALUE),
+                submission -> submission.setQueuePolicy(new JobQueuePolicy(null, 0, 1, 0, 1)),
+                submission -> submission.setQueuePolicy(new JobQueuePolicy("s", -1, 1, 0, 1)),
+                submission -> submission.setQueuePolicy(new JobQueuePolicy("s", 0, 0, 0, 1)),
+                submission -> submission.setQueuePolicy(new JobQueuePolicy("s", 0, 1, -1, 1)),
+                submission -> submission.setQueuePolicy(new JobQueuePolicy("s", 0, 1, Long.MAX_VALUE, 1)),
+                submission -> submission.setQueuePolicy(new JobQueuePolicy("s", 0, 1, 0, -1)),
+                submission -> submission.setQueuePolicy(new JobQueuePolicy("s", 0, 1, 0, Double.POSITIVE_INFINITY)),
+                submission -> submission.setQueuePolicy(new JobQueuePolicy("s", 0, 1, 0, Double.NaN)));
         for (int i = 0; i < changes.size(); i++) {
             Consumer<JobSubmitted> change = changes.get(i);
             assertThrows(FrameException.class, () -> decodeJob(change), "change " + i);
