Start all members of a gang from one checkpoint

Callers saw a job with a gang run for ever after the worker of one member had crashed: each run of the gang ended alone, GANG broken.

Cause: the checkpoint was kept and sent for each task. The member of the crashed worker started from the value that was last listed, the others from that of their end. The value from any member of a gang is valid for the gang, and all must carry the same one (PROTOCOL, running tasks), so the members never began together, and the next run started from the same values.

Change: one checkpoint is chosen when a gang is placed and becomes the stored state of each member with the new run number, before a start is sent. A repeated start and one of a new leader thus carry it too: members that wait for another one make no progress. Checkpoints are opaque, so the one that the leader saw change last is taken; values that were read from the log have no order, and the first member's is taken. Tasks that are no gang keep their own.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Job.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Job.java
@@ -14,6 +14,7 @@
     private boolean cancelled;
     private boolean changed;
     private boolean discarded;
+    private long checkpointChanges;
     private long settledAtMs;
     private JobStatus acknowledgedStatus = JobStatus.QUEUED;
     private JobSnapshot acknowledged;
@@ -201,6 +202,12 @@
         phaseCounts[after.phase().ordinal()]++;
     }
 
+    /** Counts a change of a task's checkpoint; returns the number of changes so far. */
+    long countCheckpointChange() {
+        checkpointChanges++;
+        return checkpointChanges;
+    }
+
     private int count(TaskPhase phase) {
         return phaseCounts[phase.ordinal()];
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -407,6 +407,10 @@
         }
     }
 
+    /**
+     * Places all members of a gang or none. They get the same run and the same checkpoint, and both are stored for each
+     * member before a start is sent, so a start that is repeated carries them too.
+     */
     private void placeGang(List<JobTask> tasks, String service, long nowMs) {
         List<WorkerView> chosen = new ArrayList<>();
         int run = 0;
@@ -428,7 +432,9 @@
         if (chosen.size() < tasks.size()) {
             placement.onCapacityFreed();
         } else {
+            String checkpoint = JobTask.newestCheckpoint(tasks);
             for (int i = 0; i < tasks.size(); i++) {
+                tasks.get(i).resumeFrom(checkpoint);
                 assign(tasks.get(i), chosen.get(i), run + 1, nowMs);
             }
         }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -1,5 +1,8 @@
 package org.fulmarreach.core.jobs;
 
+import java.util.Comparator;
+import java.util.List;
+
 /**
  * A task of a job, with its durable state and the leader's observations of its current run. Confined to the thread or
  * actor that owns its {@link JobRegistry}.
@@ -23,6 +26,9 @@
     private int cpuSharePercent = FULL_CPU_SHARE_PERCENT;
     private boolean endForgotten;
 
+    /** Position of the checkpoint's last change among those of the job in this term; 0 if it was read from the log. */
+    private long checkpointChange;
+
     JobTask(Job job, TaskName name, JobStep step) {
         this.job = job;
         this.name = name;
@@ -177,6 +183,25 @@
         }
     }
 
+    /**
+     * Returns the newest checkpoint of a gang; that of any member is valid for all. Checkpoints are opaque, so their
+     * age is the order in which the leader saw them. Of those that were read from the log it takes the first member's.
+     *
+     * @return empty only if no member has a checkpoint
+     */
+    static String newestCheckpoint(List<JobTask> members) {
+        return members.stream()
+                .filter(member -> !member.state.checkpoint().isEmpty())
+                .max(Comparator.comparingLong(member -> member.checkpointChange))
+                .map(member -> member.state.checkpoint())
+                .orElse("");
+    }
+
+    /** Sets the checkpoint that the next run starts from; it is written with the assignment of that run. */
+    void resumeFrom(String checkpoint) {
+        replace(state.withCheckpoint(checkpoint));
+    }
+
     /** Sets the numbers of worker crashes that the task is suspected of. */
     void setCrashes(int crashes, int soleCrashes) {
         change(state.withCrashes(crashes, soleCrashes));
@@ -232,6 +257,7 @@
 
     void restore(TaskState restored) {
         replace(restored);
+        checkpointChange = 0;
         progress = RunProgress.NONE;
         pollsWithoutRun = NOT_COUNTING;
         workerView = null;
@@ -245,6 +271,9 @@
 
     private void replace(TaskState next) {
         job.count(state, next);
+        if (!next.checkpoint().equals(state.checkpoint())) {
+            checkpointChange = job.countCheckpointChange();
+        }
         state = next;
     }
 }
