Refuse reports of guards that do not say which guard sends them

Callers saw nothing yet: found by reading. One frame without the name of a guard on the internal port of the leader ended its process as soon as the connection of that frame was closed, and all entries waited for the next election.

Cause: the name is not checked. The session was kept under null, and the set of the guards that have left, copied in the next scheduling pass, accepts no null (NullPointerException on the actor, outside of the handling of frames). A report on the worker of another guard than the sender was believed, too: the session counts for the sender, but orders and grants go to the guard that the worker's reference names.

Change: both are refused before they have an effect. FRAME_REFUSED (1104) says why and the connection is closed. Guards always send their own name in both places.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -539,7 +539,14 @@
             redirects.await(link);
             return;
         }
+        if (message.getGuard() == null || message.getGuard().isEmpty()) {
+            throw new FrameException("a report names no guard");
+        }
         WorkerReport report = message.isSetWorker() ? GuardMessages.fromThrift(message.getWorker()) : null;
+        if (report != null && !report.ref().guard().equals(message.getGuard())) {
+            throw new FrameException("guard " + message.getGuard() + " reports on a worker of guard "
+                    + report.ref().guard());
+        }
         sessions.onReport(message.getGuard(), link, message.getTickMs(), report == null ? null : report.ref());
         if (report == null) {
             return;
