Read the record of a cancellation before it cancels a job

Callers saw nothing yet: found by reading. Any record under the key of a cancellation cancelled the job, whatever its bytes were, and the job was shown as cancelled without cause (LOST). Another entry could forward such a record and it was stored.

Cause: only the key was looked at; records of jobs and of progress are decoded, cancellations were not.

Change: JobRecords.requireCancellation checks the record where records are applied (RECORD_SKIPPED, 4043, for others) and where forwarded requests are accepted (FRAME_REFUSED). The records that entries write are unchanged and pass.

Tests: OddJobRecordTest.jobIsNotCancelled, 4 of 4 failed before; submissionsAreStoredAfterAForwardedRequest with a submission under the key of a cancellation failed before. The classes of entry.jobs: 109 tests, none failed.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RecordApplier.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RecordApplier.java
@@ -52,6 +52,7 @@
                 if (entry.isRemoval()) {
                     registry.forgetCancellation(JobTopics.jobId(key));
                 } else {
+                    JobRecords.requireCancellation(entry.value());
                     cancelJob(JobTopics.jobId(key));
                 }
             } else if (JobTopics.isJob(key) && entry.isRemoval()) {
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
@@ -138,6 +138,8 @@
         }
         if (JobTopics.isJob(key)) {
             JobRecords.decodeJob(JobTopics.jobId(key), request.getValue());
+        } else {
+            JobRecords.requireCancellation(request.getValue());
         }
         return new KeyedRecord(key, request.getValue());
     }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/OddJobRecordTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/OddJobRecordTest.java
@@ -12,6 +12,7 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.awaitility.Awaitility;
 import org.fulmarreach.core.jobs.JobSnapshot;
+import org.fulmarreach.core.jobs.JobStatus;
 import org.fulmarreach.core.jobs.JobTimeLimits;
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.KeyedRecord;
@@ -91,6 +92,29 @@
                 Arguments.of("empty union", progress, state, new byte[] {0}));
     }
 
+    /** The key alone cancelled the job, whatever its value was. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("oddCancellations")
+    void jobIsNotCancelled(String name, byte[] record) throws Exception {
+        append(JobPartitions.REQUESTS, JobTopics.jobKey("job"), encode(usual()));
+        append(JobPartitions.REQUESTS, JobTopics.cancelKey("job"), record);
+        append(JobPartitions.REQUESTS, JobTopics.jobKey("cancelled"), encode(usual()));
+        append(JobPartitions.REQUESTS, JobTopics.cancelKey("cancelled"), JobRecords.encodeCancellation(1));
+        start("{\"version\":7,\"routes\":[" + ROUTE + "]}");
+        Awaitility.await().atMost(TIMEOUT).until(() -> describe().contains("jobs=2"));
+        Awaitility.await().atMost(TIMEOUT).until(() -> describe().contains("leads=true"));
+        assertEquals(JobStatus.QUEUED, query("job"));
+        assertEquals(JobStatus.CANCELLED, query("cancelled"));
+    }
+
+    static Stream<Arguments> oddCancellations() {
+        return Stream.of(
+                Arguments.of("text", "{}".getBytes(StandardCharsets.UTF_8)),
+                Arguments.of("empty union", new byte[] {0}),
+                Arguments.of("submission", encode(usual())),
+                Arguments.of("negative time", JobRecords.encodeCancellation(-1)));
+    }
+
     /** A route that lacks a field made the whole configuration unreadable, so no queue was served. */
     @ParameterizedTest
     @MethodSource("oddRoutes")
@@ -136,7 +160,8 @@
                 Arguments.of("no value", new ForwardedRequest().setKey(key)),
                 Arguments.of("key of something else", request("leader", record)),
                 Arguments.of("key too long", request(key.repeat(100), record)),
-                Arguments.of("value that is no job", request(key, new byte[] {1, 2, 3})));
+                Arguments.of("value that is no job", request(key, new byte[] {1, 2, 3})),
+                Arguments.of("submission as cancellation", request(JobTopics.cancelKey("odd"), record)));
     }
 
     private static ForwardedRequest request(String key, byte[] value) {
@@ -199,6 +224,13 @@
         store.append(partition, List.of(new KeyedRecord(key, value)), new AppendCondition.None());
     }
 
+    private JobStatus query(String id) throws Exception {
+        CompletableFuture<JobsCommand.StatusAnswer> answer = new CompletableFuture<>();
+        entry.tell(new JobsCommand.Query(id, answer));
+        return assertInstanceOf(JobsCommand.StatusAnswer.Known.class, answer.get(5, TimeUnit.SECONDS))
+                .status();
+    }
+
     private String describe() throws Exception {
         CompletableFuture<String> described = new CompletableFuture<>();
         entry.tell(new JobsCommand.Describe(described));
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -90,6 +90,19 @@
                 submitted.getAcceptedAtMs());
     }
 
+    /**
+     * Checks that a record is a cancellation; its key names the job.
+     *
+     * @throws FrameException if it is malformed, another record or has an impossible time
+     */
+    public static void requireCancellation(byte[] bytes) {
+        JobRequest request = ThriftBytes.decode(bytes, new JobRequest());
+        if (!request.isSetCancelled()) {
+            throw new FrameException("record of a cancellation holds " + request.getSetField());
+        }
+        requireRange(request.getCancelled().getCancelledAtMs(), 0, TimeBounds.MAX_UNIX_MS, "cancelledAtMs");
+    }
+
     /*
      * Progress and leadership
      */
