Leave terms above every record of a leader that is accepted

Callers saw nothing yet: found by reading. After a leader's record of another writer with a term of 2^53 - 1 or 2^53 no guard and no other entry could find a leader again, and no later election ended that; the record stays the newest of its key until then.

Cause: an election follows on the largest term that was read. The decoder accepts terms up to 2^53, the largest number that many writers use as a limit, so the next terms were won by appends whose record every process refuses as one of another writer.

Change: MAX_TERM is 3 * 2^40. Powers of two and limits of number types are either far above it, so that they are refused, or far below, so that billions of elections remain, as are times in milliseconds. Terms count elections, of which there are at most a few a second. A record with exactly this term, or a little less, still has the former effect; no bound avoids that.

--- a/entry/src/test/java/org/fulmarreach/entry/jobs/OddLeaderRecordTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/OddLeaderRecordTest.java
@@ -32,6 +32,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /**
  * A record of another writer under the key of the leader. An entry that read one ended, and ended again after each
@@ -47,6 +50,8 @@
     /** Below the 1.5 s without a record after which an entry stands for election. */
     private static final Duration RESIGNATION_TIMEOUT = Duration.ofMillis(1_300);
 
+    private static final long MANY_ELECTIONS = 1_000_000_000;
+
     private final FakeStore store = new FakeStore();
     private ActorSystem<JobsCommand> entry;
 
@@ -75,6 +80,22 @@
         Awaitility.await().atMost(RESIGNATION_TIMEOUT).until(() -> describe().contains("leads=true"));
     }
 
+    /**
+     * The term after the largest one that is read was won by an append whose record no process accepts, so no guard and
+     * no other entry found the leader, and no later election could end that.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1L << 40, 1L << 42, 1_000_000_000_000_000L, (1L << 53) - 1, 1L << 53, 1L << 62})
+    void termFarInTheFutureLeavesTermsThatAreRead(long term) throws Exception {
+        append(TopicPartition.OPERATOR, TopicPartition.CONFIG_KEY, CONFIG.getBytes(StandardCharsets.UTF_8));
+        append(JobPartitions.PROGRESS, JobTopics.LEADER_KEY, JobRecords.encodeLeader(term, "entry-9", "127.0.0.1:1"));
+        start();
+        Awaitility.await().atMost(TIMEOUT).until(() -> describe().contains("leads=true"));
+        JobLeader leader = newestLeader();
+        assertEquals("entry-0", leader.getNode());
+        JobRecords.decodeLeader(JobRecords.encodeLeader(leader.getTerm() + MANY_ELECTIONS, "entry-8", "127.0.0.1:2"));
+    }
+
     static Stream<Arguments> oddRecords() {
         return Stream.of(
                 Arguments.of("port too large", JobRecords.encodeLeader(3, "entry-9", "10.0.0.1:70000")),
@@ -108,6 +129,13 @@
                 1);
     }
 
+    private JobLeader newestLeader() {
+        List<KeyedRecord> leaders = store.records(JobPartitions.PROGRESS).stream()
+                .filter(each -> each.key().equals(JobTopics.LEADER_KEY))
+                .toList();
+        return JobRecords.decodeLeader(leaders.get(leaders.size() - 1).value());
+    }
+
     private void append(TopicPartition partition, String key, byte[] value) {
         store.append(partition, List.of(new KeyedRecord(key, value)), new AppendCondition.None());
     }
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -32,8 +32,12 @@
  * {@link FrameException}.
  */
 public final class JobRecords {
-    /** Largest term of a leader. Terms count elections; the next one must never exceed the range of a long. */
-    public static final long MAX_TERM = 1L << 53;
+    /**
+     * Largest term of a leader that is read. Terms count elections. An election follows on the largest term that was
+     * read, so a record of another writer with exactly this term would leave none for it. Hence it is no number that
+     * others use as a limit: the largest values of integers and doubles are far above, times in milliseconds far below.
+     */
+    public static final long MAX_TERM = 3L << 40;
 
     private static final int NO_WORKER = -1;
 
