Refuse the progress of a job without tasks

Callers saw nothing yet: found by reading. A record of progress without tasks made the entries show its job as completed (MIXED), while its tasks were still pending.

Cause: the state that callers are shown is taken from the tasks of the record, and of none all are done.

A record with fewer tasks than its job, all of them done, still has that effect; only the registry knows the job's number of tasks.

Tests: OddRecordsTest.oddProgressIsAFrameException failed before (change 2), passes now.

--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -198,6 +198,8 @@
         for (JobTaskState state : require(progress.getTasks(), "tasks")) {
             tasks.add(fromThrift(state, workers));
         }
+        // Every job has a task; without any, all of them would count as done.
+        requireRange(tasks.size(), 1, JobSpec.MAX_TASKS, "number of tasks");
         long settledAtMs = requireRange(progress.getSettledAtMs(), 0, TimeBounds.MAX_UNIX_MS, "settledAtMs");
         return new JobSnapshot(tasks, settledAtMs, progress.isBegun() || hasBegun(tasks));
     }
--- a/protocol/src/test/java/org/fulmarreach/protocol/io/OddRecordsTest.java
+++ b/protocol/src/test/java/org/fulmarreach/protocol/io/OddRecordsTest.java
@@ -90,6 +90,8 @@
         List<Consumer<JobProgress>> changes = List.of(
                 progress -> progress.setWorkers(null),
                 progress -> progress.setTasks(null),
+                // Every job has a task; without any, all of them counted as done and the job as completed.
+                progress -> progress.setTasks(List.of()),
                 progress -> progress.setSettledAtMs(-1),
                 progress -> progress.getTasks().get(0).setPhase(99),
                 progress -> progress.getTasks().get(0).setPhase(-1),
