Cut long values in log lines

Callers saw nothing yet: found by reading. Many values of events come from other processes and writers: the unknown state of a heartbeat of up to 4 MiB, the address of a leader's record of up to 256 KiB, the reasons of refused frames. Each went into its line as a whole, and 4,096 lines may wait for the writer, so that a few such documents can exhaust the memory of a guard or an entry.

Change: EventLog cuts a value after 4,000 characters and says how long it was.

The exhausted memory was not reproduced.

--- a/runtime/src/main/java/org/fulmarreach/runtime/log/EventLog.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/log/EventLog.java
@@ -6,6 +6,9 @@
  * Writes numbered events as {@code event=3204 name=BUDGET_EXHAUSTED key=value ...} through Flogger. Thread-safe.
  */
 public final class EventLog {
+    /** Other processes and writers determine many values, and thousands of lines may wait for the writer. */
+    private static final int MAX_VALUE_CHARS = 4_000;
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final String process;
@@ -24,7 +27,7 @@
      *
      * @param event kind of event
      * @param fields alternating keys and values; a value that is empty or contains spaces, control characters, quotes,
-     *     equals signs or backslashes is quoted
+     *     equals signs or backslashes is quoted, and a value of more than 4,000 characters is cut
      */
     public void emit(Event event, Object... fields) {
         if (!LOGGER.at(event.level()).isEnabled()) {
@@ -35,11 +38,17 @@
         line.append(" process=").append(process);
         for (int i = 0; i + 1 < fields.length; i += 2) {
             line.append(' ').append(fields[i]).append('=');
-            appendValue(line, String.valueOf(fields[i + 1]));
+            appendValue(line, cut(String.valueOf(fields[i + 1])));
         }
         LOGGER.at(event.level()).log("%s", line);
     }
 
+    private static String cut(String value) {
+        return value.length() <= MAX_VALUE_CHARS
+                ? value
+                : value.substring(0, MAX_VALUE_CHARS) + "... (" + value.length() + " characters)";
+    }
+
     private static void appendValue(StringBuilder line, String value) {
         boolean plain = !value.isEmpty();
         for (int i = 0; i < value.length() && plain; i++) {
