Bound the deadline that a caller's header names

Callers saw nothing yet: found by reading. A request with a deadline of nearly 2^63 ms had expired when it arrived, because the sum with the clock overflowed: where the queue has no timeout, it was answered with 503 or 504 at the next tick unless the store answered before. A deadline of years kept a request in memory for as long as the store failed; one of -2^63 overflowed to a wait without end.

Change: JobsHttp takes 0 to 600,000 ms from the header.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
@@ -39,6 +39,9 @@
     /** Deadline of a request without a deadline header. */
     private static final long DEFAULT_WAIT_MS = 3_000;
 
+    /** Longest deadline that is taken from a header; the request is kept in memory for that long. */
+    private static final long MAX_WAIT_MS = 600_000;
+
     /** Time after which this or another entry can probably serve the request: about the duration of an election. */
     private static final int RETRY_AFTER_S = 1;
 
@@ -326,6 +329,7 @@
         if (queue.timeoutMs() > 0) {
             waitMs = Math.min(waitMs, queue.timeoutMs());
         }
-        return Math.min(answerByMs, clock.nowMs() + Math.max(1, waitMs - ANSWER_MARGIN_MS));
+        long boundedWaitMs = Math.clamp(waitMs, 0, MAX_WAIT_MS);
+        return Math.min(answerByMs, clock.nowMs() + Math.max(1, boundedWaitMs - ANSWER_MARGIN_MS));
     }
 }
