--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -34,8 +34,12 @@
  * {@link FrameException}.
  */
 public final class JobRecords {
-    /** Largest term of a leader. Terms count elections; the next one must never exceed the range of a long. */
-    public static final long MAX_TERM = 1L << 53;
+    /**
+     * Largest term of a leader that is read. Terms count elections. An election follows on the largest term that was
+     * read, so a record of another writer with exactly this term would leave none for it. Hence it is no number that
+     * others use as a limit: the largest values of integers and doubles are far above, times in milliseconds far below.
+     */
+    public static final long MAX_TERM = 3L << 40;
 
     private static final int NO_WORKER = -1;
 
@@ -116,6 +120,19 @@
                         policy.getCriticalPathFactor(), 0, QueuePolicy.MAX_CRITICAL_PATH_FACTOR, "criticalPathFactor"));
     }
 
+    /**
+     * Checks that a record is a cancellation; its key names the job.
+     *
+     * @throws FrameException if it is malformed, another record or has an impossible time
+     */
+    public static void requireCancellation(byte[] bytes) {
+        JobRequest request = ThriftBytes.decode(bytes, new JobRequest());
+        if (!request.isSetCancelled()) {
+            throw new FrameException("record of a cancellation holds " + request.getSetField());
+        }
+        requireRange(request.getCancelled().getCancelledAtMs(), 0, TimeBounds.MAX_UNIX_MS, "cancelledAtMs");
+    }
+
     /*
      * Progress and leadership
      */
@@ -207,6 +224,8 @@
         for (JobTaskState state : require(progress.getTasks(), "tasks")) {
             tasks.add(fromThrift(state, workers));
         }
+        // Every job has a task; without any, all of them would count as done.
+        requireRange(tasks.size(), 1, JobSpec.MAX_TASKS, "number of tasks");
         long settledAtMs = requireRange(progress.getSettledAtMs(), 0, TimeBounds.MAX_UNIX_MS, "settledAtMs");
         return new JobSnapshot(tasks, settledAtMs, progress.isBegun() || hasBegun(tasks));
     }
