Let workers of the soak drain, deregister and end

What callers saw: nothing; the soak never let a worker leave as planned. Change: the stand-in of the worker reports draining with remaining_ms, serves on for drain_ms after the confirmation and up to 8 s longer (ends some seconds later without one), deregisters and ends; a new lifetime follows. DRAIN_WORKER is the last kind of fault, so schedules of the former kinds stay.

--- a/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
+++ b/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
@@ -17,10 +17,10 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 
 /**
- * Runs jobs on the processes of the users' platform while workers start again under their id, refuse connections, and
- * hold orders and polls back, while other writers send heartbeats, and while guards and entries are paused and killed.
- * Checks, from what the workers ran, that no task runs twice, and from what callers see, that every job is completed.
- * The schedule of faults depends only on the seed and on the kinds of faults; faults overlap.
+ * Runs jobs on the processes of the users' platform while workers start again under their id, drain, refuse
+ * connections, and hold orders and polls back, while other writers send heartbeats, and while guards and entries are
+ * paused and killed. Checks, from what the workers ran, that no task runs twice, and from what callers see, that every
+ * job is completed. The schedule of faults depends only on the seed and on the kinds of faults; faults overlap.
  */
 public final class WorkerSoakMain {
     private static final int ENTRIES = 3;
@@ -32,6 +32,9 @@
     /** Shorter than a lease, so that the worker is back while its runs go on. */
     private static final int MAX_REFUSAL_MS = 4_000;
 
+    /** The platform's {@code drain_ms}. */
+    private static final int DRAIN_MS = 2_500;
+
     private static final int STRANGE_HEARTBEATS = 3;
     private static final int STRANGE_INTERVAL_MS = 700;
 
@@ -53,7 +56,8 @@
         KILL_GUARD,
         PAUSE_ENTRY,
         KILL_ENTRY,
-        STRANGE_HEARTBEATS
+        STRANGE_HEARTBEATS,
+        DRAIN_WORKER
     }
 
     private WorkerSoakMain(PlatformSite site, long seed, Fault[] kinds, PrintStream out) {
@@ -191,6 +195,7 @@
                 out.println(strange);
                 yield () -> sendStrange(worker, strange, draws);
             }
+            case DRAIN_WORKER -> () -> drain(worker, DRAIN_MS + longMs, shortMs, heartbeatMs);
         };
         faults.submit(action);
     }
@@ -229,6 +234,13 @@
         worker.start(heartbeatMs);
     }
 
+    private static void drain(PlatformWorker worker, int serveOnMs, int downMs, int heartbeatMs) {
+        if (worker.drain(serveOnMs)) {
+            PlatformSite.sleep(downMs);
+            worker.start(heartbeatMs);
+        }
+    }
+
     private static void refuse(PlatformWorker worker, int forMs) {
         worker.refuse();
         PlatformSite.sleep(forMs);
--- a/standin/src/main/java/org/fulmarreach/standin/site/PlatformWorker.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/PlatformWorker.java
@@ -31,6 +31,9 @@
     private static final int HEARTBEAT_MS = 1_100;
     private static final int TICK_MS = 5;
 
+    /** A worker that leaves without a confirmation ends this long after it began to drain, and its time to serve on. */
+    private static final int UNCONFIRMED_MS = 3_000;
+
     private final String id;
     private final String service;
     private final String host;
@@ -59,7 +62,10 @@
         private long fence;
         private long leaseUntilMs;
         private long beats;
-        private boolean over;
+        private volatile int serveOnMs;
+        private volatile long drainsUntilMs;
+        private volatile boolean drainConfirmed;
+        private volatile boolean over;
 
         long clockMs() {
             return System.currentTimeMillis() - bornMs + clockOffsetMs;
@@ -107,6 +113,43 @@
         notifyAll();
     }
 
+    /**
+     * Reports the worker as draining, serves on after the confirmation, deregisters and ends. Returns after the end.
+     *
+     * @param serveOnMs time after the confirmation, in milliseconds
+     * @return false if the worker does not run or drains already, or if it has crashed meanwhile
+     */
+    public boolean drain(int serveOnMs) {
+        Lifetime leaving;
+        synchronized (this) {
+            leaving = lifetime;
+            if (leaving.over || leaving.drainsUntilMs > 0) {
+                return false;
+            }
+            leaving.serveOnMs = serveOnMs;
+            leaving.drainsUntilMs = System.currentTimeMillis() + serveOnMs + UNCONFIRMED_MS;
+        }
+        boolean extended = false;
+        while (!leaving.over && System.currentTimeMillis() < leaving.drainsUntilMs) {
+            sleep(TICK_MS);
+            if (leaving.drainConfirmed && !extended) {
+                extended = true;
+                leaving.drainsUntilMs = System.currentTimeMillis() + serveOnMs;
+            }
+        }
+        if (leaving.over) {
+            return false;
+        }
+        send(id + "/deregister", "");
+        synchronized (this) {
+            if (leaving.over) {
+                return false;
+            }
+            crash();
+            return true;
+        }
+    }
+
     /** Returns whether a lifetime is running. */
     public synchronized boolean isUp() {
         return !lifetime.over;
@@ -143,6 +186,7 @@
         while (!current.over) {
             ObjectNode body = describe(current).put("sequence", ++current.beats);
             boolean accepted = send(id + "/heartbeat", body.toString());
+            current.drainConfirmed |= accepted && body.has("remaining_ms");
             sleep(accepted ? HEARTBEAT_MS : 200);
         }
     }
@@ -162,6 +206,10 @@
         ObjectNode body = JsonServer.JSON.createObjectNode();
         body.put("service", service).put("address", host + ":" + port).put("zone", "z1");
         body.put("version", "v1").put("slots", 8).put("state", "ready").put("cold_remaining_ms", 0);
+        if (current.drainsUntilMs > 0) {
+            long remainingMs = Math.min(current.serveOnMs, current.drainsUntilMs - System.currentTimeMillis());
+            body.put("state", "draining").put("remaining_ms", Math.max(0, remainingMs));
+        }
         body.putObject("capacity").put("cpu", 64_000).put("mem_mb", 250_000).put("gpu", 0);
         body.putArray("labels").add("a").add("r1-" + id);
         return body.put("born", current.bornMs).put("clock_ms", current.clockMs());
