Let workers of the soak come back under another id

What callers saw: nothing; the soak knew only workers that keep their id at an address. Change: RENAME_WORKER ends a worker and starts it under an id that the address never had; half of the drained workers come back so too. A call that names the former id is answered 421.

--- a/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
+++ b/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
@@ -17,10 +17,10 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 
 /**
- * Runs jobs on the processes of the users' platform while workers start again under their id, drain, refuse
- * connections, and hold orders and polls back, while other writers send heartbeats, and while guards and entries are
- * paused and killed. Checks, from what the workers ran, that no task runs twice, and from what callers see, that every
- * job is completed. The schedule of faults depends only on the seed and on the kinds of faults; faults overlap.
+ * Runs jobs on the processes of the users' platform while workers start again under their id or another one, drain,
+ * refuse connections, and hold orders and polls back, while other writers send heartbeats, and while guards and entries
+ * are paused and killed. Checks, from what the workers ran, that no task runs twice, and from what callers see, that
+ * every job is completed. The schedule of faults depends only on the seed and on the kinds of faults; faults overlap.
  */
 public final class WorkerSoakMain {
     private static final int ENTRIES = 3;
@@ -57,7 +57,8 @@
         PAUSE_ENTRY,
         KILL_ENTRY,
         STRANGE_HEARTBEATS,
-        DRAIN_WORKER
+        DRAIN_WORKER,
+        RENAME_WORKER
     }
 
     private WorkerSoakMain(PlatformSite site, long seed, Fault[] kinds, PrintStream out) {
@@ -180,8 +181,8 @@
         int heartbeatMs = random.nextInt(0, 1_100);
         out.println(fault + " worker " + index + " " + entry + " " + shortMs + " " + longMs + " " + heartbeatMs);
         Runnable action = switch (fault) {
-            case RESTART_WORKER -> () -> restart(worker, shortMs, heartbeatMs);
-            case RESTART_WORKER_LATE -> () -> restart(worker, longMs, heartbeatMs);
+            case RESTART_WORKER -> () -> restart(worker, shortMs, () -> worker.start(heartbeatMs));
+            case RESTART_WORKER_LATE -> () -> restart(worker, longMs, () -> worker.start(heartbeatMs));
             case REFUSE_CONNECTIONS -> () -> refuse(worker, Math.min(longMs, MAX_REFUSAL_MS));
             case HOLD_ORDERS -> () -> worker.holdOrders(longMs);
             case HOLD_POLLS -> () -> worker.holdPolls(longMs);
@@ -196,6 +197,7 @@
                 yield () -> sendStrange(worker, strange, draws);
             }
             case DRAIN_WORKER -> () -> drain(worker, DRAIN_MS + longMs, shortMs, heartbeatMs);
+            case RENAME_WORKER -> () -> restart(worker, shortMs, () -> worker.startRenamed(heartbeatMs));
         };
         faults.submit(action);
     }
@@ -223,7 +225,7 @@
         }
     }
 
-    private static void restart(PlatformWorker worker, int downMs, int heartbeatMs) {
+    private static void restart(PlatformWorker worker, int downMs, Runnable start) {
         synchronized (worker) {
             if (!worker.isUp()) {
                 return;
@@ -231,13 +233,18 @@
             worker.crash();
         }
         PlatformSite.sleep(downMs);
-        worker.start(heartbeatMs);
+        start.run();
     }
 
+    /** A worker that has left comes back under its id or, as often, under another one. */
     private static void drain(PlatformWorker worker, int serveOnMs, int downMs, int heartbeatMs) {
         if (worker.drain(serveOnMs)) {
             PlatformSite.sleep(downMs);
-            worker.start(heartbeatMs);
+            if (heartbeatMs % 2 == 0) {
+                worker.start(heartbeatMs);
+            } else {
+                worker.startRenamed(heartbeatMs);
+            }
         }
     }
 
--- a/standin/src/main/java/org/fulmarreach/standin/site/PlatformWorker.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/PlatformWorker.java
@@ -21,9 +21,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
- * Stand-in of a worker of the users' platform, with its faults. It keeps its id when it starts again; its clock and the
- * numbers of its ends begin anew. Like the platform it names its lifetime in heartbeats and lists, and not in the
- * answers to orders. Thread-safe.
+ * Stand-in of a worker of the users' platform, with its faults. It keeps its id when it starts again, unless the
+ * caller asks for another one; its clock and the numbers of its ends begin anew. Like the platform it names its
+ * lifetime in heartbeats and lists, and not in the answers to orders. Thread-safe.
  */
 public final class PlatformWorker {
     private static final int MAX_HOLD_MS = 6_000;
@@ -34,7 +34,7 @@
     /** A worker that leaves without a confirmation ends this long after it began to drain, and its time to serve on. */
     private static final int UNCONFIRMED_MS = 3_000;
 
-    private final String id;
+    private final String machine;
     private final String service;
     private final String host;
     private final int port;
@@ -47,11 +47,14 @@
     private JsonServer server;
     private Lifetime lifetime;
     private Lifetime refusing;
+    private String id;
+    private int renames;
     private long ordersHeldUntilMs;
     private long pollsHeldUntilMs;
 
     /** One lifetime of the process. */
     private static final class Lifetime {
+        private final String id;
         private final long bornMs = System.currentTimeMillis();
         private final long clockOffsetMs = ThreadLocalRandom.current().nextLong(10_000_000);
         private final Map<String, RunHistory.Run> running = new LinkedHashMap<>();
@@ -67,6 +70,10 @@
         private volatile boolean drainConfirmed;
         private volatile boolean over;
 
+        private Lifetime(String id) {
+            this.id = id;
+        }
+
         long clockMs() {
             return System.currentTimeMillis() - bornMs + clockOffsetMs;
         }
@@ -75,7 +82,7 @@
     /**
      * Constructs a worker that is not started yet.
      *
-     * @param id its id, in all lifetimes
+     * @param id its id, until {@link #startRenamed}
      * @param service service that it belongs to
      * @param host IP address that it listens on
      * @param port port that it listens on
@@ -84,6 +91,7 @@
      */
     public PlatformWorker(String id, String service, String host, int port, String guardAddress, RunHistory history) {
         this.id = id;
+        this.machine = id;
         this.service = service;
         this.host = host;
         this.port = port;
@@ -93,13 +101,19 @@
 
     /** Starts a lifetime; its first heartbeat follows after a delay. */
     public synchronized void start(int firstHeartbeatMs) {
-        Lifetime started = new Lifetime();
+        Lifetime started = new Lifetime(id);
         lifetime = started;
         server = new JsonServer(host, port, (path, query, body) -> answer(started, path, query, body));
         Thread.ofVirtual().start(() -> sendHeartbeats(started, firstHeartbeatMs));
         Thread.ofVirtual().start(() -> work(started));
     }
 
+    /** Starts a lifetime under an id that no lifetime at this address has had, as {@link #start} does. */
+    public synchronized void startRenamed(int firstHeartbeatMs) {
+        id = machine + "-" + ++renames;
+        start(firstHeartbeatMs);
+    }
+
     /** Ends the process with all that it runs. */
     public synchronized void crash() {
         if (lifetime.over) {
@@ -140,7 +154,7 @@
         if (leaving.over) {
             return false;
         }
-        send(id + "/deregister", "");
+        send(leaving.id + "/deregister", "");
         synchronized (this) {
             if (leaving.over) {
                 return false;
@@ -185,7 +199,7 @@
         sleep(firstMs);
         while (!current.over) {
             ObjectNode body = describe(current).put("sequence", ++current.beats);
-            boolean accepted = send(id + "/heartbeat", body.toString());
+            boolean accepted = send(current.id + "/heartbeat", body.toString());
             current.drainConfirmed |= accepted && body.has("remaining_ms");
             sleep(accepted ? HEARTBEAT_MS : 200);
         }
@@ -199,7 +213,7 @@
         }
         ObjectNode body = describe(current).put("sequence", current.beats + 1);
         String text = strange.text(body, System.currentTimeMillis(), random);
-        send(strange.workerId(id, random) + "/" + strange.call(), text);
+        send(strange.workerId(current.id, random) + "/" + strange.call(), text);
     }
 
     private ObjectNode describe(Lifetime current) {
@@ -211,7 +225,7 @@
             body.put("state", "draining").put("remaining_ms", Math.max(0, remainingMs));
         }
         body.putObject("capacity").put("cpu", 64_000).put("mem_mb", 250_000).put("gpu", 0);
-        body.putArray("labels").add("a").add("r1-" + id);
+        body.putArray("labels").add("a").add("r1-" + machine);
         return body.put("born", current.bornMs).put("clock_ms", current.clockMs());
     }
 
@@ -264,7 +278,7 @@
 
     private Answer answer(Lifetime current, String path, Map<String, String> query, byte[] body)
             throws InterruptedException, IOException {
-        if (query.containsKey("expected") && !query.get("expected").equals(id)) {
+        if (query.containsKey("expected") && !query.get("expected").equals(current.id)) {
             return Answer.json(421, clock(current));
         }
         JsonNode call = JsonServer.JSON.readTree(body);
@@ -316,7 +330,7 @@
             return Answer.json(409, clock(current).put("reason", "late"));
         }
         long workMs = Long.parseLong(call.get("specification").asText());
-        current.running.put(task, history.start(task, number, id + "/" + current.bornMs, workMs));
+        current.running.put(task, history.start(task, number, current.id + "/" + current.bornMs, workMs));
         return Answer.json(200, clock(current));
     }
 
