Let the store of the soak fail: silence, refusals, lost answers

What callers saw: nothing; the soak's store always answered. Change: the stand-in of the store listens at an address for the guards and at one for each entry, and is silent (half of the calls are carried out when the silence ends), refuses with 503 for all or for one entry, or loses half of its answers, for 0.9 to 8 s. The new kinds of faults are the last ones.

--- a/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
+++ b/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.IntStream;
 
 import org.fulmarreach.it.ManagedProcess;
 import org.fulmarreach.standin.site.PlatformStore;
@@ -44,7 +45,7 @@
 
     final RunHistory history = new RunHistory();
     final List<PlatformWorker> workers = new ArrayList<>();
-    private final PlatformStore store;
+    final PlatformStore store;
     private final Path directory;
     private final String network;
     private final int firstPort;
@@ -62,17 +63,18 @@
         long pid = ProcessHandle.current().pid();
         network = "127." + (10 + pid % 200) + "." + (1 + pid / 200 % 250) + ".";
         firstPort = findPorts(network + "200");
-        store = new PlatformStore(network + "200", firstPort);
+        store = new PlatformStore(storeHosts(), firstPort);
         try {
             directory = Files.createTempDirectory("fulmarreach-soak");
             publishConfig();
             for (int i = 0; i < entryCount; i++) {
-                writeSettings(entryName(i), "entry", network + (1 + i));
+                writeSettings(
+                        entryName(i), "entry", network + (1 + i), storeHosts().get(1 + i));
                 startProcess(entryName(i));
             }
             for (int i = 0; i < workerCount; i++) {
                 String host = network + (50 + i);
-                writeSettings(guardName(i), "guard", host);
+                writeSettings(guardName(i), "guard", host, storeHosts().get(0));
                 startProcess(guardName(i));
                 PlatformWorker worker = new PlatformWorker(
                         "i-" + i, SERVICE, host, firstPort + 3, host + ":" + (firstPort + 2), history);
@@ -90,6 +92,13 @@
         return directory;
     }
 
+    /** Returns the hosts of the store: the guards' first, then one for each entry. */
+    List<String> storeHosts() {
+        return IntStream.rangeClosed(0, entryCount)
+                .mapToObj(i -> network + (200 + i))
+                .toList();
+    }
+
     String entryName(int index) {
         return "entry-" + index;
     }
@@ -215,7 +224,7 @@
         store.publish("config", config);
     }
 
-    private void writeSettings(String name, String role, String host) throws IOException {
+    private void writeSettings(String name, String role, String host, String storeHost) throws IOException {
         ObjectNode settings = JSON.createObjectNode();
         settings.put("node_name", name).put("role", role).put("ip_address", host);
         settings.put("machine_class", role.equals("entry") ? "frontend" : "side");
@@ -254,7 +263,7 @@
                 .put("checkpoint_interval_s", 0.5)
                 .put("restore_ms", 100);
         settings.putObject("platform")
-                .put("address", network + "200:" + firstPort)
+                .put("address", storeHost + ":" + firstPort)
                 .put("form", "log")
                 .put("parts", 12)
                 .put("record_bytes", 262_144)
--- a/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
+++ b/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
+import org.fulmarreach.standin.site.PlatformStore;
 import org.fulmarreach.standin.site.PlatformWorker;
 import org.fulmarreach.standin.site.StrangeHeartbeat;
 
@@ -18,9 +19,10 @@
 
 /**
  * Runs jobs on the processes of the users' platform while workers start again under their id or another one, drain,
- * refuse connections, and hold orders and polls back, while other writers send heartbeats, and while guards and entries
- * are paused and killed. Checks, from what the workers ran, that no task runs twice, and from what callers see, that
- * every job is completed. The schedule of faults depends only on the seed and on the kinds of faults; faults overlap.
+ * refuse connections, and hold orders and polls back, while other writers send heartbeats, while the store is silent,
+ * refuses calls or loses answers, and while guards and entries are paused and killed. Checks, from what the workers
+ * ran, that no task runs twice, and from what callers see, that every job is completed. The schedule of faults depends
+ * only on the seed and on the kinds of faults; faults overlap.
  */
 public final class WorkerSoakMain {
     private static final int ENTRIES = 3;
@@ -58,7 +60,11 @@
         KILL_ENTRY,
         STRANGE_HEARTBEATS,
         DRAIN_WORKER,
-        RENAME_WORKER
+        RENAME_WORKER,
+        STORE_SILENT,
+        STORE_REFUSES,
+        STORE_REFUSES_ENTRY,
+        STORE_LOSES_ANSWERS
     }
 
     private WorkerSoakMain(PlatformSite site, long seed, Fault[] kinds, PrintStream out) {
@@ -175,7 +181,9 @@
         int index = random.nextInt(site.workers.size());
         PlatformWorker worker = site.workers.get(index);
         String guard = site.guardName(index);
-        String entry = site.entryName(random.nextInt(ENTRIES));
+        int entryIndex = random.nextInt(ENTRIES);
+        String entry = site.entryName(entryIndex);
+        String entryStore = site.storeHosts().get(1 + entryIndex);
         int shortMs = random.nextInt(50, 900);
         int longMs = random.nextInt(900, 8_000);
         int heartbeatMs = random.nextInt(0, 1_100);
@@ -198,6 +206,10 @@
             }
             case DRAIN_WORKER -> () -> drain(worker, DRAIN_MS + longMs, shortMs, heartbeatMs);
             case RENAME_WORKER -> () -> restart(worker, shortMs, () -> worker.startRenamed(heartbeatMs));
+            case STORE_SILENT -> () -> failStore(PlatformStore.Fault.SILENT, site.storeHosts(), longMs);
+            case STORE_REFUSES -> () -> failStore(PlatformStore.Fault.REFUSING, site.storeHosts(), longMs);
+            case STORE_REFUSES_ENTRY -> () -> failStore(PlatformStore.Fault.REFUSING, List.of(entryStore), longMs);
+            case STORE_LOSES_ANSWERS -> () -> failStore(PlatformStore.Fault.LOSING_ANSWERS, site.storeHosts(), longMs);
         };
         faults.submit(action);
     }
@@ -254,6 +266,11 @@
         worker.accept();
     }
 
+    private void failStore(PlatformStore.Fault fault, List<String> hosts, int forMs) {
+        hosts.forEach(host -> site.store.fail(host, fault, forMs));
+        PlatformSite.sleep(forMs);
+    }
+
     private void pause(String name, int forMs) {
         synchronized (site.process(name)) {
             site.process(name).pause();
--- a/standin/src/main/java/org/fulmarreach/standin/site/PlatformStore.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/PlatformStore.java
@@ -10,19 +10,37 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 
 import org.fulmarreach.standin.site.JsonServer.Answer;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
-/** Stand-in of the platform's store: a log with partitions and, in keyed topics, the newest record of each key. */
+/**
+ * Stand-in of the platform's store: a log with partitions and, in keyed topics, the newest record of each key. It may
+ * listen at several addresses, so that it fails for some callers only. Thread-safe.
+ */
 public final class PlatformStore implements AutoCloseable {
     private static final int ANSWER_MS = 2;
     private static final int REPEATED_APPENDS = 5;
 
     private final Map<String, Partition> partitions = new HashMap<>();
-    private final JsonServer server;
+    private final Map<String, JsonServer> servers = new HashMap<>();
+    private final Map<String, Failure> failures = new ConcurrentHashMap<>();
+
+    /** What the store does instead of answering. */
+    public enum Fault {
+        /** Calls get no answer; half of them are carried out when the fault ends. */
+        SILENT,
+        /** Calls get 503 and nothing is done. */
+        REFUSING,
+        /** Calls are carried out; half of the answers are lost. */
+        LOSING_ANSWERS
+    }
+
+    private record Failure(Fault fault, long untilMs) {}
 
     private static final class Partition {
         private final List<byte[]> log = new ArrayList<>();
@@ -34,14 +52,21 @@
 
     private record Keyed(long offset, byte[] value) {}
 
-    /** Constructs a store that listens at an address. */
-    public PlatformStore(String host, int port) {
-        server = new JsonServer(host, port, this::answer);
+    /** Constructs a store that listens at some hosts. */
+    public PlatformStore(List<String> hosts, int port) {
+        for (String host : hosts) {
+            servers.put(host, new JsonServer(host, port, (path, query, body) -> answerAt(host, path, query, body)));
+        }
+    }
+
+    /** Lets calls to a host fail for a while; a later fault replaces an earlier one of the host. */
+    public void fail(String host, Fault fault, int forMs) {
+        failures.put(host, new Failure(fault, System.currentTimeMillis() + forMs));
     }
 
     @Override
     public void close() {
-        server.close();
+        servers.values().forEach(JsonServer::close);
     }
 
     /** Writes a record as the operators do. */
@@ -58,6 +83,37 @@
         notifyAll();
     }
 
+    /** A channel on which an answer is lost stays open without data until the fault ends. */
+    private Answer answerAt(String host, String path, Map<String, String> query, byte[] body)
+            throws InterruptedException {
+        Failure failure = findFailure(host, Fault.REFUSING, Fault.SILENT);
+        if (failure != null && failure.fault() == Fault.REFUSING) {
+            return Answer.json(503, JsonServer.JSON.createObjectNode());
+        }
+        boolean executed = failure == null || ThreadLocalRandom.current().nextBoolean();
+        sleepUntilEnd(failure);
+        Answer answer = executed ? answer(path, query, body) : null;
+        Failure later = findFailure(host, Fault.SILENT, Fault.LOSING_ANSWERS);
+        boolean lost = later != null
+                && (later.fault() == Fault.SILENT || ThreadLocalRandom.current().nextBoolean());
+        if (lost) {
+            sleepUntilEnd(later);
+        }
+        return lost || failure != null ? null : answer;
+    }
+
+    private Failure findFailure(String host, Fault first, Fault second) {
+        Failure failure = failures.get(host);
+        boolean active = failure != null && System.currentTimeMillis() < failure.untilMs();
+        return active && (failure.fault() == first || failure.fault() == second) ? failure : null;
+    }
+
+    private static void sleepUntilEnd(Failure failure) throws InterruptedException {
+        if (failure != null) {
+            Thread.sleep(Math.max(0, failure.untilMs() - System.currentTimeMillis()));
+        }
+    }
+
     private Answer answer(String path, Map<String, String> query, byte[] body) throws InterruptedException {
         Thread.sleep(ANSWER_MS);
         String name = query.get("topic") + "/" + query.get("part");
