Run gangs, checkpointing and lasting tasks in the soak

What callers saw: nothing; the soak ran plain tasks only. The stand-in's gangs work once all members of a run are present, end done together, broken when another member ends, or alone after gang_wait_ms. Checkpointing tasks list what they saved, and a start with a string that the task never saved is UNASKED. Lasting jobs must be at work after the faults; they are cancelled at the end, must be gone after cancel_ms + stop_grace_ms and be shown as cancelled. A noted done end of one member counts for the gang in the check for TWICE. Violations now name their rule; the summary counts them together.

--- a/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
+++ b/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
@@ -21,6 +21,7 @@
 import org.fulmarreach.standin.site.PlatformStore;
 import org.fulmarreach.standin.site.PlatformWorker;
 import org.fulmarreach.standin.site.RunHistory;
+import org.fulmarreach.standin.site.Workload;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -125,20 +126,29 @@
         return processes.get(name);
     }
 
-    /** Submits a job of some tasks; returns the status of the answer, or 0 without one. */
-    int submit(int entry, String id, int tasks, int workMs) {
-        ObjectNode body = JSON.createObjectNode().put("specification", String.valueOf(workMs));
-        body.putArray("steps")
-                .addObject()
-                .put("count", tasks)
-                .put("cpu", 500)
-                .put("mem_mb", 64)
-                .put("estimated_ms", workMs);
+    /** Submits a job of one step; returns the status of the answer, or 0 without one. */
+    int submit(int entry, String id, Workload workload) {
+        ObjectNode body = JSON.createObjectNode().put("specification", workload.specification());
+        ObjectNode step = body.putArray("steps").addObject();
+        step.put("count", workload.count()).put("cpu", 500).put("mem_mb", 64).put("estimated_ms", workload.workMs());
+        switch (workload.kind()) {
+            case GANG -> step.put("gang_scheduled", true);
+            case CHECKPOINTING -> step.put("checkpointing", true);
+            case LONG_RUNNING -> step.put("long_running", true);
+            default -> {
+                // A plain step names no kind.
+            }
+        }
         HttpRequest.Builder request =
                 request(entry, firstPort, PREFIX + id).POST(HttpRequest.BodyPublishers.ofString(body.toString()));
         return send(request).status();
     }
 
+    /** Cancels a job; returns the status of the answer, or 0 without one. */
+    int cancel(int entry, String id) {
+        return send(request(entry, firstPort, PREFIX + id).DELETE()).status();
+    }
+
     /** Returns the state of a job; empty without an answer. */
     String state(int entry, String id) {
         Reply reply = send(request(entry, firstPort, PREFIX + id).GET());
--- a/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
+++ b/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
@@ -2,15 +2,20 @@
 
 import java.io.PrintStream;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
 
 import org.fulmarreach.standin.site.PlatformStore;
 import org.fulmarreach.standin.site.PlatformWorker;
 import org.fulmarreach.standin.site.StrangeHeartbeat;
+import org.fulmarreach.standin.site.Workload;
 
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -37,14 +42,29 @@
     /** The platform's {@code drain_ms}. */
     private static final int DRAIN_MS = 2_500;
 
+    /** The platform's {@code cancel_ms} and {@code stop_grace_ms}. */
+    private static final int CANCEL_MS = 3_900;
+
+    /** The kinds of jobs in turn, so that they don't change the faults that a seed draws. */
+    private static final List<Workload.Kind> JOB_KINDS = List.of(
+            Workload.Kind.PLAIN,
+            Workload.Kind.GANG,
+            Workload.Kind.PLAIN,
+            Workload.Kind.CHECKPOINTING,
+            Workload.Kind.PLAIN,
+            Workload.Kind.GANG,
+            Workload.Kind.CHECKPOINTING,
+            Workload.Kind.LONG_RUNNING);
+
     private static final int STRANGE_HEARTBEATS = 3;
     private static final int STRANGE_INTERVAL_MS = 700;
 
     private final PlatformSite site;
     private final SplittableRandom random;
     private final Fault[] kinds;
+    private final List<Workload.Kind> jobKinds;
     private final PrintStream out;
-    private final List<String> jobs = new ArrayList<>();
+    private final Map<String, Workload> jobs = new LinkedHashMap<>();
     private final ExecutorService faults = Executors.newVirtualThreadPerTaskExecutor();
 
     /** Kinds of faults. */
@@ -67,9 +87,10 @@
         STORE_LOSES_ANSWERS
     }
 
-    private WorkerSoakMain(PlatformSite site, long seed, Fault[] kinds, PrintStream out) {
+    private WorkerSoakMain(PlatformSite site, long seed, Fault[] kinds, List<Workload.Kind> jobKinds, PrintStream out) {
         this.site = site;
         this.kinds = kinds;
+        this.jobKinds = jobKinds;
         this.random = new SplittableRandom(seed);
         this.out = out;
     }
@@ -87,6 +108,11 @@
                 .nargs("+")
                 .setDefault(List.of(Fault.values()))
                 .help("kinds of faults to inject; all if left out");
+        parser.addArgument("--jobs")
+                .type(Workload.Kind.class)
+                .nargs("+")
+                .setDefault(JOB_KINDS)
+                .help("kinds of jobs, in turn; a mix of all if left out");
         try {
             Namespace options = parser.parseArgs(args);
             List<Fault> kinds = options.getList("faults");
@@ -95,7 +121,8 @@
                     options.getLong("seed"),
                     options.getInt("seconds") * 1_000,
                     options.getInt("workers"),
-                    kinds.toArray(new Fault[0])));
+                    kinds.toArray(new Fault[0]),
+                    options.getList("jobs")));
         } catch (ArgumentParserException e) {
             parser.handleError(e);
             System.exit(2);
@@ -110,12 +137,14 @@
      * @param runMs time in which faults are injected, in milliseconds
      * @param workers number of workers, each with a guard
      * @param kinds kinds of faults
+     * @param jobKinds kinds of jobs, in turn
      * @return 0 without violations, otherwise 1
      */
-    private static int run(PrintStream out, long seed, int runMs, int workers, Fault[] kinds) {
+    private static int run(
+            PrintStream out, long seed, int runMs, int workers, Fault[] kinds, List<Workload.Kind> jobKinds) {
         try (PlatformSite site = new PlatformSite(ENTRIES, workers)) {
             out.println("seed " + seed + ", output in " + site.directory());
-            return new WorkerSoakMain(site, seed, kinds, out).run(runMs);
+            return new WorkerSoakMain(site, seed, kinds, jobKinds, out).run(runMs);
         }
     }
 
@@ -125,10 +154,11 @@
         submitFor(runMs, true);
         awaitFaults();
         List<String> unfinished = awaitJobs();
-        List<String> violations = site.history.findViolations();
-        violations.forEach(violation -> out.println("TWICE " + violation));
+        List<String> violations = new ArrayList<>(cancelJobs());
+        violations.addAll(site.history.findViolations());
+        violations.forEach(out::println);
         unfinished.forEach(job -> out.println("NOT COMPLETED " + job));
-        out.println("jobs " + jobs.size() + ", starts " + site.history.starts() + ", run twice " + violations.size()
+        out.println("jobs " + jobs.size() + ", starts " + site.history.starts() + ", violations " + violations.size()
                 + ", not completed " + unfinished.size());
         return violations.isEmpty() && unfinished.isEmpty() ? 0 : 1;
     }
@@ -148,25 +178,56 @@
             String id = String.format("%016x", 1 + jobs.size());
             int tasks = random.nextInt(1, 4);
             int workMs = random.nextInt(100, 2_500);
-            jobs.add(id);
-            faults.submit(() -> submit(id, tasks, workMs));
+            Workload workload = new Workload(jobKinds.get(jobs.size() % jobKinds.size()), workMs, tasks);
+            jobs.put(id, workload);
+            faults.submit(() -> submit(id, workload));
             PlatformSite.sleep(JOB_INTERVAL_MS);
         }
     }
 
     /** Submits a job until an entry has accepted it. */
-    private void submit(String id, int tasks, int workMs) {
-        for (int attempt = 0; site.submit(attempt % ENTRIES, id, tasks, workMs) / 100 != 2; attempt++) {
+    private void submit(String id, Workload workload) {
+        for (int attempt = 0; site.submit(attempt % ENTRIES, id, workload) / 100 != 2; attempt++) {
             PlatformSite.sleep(200);
         }
     }
 
+    /** Returns the jobs that are neither completed nor, if they last, at work in time. */
     private List<String> awaitJobs() {
+        return awaitAll(
+                jobs.keySet(),
+                (entry, id) -> isLasting(id)
+                        ? site.history.findRunning(id).size() == jobs.get(id).count()
+                        : site.state(entry, id).equals("completed"));
+    }
+
+    /** Cancels the jobs that last; returns what is wrong afterwards. */
+    private List<String> cancelJobs() {
+        List<String> lasting = jobs.keySet().stream().filter(this::isLasting).toList();
+        List<String> wrong = new ArrayList<>();
+        awaitAll(lasting, (entry, id) -> {
+                    int status = site.cancel(entry, id);
+                    return status / 100 == 2 || status == 410;
+                })
+                .forEach(id -> wrong.add("CANCEL not acknowledged: " + id));
+        PlatformSite.sleep(CANCEL_MS);
+        lasting.forEach(id ->
+                site.history.findRunning(id).forEach(run -> wrong.add("UNASKED runs though it is cancelled: " + run)));
+        awaitAll(lasting, (entry, id) -> site.state(entry, id).equals("cancelled"))
+                .forEach(id -> wrong.add("CANCEL not shown: " + id));
+        return wrong;
+    }
+
+    private boolean isLasting(String id) {
+        return jobs.get(id).kind() == Workload.Kind.LONG_RUNNING;
+    }
+
+    private static List<String> awaitAll(Collection<String> ids, BiPredicate<Integer, String> condition) {
         long untilMs = System.currentTimeMillis() + COMPLETION_MS;
-        List<String> open = new ArrayList<>(jobs);
+        List<String> open = new ArrayList<>(ids);
         for (int attempt = 0; !open.isEmpty() && System.currentTimeMillis() < untilMs; attempt++) {
             int entry = attempt % ENTRIES;
-            open.removeIf(id -> site.state(entry, id).equals("completed"));
+            open.removeIf(id -> condition.test(entry, id));
             PlatformSite.sleep(100);
         }
         return open;
--- a/standin/src/main/java/org/fulmarreach/standin/site/PlatformWorker.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/PlatformWorker.java
@@ -251,12 +251,18 @@
                 long nowMs = System.currentTimeMillis();
                 boolean lapsed = current.clockMs() > current.leaseUntilMs;
                 for (RunHistory.Run run : List.copyOf(current.running.values())) {
-                    if (lapsed) {
-                        end(current, run, "lapsed");
+                    String how;
+                    if (run.isGangDone()) {
+                        how = "done";
+                    } else if (lapsed) {
+                        how = "lapsed";
                     } else if (current.stopAtMs.getOrDefault(run.task(), Long.MAX_VALUE) <= nowMs) {
-                        end(current, run, "stopped");
-                    } else if (nowMs - run.startedAtMs() >= run.workMs()) {
-                        end(current, run, "done");
+                        how = "stopped";
+                    } else {
+                        how = run.findOwnEnd();
+                    }
+                    if (how != null) {
+                        end(current, run, how);
                     }
                 }
                 if (lapsed) {
@@ -329,8 +335,10 @@
         if (current.clockMs() > current.leaseUntilMs) {
             return Answer.json(409, clock(current).put("reason", "late"));
         }
-        long workMs = Long.parseLong(call.get("specification").asText());
-        current.running.put(task, history.start(task, number, current.id + "/" + current.bornMs, workMs));
+        Workload workload = Workload.parse(call.get("specification").asText());
+        String checkpoint = call.path("checkpoint").asText("");
+        String worker = current.id + "/" + current.bornMs;
+        current.running.put(task, history.start(task, number, worker, workload, checkpoint));
         return Answer.json(200, clock(current));
     }
 
@@ -362,12 +370,11 @@
         ObjectNode answer = clock(current).put("born", current.bornMs);
         ArrayNode running = answer.putArray("running");
         for (RunHistory.Run run : current.running.values()) {
-            long percent = Math.min(99, 100 * (System.currentTimeMillis() - run.startedAtMs()) / run.workMs());
             running.addArray()
                     .add(run.task())
                     .add(run.number())
-                    .add("")
-                    .add(percent)
+                    .add(run.saved())
+                    .add(run.percent())
                     .add(100);
         }
         ArrayNode ended = answer.putArray("ended");
@@ -377,7 +384,7 @@
                 .add(end.getValue().task())
                 .add(end.getValue().number())
                 .add(end.getValue().how())
-                .add(""));
+                .add(end.getValue().saved()));
         return Answer.json(200, answer);
     }
 
