--- a/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
+++ b/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
@@ -15,11 +15,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.IntStream;
 
 import org.fulmarreach.it.ManagedProcess;
 import org.fulmarreach.standin.site.PlatformStore;
 import org.fulmarreach.standin.site.PlatformWorker;
 import org.fulmarreach.standin.site.RunHistory;
+import org.fulmarreach.standin.site.Workload;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -44,7 +46,7 @@
 
     final RunHistory history = new RunHistory();
     final List<PlatformWorker> workers = new ArrayList<>();
-    private final PlatformStore store;
+    final PlatformStore store;
     private final Path directory;
     private final String network;
     private final int firstPort;
@@ -62,17 +64,18 @@
         long pid = ProcessHandle.current().pid();
         network = "127." + (10 + pid % 200) + "." + (1 + pid / 200 % 250) + ".";
         firstPort = findPorts(network + "200");
-        store = new PlatformStore(network + "200", firstPort);
+        store = new PlatformStore(storeHosts(), firstPort);
         try {
             directory = Files.createTempDirectory("fulmarreach-soak");
             publishConfig();
             for (int i = 0; i < entryCount; i++) {
-                writeSettings(entryName(i), "entry", network + (1 + i));
+                writeSettings(
+                        entryName(i), "entry", network + (1 + i), storeHosts().get(1 + i));
                 startProcess(entryName(i));
             }
             for (int i = 0; i < workerCount; i++) {
                 String host = network + (50 + i);
-                writeSettings(guardName(i), "guard", host);
+                writeSettings(guardName(i), "guard", host, storeHosts().get(0));
                 startProcess(guardName(i));
                 PlatformWorker worker = new PlatformWorker(
                         "i-" + i, SERVICE, host, firstPort + 3, host + ":" + (firstPort + 2), history);
@@ -90,6 +93,13 @@
         return directory;
     }
 
+    /** Returns the hosts of the store: the guards' first, then one for each entry. */
+    List<String> storeHosts() {
+        return IntStream.rangeClosed(0, entryCount)
+                .mapToObj(i -> network + (200 + i))
+                .toList();
+    }
+
     String entryName(int index) {
         return "entry-" + index;
     }
@@ -116,20 +126,29 @@
         return processes.get(name);
     }
 
-    /** Submits a job of some tasks; returns the status of the answer, or 0 without one. */
-    int submit(int entry, String id, int tasks, int workMs) {
-        ObjectNode body = JSON.createObjectNode().put("specification", String.valueOf(workMs));
-        body.putArray("steps")
-                .addObject()
-                .put("count", tasks)
-                .put("cpu", 500)
-                .put("mem_mb", 64)
-                .put("estimated_ms", workMs);
+    /** Submits a job of one step; returns the status of the answer, or 0 without one. */
+    int submit(int entry, String id, Workload workload) {
+        ObjectNode body = JSON.createObjectNode().put("specification", workload.specification());
+        ObjectNode step = body.putArray("steps").addObject();
+        step.put("count", workload.count()).put("cpu", 500).put("mem_mb", 64).put("estimated_ms", workload.workMs());
+        switch (workload.kind()) {
+            case GANG -> step.put("gang_scheduled", true);
+            case CHECKPOINTING -> step.put("checkpointing", true);
+            case LONG_RUNNING -> step.put("long_running", true);
+            default -> {
+                // A plain step names no kind.
+            }
+        }
         HttpRequest.Builder request =
                 request(entry, firstPort, PREFIX + id).POST(HttpRequest.BodyPublishers.ofString(body.toString()));
         return send(request).status();
     }
 
+    /** Cancels a job; returns the status of the answer, or 0 without one. */
+    int cancel(int entry, String id) {
+        return send(request(entry, firstPort, PREFIX + id).DELETE()).status();
+    }
+
     /** Returns the state of a job; empty without an answer. */
     String state(int entry, String id) {
         Reply reply = send(request(entry, firstPort, PREFIX + id).GET());
@@ -215,7 +234,7 @@
         store.publish("config", config);
     }
 
-    private void writeSettings(String name, String role, String host) throws IOException {
+    private void writeSettings(String name, String role, String host, String storeHost) throws IOException {
         ObjectNode settings = JSON.createObjectNode();
         settings.put("node_name", name).put("role", role).put("ip_address", host);
         settings.put("machine_class", role.equals("entry") ? "frontend" : "side");
@@ -254,7 +273,7 @@
                 .put("checkpoint_interval_s", 0.5)
                 .put("restore_ms", 100);
         settings.putObject("platform")
-                .put("address", network + "200:" + firstPort)
+                .put("address", storeHost + ":" + firstPort)
                 .put("form", "log")
                 .put("parts", 12)
                 .put("record_bytes", 262_144)
--- a/standin/src/main/java/org/fulmarreach/standin/site/PlatformWorker.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/PlatformWorker.java
@@ -21,9 +21,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
- * Stand-in of a worker of the users' platform, with its faults. It keeps its id when it starts again; its clock and the
- * numbers of its ends begin anew. Like the platform it names its lifetime in heartbeats and lists, and not in the
- * answers to orders. Thread-safe.
+ * Stand-in of a worker of the users' platform, with its faults. It keeps its id when it starts again, unless the
+ * caller asks for another one; its clock and the numbers of its ends begin anew. Like the platform it names its
+ * lifetime in heartbeats and lists, and not in the answers to orders. Thread-safe.
  */
 public final class PlatformWorker {
     private static final int MAX_HOLD_MS = 6_000;
@@ -31,7 +31,10 @@
     private static final int HEARTBEAT_MS = 1_100;
     private static final int TICK_MS = 5;
 
-    private final String id;
+    /** A worker that leaves without a confirmation ends this long after it began to drain, and its time to serve on. */
+    private static final int UNCONFIRMED_MS = 3_000;
+
+    private final String machine;
     private final String service;
     private final String host;
     private final int port;
@@ -44,11 +47,14 @@
     private JsonServer server;
     private Lifetime lifetime;
     private Lifetime refusing;
+    private String id;
+    private int renames;
     private long ordersHeldUntilMs;
     private long pollsHeldUntilMs;
 
     /** One lifetime of the process. */
     private static final class Lifetime {
+        private final String id;
         private final long bornMs = System.currentTimeMillis();
         private final long clockOffsetMs = ThreadLocalRandom.current().nextLong(10_000_000);
         private final Map<String, RunHistory.Run> running = new LinkedHashMap<>();
@@ -59,7 +65,14 @@
         private long fence;
         private long leaseUntilMs;
         private long beats;
-        private boolean over;
+        private volatile int serveOnMs;
+        private volatile long drainsUntilMs;
+        private volatile boolean drainConfirmed;
+        private volatile boolean over;
+
+        private Lifetime(String id) {
+            this.id = id;
+        }
 
         long clockMs() {
             return System.currentTimeMillis() - bornMs + clockOffsetMs;
@@ -69,7 +82,7 @@
     /**
      * Constructs a worker that is not started yet.
      *
-     * @param id its id, in all lifetimes
+     * @param id its id, until {@link #startRenamed}
      * @param service service that it belongs to
      * @param host IP address that it listens on
      * @param port port that it listens on
@@ -78,6 +91,7 @@
      */
     public PlatformWorker(String id, String service, String host, int port, String guardAddress, RunHistory history) {
         this.id = id;
+        this.machine = id;
         this.service = service;
         this.host = host;
         this.port = port;
@@ -87,13 +101,19 @@
 
     /** Starts a lifetime; its first heartbeat follows after a delay. */
     public synchronized void start(int firstHeartbeatMs) {
-        Lifetime started = new Lifetime();
+        Lifetime started = new Lifetime(id);
         lifetime = started;
         server = new JsonServer(host, port, (path, query, body) -> answer(started, path, query, body));
         Thread.ofVirtual().start(() -> sendHeartbeats(started, firstHeartbeatMs));
         Thread.ofVirtual().start(() -> work(started));
     }
 
+    /** Starts a lifetime under an id that no lifetime at this address has had, as {@link #start} does. */
+    public synchronized void startRenamed(int firstHeartbeatMs) {
+        id = machine + "-" + ++renames;
+        start(firstHeartbeatMs);
+    }
+
     /** Ends the process with all that it runs. */
     public synchronized void crash() {
         if (lifetime.over) {
@@ -107,6 +127,43 @@
         notifyAll();
     }
 
+    /**
+     * Reports the worker as draining, serves on after the confirmation, deregisters and ends. Returns after the end.
+     *
+     * @param serveOnMs time after the confirmation, in milliseconds
+     * @return false if the worker does not run or drains already, or if it has crashed meanwhile
+     */
+    public boolean drain(int serveOnMs) {
+        Lifetime leaving;
+        synchronized (this) {
+            leaving = lifetime;
+            if (leaving.over || leaving.drainsUntilMs > 0) {
+                return false;
+            }
+            leaving.serveOnMs = serveOnMs;
+            leaving.drainsUntilMs = System.currentTimeMillis() + serveOnMs + UNCONFIRMED_MS;
+        }
+        boolean extended = false;
+        while (!leaving.over && System.currentTimeMillis() < leaving.drainsUntilMs) {
+            sleep(TICK_MS);
+            if (leaving.drainConfirmed && !extended) {
+                extended = true;
+                leaving.drainsUntilMs = System.currentTimeMillis() + serveOnMs;
+            }
+        }
+        if (leaving.over) {
+            return false;
+        }
+        send(leaving.id + "/deregister", "");
+        synchronized (this) {
+            if (leaving.over) {
+                return false;
+            }
+            crash();
+            return true;
+        }
+    }
+
     /** Returns whether a lifetime is running. */
     public synchronized boolean isUp() {
         return !lifetime.over;
@@ -142,7 +199,8 @@
         sleep(firstMs);
         while (!current.over) {
             ObjectNode body = describe(current).put("sequence", ++current.beats);
-            boolean accepted = send(id + "/heartbeat", body.toString());
+            boolean accepted = send(current.id + "/heartbeat", body.toString());
+            current.drainConfirmed |= accepted && body.has("remaining_ms");
             sleep(accepted ? HEARTBEAT_MS : 200);
         }
     }
@@ -155,15 +213,19 @@
         }
         ObjectNode body = describe(current).put("sequence", current.beats + 1);
         String text = strange.text(body, System.currentTimeMillis(), random);
-        send(strange.workerId(id, random) + "/" + strange.call(), text);
+        send(strange.workerId(current.id, random) + "/" + strange.call(), text);
     }
 
     private ObjectNode describe(Lifetime current) {
         ObjectNode body = JsonServer.JSON.createObjectNode();
         body.put("service", service).put("address", host + ":" + port).put("zone", "z1");
         body.put("version", "v1").put("slots", 8).put("state", "ready").put("cold_remaining_ms", 0);
+        if (current.drainsUntilMs > 0) {
+            long remainingMs = Math.min(current.serveOnMs, current.drainsUntilMs - System.currentTimeMillis());
+            body.put("state", "draining").put("remaining_ms", Math.max(0, remainingMs));
+        }
         body.putObject("capacity").put("cpu", 64_000).put("mem_mb", 250_000).put("gpu", 0);
-        body.putArray("labels").add("a").add("r1-" + id);
+        body.putArray("labels").add("a").add("r1-" + machine);
         return body.put("born", current.bornMs).put("clock_ms", current.clockMs());
     }
 
@@ -189,12 +251,18 @@
                 long nowMs = System.currentTimeMillis();
                 boolean lapsed = current.clockMs() > current.leaseUntilMs;
                 for (RunHistory.Run run : List.copyOf(current.running.values())) {
-                    if (lapsed) {
-                        end(current, run, "lapsed");
+                    String how;
+                    if (run.isGangDone()) {
+                        how = "done";
+                    } else if (lapsed) {
+                        how = "lapsed";
                     } else if (current.stopAtMs.getOrDefault(run.task(), Long.MAX_VALUE) <= nowMs) {
-                        end(current, run, "stopped");
-                    } else if (nowMs - run.startedAtMs() >= run.workMs()) {
-                        end(current, run, "done");
+                        how = "stopped";
+                    } else {
+                        how = run.findOwnEnd();
+                    }
+                    if (how != null) {
+                        end(current, run, how);
                     }
                 }
                 if (lapsed) {
@@ -216,7 +284,7 @@
 
     private Answer answer(Lifetime current, String path, Map<String, String> query, byte[] body)
             throws InterruptedException, IOException {
-        if (query.containsKey("expected") && !query.get("expected").equals(id)) {
+        if (query.containsKey("expected") && !query.get("expected").equals(current.id)) {
             return Answer.json(421, clock(current));
         }
         JsonNode call = JsonServer.JSON.readTree(body);
@@ -267,8 +335,10 @@
         if (current.clockMs() > current.leaseUntilMs) {
             return Answer.json(409, clock(current).put("reason", "late"));
         }
-        long workMs = Long.parseLong(call.get("specification").asText());
-        current.running.put(task, history.start(task, number, id + "/" + current.bornMs, workMs));
+        Workload workload = Workload.parse(call.get("specification").asText());
+        String checkpoint = call.path("checkpoint").asText("");
+        String worker = current.id + "/" + current.bornMs;
+        current.running.put(task, history.start(task, number, worker, workload, checkpoint));
         return Answer.json(200, clock(current));
     }
 
@@ -300,12 +370,11 @@
         ObjectNode answer = clock(current).put("born", current.bornMs);
         ArrayNode running = answer.putArray("running");
         for (RunHistory.Run run : current.running.values()) {
-            long percent = Math.min(99, 100 * (System.currentTimeMillis() - run.startedAtMs()) / run.workMs());
             running.addArray()
                     .add(run.task())
                     .add(run.number())
-                    .add("")
-                    .add(percent)
+                    .add(run.saved())
+                    .add(run.percent())
                     .add(100);
         }
         ArrayNode ended = answer.putArray("ended");
@@ -315,7 +384,7 @@
                 .add(end.getValue().task())
                 .add(end.getValue().number())
                 .add(end.getValue().how())
-                .add(""));
+                .add(end.getValue().saved()));
         return Answer.json(200, answer);
     }
 
