--- a/it/src/test/java/org/fulmarreach/it/site/WorkerSoakTest.java
+++ b/it/src/test/java/org/fulmarreach/it/site/WorkerSoakTest.java
@@ -8,8 +8,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /**
- * Guards against tasks that run twice, and jobs that are never completed, while workers start again under their id,
- * refuse connections, and hold orders and polls back, and guards and entries are paused and killed.
+ * Guards against tasks that run twice, and jobs that are never completed, while workers start again, drain, refuse
+ * connections, and hold orders and polls back, other writers send heartbeats, the store fails, and guards and entries
+ * are paused and killed.
  */
 class WorkerSoakTest {
     /** Runs as a process of its own, since the soak sets system properties that the HTTP client reads once. */
