Give a poll's number only to its own lists, and leave a replaced leader without a worker

A complete poll that was not reported at once lent its number to the lists of the next, incomplete one, so that the leader counted that as a poll without the run (a second run of a long-running task). A guard that knows no worker yet did not look at the leader's write age and stayed with a replaced leader for about 9 s, until the lease of its worker ran out. An end whose row cannot be read was polled for without a pause.

Change: the number rises when complete lists are reported; the write age counts in all orders; polls pause while rows cannot be read. OPERATIONS says that entries are updated before guards: a leader of an older version tells the term only with orders for a worker.

Tests: WorkerRelayTest.numberOfACompletePollIsNotReportedWithListsThatLeaveSomethingOut, red before (0 runs where 1 is listed); WorkerLifetimeTest.guardWithoutAWorkerLeavesALeaderThatCannotWrite, not run against the former code.

--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -36,7 +36,7 @@
     /** Longest wait of a poll. Progress and lease are renewed at this interval; the worker reports an end at once. */
     private static final int POLL_WAIT_MS = 500;
 
-    /** Delay before the next poll while listed ends wait for the leader's acknowledgement. */
+    /** Delay before the next poll while the worker lists ends that are not acknowledged, or that cannot be read. */
     private static final int UNACKNOWLEDGED_POLL_DELAY_MS = 100;
 
     private static final int FAILED_POLL_DELAY_MS = 200;
@@ -69,6 +69,7 @@
 
     private WorkerSnapshot snapshot = new WorkerSnapshot(0, 0, List.of(), List.of());
     private boolean hasSnapshot;
+    private boolean hasNewLists;
     private long pollNumber;
     private long pollsSent;
     private boolean pollInFlight;
@@ -329,7 +330,7 @@
             // Starts are held until the worker answers again, so the first attempt follows soon.
             int delayMs = contact.failedPolls() == 1 ? MIN_POLL_DELAY_MS : FAILED_POLL_DELAY_MS;
             pollIn(delayMs);
-        } else if (snapshot.ended().isEmpty()) {
+        } else if (snapshot.ended().isEmpty() && snapshot.isComplete()) {
             sendPoll();
         } else {
             pollIn(UNACKNOWLEDGED_POLL_DELAY_MS);
@@ -384,8 +385,7 @@
         snapshot = answer;
         dispatcher.onEnded(answer.ended());
         hasSnapshot = true;
-        // The leader concludes from several polls without a run that it has ended.
-        pollNumber += answer.isComplete() ? 1 : 0;
+        hasNewLists = answer.isComplete();
         dispatcher.sendHeldStarts(destination());
         if (newEnds || first || nowMs - reportedAtMs >= REPORT_INTERVAL_MS / 2) {
             report();
@@ -444,6 +444,7 @@
         long newestTerm = term;
         // A worker refuses polls with an older term, so a guard that has started again needs it before all else.
         term = Math.max(term, orders.getTerm());
+        leader.reviewWriteAge(orders.getWriteAgeMs());
         if (orders.getTerm() < newestTerm || !intendedWorker.equals(workerRef)) {
             log.emit(
                     RelayEvent.ORDERS_IGNORED,
@@ -457,7 +458,6 @@
                     orders.getStartsSize());
             return;
         }
-        leader.reviewWriteAge(orders.getWriteAgeMs());
         lease.grant(orders.getEchoedTickMs());
         if (orders.getAcknowledgedEnd() > acknowledgedEnd) {
             acknowledgedEnd = orders.getAcknowledgedEnd();
@@ -544,7 +544,13 @@
         leader.send(Body.guardReport(message));
     }
 
+    /**
+     * Describes the present lifetime. The leader concludes from several polls without a run that it has ended, so the
+     * number of the poll rises only with lists that are complete.
+     */
     private WorkerReport describeWorker(WorkerHeartbeat known, long nowMs) {
+        pollNumber += hasNewLists ? 1 : 0;
+        hasNewLists = false;
         return new WorkerReport(
                 workerRef,
                 known.service(),
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/RelayTestBase.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/RelayTestBase.java
@@ -141,6 +141,9 @@
         volatile Lifetime lifetime = new Lifetime("w", 1_000);
         volatile boolean answering = true;
         volatile CallResult<WorkerSnapshot> failure;
+        /** Whether it lists a run, and every other answer leaves it out as a row that cannot be read. */
+        volatile boolean alternatingRun;
+
         /** Rows of its lists that cannot be read. */
         volatile int skippedRows;
 
@@ -207,6 +210,13 @@
                 return new CallResult.Refused<>(OTHER_WORKER);
             }
             List<WorkerReport.Ended> ended = answering.forget(acknowledgedEnd);
+            if (alternatingRun) {
+                boolean complete = polls.get() % 2 == 0;
+                List<WorkerReport.Running> running =
+                        complete ? List.of(new WorkerReport.Running("job.0.0.0", 1, "", 0, 0)) : List.of();
+                return new CallResult.Done<>(
+                        new WorkerSnapshot(answering.startedAtMs, 1, running, ended, complete ? 0 : 1));
+            }
             return new CallResult.Done<>(new WorkerSnapshot(answering.startedAtMs, 1, List.of(), ended, skippedRows));
         }
     }
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLifetimeTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerLifetimeTest.java
@@ -301,6 +301,19 @@
                 .until(() -> link.lastStatus() != null && link.lastStatus().isReachable());
     }
 
+    /** Without a lifetime to report, a guard stayed for 9 s with a leader that had been replaced. */
+    @Test
+    void guardWithoutAWorkerLeavesALeaderThatCannotWrite() {
+        Awaitility.await().atMost(TIMEOUT).until(() -> !entries.links.isEmpty());
+        entries.leader = "10.0.0.2:1";
+        FakeLink link = entries.links.get(0);
+        LeaderOrders termOnly = emptyOrders();
+        termOnly.setWorker(new JobWorkerRef("guard", "", 0));
+        termOnly.setWriteAgeMs(5_000);
+        link.listener.accept(new LinkEvent.Received(link, new Frame(0, Body.leaderOrders(termOnly))));
+        Awaitility.await().atMost(Duration.ofSeconds(1)).until(() -> entries.connected.contains("10.0.0.2:1"));
+    }
+
     /** Each heartbeat of an unknown lifetime began a sequence of polls of its own, and each poll has a price. */
     @Test
     void heartbeatsOfManyLifetimesDoNotMultiplyThePolls() {
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/WorkerRelayTest.java
@@ -191,6 +191,27 @@
         assertTrue(awaitNextReport(link).getLookNumber() > before);
     }
 
+    /**
+     * A complete poll that had not been reported yet lent its number to the lists of the next one, from which a run was
+     * missing.
+     */
+    @Test
+    void numberOfACompletePollIsNotReportedWithListsThatLeaveSomethingOut() {
+        worker.alternatingRun = true;
+        relay.tell(new RelayCommand.HeartbeatReceived(heartbeat(1_000, 1, false)));
+        FakeLink link = awaitReport();
+        awaitPolls(40);
+        long former = 0;
+        for (Body body : link.sent) {
+            WorkerStatus status = body.getGuardReport().getWorker();
+            if (status != null && status.isReachable() && status.getLookNumber() > former) {
+                former = status.getLookNumber();
+                assertEquals(1, status.getRunningSize(), "runs in the lists with the number " + former);
+            }
+        }
+        assertTrue(former > 1, "no complete poll was reported");
+    }
+
     private static WorkerStatus awaitNextReport(FakeLink link) {
         int reports = link.reports().size();
         Awaitility.await().atMost(TIMEOUT).until(() -> link.reports().size() > reports);
