--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -81,7 +81,10 @@
             4040,
             Level.WARNING,
             "A partition cannot be read from the store; check the platform. Accepted work continues."),
-    STORE_REGAINED(4041, Level.INFO, "The partition can be read from the store again."),
+    STORE_REGAINED(
+            4041,
+            Level.INFO,
+            "The partition can be read from the store again; ageMs is for how long its end was not known."),
     STORE_LOADED(4042, Level.INFO, "The newest records of a partition were read."),
     RECORD_SKIPPED(4043, Level.SEVERE, "A record of the log cannot be decoded and is ignored; report it."),
     REMOVAL_FAILED(4044, Level.WARNING, "The requests of forgotten jobs could not be removed; this is tried again."),
@@ -95,7 +98,10 @@
             "A long-running task that may run has not been at work for 2 s; the reason and its inputs say why."),
     TASK_OVERDUE(
             4047, Level.SEVERE, "A task that may run is over the time limit of its next step, or has none; report it."),
-    CONFIG_IN_FORCE(4050, Level.INFO, "A newer version of the operators' configuration is active."),
+    CONFIG_IN_FORCE(
+            4050,
+            Level.INFO,
+            "A newer version of the operators' configuration is active; the fields say when it was read."),
     CONFIG_UNREADABLE(
             4051, Level.SEVERE, "The operators' configuration cannot be decoded; the previous one stays active."),
     CONFIG_PART_SKIPPED(
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
@@ -12,7 +12,9 @@
 import org.fulmarreach.core.jobs.Job;
 import org.fulmarreach.core.jobs.JobRegistry;
 import org.fulmarreach.core.jobs.JobStatus;
+import org.fulmarreach.platform.store.HttpStoreClient;
 import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.ReadLimits;
 import org.fulmarreach.platform.store.ReadResult;
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.runtime.log.EventLog;
@@ -27,6 +29,8 @@
     /** A count may be 2 s old when the caller has it; 500 ms are left for the way of the answer. */
     private static final long MAX_COUNT_AGE_MS = 1_500;
 
+    private static final ReadLimits CATCH_UP_LIMITS = new ReadLimits(0, HttpStoreClient.CALL_TIMEOUT_MS);
+
     private final JobRegistry registry;
     private final LogTail requests;
     private final LogTail progress;
@@ -233,7 +237,7 @@
 
     private void readFrom(long offset) {
         readingFrom = offset;
-        store.read(JobPartitions.REQUESTS, offset, 0)
+        store.read(JobPartitions.REQUESTS, offset, CATCH_UP_LIMITS)
                 .thenAccept(result -> actor.tell(new JobsCommand.CatchUpReadEnded(result)));
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -63,7 +63,7 @@
     private static final LogTail.Times LEADER_REQUEST_TIMES = new LogTail.Times(250, 20);
 
     private static final LogTail.Times PROGRESS_TIMES = new LogTail.Times(500, 120);
-    private static final LogTail.Times CONFIG_TIMES = new LogTail.Times(2_000, 0);
+    static final LogTail.Times CONFIG_TIMES = new LogTail.Times(2_000, 0);
 
     private final StoreClient store;
     private final Identity identity;
@@ -184,7 +184,7 @@
             case JobsCommand.Query query -> queries.answerStatus(query.jobId(), query.reply());
             case JobsCommand.CountWaiting count -> queries.answerCount(count.queue(), count.reply());
             case JobsCommand.Describe describe -> describe.reply().complete(describe());
-            case JobsCommand.TailRead read -> read.tail().onRead(read.generation(), read.result(), read.knownUpToMs());
+            case JobsCommand.TailRead read -> read.tail().onRead(read.generation(), read.result(), read.times());
             case JobsCommand.TailDue due -> due.tail().onDue(due.generation());
             case JobsCommand.CatchUpReadEnded ended -> queries.onReadEnded(ended.result());
             case JobsCommand.RequestsWritten written -> writer.onWritten(written.result());
@@ -290,7 +290,8 @@
             LogTail.Times tailTimes,
             Supplier<Set<String>> knownKeys,
             Consumer<LogTail.Update> consumer) {
-        return new LogTail(partition, store, getContext(), log, clock, tailTimes, random, knownKeys, consumer);
+        return new LogTail(
+                partition, store, TailMailbox.of(getContext()), log, clock, tailTimes, random, knownKeys, consumer);
     }
 
     private void onRequests(LogTail.Update update) {
@@ -357,8 +358,9 @@
         for (KeyedRecord entry : update.records()) {
             if (entry.key().equals(TopicPartition.CONFIG_KEY) && !entry.isRemoval()) {
                 try {
-                    activateConfig(JobCodec.decodeConfig(
-                            entry.value(), reason -> log.emit(JobEvent.CONFIG_PART_SKIPPED, "reason", reason)));
+                    JobConfig read = JobCodec.decodeConfig(
+                            entry.value(), reason -> log.emit(JobEvent.CONFIG_PART_SKIPPED, "reason", reason));
+                    activateConfig(read, update.times());
                 } catch (IOException e) {
                     log.emit(JobEvent.CONFIG_UNREADABLE, "reason", e.getMessage());
                 }
@@ -367,7 +369,7 @@
         publishView();
     }
 
-    private void activateConfig(JobConfig read) {
+    private void activateConfig(JobConfig read, LogTail.ReadTimes times) {
         if (activeConfig != null && read.version() <= activeConfig.version()) {
             return;
         }
@@ -377,7 +379,11 @@
                 "version",
                 read.version(),
                 "queues",
-                read.queues().size());
+                read.queues().size(),
+                "sentAgoMs",
+                clock.nowMs() - times.sentAtMs(),
+                "answeredAgoMs",
+                clock.nowMs() - times.answeredAtMs());
         if (leaderTerm != null) {
             leaderTerm.scheduler().configure(read);
             decide();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -81,8 +81,8 @@
      * From the store
      */
 
-    /** A read of a followed partition has ended; it covers all records stored before {@code knownUpToMs}. */
-    record TailRead(LogTail tail, long generation, ReadResult result, long knownUpToMs) implements JobsCommand {}
+    /** A read of a followed partition has ended. */
+    record TailRead(LogTail tail, long generation, ReadResult result, LogTail.ReadTimes times) implements JobsCommand {}
 
     /** The next read of a followed partition is due. */
     record TailDue(LogTail tail, long generation) implements JobsCommand {}
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
@@ -8,8 +8,9 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
-import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.fulmarreach.platform.store.HttpStoreClient;
 import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.ReadLimits;
 import org.fulmarreach.platform.store.ReadResult;
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.platform.store.TopicPartition;
@@ -30,7 +31,7 @@
 
     private final TopicPartition partition;
     private final StoreClient store;
-    private final ActorContext<JobsCommand> context;
+    private final TailMailbox mailbox;
     private final EventLog log;
     private final MonotonicClock clock;
     private final Supplier<Set<String>> knownKeys;
@@ -42,6 +43,7 @@
     private boolean paused;
     private long nextOffset;
     private int backoffMs;
+    private int failedReads;
     private long knownUpToMs;
     private final Random random;
     /** Pages that were read since the last reload; a failed read repeats only its own page. */
@@ -50,6 +52,7 @@
     /**
      * Constructs a tail that reads nothing until {@link #reload}.
      *
+     * @param mailbox sends messages to the actor that owns the tail
      * @param random source of the jitter of retries, so that entries do not repeat their reads at the same times
      * @param knownKeys returns the keys of which the consumer holds records
      * @param consumer receives each update, on the actor
@@ -57,7 +60,7 @@
     LogTail(
             TopicPartition partition,
             StoreClient store,
-            ActorContext<JobsCommand> context,
+            TailMailbox mailbox,
             EventLog log,
             MonotonicClock clock,
             Times times,
@@ -66,7 +69,7 @@
             Consumer<Update> consumer) {
         this.partition = partition;
         this.store = store;
-        this.context = context;
+        this.mailbox = mailbox;
         this.log = log;
         this.clock = clock;
         this.knownUpToMs = clock.nowMs();
@@ -84,13 +87,23 @@
      */
     record Times(int waitMs, int spacingMs) {}
 
+    /**
+     * Times of a read, as readings of the monotonic clock in milliseconds.
+     *
+     * @param sentAtMs when it was sent
+     * @param answeredAtMs when the answer was complete, or the read had failed
+     * @param knownUpToMs all records stored before this time are known by the answer
+     */
+    record ReadTimes(long sentAtMs, long answeredAtMs, long knownUpToMs) {}
+
     /**
      * Result of a read.
      *
      * @param records records in order; may be empty
      * @param failed whether the read failed
+     * @param times times of the read, of the last page for a load
      */
-    record Update(List<KeyedRecord> records, boolean failed) {}
+    record Update(List<KeyedRecord> records, boolean failed, ReadTimes times) {}
 
     /** Tells whether the newest records have been read since the last reload. */
     boolean isLoaded() {
@@ -154,19 +167,19 @@
         }
     }
 
-    void onRead(long readGeneration, ReadResult result, long readKnownUpToMs) {
+    void onRead(long readGeneration, ReadResult result, ReadTimes readTimes) {
         if (readGeneration != generation || paused) {
             return;
         }
         switch (result) {
-            case ReadResult.Page page -> onPage(page, readKnownUpToMs);
+            case ReadResult.Page page -> onPage(page, readTimes);
             case ReadResult.Records read -> {
+                onReadSucceeded();
                 if (read.isComplete()) {
-                    knownUpToMs = Math.max(knownUpToMs, readKnownUpToMs);
+                    knownUpToMs = Math.max(knownUpToMs, readTimes.knownUpToMs());
                 }
-                onReadSucceeded();
                 nextOffset = read.nextOffset();
-                consumer.accept(new Update(read.records(), false));
+                consumer.accept(new Update(read.records(), false, readTimes));
                 scheduleRead(read.records().isEmpty() || !read.isComplete() ? 0 : times.spacingMs());
             }
             case ReadResult.Expired expired -> {
@@ -175,8 +188,8 @@
                 scheduleRead(0);
             }
             case ReadResult.Failed failed -> {
-                onReadFailed(failed.reason());
-                consumer.accept(new Update(List.of(), true));
+                onReadFailed(failed.reason(), readTimes);
+                consumer.accept(new Update(List.of(), true, readTimes));
                 scheduleRead(backoffMs / 2 + random.nextInt(backoffMs / 2 + 1));
             }
         }
@@ -186,9 +199,9 @@
      * Helpers
      */
 
-    private void onPage(ReadResult.Page page, long pageKnownUpToMs) {
+    private void onPage(ReadResult.Page page, ReadTimes readTimes) {
         onReadSucceeded();
-        load.add(page, pageKnownUpToMs);
+        load.add(page, readTimes.knownUpToMs());
         if (page.hasMore()) {
             startRead();
             return;
@@ -205,7 +218,7 @@
             log.emit(JobEvent.REMOVAL_MISSED, "partition", name(), "key", removal.key(), "next", nextOffset);
             records.add(removal);
         }
-        consumer.accept(new Update(records, false));
+        consumer.accept(new Update(records, false, readTimes));
         scheduleRead(0);
     }
 
@@ -216,8 +229,7 @@
         if (delayMs == 0) {
             startRead();
         } else {
-            context.scheduleOnce(
-                    Duration.ofMillis(delayMs), context.getSelf(), new JobsCommand.TailDue(this, generation));
+            mailbox.tellAfter(Duration.ofMillis(delayMs), new JobsCommand.TailDue(this, generation));
         }
     }
 
@@ -232,13 +244,14 @@
         if (!loaded && load.isEmpty()) {
             load.begin(knownKeys.get());
         }
-        var self = context.getSelf();
         var read = loaded
-                ? store.read(partition, nextOffset, waitMs)
+                ? store.read(partition, nextOffset, new ReadLimits(waitMs, HttpStoreClient.CALL_TIMEOUT_MS))
                 : store.readNewest(partition, load.lastKey(), MAX_LOAD_SILENCE_MS);
         read.thenAccept(result -> {
-            long knownMs = Math.min(clock.nowMs(), issuedAtMs + storeWaitMs(result, waitedMs));
-            self.tell(new JobsCommand.TailRead(this, issued, result, knownMs));
+            long answeredAtMs = clock.nowMs();
+            long knownMs = Math.min(answeredAtMs, issuedAtMs + storeWaitMs(result, waitedMs));
+            mailbox.tell(
+                    new JobsCommand.TailRead(this, issued, result, new ReadTimes(issuedAtMs, answeredAtMs, knownMs)));
         });
     }
 
@@ -250,17 +263,39 @@
         return result instanceof ReadResult.Records read && read.records().isEmpty() ? waitedMs : 0;
     }
 
-    private void onReadFailed(String reason) {
+    private void onReadFailed(String reason, ReadTimes readTimes) {
+        failedReads++;
         if (backoffMs == 0) {
-            log.emit(JobEvent.STORE_LOST, "partition", name(), "next", nextOffset, "reason", reason);
+            log.emit(
+                    JobEvent.STORE_LOST,
+                    "partition",
+                    name(),
+                    "next",
+                    nextOffset,
+                    "sentAgoMs",
+                    clock.nowMs() - readTimes.sentAtMs(),
+                    "ageMs",
+                    ageMs(),
+                    "reason",
+                    reason);
         }
         backoffMs = backoffMs == 0 ? FIRST_BACKOFF_MS : Math.min(MAX_BACKOFF_MS, 2 * backoffMs);
     }
 
     private void onReadSucceeded() {
         if (backoffMs > 0) {
-            log.emit(JobEvent.STORE_REGAINED, "partition", name(), "next", nextOffset);
+            log.emit(
+                    JobEvent.STORE_REGAINED,
+                    "partition",
+                    name(),
+                    "next",
+                    nextOffset,
+                    "failedReads",
+                    failedReads,
+                    "ageMs",
+                    ageMs());
             backoffMs = 0;
+            failedReads = 0;
         }
     }
 
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/CutStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/CutStore.java
@@ -9,6 +9,7 @@
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.AppendResult;
 import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.ReadLimits;
 import org.fulmarreach.platform.store.ReadResult;
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.platform.store.TopicPartition;
@@ -65,9 +66,9 @@
     }
 
     @Override
-    public CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, int waitMs) {
+    public CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, ReadLimits limits) {
         return switch (path.get()) {
-            case OPEN -> store.read(partition, fromOffset, waitMs);
+            case OPEN -> store.read(partition, fromOffset, limits);
             case REFUSED -> CompletableFuture.completedFuture(new ReadResult.Failed("status 503"));
             case SILENT -> timedOutRead();
         };
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -12,6 +12,7 @@
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.AppendResult;
 import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.ReadLimits;
 import org.fulmarreach.platform.store.ReadResult;
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.platform.store.TopicPartition;
@@ -174,7 +175,8 @@
     }
 
     @Override
-    public synchronized CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, int waitMs) {
+    public synchronized CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, ReadLimits limits) {
+        int waitMs = limits.waitMs();
         reads.merge(partition, 1, Integer::sum);
         List<KeyedRecord> log = log(partition);
         if (partition.equals(failing) && waitMs > 0) {
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/OddLeaderAddressTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/OddLeaderAddressTest.java
@@ -19,6 +19,7 @@
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.AppendResult;
 import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.ReadLimits;
 import org.fulmarreach.platform.store.ReadResult;
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.platform.store.TopicPartition;
@@ -150,7 +151,7 @@
         }
 
         @Override
-        public CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, int waitMs) {
+        public CompletionStage<ReadResult> read(TopicPartition partition, long fromOffset, ReadLimits limits) {
             return CompletableFuture.completedFuture(new ReadResult.Failed("a guard follows no partition"));
         }
 
