--- a/entry/src/test/java/org/fulmarreach/entry/jobs/CutStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/CutStore.java
@@ -8,6 +8,7 @@
 
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.AppendResult;
+import org.fulmarreach.platform.store.HttpStoreClient;
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.platform.store.ReadLimits;
 import org.fulmarreach.platform.store.ReadResult;
@@ -16,8 +17,6 @@
 
 /** One entry's path to a shared store, which can be cut while others reach the store. Thread-safe. */
 final class CutStore implements StoreClient {
-    private static final int TIMEOUT_MS = 1_000;
-
     private final StoreClient store;
     private volatile TopicPartition unloadable;
     private final AtomicReference<Path> path = new AtomicReference<>(Path.OPEN);
@@ -32,7 +31,7 @@
         OPEN,
         /** The store turns the entry away with status 503. */
         REFUSED,
-        /** Calls get no answer and time out. */
+        /** Calls get no answer and fail when those of {@link HttpStoreClient} do. */
         SILENT
     }
 
@@ -61,7 +60,10 @@
                         CompletableFuture.delayedExecutor(refusalDelayMs, TimeUnit.MILLISECONDS));
             case SILENT ->
                 new CompletableFuture<AppendResult>()
-                        .completeOnTimeout(new AppendResult.Unknown("no answer"), TIMEOUT_MS, TimeUnit.MILLISECONDS);
+                        .completeOnTimeout(
+                                new AppendResult.Unknown("no answer"),
+                                HttpStoreClient.CALL_TIMEOUT_MS,
+                                TimeUnit.MILLISECONDS);
         };
     }
 
@@ -70,22 +72,26 @@
         return switch (path.get()) {
             case OPEN -> store.read(partition, fromOffset, limits);
             case REFUSED -> CompletableFuture.completedFuture(new ReadResult.Failed("status 503"));
-            case SILENT -> timedOutRead();
+            case SILENT ->
+                timedOutRead(limits.waitMs() + Math.min(limits.maxSilenceMs(), HttpStoreClient.CALL_TIMEOUT_MS));
         };
     }
 
     @Override
     public CompletionStage<ReadResult> readNewest(TopicPartition partition, String afterKey, int maxSilenceMs) {
+        int silenceMs = Math.min(maxSilenceMs, HttpStoreClient.MAX_SILENCE_MS);
         return switch (path.get()) {
             case OPEN ->
-                partition.equals(unloadable) ? timedOutRead() : store.readNewest(partition, afterKey, maxSilenceMs);
+                partition.equals(unloadable)
+                        ? timedOutRead(silenceMs)
+                        : store.readNewest(partition, afterKey, maxSilenceMs);
             case REFUSED -> CompletableFuture.completedFuture(new ReadResult.Failed("status 503"));
-            case SILENT -> timedOutRead();
+            case SILENT -> timedOutRead(silenceMs);
         };
     }
 
-    private static CompletionStage<ReadResult> timedOutRead() {
+    private static CompletionStage<ReadResult> timedOutRead(int silenceMs) {
         return new CompletableFuture<ReadResult>()
-                .completeOnTimeout(new ReadResult.Failed("no answer"), TIMEOUT_MS, TimeUnit.MILLISECONDS);
+                .completeOnTimeout(new ReadResult.Failed("no answer"), silenceMs, TimeUnit.MILLISECONDS);
     }
 }
