--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -107,7 +107,14 @@
     CONFIG_PART_SKIPPED(
             4052,
             Level.SEVERE,
-            "A part of the operators' configuration cannot be used; the reason names it. The rest of it is active.");
+            "A part of the operators' configuration cannot be used; the reason names it. The rest of it is active."),
+    CONFIG_OUTDATED(
+            4053,
+            Level.WARNING,
+            "A newer configuration that must be in force may be unknown; the reason says why. The active one stays."),
+    CONFIG_CURRENT(4054, Level.INFO, "All configurations that must be in force are known again."),
+    ENTRY_READY(4055, Level.INFO, "The readiness check succeeds from now on."),
+    ENTRY_UNREADY(4056, Level.WARNING, "The readiness check fails from now on, for the reason given.");
 
     private final int number;
     private final Level level;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
@@ -29,7 +29,7 @@
     /** A count may be 2 s old when the caller has it; 500 ms are left for the way of the answer. */
     private static final long MAX_COUNT_AGE_MS = 1_500;
 
-    private static final ReadLimits CATCH_UP_LIMITS = new ReadLimits(0, HttpStoreClient.CALL_TIMEOUT_MS);
+    private static final ReadLimits CATCH_UP_LIMITS = new ReadLimits(0, HttpStoreClient.CALL_TIMEOUT_MS, false);
 
     private final JobRegistry registry;
     private final LogTail requests;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -1,6 +1,5 @@
 package org.fulmarreach.entry.jobs;
 
-import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalLong;
@@ -25,8 +24,8 @@
 import org.fulmarreach.core.jobs.JobScheduler;
 import org.fulmarreach.core.jobs.JobTimeLimits;
 import org.fulmarreach.core.jobs.WorkerReport;
-import org.fulmarreach.platform.ingress.JobCodec;
 import org.fulmarreach.platform.store.AppendCondition;
+import org.fulmarreach.platform.store.HttpStoreClient;
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.platform.store.TopicPartition;
@@ -51,19 +50,18 @@
 public final class JobsActor extends AbstractBehavior<JobsCommand> {
     private static final Duration TICK = Duration.ofMillis(100);
 
-    /** An entry whose reads of the log have failed for this long reports itself as not ready. */
-    private static final long UNREADY_AFTER_MS = 1_500;
+    /** A read may be silent for as long as the client allows; loads also while the process is busy starting. */
+    private static final LogTail.Retry RETRY = new LogTail.Retry(HttpStoreClient.CALL_TIMEOUT_MS, 2_000, 800);
 
-    private static final LogTail.Times REQUEST_TIMES = new LogTail.Times(2_000, 20);
+    private static final LogTail.Times REQUEST_TIMES = new LogTail.Times(2_000, 20, RETRY);
 
     /**
      * The leader starts nothing while its view of cancellations is older than a second. That allows for two reads, even
      * if the store needs 240 ms for each.
      */
-    private static final LogTail.Times LEADER_REQUEST_TIMES = new LogTail.Times(250, 20);
+    private static final LogTail.Times LEADER_REQUEST_TIMES = new LogTail.Times(250, 20, RETRY);
 
-    private static final LogTail.Times PROGRESS_TIMES = new LogTail.Times(500, 120);
-    static final LogTail.Times CONFIG_TIMES = new LogTail.Times(2_000, 0);
+    private static final LogTail.Times PROGRESS_TIMES = new LogTail.Times(500, 120, RETRY);
 
     private final StoreClient store;
     private final Identity identity;
@@ -71,7 +69,7 @@
     private final MonotonicClock clock;
     private final EventLog log;
     private final DecisionLog decisionLog;
-    private final AtomicReference<JobsCommand.View> view;
+    private final ViewPublisher publisher;
     private final Random random;
     private final Election election;
     private final FormerLeaders formerLeaders;
@@ -79,17 +77,15 @@
     private final RecordApplier applier;
     private final LogTail requests;
     private final LogTail progress;
-    private final LogTail config;
+    private final ConfigFollower config;
     private final RequestForwarder forwarder;
     private final RequestWriter writer;
     private final JobQueries queries;
     private final GuardSessions sessions;
     private final GuardRedirects redirects;
-    private JobConfig activeConfig;
     private LeaderTerm leaderTerm;
     private boolean followsJobs;
     private boolean draining;
-    private long lastReadAtMs;
     private CompletableFuture<Void> drained;
 
     /**
@@ -107,6 +103,7 @@
             EntryLinks links,
             Identity identity,
             JobTimeLimits limits,
+            ConfigReadBudget configBudget,
             MonotonicClock clock,
             EventLog log,
             AtomicReference<JobsCommand.View> view,
@@ -118,20 +115,27 @@
         this.limits = limits;
         this.clock = clock;
         this.log = log;
-        this.view = view;
         this.decisionLog = (decision, subject, fields) -> JobEvent.emitDecision(log, decision, subject, fields);
         this.sessions = new GuardSessions(log);
         this.redirects = new GuardRedirects(log);
         this.applier = new RecordApplier(registry, this::onJobChanged, this::onJobRemoved, clock, log);
         this.requests = follow(JobPartitions.REQUESTS, REQUEST_TIMES, applier::requestKeys, this::onRequests);
         this.progress = follow(JobPartitions.PROGRESS, PROGRESS_TIMES, applier::progressKeys, this::onProgress);
-        this.config = follow(TopicPartition.OPERATOR, CONFIG_TIMES, Set::of, this::onConfig);
+        this.config = new ConfigFollower(
+                store,
+                TailMailbox.of(context),
+                configBudget,
+                random,
+                this::onConfigActivated,
+                this::onConfigRead,
+                clock,
+                log);
         this.formerLeaders = new FormerLeaders(limits);
         this.election = new Election(identity, store, links, context.getSelf(), clock, log, random);
         this.forwarder = new RequestForwarder(
                 links, identity.guardAddress(), election::otherLeaderAddress, context.getSelf(), clock, log);
-        this.writer = new RequestWriter(
-                JobPartitions.REQUESTS, store, forwarder, () -> !requests.isFailing(), context, clock);
+        this.writer =
+                new RequestWriter(JobPartitions.REQUESTS, store, forwarder, () -> !requests.isFailing(), context, clock);
         this.queries = new JobQueries(
                 registry,
                 requests,
@@ -142,8 +146,8 @@
                 applier::applyRequest,
                 clock,
                 log);
-        this.lastReadAtMs = clock.nowMs();
-        config.reload();
+        this.publisher = new ViewPublisher(view, config, requests, clock, log);
+        config.load();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
     }
 
@@ -154,6 +158,7 @@
      * @param links connections to other entries
      * @param identity identity of this entry
      * @param limits timeouts of job scheduling
+     * @param configBudget time limits of reading the configuration
      * @param clock monotonic clock
      * @param log event log
      * @param view updated by the actor, for other threads to read
@@ -164,12 +169,13 @@
             EntryLinks links,
             Identity identity,
             JobTimeLimits limits,
+            ConfigReadBudget configBudget,
             MonotonicClock clock,
             EventLog log,
             AtomicReference<JobsCommand.View> view,
             Random random) {
-        return Behaviors.setup(context -> Behaviors.withTimers(
-                timers -> new JobsActor(context, timers, store, links, identity, limits, clock, log, view, random)));
+        return Behaviors.setup(context -> Behaviors.withTimers(timers -> new JobsActor(
+                context, timers, store, links, identity, limits, configBudget, clock, log, view, random)));
     }
 
     @Override
@@ -184,7 +190,10 @@
             case JobsCommand.Query query -> queries.answerStatus(query.jobId(), query.reply());
             case JobsCommand.CountWaiting count -> queries.answerCount(count.queue(), count.reply());
             case JobsCommand.Describe describe -> describe.reply().complete(describe());
-            case JobsCommand.TailRead read -> read.tail().onRead(read.generation(), read.result(), read.times());
+            case JobsCommand.TailRead read ->
+                read.tail().onRead(read.generation(), read.number(), read.result(), read.times());
+            case JobsCommand.TailOverdue overdue ->
+                overdue.tail().onOverdue(overdue.generation(), overdue.number(), overdue.times());
             case JobsCommand.TailDue due -> due.tail().onDue(due.generation());
             case JobsCommand.CatchUpReadEnded ended -> queries.onReadEnded(ended.result());
             case JobsCommand.RequestsWritten written -> writer.onWritten(written.result());
@@ -296,7 +305,7 @@
 
     private void onRequests(LogTail.Update update) {
         if (!update.failed()) {
-            lastReadAtMs = clock.nowMs();
+            publisher.onRequestsRead();
         }
         update.records().forEach(applier::applyRequest);
         applier.dropRemovedProgress(requests::covers);
@@ -348,42 +357,17 @@
         }
     }
 
-    private void onConfig(LogTail.Update update) {
+    private void onConfigRead(LogTail.Update update) {
         if (!update.failed() && !followsJobs) {
             // Nothing can be served without the configuration, so on a narrow link its load goes first.
             followsJobs = true;
             requests.reload();
             progress.reload();
         }
-        for (KeyedRecord entry : update.records()) {
-            if (entry.key().equals(TopicPartition.CONFIG_KEY) && !entry.isRemoval()) {
-                try {
-                    JobConfig read = JobCodec.decodeConfig(
-                            entry.value(), reason -> log.emit(JobEvent.CONFIG_PART_SKIPPED, "reason", reason));
-                    activateConfig(read, update.times());
-                } catch (IOException e) {
-                    log.emit(JobEvent.CONFIG_UNREADABLE, "reason", e.getMessage());
-                }
-            }
-        }
         publishView();
     }
 
-    private void activateConfig(JobConfig read, LogTail.ReadTimes times) {
-        if (activeConfig != null && read.version() <= activeConfig.version()) {
-            return;
-        }
-        activeConfig = read;
-        log.emit(
-                JobEvent.CONFIG_IN_FORCE,
-                "version",
-                read.version(),
-                "queues",
-                read.queues().size(),
-                "sentAgoMs",
-                clock.nowMs() - times.sentAtMs(),
-                "answeredAgoMs",
-                clock.nowMs() - times.answeredAtMs());
+    private void onConfigActivated(JobConfig read) {
         if (leaderTerm != null) {
             leaderTerm.scheduler().configure(read);
             decide();
@@ -391,11 +375,8 @@
     }
 
     private void publishView() {
-        boolean readable = !requests.isFailing() || clock.nowMs() - lastReadAtMs <= UNREADY_AFTER_MS;
-        // Requests can be stored before the jobs are loaded; queries of jobs are refused until then.
-        boolean ready = activeConfig != null && readable && !draining;
-        long waitMs = leaderTerm == null ? 0 : leaderTerm.scheduler().longestStandingWaitMs(clock.nowMs());
-        view.set(new JobsCommand.View(activeConfig, ready, waitMs));
+        publisher.publish(
+                draining, leaderTerm == null ? 0 : leaderTerm.scheduler().longestStandingWaitMs(clock.nowMs()));
     }
 
     /*
@@ -406,7 +387,7 @@
         boolean able = !failed
                 && leaderTerm == null
                 && !draining
-                && activeConfig != null
+                && config.active() != null
                 && requests.isLoaded()
                 && progress.isLoaded();
         if (able) {
@@ -425,7 +406,7 @@
         election.onLeaderRecord(new JobLeader(term, identity.node(), identity.guardAddress()), progress.nextOffset());
         long nowMs = clock.nowMs();
         JobScheduler scheduler = new JobScheduler(
-                registry, activeConfig, limits, formerLeaders.findLeases(term, nowMs), decisionLog, nowMs);
+                registry, config.active(), limits, formerLeaders.findLeases(term, nowMs), decisionLog, nowMs);
         requests.setTimes(LEADER_REQUEST_TIMES);
         leaderTerm = new LeaderTerm(
                 term,
@@ -439,7 +420,7 @@
                 getContext(),
                 clock,
                 log);
-        leaderTerm.logElected(registry.jobs().size(), activeConfig.version());
+        leaderTerm.logElected(registry.jobs().size(), config.active().version());
         redirects.clear();
         // Only a hint: without this record, guards need longer to find the leader.
         store.append(JobPartitions.LEADER_HINT, List.of(election.recordOf(term)), new AppendCondition.None());
@@ -475,6 +456,7 @@
     private void onTick() {
         writer.expire();
         forwarder.expire();
+        config.checkAge();
         if (leaderTerm != null) {
             leaderTerm.decide();
         } else if (election.isVacant()) {
@@ -584,8 +566,11 @@
                 .add("leads", leaderTerm != null)
                 .add("leader", election.leader().getNode())
                 .add("term", election.leader().getTerm())
-                .add("config", activeConfig == null ? "none" : activeConfig.version())
+                .add(
+                        "config",
+                        config.active() == null ? "none" : config.active().version())
                 .add("configLoaded", config.isLoaded())
+                .add("configAgeMs", clock.nowMs() - config.knownUpToMs())
                 .add("requestsLoaded", requests.isLoaded())
                 .add("progressLoaded", leaderTerm != null || progress.isLoaded())
                 .add("requestsAgeMs", requests.ageMs())
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -82,7 +82,11 @@
      */
 
     /** A read of a followed partition has ended. */
-    record TailRead(LogTail tail, long generation, ReadResult result, LogTail.ReadTimes times) implements JobsCommand {}
+    record TailRead(LogTail tail, long generation, long number, ReadResult result, LogTail.ReadTimes times)
+            implements JobsCommand {}
+
+    /** A read of a followed partition should have been answered by now. */
+    record TailOverdue(LogTail tail, long generation, long number, LogTail.ReadTimes times) implements JobsCommand {}
 
     /** The next read of a followed partition is due. */
     record TailDue(LogTail tail, long generation) implements JobsCommand {}
@@ -147,14 +151,32 @@
      * State that other threads read without sending a message to the actor.
      *
      * @param config active configuration; null before the first was read
-     * @param ready whether the entry can serve requests
+     * @param configKnownUpToMs monotonic time up to which all confirmed configurations are known, in milliseconds
+     * @param configApplyMs time from the confirmation of a configuration until it must be in force, in milliseconds
+     * @param unreadyReason why the entry should get no new connections; empty if it is ready
      * @param standingWaitMs for how long the standing task that has waited longest is not at work, in milliseconds; 0
      *     if all are, or while this entry does not lead
      */
-    record View(JobConfig config, boolean ready, long standingWaitMs) {
-        /** Constructs the view of an entry that does not lead. */
-        View(JobConfig config, boolean ready) {
-            this(config, ready, 0);
+    record View(
+            JobConfig config, long configKnownUpToMs, long configApplyMs, String unreadyReason, long standingWaitMs) {
+        /** Constructs the view of an entry that has read nothing yet. */
+        static View starting() {
+            return new View(null, 0, 0, "this entry is starting", 0);
+        }
+
+        /** Tells whether the entry should get new connections. */
+        boolean ready() {
+            return unreadyReason.isEmpty();
+        }
+
+        /** Returns for how long a newer configuration may have been confirmed, in milliseconds. */
+        long configAgeMs(long nowMs) {
+            return Math.max(0, nowMs - configKnownUpToMs);
+        }
+
+        /** Tells whether a configuration that must be in force may be unknown. */
+        boolean isConfigOutdated(long nowMs) {
+            return configAgeMs(nowMs) > configApplyMs;
         }
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
@@ -98,16 +98,28 @@
                 .execute(() -> pending.forEach((answer, request) -> answer.complete(answerUndecided(request))));
     }
 
-    /** Returns status 200 if this entry is ready for requests, otherwise 503. */
+    /** Returns status 200 if this entry is ready for requests, otherwise 503 and the reason. */
     HttpResponse readiness() {
-        return HttpResponse.create().withStatus(view.get().ready() ? 200 : 503);
+        JobsCommand.View current = view.get();
+        return json(
+                current.ready() ? 200 : 503,
+                JsonText.writeObject(Map.of(
+                        "ready",
+                        current.ready(),
+                        "reason",
+                        current.unreadyReason(),
+                        "configVersion",
+                        current.config() == null ? 0L : current.config().version(),
+                        "configAgeMs",
+                        current.configAgeMs(clock.nowMs()))));
     }
 
     /** Handles a request of a caller. */
     CompletionStage<HttpResponse> handle(HttpRequest request) {
         long startedAtMs = clock.nowMs();
         String path = request.getUri().path();
-        JobConfig config = view.get().config();
+        JobsCommand.View current = view.get();
+        JobConfig config = current.config();
         Optional<JobQueue> queue = config == null ? Optional.empty() : config.findByRequest(hostOf(request), path);
         CompletionStage<HttpResponse> answer;
         if (startedAtMs >= refuseFromMs) {
@@ -115,7 +127,7 @@
         } else if (config == null) {
             answer = refuse(request, path, 503, "this entry has not loaded its configuration yet");
         } else if (queue.isEmpty()) {
-            answer = refuse(request, path, 404, "no queue is configured for this host and path");
+            answer = refuseUnknownQueue(request, path, current, startedAtMs);
         } else {
             answer = route(
                     request,
@@ -150,6 +162,21 @@
      * Routing
      */
 
+    /** Status 404 means that there is no such queue, which an outdated configuration cannot tell. */
+    private CompletionStage<HttpResponse> refuseUnknownQueue(
+            HttpRequest request, String path, JobsCommand.View current, long nowMs) {
+        if (!current.isConfigOutdated(nowMs)) {
+            return refuse(request, path, 404, "no queue is configured for this host and path");
+        }
+        return refuse(
+                request,
+                path,
+                503,
+                "no queue is known for this host and path; version "
+                        + current.config().version() + " of the configuration may be out of date for "
+                        + current.configAgeMs(nowMs) + " ms");
+    }
+
     private CompletionStage<HttpResponse> route(HttpRequest request, JobQueue queue, String id, JobConfig config) {
         if (id.length() > MAX_ID_CHARS || id.indexOf('.') >= 0 || id.indexOf('/') >= 0) {
             return refuse(
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -100,7 +100,7 @@
             NodeSettings settings, MonotonicClock clock, EventLog log, PrometheusMeterRegistry meters) {
         Address store = Address.parse(settings.storeAddress());
         Address guards = new Address(settings.ipAddress(), settings.firstInternalPort());
-        AtomicReference<JobsCommand.View> view = new AtomicReference<>(new JobsCommand.View(null, false));
+        AtomicReference<JobsCommand.View> view = new AtomicReference<>(JobsCommand.View.starting());
         JobTimeLimits limits = new JobTimeLimits(
                 settings.bounds().leaseMs(),
                 settings.bounds().statusRetentionMs(),
@@ -115,6 +115,7 @@
                                 usableAddresses(settings.entryAddresses(), log)),
                         new JobsActor.Identity(settings.node(), guards.toString()),
                         limits,
+                        new ConfigReadBudget(settings.bounds().configApplyMs()),
                         clock,
                         log,
                         view,
@@ -122,7 +123,7 @@
                 "entry",
                 THREADS);
         Materializer materializer = SystemMaterializer.get(system).materializer();
-        registerGauges(view, meters);
+        registerGauges(view, clock, meters);
         JobsHttp http = new JobsHttp(system::tell, view, materializer, clock, log, meters);
         FrameTransport transport =
                 new FrameTransport(system, LinkSettings.DEFAULT.withSilenceTimeoutMs(SILENCE_TIMEOUT_MS), log);
@@ -174,7 +175,15 @@
         return system.getWhenTerminated();
     }
 
-    static void registerGauges(AtomicReference<JobsCommand.View> view, MeterRegistry meters) {
+    static void registerGauges(AtomicReference<JobsCommand.View> view, MonotonicClock clock, MeterRegistry meters) {
+        Gauge.builder(
+                        "fulmarreach.config.age",
+                        () -> view.get().config() == null
+                                ? Double.NaN
+                                : view.get().configAgeMs(clock.nowMs()) / MS_PER_SECOND)
+                .description("For how long a newer configuration may have been confirmed; none before the first")
+                .baseUnit("seconds")
+                .register(meters);
         Gauge.builder("fulmarreach.jobs.standing.wait", () -> view.get().standingWaitMs() / MS_PER_SECOND)
                 .description("How long the standing task that has waited longest is not at work; 0 without leadership")
                 .baseUnit("seconds")
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
@@ -23,11 +23,13 @@
  * ({@link PartitionLoad}). Confined to one actor.
  */
 final class LogTail {
+    /** Longest time between the failure of a read that was silent and the next one, in milliseconds. */
+    static final int SILENT_PAUSE_MS = 100;
+
     private static final int FIRST_BACKOFF_MS = 100;
-    private static final int MAX_BACKOFF_MS = 800;
 
-    /** Allows for answers that queue behind others on a narrow link, and for a process that is still busy starting. */
-    private static final int MAX_LOAD_SILENCE_MS = 2_000;
+    /** Bounds what answers that overtake each other add to a narrow link. */
+    private static final int MAX_OPEN_READS = 2;
 
     private final TopicPartition partition;
     private final StoreClient store;
@@ -44,7 +46,13 @@
     private long nextOffset;
     private int backoffMs;
     private int failedReads;
+    private String failure = "";
+    private long lastRead;
+    private boolean lastReadFailed;
+    private int openReads;
+    private boolean awaitsOpenRead;
     private long knownUpToMs;
+    private long answeredAtMs = Long.MIN_VALUE;
     private final Random random;
     /** Pages that were read since the last reload; a failed read repeats only its own page. */
     private PartitionLoad load = new PartitionLoad();
@@ -84,8 +92,19 @@
      *
      * @param waitMs how long the store waits for new records before it answers a read (long polling)
      * @param spacingMs pause after a read that returned records, since each read has a cost
+     * @param retry what happens to reads without an answer
      */
-    record Times(int waitMs, int spacingMs) {}
+    record Times(int waitMs, int spacingMs, Retry retry) {}
+
+    /**
+     * Time limits of reads without an answer, in milliseconds.
+     *
+     * @param overdueMs a read without an answer for this long after its wait counts as failed, and is sent again; its
+     *     answer is still taken if it arrives before that of the next one
+     * @param maxLoadSilenceMs a load fails if no byte of the answer arrives for this long
+     * @param maxPauseMs longest time from the start of a read that fails to the next one
+     */
+    record Retry(int overdueMs, int maxLoadSilenceMs, int maxPauseMs) {}
 
     /**
      * Times of a read, as readings of the monotonic clock in milliseconds.
@@ -137,18 +156,28 @@
         return loaded && knownUpToMs >= clockMs;
     }
 
+    /** Returns why the last read failed that did; empty before. */
+    String failure() {
+        return failure;
+    }
+
+    /** Tells whether the store has answered a read since a reading of the monotonic clock. */
+    boolean wasAnsweredSince(long clockMs) {
+        return answeredAtMs >= clockMs;
+    }
+
     /** Changes the timing of reads; the result of a pending read is ignored. */
     void setTimes(Times newTimes) {
         times = newTimes;
         if (loaded && !paused) {
-            generation++;
+            ignorePendingReads();
             startRead(0);
         }
     }
 
     /** Starts over by reading the newest record of each key; the result of a pending read is ignored. */
     void reload() {
-        generation++;
+        ignorePendingReads();
         loaded = false;
         paused = false;
         load = new PartitionLoad();
@@ -157,20 +186,42 @@
 
     /** Stops reading until {@link #reload}. */
     void pause() {
-        generation++;
+        ignorePendingReads();
         paused = true;
     }
 
     void onDue(long dueGeneration) {
-        if (dueGeneration == generation && !paused) {
+        if (dueGeneration != generation || paused) {
+            return;
+        }
+        awaitsOpenRead = openReads >= MAX_OPEN_READS;
+        if (!awaitsOpenRead) {
             startRead();
         }
     }
 
-    void onRead(long readGeneration, ReadResult result, ReadTimes readTimes) {
+    /** Handles a read that should have been answered by now. */
+    void onOverdue(long readGeneration, long read, ReadTimes readTimes) {
+        if (readGeneration == generation && !paused && read == lastRead && !lastReadFailed) {
+            onReadFailed("no answer " + times.retry().overdueMs() + " ms after the wait", readTimes);
+        }
+    }
+
+    void onRead(long readGeneration, long readNumber, ReadResult result, ReadTimes readTimes) {
         if (readGeneration != generation || paused) {
             return;
         }
+        openReads--;
+        if (result instanceof ReadResult.Failed failed) {
+            if (readNumber == lastRead && !lastReadFailed) {
+                onReadFailed(failed.reason(), readTimes);
+            } else if (awaitsOpenRead) {
+                awaitsOpenRead = false;
+                startRead();
+            }
+            return;
+        }
+        ignorePendingReads();
         switch (result) {
             case ReadResult.Page page -> onPage(page, readTimes);
             case ReadResult.Records read -> {
@@ -187,11 +238,7 @@
                 load = new PartitionLoad();
                 scheduleRead(0);
             }
-            case ReadResult.Failed failed -> {
-                onReadFailed(failed.reason(), readTimes);
-                consumer.accept(new Update(List.of(), true, readTimes));
-                scheduleRead(backoffMs / 2 + random.nextInt(backoffMs / 2 + 1));
-            }
+            case ReadResult.Failed failed -> throw new IllegalStateException("a failure is handled before");
         }
     }
 
@@ -199,6 +246,12 @@
      * Helpers
      */
 
+    private void ignorePendingReads() {
+        generation++;
+        openReads = 0;
+        awaitsOpenRead = false;
+    }
+
     private void onPage(ReadResult.Page page, ReadTimes readTimes) {
         onReadSucceeded();
         load.add(page, readTimes.knownUpToMs());
@@ -233,26 +286,39 @@
         }
     }
 
+    /** While reads fail, one that waits would prove nothing before the end of its wait. */
     private void startRead() {
-        startRead(times.waitMs());
+        startRead(isFailing() ? 0 : times.waitMs());
     }
 
     private void startRead(int waitMs) {
         long issued = generation;
         long issuedAtMs = clock.nowMs();
+        long number = ++lastRead;
         int waitedMs = loaded ? waitMs : 0;
+        lastReadFailed = false;
+        openReads++;
         if (!loaded && load.isEmpty()) {
             load.begin(knownKeys.get());
         }
         var read = loaded
-                ? store.read(partition, nextOffset, new ReadLimits(waitMs, HttpStoreClient.CALL_TIMEOUT_MS))
-                : store.readNewest(partition, load.lastKey(), MAX_LOAD_SILENCE_MS);
+                ? store.read(
+                        partition, nextOffset, new ReadLimits(waitMs, HttpStoreClient.CALL_TIMEOUT_MS, isFailing()))
+                : store.readNewest(
+                        partition,
+                        load.lastKey(),
+                        new ReadLimits(0, times.retry().maxLoadSilenceMs(), isFailing()));
         read.thenAccept(result -> {
-            long answeredAtMs = clock.nowMs();
-            long knownMs = Math.min(answeredAtMs, issuedAtMs + storeWaitMs(result, waitedMs));
-            mailbox.tell(
-                    new JobsCommand.TailRead(this, issued, result, new ReadTimes(issuedAtMs, answeredAtMs, knownMs)));
+            long endedAtMs = clock.nowMs();
+            long knownMs = Math.min(endedAtMs, issuedAtMs + storeWaitMs(result, waitedMs));
+            mailbox.tell(new JobsCommand.TailRead(
+                    this, issued, number, result, new ReadTimes(issuedAtMs, endedAtMs, knownMs)));
         });
+        if (loaded && times.retry().overdueMs() < HttpStoreClient.CALL_TIMEOUT_MS) {
+            int overdueMs = waitMs + times.retry().overdueMs();
+            ReadTimes overdue = new ReadTimes(issuedAtMs, issuedAtMs + overdueMs, knownUpToMs);
+            mailbox.tellAfter(Duration.ofMillis(overdueMs), new JobsCommand.TailOverdue(this, issued, number, overdue));
+        }
     }
 
     /**
@@ -264,7 +330,9 @@
     }
 
     private void onReadFailed(String reason, ReadTimes readTimes) {
+        lastReadFailed = true;
         failedReads++;
+        failure = reason;
         if (backoffMs == 0) {
             log.emit(
                     JobEvent.STORE_LOST,
@@ -279,10 +347,20 @@
                     "reason",
                     reason);
         }
-        backoffMs = backoffMs == 0 ? FIRST_BACKOFF_MS : Math.min(MAX_BACKOFF_MS, 2 * backoffMs);
+        backoffMs = backoffMs == 0 ? FIRST_BACKOFF_MS : Math.min(times.retry().maxPauseMs(), 2 * backoffMs);
+        consumer.accept(new Update(List.of(), true, readTimes));
+        scheduleRead(nextPauseMs(readTimes.sentAtMs()));
+    }
+
+    /** Returns the pause before the next read. It counts from the start of the failed one, which may be long ago. */
+    private int nextPauseMs(long sentAtMs) {
+        long passedMs = clock.nowMs() - sentAtMs;
+        long restMs = backoffMs / 2 + random.nextInt(backoffMs / 2 + 1) - passedMs;
+        return (int) Math.max(restMs, SILENT_PAUSE_MS / 2 + random.nextInt(SILENT_PAUSE_MS / 2 + 1));
     }
 
     private void onReadSucceeded() {
+        answeredAtMs = clock.nowMs();
         if (backoffMs > 0) {
             log.emit(
                     JobEvent.STORE_REGAINED,
--- /dev/null
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/ViewPublisher.java
@@ -0,0 +1,73 @@
+package org.fulmarreach.entry.jobs;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.util.MonotonicClock;
+
+/** Publishes the view of an entry for other threads, and decides whether it is ready. Confined to one actor. */
+final class ViewPublisher {
+    /** An entry whose reads of the requests have failed for this long reports itself as not ready. */
+    private static final long UNREADY_AFTER_MS = 1_500;
+
+    private final AtomicReference<JobsCommand.View> view;
+    private final ConfigFollower config;
+    private final LogTail requests;
+    private final MonotonicClock clock;
+    private final EventLog log;
+    private long requestsReadAtMs;
+
+    /**
+     * Constructs a publisher.
+     *
+     * @param view is updated
+     * @param config the followed configuration
+     * @param requests the followed partition of callers' requests
+     */
+    ViewPublisher(
+            AtomicReference<JobsCommand.View> view,
+            ConfigFollower config,
+            LogTail requests,
+            MonotonicClock clock,
+            EventLog log) {
+        this.view = view;
+        this.config = config;
+        this.requests = requests;
+        this.clock = clock;
+        this.log = log;
+        this.requestsReadAtMs = clock.nowMs();
+    }
+
+    void onRequestsRead() {
+        requestsReadAtMs = clock.nowMs();
+    }
+
+    /**
+     * Publishes the present state.
+     *
+     * @param draining whether the entry is stopping
+     * @param standingWaitMs how long the standing task that has waited longest is not at work, in milliseconds
+     */
+    void publish(boolean draining, long standingWaitMs) {
+        String reason = findUnreadyReason(draining);
+        if (!reason.equals(view.get().unreadyReason())) {
+            log.emit(reason.isEmpty() ? JobEvent.ENTRY_READY : JobEvent.ENTRY_UNREADY, "reason", reason);
+        }
+        view.set(new JobsCommand.View(config.active(), config.knownUpToMs(), config.applyMs(), reason, standingWaitMs));
+    }
+
+    /** Requests can be stored before the jobs are loaded; queries of jobs are refused until then. */
+    private String findUnreadyReason(boolean draining) {
+        if (draining) {
+            return "this entry is stopping";
+        }
+        if (config.active() == null) {
+            return "this entry has not loaded its configuration yet";
+        }
+        if (config.isOutdated()) {
+            return "the configuration may be out of date";
+        }
+        boolean readable = !requests.isFailing() || clock.nowMs() - requestsReadAtMs <= UNREADY_AFTER_MS;
+        return readable ? "" : "the requests of callers cannot be read from the store";
+    }
+}
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/ConfigInForceTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/ConfigInForceTest.java
@@ -13,11 +13,14 @@
 import org.fulmarreach.runtime.log.EventLog;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
  * Guards against a configuration that comes into force later than {@code config_apply_ms} after its confirmation: the
@@ -75,6 +78,53 @@
         assertEquals(List.of(), late, "outages, and the time from the confirmation until the configuration is known");
     }
 
+    /** An overdue read is sent again. If only the last one counted, a store that is slower would never be read. */
+    @ParameterizedTest
+    @ValueSource(ints = {400, 700, 900})
+    void answersThatComeLateAreTaken(int answerMs) {
+        VirtualTime time = new VirtualTime();
+        VirtualStore store = new VirtualStore(time, answerMs, 0);
+        List<Long> knownAtMs = new ArrayList<>();
+        store.append(version(1));
+        follow(time, store, 2_500, 1, knownAtMs);
+        time.runUntil(CALM_MS);
+        for (int i = 2; i <= 6; i++) {
+            store.append(version(i));
+            time.runUntil(time.nowMs() + 2_500);
+        }
+        assertEquals(6, knownAtMs.size());
+    }
+
+    /** Each read has its price, so in calm only the end of a wait is followed by the next one. */
+    @Test
+    void calmIsNotPolledFaster() {
+        VirtualTime time = new VirtualTime();
+        VirtualStore store = new VirtualStore(time, USUAL_ANSWER_MS, 0);
+        store.append(version(1));
+        follow(time, store, 2_500, 1, new ArrayList<>());
+        time.runUntil(60_000);
+        int waitMs = new ConfigReadBudget(2_500).times().waitMs();
+        assertTrue(store.reads() <= 2 + 60_000 / waitMs, () -> store.reads() + " reads");
+    }
+
+    private static void follow(VirtualTime time, VirtualStore store, int applyMs, long seed, List<Long> knownAtMs) {
+        new LogTail(
+                        TopicPartition.OPERATOR,
+                        store,
+                        time.mailbox(),
+                        new EventLog("entry"),
+                        time::nowMs,
+                        new ConfigReadBudget(applyMs).times(),
+                        new Random(seed),
+                        Set::of,
+                        update -> update.records().forEach(unused -> knownAtMs.add(time.nowMs())))
+                .reload();
+    }
+
+    private static KeyedRecord version(int version) {
+        return new KeyedRecord(TopicPartition.CONFIG_KEY, new byte[] {(byte) version});
+    }
+
     /** An outage at the end of which an operator's change is confirmed. */
     private record Outage(int applyMs, VirtualStore.Failure failure, int answerMs, int outageMs, boolean compacted) {
         long knownAfterMs() {
@@ -82,17 +132,7 @@
             VirtualStore store = new VirtualStore(time, answerMs, LARGE_TRANSFER_MS);
             List<Long> knownAtMs = new ArrayList<>();
             store.append(version(1));
-            LogTail tail = new LogTail(
-                    TopicPartition.OPERATOR,
-                    store,
-                    time.mailbox(),
-                    new EventLog("entry"),
-                    time::nowMs,
-                    JobsActor.CONFIG_TIMES,
-                    new Random(outageMs),
-                    Set::of,
-                    update -> update.records().forEach(unused -> knownAtMs.add(time.nowMs())));
-            tail.reload();
+            follow(time, store, applyMs, outageMs, knownAtMs);
             time.runUntil(CALM_MS + outageMs % 997);
             store.fail(failure);
             time.runUntil(time.nowMs() + outageMs);
@@ -105,9 +145,5 @@
             time.runUntil(confirmedAtMs + 20_000);
             return knownAtMs.getLast() - confirmedAtMs;
         }
-
-        private static KeyedRecord version(int version) {
-            return new KeyedRecord(TopicPartition.CONFIG_KEY, new byte[] {(byte) version});
-        }
     }
 }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/CutStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/CutStore.java
@@ -78,13 +78,11 @@
     }
 
     @Override
-    public CompletionStage<ReadResult> readNewest(TopicPartition partition, String afterKey, int maxSilenceMs) {
-        int silenceMs = Math.min(maxSilenceMs, HttpStoreClient.MAX_SILENCE_MS);
+    public CompletionStage<ReadResult> readNewest(TopicPartition partition, String afterKey, ReadLimits limits) {
+        int silenceMs = Math.min(limits.maxSilenceMs(), HttpStoreClient.MAX_SILENCE_MS);
         return switch (path.get()) {
             case OPEN ->
-                partition.equals(unloadable)
-                        ? timedOutRead(silenceMs)
-                        : store.readNewest(partition, afterKey, maxSilenceMs);
+                partition.equals(unloadable) ? timedOutRead(silenceMs) : store.readNewest(partition, afterKey, limits);
             case REFUSED -> CompletableFuture.completedFuture(new ReadResult.Failed("status 503"));
             case SILENT -> timedOutRead(silenceMs);
         };
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -11,6 +11,7 @@
 
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.AppendResult;
+import org.fulmarreach.platform.store.HttpStoreClient;
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.platform.store.ReadLimits;
 import org.fulmarreach.platform.store.ReadResult;
@@ -80,7 +81,7 @@
         holdingReads = true;
     }
 
-    /** Makes further reads of a partition get no answer, as on a dead connection; null for none. */
+    /** Makes further reads of a partition get no answer, so that they fail as the client's do; null for none. */
     synchronized void silenceReads(TopicPartition partition) {
         silenced = partition;
     }
@@ -187,7 +188,12 @@
         }
         int next = (int) Math.min(log.size(), fromOffset + maxRecords);
         ReadResult result = new ReadResult.Records(List.copyOf(log.subList((int) fromOffset, next)), next, log.size());
-        if (partition.equals(silenced) || holdingReads && fromOffset >= log.size()) {
+        if (partition.equals(silenced)) {
+            int silentMs = waitMs + Math.min(limits.maxSilenceMs(), HttpStoreClient.CALL_TIMEOUT_MS);
+            return new CompletableFuture<ReadResult>()
+                    .completeOnTimeout(new ReadResult.Failed("no answer"), silentMs, TimeUnit.MILLISECONDS);
+        }
+        if (holdingReads && fromOffset >= log.size()) {
             return new CompletableFuture<>();
         }
         if (partition.equals(heldReads) && waitMs == 0) {
@@ -201,7 +207,7 @@
 
     @Override
     public synchronized CompletionStage<ReadResult> readNewest(
-            TopicPartition partition, String afterKey, int maxSilenceMs) {
+            TopicPartition partition, String afterKey, ReadLimits limits) {
         if (partition.equals(unloadable)) {
             return new CompletableFuture<>();
         }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobQueriesTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobQueriesTest.java
@@ -206,9 +206,10 @@
                         new FakeEntryLinks(),
                         new JobsActor.Identity("entry-0", "127.0.0.1:1"),
                         new JobTimeLimits(6_000, 120_000, 3_000, 900),
+                        new ConfigReadBudget(2_500),
                         MonotonicClock.system(),
                         new EventLog("entry-0"),
-                        new AtomicReference<>(new JobsCommand.View(null, false)),
+                        new AtomicReference<>(JobsCommand.View.starting()),
                         new Random(1)),
                 "entry-0",
                 1);
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsActorTest.java
@@ -537,9 +537,10 @@
                         new FakeEntryLinks(),
                         new JobsActor.Identity(node, "127.0.0.1:1"),
                         new JobTimeLimits(6_000, retentionMs, CANCEL_BOUND_MS, 900),
+                        new ConfigReadBudget(2_500),
                         MonotonicClock.system(),
                         new EventLog(node),
-                        new AtomicReference<>(new JobsCommand.View(null, false)),
+                        new AtomicReference<>(JobsCommand.View.starting()),
                         random),
                 node,
                 1));
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/NarrowLinkLoadTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/NarrowLinkLoadTest.java
@@ -50,7 +50,7 @@
                 JobSpec job = job(i);
                 store.put(JobPartitions.REQUESTS, JobTopics.jobKey(job.id()), JobRecords.encode(job));
             }
-            AtomicReference<JobsCommand.View> view = new AtomicReference<>(new JobsCommand.View(null, false));
+            AtomicReference<JobsCommand.View> view = new AtomicReference<>(JobsCommand.View.starting());
             ActorSystem<JobsCommand> entry = start(store.port(), view);
             try {
                 Awaitility.await()
@@ -77,6 +77,7 @@
                         new FakeEntryLinks(),
                         new JobsActor.Identity("entry-0", "127.0.0.1:1"),
                         new JobTimeLimits(6_000, 120_000, 3_000, 900),
+                        new ConfigReadBudget(2_500),
                         MonotonicClock.system(),
                         new EventLog("entry-0"),
                         view,
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/OddJobRecordTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/OddJobRecordTest.java
@@ -52,7 +52,7 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
     private final FakeStore store = new FakeStore();
-    private final AtomicReference<JobsCommand.View> view = new AtomicReference<>(new JobsCommand.View(null, false));
+    private final AtomicReference<JobsCommand.View> view = new AtomicReference<>(JobsCommand.View.starting());
     private ActorSystem<JobsCommand> entry;
 
     @AfterEach
@@ -212,6 +212,7 @@
                         new FakeEntryLinks(),
                         new JobsActor.Identity("entry-0", "127.0.0.1:1"),
                         new JobTimeLimits(6_000, 120_000, 3_000, 900),
+                        new ConfigReadBudget(2_500),
                         MonotonicClock.system(),
                         new EventLog("entry"),
                         view,
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/RemovedQueueTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/RemovedQueueTest.java
@@ -47,7 +47,7 @@
 
     private final FakeStore store = new FakeStore();
     private final FakeLink guard = new FakeLink();
-    private final AtomicReference<JobsCommand.View> view = new AtomicReference<>(new JobsCommand.View(null, false));
+    private final AtomicReference<JobsCommand.View> view = new AtomicReference<>(JobsCommand.View.starting());
     private ActorSystem<JobsCommand> entry;
 
     @AfterEach
@@ -114,6 +114,7 @@
                         new FakeEntryLinks(),
                         new JobsActor.Identity(node, "127.0.0.1:1"),
                         new JobTimeLimits(6_000, 120_000, 3_000, 900),
+                        new ConfigReadBudget(2_500),
                         MonotonicClock.system(),
                         new EventLog(node),
                         view,
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/RequestForwardingTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/RequestForwardingTest.java
@@ -257,13 +257,14 @@
 
     private AtomicReference<JobsCommand.View> start(int index, CutStore path) {
         paths.add(path);
-        AtomicReference<JobsCommand.View> view = new AtomicReference<>(new JobsCommand.View(null, false));
+        AtomicReference<JobsCommand.View> view = new AtomicReference<>(JobsCommand.View.starting());
         ActorSystem<JobsCommand> entry = ActorSystems.construct(
                 JobsActor.create(
                         path,
                         links,
                         new JobsActor.Identity("entry-" + index, address(index)),
                         new JobTimeLimits(6_000, 120_000, 3_000, 900),
+                        new ConfigReadBudget(2_500),
                         MonotonicClock.system(),
                         new EventLog("entry-" + index),
                         view,
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/StandingWaitTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/StandingWaitTest.java
@@ -34,7 +34,7 @@
     private static final String NONE = "fulmarreach_jobs_standing_wait_seconds 0.0";
 
     private final FakeStore store = new FakeStore();
-    private final AtomicReference<JobsCommand.View> view = new AtomicReference<>(new JobsCommand.View(null, false));
+    private final AtomicReference<JobsCommand.View> view = new AtomicReference<>(JobsCommand.View.starting());
     private final PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private ActorSystem<JobsCommand> entry;
 
@@ -52,7 +52,7 @@
                 TopicPartition.OPERATOR,
                 List.of(new KeyedRecord(TopicPartition.CONFIG_KEY, config.getBytes(StandardCharsets.UTF_8))),
                 new AppendCondition.None());
-        JobsNode.registerGauges(view, meters);
+        JobsNode.registerGauges(view, MonotonicClock.system(), meters);
         start();
         Awaitility.await()
                 .atMost(Duration.ofSeconds(10))
@@ -77,6 +77,7 @@
                         new FakeEntryLinks(),
                         new JobsActor.Identity("entry-0", "127.0.0.1:1"),
                         new JobTimeLimits(6_000, 120_000, 3_000, 900),
+                        new ConfigReadBudget(2_500),
                         MonotonicClock.system(),
                         new EventLog("entry-0"),
                         view,
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/VirtualStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/VirtualStore.java
@@ -109,9 +109,9 @@
     }
 
     @Override
-    public CompletionStage<ReadResult> readNewest(TopicPartition partition, String afterKey, int maxSilenceMs) {
+    public CompletionStage<ReadResult> readNewest(TopicPartition partition, String afterKey, ReadLimits limits) {
         CompletableFuture<ReadResult> answer = new CompletableFuture<>();
-        int silenceMs = Math.min(maxSilenceMs, HttpStoreClient.MAX_SILENCE_MS);
+        int silenceMs = Math.min(limits.maxSilenceMs(), HttpStoreClient.MAX_SILENCE_MS);
         reads++;
         if (failure == Failure.NONE) {
             List<KeyedRecord> newest = log.isEmpty() ? List.of() : List.of(log.getLast());
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/VirtualTime.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/VirtualTime.java
@@ -48,7 +48,10 @@
 
     private static void deliver(JobsCommand message) {
         switch (message) {
-            case JobsCommand.TailRead read -> read.tail().onRead(read.generation(), read.result(), read.times());
+            case JobsCommand.TailRead read ->
+                read.tail().onRead(read.generation(), read.number(), read.result(), read.times());
+            case JobsCommand.TailOverdue overdue ->
+                overdue.tail().onOverdue(overdue.generation(), overdue.number(), overdue.times());
             case JobsCommand.TailDue due -> due.tail().onDue(due.generation());
             default -> throw new IllegalStateException("no message of a tail: " + message);
         }
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/NetworkRelayLinks.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/NetworkRelayLinks.java
@@ -4,6 +4,7 @@
 
 import org.fulmarreach.core.exc.FrameException;
 import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.ReadLimits;
 import org.fulmarreach.platform.store.ReadResult;
 import org.fulmarreach.platform.store.StoreClient;
 import org.fulmarreach.platform.store.TopicPartition;
@@ -24,7 +25,7 @@
  */
 record NetworkRelayLinks(FrameTransport transport, StoreClient store, EventLog log) implements RelayLinks {
     /** The store answers in 4 ms; a guard without an answer asks an entry next. */
-    private static final int LOOKUP_SILENCE_MS = 1_000;
+    private static final ReadLimits LOOKUP_LIMITS = new ReadLimits(0, 1_000, false);
 
     @Override
     public void connect(String address, Consumer<LinkEvent> listener) {
@@ -34,7 +35,7 @@
     @Override
     public void findLeader(Consumer<String> answer) {
         TopicPartition partition = new TopicPartition(JobTopics.TOPIC, JobTopics.LEADER_HINT_PART);
-        store.readNewest(partition, "", LOOKUP_SILENCE_MS).thenAccept(result -> answer.accept(findAddress(result)));
+        store.readNewest(partition, "", LOOKUP_LIMITS).thenAccept(result -> answer.accept(findAddress(result)));
     }
 
     private String findAddress(ReadResult result) {
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/OddLeaderAddressTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/OddLeaderAddressTest.java
@@ -156,7 +156,7 @@
         }
 
         @Override
-        public CompletionStage<ReadResult> readNewest(TopicPartition partition, String afterKey, int maxSilenceMs) {
+        public CompletionStage<ReadResult> readNewest(TopicPartition partition, String afterKey, ReadLimits limits) {
             return CompletableFuture.completedFuture(new ReadResult.Page(List.of(record), record.key(), false, 1));
         }
     }
