--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -135,7 +135,7 @@
         this.forwarder = new RequestForwarder(
                 links, identity.guardAddress(), election::otherLeaderAddress, context.getSelf(), clock, log);
         this.writer =
-                new RequestWriter(JobPartitions.REQUESTS, store, forwarder, () -> !requests.isFailing(), context, clock);
+                new RequestWriter(JobPartitions.REQUESTS, store, forwarder, requests::wasAnsweredSince, context, clock);
         this.queries = new JobQueries(
                 registry,
                 requests,
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
@@ -5,8 +5,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongPredicate;
 
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.fulmarreach.platform.store.AppendCondition;
@@ -37,32 +37,34 @@
     private final TopicPartition partition;
     private final StoreClient store;
     private final RequestForwarder forwarder;
-    private final BooleanSupplier readable;
+    private final LongPredicate readSince;
     private final ActorContext<JobsCommand> context;
     private final MonotonicClock clock;
     private final Deque<Write> waiting = new ArrayDeque<>();
     private List<Write> inFlight = List.of();
     private boolean retryDue;
     private boolean failing;
+    private long failingSinceMs;
     private long appendedAtMs;
 
     /**
      * Constructs a writer.
      *
      * @param forwarder hands requests to other entries
-     * @param readable tells whether reads of the store succeed, which shows its return
+     * @param readSince tells whether a read of the store has succeeded since a reading of the monotonic clock, which
+     *     shows its return
      */
     RequestWriter(
             TopicPartition partition,
             StoreClient store,
             RequestForwarder forwarder,
-            BooleanSupplier readable,
+            LongPredicate readSince,
             ActorContext<JobsCommand> context,
             MonotonicClock clock) {
         this.partition = partition;
         this.store = store;
         this.forwarder = forwarder;
-        this.readable = readable;
+        this.readSince = readSince;
         this.context = context;
         this.clock = clock;
     }
@@ -75,7 +77,7 @@
      */
     void write(KeyedRecord entry, long deadlineAtMs, Consumer<WriteOutcome> done) {
         Write write = new Write(entry, deadlineAtMs, true, done);
-        if (failing && !readable.getAsBoolean() && forwarder.haveAllFailed()) {
+        if (failing && !readSince.test(failingSinceMs) && forwarder.haveAllFailed()) {
             write.complete(new WriteOutcome.Refused("neither the store nor another entry stores requests now"));
         } else if (failing && clock.nowMs() - appendedAtMs < PROBE_INTERVAL_MS) {
             forward(write);
@@ -99,7 +101,7 @@
     void onWritten(AppendResult result) {
         List<Write> written = inFlight;
         inFlight = List.of();
-        failing = !(result instanceof AppendResult.Appended);
+        setFailing(!(result instanceof AppendResult.Appended));
         switch (result) {
             case AppendResult.Appended appended -> written.forEach(write -> write.complete(new WriteOutcome.Stored()));
             case AppendResult.Unknown unknown -> {
@@ -123,7 +125,7 @@
             if (nowMs >= write.deadlineAtMs) {
                 write.complete(new WriteOutcome.Undecided("the store did not answer in time"));
             } else if (unanswered) {
-                failing = true;
+                setFailing(true);
                 forward(write);
             }
         }
@@ -133,6 +135,13 @@
      * Helpers
      */
 
+    private void setFailing(boolean fails) {
+        if (fails && !failing) {
+            failingSinceMs = clock.nowMs();
+        }
+        failing = fails;
+    }
+
     private void flush() {
         if (!inFlight.isEmpty() || waiting.isEmpty() || retryDue) {
             return;
