--- a/it/src/main/java/org/fulmarreach/it/site/DisruptionLog.java
+++ b/it/src/main/java/org/fulmarreach/it/site/DisruptionLog.java
@@ -46,6 +46,11 @@
         return entries.stream().allMatch(entry -> entry.toMs < Long.MAX_VALUE);
     }
 
+    /** Returns whether nothing has been active since a time, planned work included. */
+    synchronized boolean isQuietSince(long sinceMs) {
+        return entries.stream().allMatch(entry -> entry.toMs < sinceMs);
+    }
+
     /** Returns all that was recorded. */
     synchronized List<StandingGaps.Disruption> list() {
         return entries.stream()
--- a/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
+++ b/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
@@ -37,6 +37,10 @@
     private static final String SERVICE = "service";
     private static final String HOST_HEADER = "shop.example";
     private static final String PREFIX = "/jobs/";
+
+    /** Version of the configuration with which a deployment starts. */
+    static final int FIRST_VERSION = 1;
+
     private static final int READY_MS = 40_000;
     private static final int PORTS = 9;
 
@@ -76,7 +80,7 @@
         store = new PlatformStore(storeHosts(), firstPort);
         try {
             directory = Files.createTempDirectory("fulmarreach-soak");
-            publishConfig();
+            publishConfig(FIRST_VERSION, List.of());
             for (int i = 0; i < entryCount; i++) {
                 writeSettings(
                         entryName(i), "entry", network + (1 + i), storeHosts().get(1 + i));
@@ -194,6 +198,30 @@
         return send(request).status();
     }
 
+    /** Asks for the length of a queue; returns the status of the answer, or 0 without one. */
+    int countWaiting(int entry, String prefix) {
+        return send(request(entry, firstPort, prefix).GET()).status();
+    }
+
+    /**
+     * Confirms a configuration.
+     *
+     * @param prefixes path prefixes of the queues beside that of the soak's jobs
+     */
+    void publishConfig(int version, List<String> prefixes) {
+        ObjectNode config = JSON.createObjectNode().put("version", version);
+        ArrayNode routes = config.putArray("routes");
+        addRoute(routes, "jobs", PREFIX);
+        prefixes.forEach(prefix -> addRoute(routes, prefix.replace("/", ""), prefix));
+        config.putArray("services")
+                .addObject()
+                .put("name", SERVICE)
+                .put("health_check_path", "/health")
+                .put("enforces_capacity", false);
+        config.putObject("limits").put("max_body_bytes", 262_144);
+        store.publish("config", config);
+    }
+
     /** Cancels a job; returns the status of the answer, or 0 without one. */
     int cancel(int entry, String id) {
         return send(request(entry, firstPort, PREFIX + id).DELETE()).status();
@@ -276,13 +304,11 @@
         throw new IllegalStateException("no free ports on " + host + ". Remedy: end other deployments.");
     }
 
-    private void publishConfig() {
-        ObjectNode config = JSON.createObjectNode().put("version", 1);
-        config.putArray("routes")
-                .addObject()
-                .put("name", "jobs")
+    private static void addRoute(ArrayNode routes, String name, String prefix) {
+        routes.addObject()
+                .put("name", name)
                 .put("host", HOST_HEADER)
-                .put("path_prefix", PREFIX)
+                .put("path_prefix", prefix)
                 .put("kind", "unsafe")
                 .put("timeout_ms", 3_000)
                 .put("target_latency_ms", 1_000)
@@ -290,13 +316,6 @@
                 .put("service", SERVICE)
                 .put("max_attempts", 3)
                 .put("stretch", 2.0);
-        config.putArray("services")
-                .addObject()
-                .put("name", SERVICE)
-                .put("health_check_path", "/health")
-                .put("enforces_capacity", false);
-        config.putObject("limits").put("max_body_bytes", 262_144);
-        store.publish("config", config);
     }
 
     private void writeSettings(String name, String role, String host, String storeHost) throws IOException {
--- a/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
+++ b/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
@@ -25,10 +25,11 @@
  * Runs jobs on the processes of the users' platform while workers start again under their id or another one, drain,
  * leave with their machine, refuse connections, and hold orders and polls back, while other writers send heartbeats,
  * while the store is silent, refuses calls or loses answers, and while guards and entries are paused and killed, also
- * leaders in a row. After each burst of faults the deployment is left alone. Checks, from what the workers ran, that no
- * task runs twice and no standing task is without a run for longer than the platform's rules allow, and from what
- * callers see, that every job is completed. The faults of each burst, in their order, depend only on the seed and the
- * kinds of faults, and how many of them there are also on its time; faults overlap.
+ * leaders in a row. An operator changes the configuration all the time. After each burst of faults the deployment is
+ * left alone. Checks, from what the workers ran, that no task runs twice and no standing task is without a run for
+ * longer than the platform's rules allow, and from what callers see, that every job is completed and that a
+ * configuration is in force in time and never back. The faults of each burst, in their order, depend only on the seed
+ * and the kinds of faults, and how many of them there are also on its time; faults overlap.
  */
 public final class WorkerSoakMain {
     private static final int ENTRIES = 3;
@@ -65,6 +66,7 @@
     private final Map<String, Long> acceptedAtMs = new ConcurrentHashMap<>();
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final FaultInjector faults;
+    private final ConfigChecks configChecks;
 
     private WorkerSoakMain(
             PlatformSite site, long seed, FaultInjector.Fault[] kinds, List<Workload.Kind> jobKinds, PrintStream out) {
@@ -74,6 +76,7 @@
         this.faultDraws = random.split();
         this.out = out;
         this.faults = new FaultInjector(site, ENTRIES, kinds, out, executor);
+        this.configChecks = new ConfigChecks(site, ENTRIES, faults.disruptions());
     }
 
     /** Parses the arguments and runs the soak. */
@@ -144,6 +147,7 @@
 
     private int run(int runMs, int burstMs) {
         // A leader that has just been elected learns of the workers from their guards.
+        configChecks.start();
         submitFor(4_000, false);
         for (int leftMs = runMs; leftMs > 0; leftMs -= burstMs) {
             submitFor(Math.min(leftMs, burstMs), true);
@@ -157,6 +161,7 @@
         List<String> violations = new ArrayList<>(cancelJobs());
         violations.addAll(site.history.findViolations());
         violations.addAll(findGaps(cancelledAtMs));
+        violations.addAll(stopConfigChecks());
         violations.forEach(out::println);
         unfinished.forEach(job -> out.println("NOT COMPLETED " + job));
         out.println("jobs " + jobs.size() + ", starts " + site.history.starts() + ", violations " + violations.size()
@@ -164,6 +169,17 @@
         return violations.isEmpty() && unfinished.isEmpty() ? 0 : 1;
     }
 
+    private List<String> stopConfigChecks() {
+        try {
+            List<String> found = configChecks.stop();
+            out.println("answers checked against the configuration " + configChecks.answers());
+            return found;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return List.of("CONFIG not checked: the soak was interrupted");
+        }
+    }
+
     /*
      * Jobs
      */
--- a/standin/src/main/java/org/fulmarreach/standin/site/PlatformStore.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/PlatformStore.java
@@ -26,6 +26,9 @@
     private static final int ANSWER_MS = 2;
     private static final int REPEATED_APPENDS = 5;
 
+    /** A channel on which an answer is lost stays silent; callers close it before the end of this time. */
+    private static final int SILENCE_MS = 10_000;
+
     private final Map<String, Partition> partitions = new HashMap<>();
     private final Map<String, JsonServer> servers = new HashMap<>();
     private final Map<String, Failure> failures = new ConcurrentHashMap<>();
@@ -83,7 +86,7 @@
         notifyAll();
     }
 
-    /** A channel on which an answer is lost stays open without data until the fault ends. */
+    /** A channel on which an answer is lost stays open without data, also after the end of the fault. */
     private Answer answerAt(String host, String path, Map<String, String> query, byte[] body)
             throws InterruptedException {
         Failure failure = findFailure(host, Fault.REFUSING, Fault.SILENT);
@@ -96,10 +99,11 @@
         Failure later = findFailure(host, Fault.SILENT, Fault.LOSING_ANSWERS);
         boolean lost = later != null
                 && (later.fault() == Fault.SILENT || ThreadLocalRandom.current().nextBoolean());
-        if (lost) {
-            sleepUntilEnd(later);
+        if (lost || failure != null) {
+            Thread.sleep(SILENCE_MS);
+            return null;
         }
-        return lost || failure != null ? null : answer;
+        return answer;
     }
 
     private Failure findFailure(String host, Fault first, Fault second) {
