--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -114,7 +114,10 @@
             "A newer configuration that must be in force may be unknown; the reason says why. The active one stays."),
     CONFIG_CURRENT(4054, Level.INFO, "All configurations that must be in force are known again."),
     ENTRY_READY(4055, Level.INFO, "The readiness check succeeds from now on."),
-    ENTRY_UNREADY(4056, Level.WARNING, "The readiness check fails from now on, for the reason given.");
+    ENTRY_UNREADY(
+            4056,
+            Level.WARNING,
+            "The readiness check fails, for the reason given; also logged when the reason changes.");
 
     private final int number;
     private final Level level;
