--- a/core/src/main/java/org/fulmarreach/core/jobs/InterferenceModel.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/InterferenceModel.java
@@ -43,6 +43,26 @@
      */
     record Sample(long atMs, Map<String, Double> bestEffortShares, Map<String, Double> pressures) {}
 
+    /** Returns what has been learned so far. */
+    LearnedInterference learned() {
+        Map<String, LearnedInterference.Serving> learned = new HashMap<>();
+        factors.forEach((serving, pairs) -> learned.put(
+                serving,
+                new LearnedInterference.Serving(
+                        baseMs.getOrDefault(serving, 0.0), pairs.load(), pairs.observedFactors())));
+        return new LearnedInterference(learned);
+    }
+
+    /** Takes over what a former leader has learned; called before anything is learned here. */
+    void restore(LearnedInterference learned) {
+        learned.servingByImage().forEach((serving, known) -> {
+            factors.computeIfAbsent(serving, unused -> new PairFactors()).restore(known);
+            if (known.baseMs() > 0) {
+                baseMs.put(serving, known.baseMs());
+            }
+        });
+    }
+
     /** Returns the factor of a pair: pressure on the serving image if the best-effort image used the whole worker. */
     double factor(String bestEffort, String serving) {
         PairFactors pairFactors = factors.get(serving);
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -37,6 +37,7 @@
     private final Placement placement;
     private final CrashTracker crashes;
     private final FormerLeases formerLeases;
+    private final InterferenceModel model = new InterferenceModel();
     private final LeaseWithholder withholder;
     private final TaskWaitMonitor waits;
     private final NextStepMonitor nextSteps;
@@ -73,7 +74,6 @@
         this.withholder = new LeaseWithholder(limits, formerLeases.endsAtMs().keySet());
         this.log = log;
         this.mover = new RunMover(decisions, log);
-        InterferenceModel model = new InterferenceModel();
         this.pacer = new BestEffortPacer(model, decisions, log);
         this.placement = new Placement(model);
         this.crashes = new CrashTracker(decisions, log, placement);
@@ -91,6 +91,16 @@
      * Inputs
      */
 
+    /** Takes over what a former leader has learned of interference; called before the first report. */
+    public void restoreInterference(LearnedInterference learned) {
+        model.restore(learned);
+    }
+
+    /** Returns what this leader knows of interference, for the next one. */
+    public LearnedInterference learnedInterference() {
+        return model.learned();
+    }
+
     /** Replaces the queue configuration. */
     public void configure(JobConfig newConfig) {
         config = newConfig;
--- a/core/src/main/java/org/fulmarreach/core/jobs/PairFactors.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/PairFactors.java
@@ -1,6 +1,7 @@
 package org.fulmarreach.core.jobs;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -14,7 +15,7 @@
     static final double PRIOR_FACTOR = 0.3;
 
     /** Variance of a factor before the first observation; pairs that interfere have factors of 1 to 5. */
-    private static final double PRIOR_VARIANCE = 1;
+    private static final double PRIOR_VARIANCE = LearnedInterference.MAX_VARIANCE;
 
     /** Mean load of a serving task before the first observation. */
     static final double PRIOR_LOAD = 0.4;
@@ -37,7 +38,13 @@
     /** Minimum share of the processors at which the pressure level is used as an upper bound of a factor. */
     private static final double MIN_SHARE = 0.03;
 
-    private static final double MAX_FACTOR = 12;
+    private static final double MAX_FACTOR = LearnedInterference.MAX_MEAN;
+
+    /** Variance below which a factor has been observed, and not only assumed. */
+    private static final double OBSERVED_VARIANCE = 0.9 * PRIOR_VARIANCE;
+
+    /** Increase of the variance of a factor that a former leader has learned, since it is some seconds old. */
+    private static final double TAKEOVER_VARIANCE = 0.1;
 
     /** Bounds the size of the matrix; slots are reused in turn, beginning with the image that was added first. */
     private static final int MAX_IMAGES = 32;
@@ -61,6 +68,27 @@
         return index < 0 ? PRIOR_FACTOR : mean[index + 1];
     }
 
+    /** Returns the factors that have been observed, by best-effort image. */
+    Map<String, LearnedInterference.Factor> observedFactors() {
+        Map<String, LearnedInterference.Factor> observed = new HashMap<>();
+        for (int i = 1; i <= images.size(); i++) {
+            if (covariance[i][i] < OBSERVED_VARIANCE) {
+                observed.put(images.get(i - 1), new LearnedInterference.Factor(mean[i], Math.max(0, covariance[i][i])));
+            }
+        }
+        return observed;
+    }
+
+    /** Takes over what a former leader has learned. */
+    void restore(LearnedInterference.Serving learned) {
+        mean[LOAD_INDEX] = learned.load();
+        learned.factors().forEach((bestEffort, factor) -> {
+            int index = indexOf(bestEffort);
+            mean[index] = factor.mean();
+            covariance[index][index] = Math.min(PRIOR_VARIANCE, factor.variance() + TAKEOVER_VARIANCE);
+        });
+    }
+
     /** Returns the mean load of the serving image. */
     double load() {
         return mean[LOAD_INDEX];
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -183,11 +183,13 @@
         decide();
     }
 
-    /** Replaces the leader by a new one that continues from the stored state. */
+    /** Replaces the leader by a new one that continues from the stored state and what the former one has learned. */
     void replaceLeader() {
+        LearnedInterference learned = scheduler.learnedInterference();
         registry.rollBack();
         scheduler = new JobScheduler(
                 registry, config, new JobTimeLimits(6_000, 120_000, 3_000, 900), this::onDecision, nowMs);
+        scheduler.restoreInterference(learned);
     }
 
     /** Returns the time from a job's submission to its completion in milliseconds; -1 if it is not completed. */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -86,6 +86,7 @@
     private LeaderTerm leaderTerm;
     private boolean followsJobs;
     private boolean draining;
+    private byte[] interferenceRecord;
     private CompletableFuture<Void> drained;
 
     /**
@@ -354,6 +355,8 @@
             }
         } else if (entry.key().equals(JobTopics.WITHHELD_KEY) && !entry.isRemoval()) {
             formerLeaders.onWithheld(JobRecords.decodeWithheld(entry.value()), clock.nowMs());
+        } else if (entry.key().equals(JobTopics.INTERFERENCE_KEY) && !entry.isRemoval()) {
+            interferenceRecord = entry.value();
         }
     }
 
@@ -407,6 +410,7 @@
         long nowMs = clock.nowMs();
         JobScheduler scheduler = new JobScheduler(
                 registry, config.active(), limits, formerLeaders.findLeases(term, nowMs), decisionLog, nowMs);
+        restoreInterference(scheduler);
         requests.setTimes(LEADER_REQUEST_TIMES);
         leaderTerm = new LeaderTerm(
                 term,
@@ -428,6 +432,16 @@
         publishView();
     }
 
+    private void restoreInterference(JobScheduler scheduler) {
+        if (interferenceRecord != null) {
+            try {
+                scheduler.restoreInterference(JobRecords.decodeInterference(interferenceRecord));
+            } catch (FrameException e) {
+                log.emit(JobEvent.RECORD_SKIPPED, "key", JobTopics.INTERFERENCE_KEY, "reason", e.getMessage());
+            }
+        }
+    }
+
     private void onBatchWritten(JobsCommand.BatchWritten written) {
         if (leaderTerm == null || leaderTerm.term() != written.term()) {
             return;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -14,6 +14,7 @@
 import org.fulmarreach.core.jobs.JobOrder;
 import org.fulmarreach.core.jobs.JobScheduler;
 import org.fulmarreach.core.jobs.JobTimeLimits;
+import org.fulmarreach.core.jobs.LearnedInterference;
 import org.fulmarreach.core.jobs.WithheldLeases;
 import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.core.jobs.WorkerReport;
@@ -46,6 +47,9 @@
     /** Minimum interval between scheduling passes; limits the processor time of a leader with many workers. */
     private static final int DECIDE_INTERVAL_MS = 30;
 
+    /** Interval at which what is learned of interference is stored; it changes within seconds. */
+    private static final int LEARNED_INTERVAL_MS = 3_000;
+
     private final long term;
     private final KeyedRecord leaderRecord;
     private final JobScheduler scheduler;
@@ -66,6 +70,7 @@
     private boolean withheldInFlight;
     private long acknowledgedAtMs;
     private long appendedAtMs;
+    private long learnedTakenAtMs;
     private boolean flushScheduled;
     private long decidedAtMs;
     private boolean decisionScheduled;
@@ -108,6 +113,7 @@
         this.startedAtMs = clock.nowMs();
         this.acknowledgedAtMs = startedAtMs;
         this.appendedAtMs = startedAtMs;
+        this.learnedTakenAtMs = startedAtMs;
     }
 
     long term() {
@@ -416,6 +422,7 @@
         batch.removedJobIds().forEach(id -> records.add(KeyedRecord.removal(JobTopics.progressKey(id))));
         withheld.ifPresent(bounds -> records.add(
                 new KeyedRecord(JobTopics.WITHHELD_KEY, JobRecords.encode(new WithheldLeases(term, bounds)))));
+        takeLearnedInterference().ifPresent(records::add);
         if (resigning) {
             resignationInFlight = true;
         } else if (records.isEmpty()) {
@@ -424,6 +431,19 @@
         return records;
     }
 
+    /** Returns what the next leader should know of interference, at intervals and with a resignation. */
+    private Optional<KeyedRecord> takeLearnedInterference() {
+        long nowMs = clock.nowMs();
+        if (!resigning && nowMs - learnedTakenAtMs < LEARNED_INTERVAL_MS) {
+            return Optional.empty();
+        }
+        learnedTakenAtMs = nowMs;
+        LearnedInterference learned = scheduler.learnedInterference();
+        return learned.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new KeyedRecord(JobTopics.INTERFERENCE_KEY, JobRecords.encode(learned)));
+    }
+
     /** Encodes the resignation for one attempt to store it: leases may have been granted since the last one. */
     private List<KeyedRecord> encodeResignation() {
         WithheldLeases all = new WithheldLeases(term, scheduler.findLeaseBounds(clock.nowMs()));
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -10,6 +10,7 @@
 import org.fulmarreach.core.jobs.JobSnapshot;
 import org.fulmarreach.core.jobs.JobSpec;
 import org.fulmarreach.core.jobs.JobStep;
+import org.fulmarreach.core.jobs.LearnedInterference;
 import org.fulmarreach.core.jobs.QueuePolicy;
 import org.fulmarreach.core.jobs.TaskPhase;
 import org.fulmarreach.core.jobs.TaskState;
@@ -17,6 +18,7 @@
 import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.core.model.Resources;
 import org.fulmarreach.core.model.TimeBounds;
+import org.fulmarreach.protocol.thrift.ImageFactor;
 import org.fulmarreach.protocol.thrift.JobCancelled;
 import org.fulmarreach.protocol.thrift.JobLeader;
 import org.fulmarreach.protocol.thrift.JobProgress;
@@ -27,6 +29,7 @@
 import org.fulmarreach.protocol.thrift.JobTaskState;
 import org.fulmarreach.protocol.thrift.JobWorkerRef;
 import org.fulmarreach.protocol.thrift.LeaseBound;
+import org.fulmarreach.protocol.thrift.ServingInterference;
 
 import static org.fulmarreach.protocol.io.RecordFields.require;
 import static org.fulmarreach.protocol.io.RecordFields.requireCount;
@@ -45,6 +48,7 @@
     public static final long MAX_TERM = 3L << 40;
 
     private static final int NO_WORKER = -1;
+    private static final int THOUSANDTHS = 1_000;
 
     private JobRecords() {}
 
@@ -210,6 +214,63 @@
         return new WithheldLeases(requireRange(state.getWithheld().getTerm(), 1, MAX_TERM, "term"), remainingMs);
     }
 
+    /** Encodes what a leader has learned of interference. */
+    public static byte[] encode(LearnedInterference learned) {
+        List<ServingInterference> serving = new ArrayList<>();
+        learned.servingByImage().forEach((image, known) -> {
+            List<ImageFactor> factors = new ArrayList<>();
+            known.factors()
+                    .forEach((bestEffort, factor) -> factors.add(new ImageFactor(
+                            bestEffort, toThousandths(factor.mean()), toThousandths(factor.variance()))));
+            serving.add(new ServingInterference(
+                    image, toThousandths(known.baseMs()), toThousandths(known.load()), factors));
+        });
+        return ThriftBytes.encode(
+                JobState.interference(new org.fulmarreach.protocol.thrift.LearnedInterference(serving)));
+    }
+
+    private static int toThousandths(double value) {
+        return (int) Math.round(value * THOUSANDTHS);
+    }
+
+    /**
+     * Decodes what a leader has learned of interference.
+     *
+     * @throws FrameException if the record is malformed
+     */
+    public static LearnedInterference decodeInterference(byte[] bytes) {
+        JobState state = decodeState(bytes);
+        if (!state.isSetInterference()) {
+            throw new FrameException("record of learned interference holds " + state.getSetField());
+        }
+        Map<String, LearnedInterference.Serving> serving = new HashMap<>();
+        for (ServingInterference known : require(state.getInterference().getServing(), "serving")) {
+            Map<String, LearnedInterference.Factor> factors = new HashMap<>();
+            for (ImageFactor factor : require(known.getFactors(), "factors")) {
+                factors.put(
+                        require(factor.getImage(), "image"),
+                        new LearnedInterference.Factor(
+                                fromThousandths(factor.getMeanPermille(), LearnedInterference.MAX_MEAN, "meanPermille"),
+                                fromThousandths(
+                                        factor.getVariancePermille(),
+                                        LearnedInterference.MAX_VARIANCE,
+                                        "variancePermille")));
+            }
+            serving.put(
+                    require(known.getImage(), "image"),
+                    new LearnedInterference.Serving(
+                            requireRange(known.getBaseMicros(), 0, TimeBounds.MAX_DURATION_MS, "baseMicros")
+                                    / (double) THOUSANDTHS,
+                            fromThousandths(known.getLoadPermille(), LearnedInterference.MAX_MEAN, "loadPermille"),
+                            factors));
+        }
+        return new LearnedInterference(serving);
+    }
+
+    private static double fromThousandths(int value, double max, String name) {
+        return requireRange(value, 0, (int) (max * THOUSANDTHS), name) / (double) THOUSANDTHS;
+    }
+
     /** Decodes a record of the progress partition. */
     public static JobState decodeState(byte[] bytes) {
         return ThriftBytes.decode(bytes, new JobState());
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobTopics.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobTopics.java
@@ -20,6 +20,9 @@
     /** Key of the guards from which the leader withholds leases. */
     public static final String WITHHELD_KEY = "withheld";
 
+    /** Key of what the leader has learned of the interference between tasks. */
+    public static final String INTERFERENCE_KEY = "interference";
+
     /** Producer name that the leader uses for the sequence numbers of its appends. */
     public static final String LEADER_PRODUCER = "leader";
 
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/JobState.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/JobState.java
@@ -12,12 +12,14 @@
   private static final org.apache.thrift.protocol.TField PROGRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("progress", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField LEADER_FIELD_DESC = new org.apache.thrift.protocol.TField("leader", org.apache.thrift.protocol.TType.STRUCT, (short)2);
   private static final org.apache.thrift.protocol.TField WITHHELD_FIELD_DESC = new org.apache.thrift.protocol.TField("withheld", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField INTERFERENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("interference", org.apache.thrift.protocol.TType.STRUCT, (short)4);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     PROGRESS((short)1, "progress"),
     LEADER((short)2, "leader"),
-    WITHHELD((short)3, "withheld");
+    WITHHELD((short)3, "withheld"),
+    INTERFERENCE((short)4, "interference");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -39,6 +41,8 @@
           return LEADER;
         case 3: // WITHHELD
           return WITHHELD;
+        case 4: // INTERFERENCE
+          return INTERFERENCE;
         default:
           return null;
       }
@@ -90,6 +94,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, JobLeader.class)));
     tmpMap.put(_Fields.WITHHELD, new org.apache.thrift.meta_data.FieldMetaData("withheld", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WithheldLeases.class)));
+    tmpMap.put(_Fields.INTERFERENCE, new org.apache.thrift.meta_data.FieldMetaData("interference", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LearnedInterference.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(JobState.class, metaDataMap);
   }
@@ -128,6 +134,12 @@
     return x;
   }
 
+  public static JobState interference(LearnedInterference value) {
+    JobState x = new JobState();
+    x.setInterference(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -147,6 +159,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type WithheldLeases for field 'withheld', but got " + value.getClass().getSimpleName());
+      case INTERFERENCE:
+        if (value instanceof LearnedInterference) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type LearnedInterference for field 'interference', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -187,6 +204,16 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case INTERFERENCE:
+          if (field.type == INTERFERENCE_FIELD_DESC.type) {
+            LearnedInterference interference;
+            interference = new LearnedInterference();
+            interference.read(iprot);
+            return interference;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -211,6 +238,10 @@
         WithheldLeases withheld = (WithheldLeases)value_;
         withheld.write(oprot);
         return;
+      case INTERFERENCE:
+        LearnedInterference interference = (LearnedInterference)value_;
+        interference.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -236,6 +267,11 @@
           withheld = new WithheldLeases();
           withheld.read(iprot);
           return withheld;
+        case INTERFERENCE:
+          LearnedInterference interference;
+          interference = new LearnedInterference();
+          interference.read(iprot);
+          return interference;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -259,6 +295,10 @@
         WithheldLeases withheld = (WithheldLeases)value_;
         withheld.write(oprot);
         return;
+      case INTERFERENCE:
+        LearnedInterference interference = (LearnedInterference)value_;
+        interference.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -273,6 +313,8 @@
         return LEADER_FIELD_DESC;
       case WITHHELD:
         return WITHHELD_FIELD_DESC;
+      case INTERFERENCE:
+        return INTERFERENCE_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -334,6 +376,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.WITHHELD");
   }
 
+  public LearnedInterference getInterference() {
+    if (getSetField() == _Fields.INTERFERENCE) {
+      return (LearnedInterference)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'interference' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setInterference(LearnedInterference value) {
+    setField_ = _Fields.INTERFERENCE;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.INTERFERENCE");
+  }
+
   public boolean isSetProgress() {
     return setField_ == _Fields.PROGRESS;
   }
@@ -349,6 +404,11 @@
   }
 
 
+  public boolean isSetInterference() {
+    return setField_ == _Fields.INTERFERENCE;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof JobState) {
       return equals((JobState)other);
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -319,7 +319,18 @@
 struct LeaseBound { 1: string guard, 2: i64 remainingMs }
 /** Guards to which the leader grants no leases until a record without them is stored. */
 struct WithheldLeases { 1: i64 term, 2: list<LeaseBound> guards }
-union JobState { 1: JobProgress progress, 2: JobLeader leader, 3: WithheldLeases withheld }
+/** Learned factor of a best-effort image, and the variance of the estimate, in thousandths. */
+struct ImageFactor { 1: string image, 2: i32 meanPermille, 3: i32 variancePermille }
+/** What is learned of a serving image; baseMicros is 0 if no tail latency below the assumed one was measured. */
+struct ServingInterference { 1: string image, 2: i64 baseMicros, 3: i32 loadPermille, 4: list<ImageFactor> factors }
+/** What a leader has learned of interference, for the next one. */
+struct LearnedInterference { 1: list<ServingInterference> serving }
+union JobState {
+  1: JobProgress progress,
+  2: JobLeader leader,
+  3: WithheldLeases withheld,
+  4: LearnedInterference interference
+}
 
 /** One run that a worker lists as running. */
 struct RunStatus { 1: string task, 2: i32 run, 3: string checkpoint, 4: i32 percent, 5: i64 usage }
