--- a/core/src/main/java/org/fulmarreach/core/jobs/PairFactors.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/PairFactors.java
@@ -161,23 +161,31 @@
         covariance[row][row] = PRIOR_VARIANCE;
     }
 
+    /** Visits only what changes: a worker has few of the images, and most pairs of images have no covariance. */
     private void update(double[] weights, double observed, double noiseVariance) {
         int size = images.size() + 1;
         double[] projected = new double[size];
         double variance = noiseVariance;
         double expected = 0;
-        for (int i = 0; i < size; i++) {
-            for (int j = 0; j < size; j++) {
+        for (int j = 0; j < size; j++) {
+            for (int i = 0; i < size && weights[j] != 0; i++) {
                 projected[i] += covariance[i][j] * weights[j];
             }
+        }
+        for (int i = 0; i < size; i++) {
             variance += weights[i] * projected[i];
             expected += weights[i] * mean[i];
         }
         for (int i = 0; i < size; i++) {
+            if (projected[i] == 0) {
+                continue;
+            }
             double next = mean[i] + projected[i] / variance * (observed - expected);
             mean[i] = Math.min(MAX_FACTOR, Math.max(0, next));
             for (int j = 0; j < size; j++) {
-                covariance[i][j] -= projected[i] * projected[j] / variance;
+                if (projected[j] != 0) {
+                    covariance[i][j] -= projected[i] * projected[j] / variance;
+                }
             }
         }
     }
