Review: class names that the build of the first review leaves out

Cause: review/build.sh compiles every class in review that is named *Case, also those of the second review, without their libraries.

--- a/review/6/LateStartCase.java
+++ b/review/6/LateStart.java
@@ -8,7 +8,7 @@
  * Some starts at a worker get no answer and are carried out seconds later. The worker crashes in between and starts
  * again under its id. The data of the tasks is on the rack of another worker, which has room for them by then.
  */
-final class LateStartCase {
+final class LateStart {
     private static final int DATA_WORKER = 2;
     private static final int TASKS = 4;
     private static final int LATE_MS = 9_000;
@@ -16,10 +16,10 @@
     private static final int DOWN_MS = 3_000;
     private static final int WATCH_MS = 9_000;
 
-    private LateStartCase() {}
+    private LateStart() {}
 
     public static void main(String[] args) {
-        Site.run(args, 2, 3, LateStartCase::isBroken);
+        Site.run(args, 2, 3, LateStart::isBroken);
     }
 
     private static boolean isBroken(Site site, boolean trouble) {
--- a/review/7/CancelCase.java
+++ b/review/7/CancelUnknown.java
@@ -5,15 +5,15 @@
  * An entry freezes while it has a submission. The consumer gives up, cancels the submission at another entry, and the
  * entry wakes again.
  */
-final class CancelCase {
+final class CancelUnknown {
     private static final int FREEZE_MS = 4_000;
     private static final int GIVE_UP_MS = 800;
     private static final int WATCH_MS = 12_000;
 
-    private CancelCase() {}
+    private CancelUnknown() {}
 
     public static void main(String[] args) {
-        Site.run(args, 3, 3, CancelCase::isBroken);
+        Site.run(args, 3, 3, CancelUnknown::isBroken);
     }
 
     private static boolean isBroken(Site site, boolean trouble) throws Exception {
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,4 +8,4 @@
 rm -rf "$out"
 mkdir -p "$out"
 "$JAVA_HOME/bin/javac" --release 21 -Xlint:all,-path,-processing -cp "target/lib/*" -d "$out" \
-    review/lab-2/*.java review/6/*.java review/7/*.java review/8/*.java review/9/*.java
+    review/lab-2/*.java review/6/*.java review/7/*.java review/8/*.java review/9/*.java review/10/*.java
--- a/review/lab-2/RunRecord.java
+++ b/review/lab-2/RunRecord.java
@@ -53,6 +53,14 @@
         boolean isStopped() {
             return how.equals("stopped");
         }
+
+        boolean isLost() {
+            return how.equals("lost");
+        }
+
+        long endMs() {
+            return endMs;
+        }
     }
 
     synchronized void write(String line) {
