Extract what the parts under load need from four large classes

Change: TaskPlacer and JobRetention come out of JobScheduler, Colocation out of Placement, LeaderRecords out of LeaderTerm, HandedOnRecords out of JobsActor. No decision changes.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -35,6 +34,8 @@
     private final RunMover mover;
     private final BestEffortPacer pacer;
     private final Placement placement;
+    private final TaskPlacer placer;
+    private final JobRetention retention;
     private final CrashTracker crashes;
     private FormerLeases formerLeases;
     private final InterferenceModel model = new InterferenceModel();
@@ -42,7 +43,6 @@
     private final TaskWaitMonitor waits;
     private final NextStepMonitor nextSteps;
     private final Map<String, QueuePolicy> knownPolicies = new HashMap<>();
-    private final Set<String> forgotten = new HashSet<>();
     private JobConfig config;
 
     /** Constructs the scheduler of a new term that knows nothing of former leases. */
@@ -77,6 +77,8 @@
         this.pacer = new BestEffortPacer(model, decisions, log);
         this.placement = new Placement(model);
         this.crashes = new CrashTracker(decisions, log, placement);
+        this.placer = new TaskPlacer(workers.values(), placement, crashes, decisions, log);
+        this.retention = new JobRetention(registry, limits, decisions, log);
         this.runs = new RunTracker(registry, decisions, log, crashes);
         this.lifetimes = new LifetimeChange(registry, runs, decisions, log);
         WaitDiagnosis diagnosis = new WaitDiagnosis(workers.values(), placement, limits);
@@ -287,11 +289,8 @@
         for (Job job : ordered) {
             advanceJob(job, nowMs, unixMs, placing);
         }
-        crashes.placeWaiting(
-                workers.values(),
-                nowMs,
-                (task, worker) -> assign(task, worker, task.state().run() + 1, nowMs));
-        removeExpired(unixMs);
+        placer.placeTrials(config.version(), nowMs);
+        retention.removeExpired(active, unixMs);
         waits.review(nowMs, unixMs, placing);
         nextSteps.review(nowMs, unixMs);
     }
@@ -302,14 +301,13 @@
 
     /** Returns the pending changes to write, with the orders that depend on them, and clears both. */
     public JobBatch takeBatch() {
-        return decisions.takeBatch(forgotten);
+        return decisions.takeBatch(retention.removing());
     }
 
     /** Applies the store's acknowledgement of a batch. */
     public void onCommitted(JobBatch batch) {
         batch.progress().forEach((id, snapshot) -> registry.find(id).ifPresent(job -> job.acknowledge(snapshot)));
-        batch.removedJobIds().forEach(registry::remove);
-        forgotten.removeAll(batch.removedJobIds());
+        retention.onRemoved(batch.removedJobIds());
     }
 
     /** Returns the orders that may be sent without a preceding write, and clears them. */
@@ -465,123 +463,7 @@
         if (!placing) {
             return;
         }
-        QueuePolicy policy = policy(job);
-        String service = policy == null ? null : policy.service();
-        for (int occurrence = 0; occurrence < job.spec().occurrences(); occurrence++) {
-            if (job.spec().dueMs(occurrence) > unixMs) {
-                break;
-            }
-            for (int step = 0; step < job.spec().steps().size(); step++) {
-                if (job.isReady(occurrence, step)) {
-                    place(job, occurrence, step, service, nowMs);
-                }
-            }
-        }
-    }
-
-    private void place(Job job, int occurrence, int step, String service, long nowMs) {
-        if (service == null) {
-            return;
-        }
-        List<JobTask> tasks = job.tasksOf(occurrence, step);
-        if (job.spec().steps().get(step).gang()) {
-            placeGang(tasks, service, nowMs);
-            return;
-        }
-        boolean full = false;
-        for (JobTask task : tasks) {
-            if (task.state().phase() == TaskPhase.PENDING && task.isTriedAlone()) {
-                if (!CrashTracker.awaitsVerdict(task)) {
-                    crashes.addWaiting(task, service);
-                }
-            } else if (task.state().phase() == TaskPhase.PENDING && full) {
-                placement.recordWaiting(task, nowMs);
-            } else if (task.state().phase() == TaskPhase.PENDING) {
-                WorkerView worker = placement.findWorker(task, service, workers.values(), nowMs);
-                if (worker == null) {
-                    // Tasks of a step have the same requirements, so only those with a worker of their own remain.
-                    full = true;
-                } else {
-                    assign(task, worker, task.state().run() + 1, nowMs);
-                }
-            }
-        }
-    }
-
-    /**
-     * Places all members of a gang or none. They get the same run and the same checkpoint, and both are stored for each
-     * member before a start is sent, so a start that is repeated carries them too.
-     */
-    private void placeGang(List<JobTask> tasks, String service, long nowMs) {
-        List<WorkerView> chosen = new ArrayList<>();
-        int run = 0;
-        for (JobTask task : tasks) {
-            if (task.state().phase() != TaskPhase.PENDING || CrashTracker.awaitsVerdict(task)) {
-                break;
-            }
-            WorkerView worker = placement.findWorker(task, service, workers.values(), nowMs);
-            if (worker == null) {
-                break;
-            }
-            worker.add(task);
-            chosen.add(worker);
-            run = Math.max(run, task.state().run());
-        }
-        for (int i = 0; i < chosen.size(); i++) {
-            chosen.get(i).remove(tasks.get(i));
-        }
-        if (chosen.size() < tasks.size()) {
-            placement.onCapacityFreed();
-        } else {
-            String checkpoint = JobTask.newestCheckpoint(tasks);
-            for (int i = 0; i < tasks.size(); i++) {
-                tasks.get(i).resumeFrom(checkpoint);
-                assign(tasks.get(i), chosen.get(i), run + 1, nowMs);
-            }
-        }
-    }
-
-    private void assign(JobTask task, WorkerView worker, int run, long nowMs) {
-        task.assign(worker.report().ref(), worker.rack(), run, nowMs);
-        worker.add(task);
-        decisions.markChanged(task.job());
-        decisions.addStart(task);
-        log.record(
-                Decision.RUN_ASSIGNED,
-                task.name().toString(),
-                "run",
-                run,
-                "worker",
-                worker.report().ref().id(),
-                "guard",
-                worker.guard(),
-                "look",
-                worker.report().pollNumber(),
-                "fillMilliCores",
-                worker.bestEffortMilliCores(),
-                "reservedMilliCores",
-                worker.reserved().milliCores(),
-                "checkpoint",
-                task.state().checkpoint(),
-                "config",
-                config.version());
-    }
-
-    private void removeExpired(long unixMs) {
-        for (String id : registry.findSettledWithoutRequest(unixMs - limits.statusRetentionMs())) {
-            if (forgotten.add(id)) {
-                decisions.removeJob(id);
-            }
-        }
-        for (Job job : registry.jobs()) {
-            // An end that the store has not acknowledged may still be undone, so it does not count.
-            long settledAtMs = job.acknowledgedSettledAtMs();
-            boolean expired = settledAtMs > 0 && unixMs - settledAtMs > limits.statusRetentionMs();
-            if (expired && !active.contains(job) && forgotten.add(job.spec().id())) {
-                decisions.removeJob(job.spec().id());
-                log.record(Decision.JOB_FORGOTTEN, job.spec().id(), "settledForMs", unixMs - settledAtMs);
-            }
-        }
+        placer.placeReadySteps(job, policy(job), config.version(), nowMs, unixMs);
     }
 
     /**
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -17,27 +17,6 @@
  * the remaining workers wins. Not thread-safe.
  */
 final class Placement {
-    /**
-     * Maximum overcommitment of idle processors by best-effort tasks, which use less than they request and are partly
-     * throttled. Well beyond this factor all of them would slow down so much that waiting costs less.
-     */
-    private static final double MAX_IDLE_OVERCOMMIT = 1.3;
-
-    /** Share of its reserved processors that a serving task uses most of the time; the rest is idle. */
-    private static final double SERVING_UTILIZATION = 0.45;
-
-    /** Maximum predicted tail ratio of a serving task beside best-effort tasks at full CPU share. */
-    private static final double MAX_TAIL_RATIO = 0.8;
-
-    /** Load margin: a serving task's load varies by half, and one of several on a worker is usually near its peak. */
-    private static final double LOAD_MARGIN = 0.2;
-
-    /** Tail ratio of a serving task above which only best-effort tasks with negligible interference may be added. */
-    private static final double BUSY_TAIL_RATIO = 0.8;
-
-    /** Pressure of one best-effort task that is negligible: less than the measurement error. */
-    private static final double NEGLIGIBLE_PRESSURE = 0.04;
-
     /** Weight of the predicted pressure excess relative to the load of the worker in a best-effort task's score. */
     private static final double PRESSURE_WEIGHT = 1;
 
@@ -80,7 +59,7 @@
     /** Number of suspected workers from which on the jobs are a likelier cause of the failures. */
     private static final int MIN_SUSPECTED_WORKERS = 2;
 
-    private final InterferenceModel model;
+    private final Colocation colocation;
     private final Map<Job, Long> withoutRunSinceMs = new WeakHashMap<>();
     private final Map<JobTask, Wait> waits = new HashMap<>();
     private final Map<TaskClass, List<Resources>> unplaceable = new HashMap<>();
@@ -88,7 +67,6 @@
     private final Map<String, Boolean> mostlyFree = new HashMap<>();
     private final Map<String, Boolean> allSuspected = new HashMap<>();
     private long candidates;
-    private long comparedPairs;
 
     /** Time since when a standing task has found no worker by the usual rules, and when that was last so. */
     private record Wait(long sinceMs, long lastMs) {}
@@ -98,7 +76,7 @@
 
     /** Constructs a placement that avoids the interference that the model predicts. */
     Placement(InterferenceModel model) {
-        this.model = model;
+        this.colocation = new Colocation(model);
     }
 
     /** Begins a pass over the waiting tasks; {@link #onCapacityFreed} must be called if it frees capacity. */
@@ -122,7 +100,7 @@
 
     /** Returns the total number of pairs of images whose interference was predicted in all passes so far. */
     long comparedPairs() {
-        return comparedPairs;
+        return colocation.comparedPairs();
     }
 
     /**
@@ -203,11 +181,9 @@
                     && hasReservableCapacity(task, worker)
                     && isWellBelowTargets(worker)
                     && (free || hasRoomBesideOthers(task, worker) || isMostlyFree(service, workers, nowMs))) {
-                double excess = predictExcess(task.step(), worker);
+                double excess = colocation.predictExcess(task.step(), worker);
                 if (!free) {
-                    excess += OVERCOMMIT_PENALTY
-                            + worker.bestEffortMilliCores()
-                                    / idleMilliCores(worker, worker.report().capacity());
+                    excess += OVERCOMMIT_PENALTY + worker.bestEffortMilliCores() / Colocation.idleMilliCores(worker);
                 }
                 excess += doubts(task, worker, nowMs);
                 if (excess < least) {
@@ -275,8 +251,7 @@
     }
 
     private static boolean hasRoomBesideOthers(JobTask task, WorkerView worker) {
-        return isStanding(task)
-                && hasIdleCapacity(task.step(), worker, worker.report().capacity());
+        return isStanding(task) && Colocation.hasIdleCapacity(task.step(), worker);
     }
 
     private static boolean hasTrial(WorkerView worker) {
@@ -330,7 +305,7 @@
                 continue;
             }
             // The prediction iterates over all pairs of images on the worker, so cheap conditions are checked first.
-            double excess = bestEffort ? predictExcess(step, worker) : 0;
+            double excess = bestEffort ? colocation.predictExcess(step, worker) : 0;
             if (excess > 0) {
                 continue;
             }
@@ -409,7 +384,7 @@
             return false;
         }
         return !step.bestEffort()
-                || predictExcess(step, worker) <= 0
+                || colocation.predictExcess(step, worker) <= 0
                 || worker.bestEffortMilliCores() == 0 && isWellBelowTargets(worker);
     }
 
@@ -418,7 +393,7 @@
         JobStep step = task.step();
         return isUsable(worker, service, workers, nowMs)
                 && fits(task, worker, worker.reservedByLongRunning())
-                && (!step.bestEffort() || predictExcess(step, worker) <= 0 || isWellBelowTargets(worker));
+                && (!step.bestEffort() || colocation.predictExcess(step, worker) <= 0 || isWellBelowTargets(worker));
     }
 
     /** Constraints on the worker of a task, in the order in which {@link #findObstacle} checks them. */
@@ -453,15 +428,14 @@
         if (!fits(task, worker, worker.taken())) {
             return Obstacle.TASKS_PER_WORKER;
         }
-        boolean accepted = hasCapacity(task, worker) && (!step.bestEffort() || predictExcess(step, worker) <= 0);
+        boolean accepted =
+                hasCapacity(task, worker) && (!step.bestEffort() || colocation.predictExcess(step, worker) <= 0);
         return accepted ? null : Obstacle.INTERFERENCE;
     }
 
     private boolean hasCapacity(JobTask task, WorkerView worker) {
         JobStep step = task.step();
-        return hasReservableCapacity(task, worker)
-                && (!step.bestEffort()
-                        || hasIdleCapacity(step, worker, worker.report().capacity()));
+        return hasReservableCapacity(task, worker) && (!step.bestEffort() || Colocation.hasIdleCapacity(step, worker));
     }
 
     private boolean hasReservableCapacity(JobTask task, WorkerView worker) {
@@ -480,48 +454,6 @@
         return step.maxPerWorker() == 0 || worker.countTasksOfStep(task) < step.maxPerWorker();
     }
 
-    private static boolean hasIdleCapacity(JobStep step, WorkerView worker, Resources capacity) {
-        double filled = worker.bestEffortMilliCores() + step.demand().milliCores();
-        return worker.bestEffortMilliCores() == 0 || filled <= MAX_IDLE_OVERCOMMIT * idleMilliCores(worker, capacity);
-    }
-
-    /** Returns the millicores that are idle most of the time: unreserved, or reserved but unused by serving tasks. */
-    private static double idleMilliCores(WorkerView worker, Resources capacity) {
-        double busy = worker.reserved().milliCores() - (1 - SERVING_UTILIZATION) * worker.servingMilliCores();
-        return Math.max(1, capacity.milliCores() - busy);
-    }
-
-    /**
-     * Predicts by how much the pressure on the serving tasks of a worker would exceed the limit if a best-effort task
-     * were added and all best-effort tasks ran at full CPU share; negative while there is headroom.
-     */
-    private double predictExcess(JobStep bestEffort, WorkerView worker) {
-        double worst = -1;
-        for (Map.Entry<String, Set<JobTask>> entry : worker.servingByImage().entrySet()) {
-            String image = entry.getKey();
-            JobTask serving = entry.getValue().iterator().next();
-            int targetMs = serving.step().targetLatencyMs();
-            double added =
-                    predictedPressure(bestEffort.image(), bestEffort.demand().milliCores(), image, worker);
-            double pressure = model.ownPressure(image) + LOAD_MARGIN + added;
-            comparedPairs += worker.bestEffortByImage().size() + 1;
-            for (Map.Entry<String, Integer> other : worker.bestEffortByImage().entrySet()) {
-                pressure += predictedPressure(other.getKey(), other.getValue(), image, worker);
-            }
-            worst = Math.max(worst, pressure - model.pressureAt(image, MAX_TAIL_RATIO, targetMs));
-            if (added > NEGLIGIBLE_PRESSURE
-                    && worker.pressure(image) > model.pressureAt(image, BUSY_TAIL_RATIO, targetMs)) {
-                return added;
-            }
-        }
-        return worst;
-    }
-
-    /** Returns the predicted pressure of best-effort tasks of one image at full CPU share on a serving image. */
-    private double predictedPressure(String bestEffort, int milliCores, String serving, WorkerView worker) {
-        return model.factor(bestEffort, serving) * worker.share(milliCores);
-    }
-
     /** Tells whether the worker has serving tasks of another image. */
     private static boolean hasOtherServingImages(JobStep serving, WorkerView worker) {
         int images = worker.servingByImage().size();
@@ -535,8 +467,7 @@
         double reservedLoad = worker.reserved().milliCores() / capacity;
         double score = reservedLoad + bestEffortLoad + worker.faultsInRow() * FAULT_PENALTY;
         if (step.bestEffort()) {
-            score = worker.bestEffortMilliCores()
-                    / idleMilliCores(worker, worker.report().capacity());
+            score = worker.bestEffortMilliCores() / Colocation.idleMilliCores(worker);
             score += PRESSURE_WEIGHT * excess + worker.faultsInRow() * FAULT_PENALTY;
         } else if (step.isServing()) {
             score += hasOtherServingImages(step, worker) ? MIXED_IMAGES_PENALTY : 0;
--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/jobs/TaskPlacer.java
@@ -0,0 +1,153 @@
+package org.fulmarreach.core.jobs;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+
+import org.fulmarreach.core.jobs.DecisionLog.Decision;
+
+/**
+ * Assigns the pending tasks of jobs to workers, in the order in which the scheduler passes the jobs. Not thread-safe.
+ */
+final class TaskPlacer {
+    private final Collection<WorkerView> workers;
+    private final Placement placement;
+    private final CrashTracker crashes;
+    private final DecisionBuffer decisions;
+    private final DecisionLog log;
+
+    /**
+     * Constructs a placer.
+     *
+     * @param workers view of all workers that the leader knows
+     * @param placement chooses the worker of a task
+     * @param crashes places the tasks that are tried alone
+     */
+    TaskPlacer(
+            Collection<WorkerView> workers,
+            Placement placement,
+            CrashTracker crashes,
+            DecisionBuffer decisions,
+            DecisionLog log) {
+        this.workers = workers;
+        this.placement = placement;
+        this.crashes = crashes;
+        this.decisions = decisions;
+        this.log = log;
+    }
+
+    /**
+     * Places the pending tasks of all steps of a job that are due and whose predecessors are done.
+     *
+     * @param policy settings of the job's queue; null if they are not known, and then nothing is placed
+     * @param configVersion version of the active configuration, for the log
+     */
+    void placeReadySteps(Job job, QueuePolicy policy, long configVersion, long nowMs, long unixMs) {
+        if (policy == null || policy.service() == null) {
+            return;
+        }
+        for (int occurrence = 0; occurrence < job.spec().occurrences(); occurrence++) {
+            if (job.spec().dueMs(occurrence) > unixMs) {
+                break;
+            }
+            for (int step = 0; step < job.spec().steps().size(); step++) {
+                if (job.isReady(occurrence, step)) {
+                    placeStep(job, occurrence, step, policy.service(), configVersion, nowMs);
+                }
+            }
+        }
+    }
+
+    /** Places the tasks that are tried alone on the workers reserved for them. */
+    void placeTrials(long configVersion, long nowMs) {
+        crashes.placeWaiting(
+                workers,
+                nowMs,
+                (task, worker) -> assign(task, worker, task.state().run() + 1, configVersion, nowMs));
+    }
+
+    private void placeStep(Job job, int occurrence, int step, String service, long configVersion, long nowMs) {
+        List<JobTask> tasks = job.tasksOf(occurrence, step);
+        if (job.spec().steps().get(step).gang()) {
+            placeGang(tasks, service, configVersion, nowMs);
+            return;
+        }
+        boolean full = false;
+        for (JobTask task : tasks) {
+            if (task.state().phase() == TaskPhase.PENDING && task.isTriedAlone()) {
+                if (!CrashTracker.awaitsVerdict(task)) {
+                    crashes.addWaiting(task, service);
+                }
+            } else if (task.state().phase() == TaskPhase.PENDING && full) {
+                placement.recordWaiting(task, nowMs);
+            } else if (task.state().phase() == TaskPhase.PENDING) {
+                WorkerView worker = placement.findWorker(task, service, workers, nowMs);
+                if (worker == null) {
+                    // Tasks of a step have the same requirements, so only those with a worker of their own remain.
+                    full = true;
+                } else {
+                    assign(task, worker, task.state().run() + 1, configVersion, nowMs);
+                }
+            }
+        }
+    }
+
+    /**
+     * Places all members of a gang or none. They get the same run and the same checkpoint, and both are stored for each
+     * member before a start is sent, so a start that is repeated carries them too.
+     */
+    private void placeGang(List<JobTask> tasks, String service, long configVersion, long nowMs) {
+        List<WorkerView> chosen = new ArrayList<>();
+        int run = 0;
+        for (JobTask task : tasks) {
+            if (task.state().phase() != TaskPhase.PENDING || CrashTracker.awaitsVerdict(task)) {
+                break;
+            }
+            WorkerView worker = placement.findWorker(task, service, workers, nowMs);
+            if (worker == null) {
+                break;
+            }
+            worker.add(task);
+            chosen.add(worker);
+            run = Math.max(run, task.state().run());
+        }
+        for (int i = 0; i < chosen.size(); i++) {
+            chosen.get(i).remove(tasks.get(i));
+        }
+        if (chosen.size() < tasks.size()) {
+            placement.onCapacityFreed();
+        } else {
+            String checkpoint = JobTask.newestCheckpoint(tasks);
+            for (int i = 0; i < tasks.size(); i++) {
+                tasks.get(i).resumeFrom(checkpoint);
+                assign(tasks.get(i), chosen.get(i), run + 1, configVersion, nowMs);
+            }
+        }
+    }
+
+    private void assign(JobTask task, WorkerView worker, int run, long configVersion, long nowMs) {
+        task.assign(worker.report().ref(), worker.rack(), run, nowMs);
+        worker.add(task);
+        decisions.markChanged(task.job());
+        decisions.addStart(task);
+        log.record(
+                Decision.RUN_ASSIGNED,
+                task.name().toString(),
+                "run",
+                run,
+                "worker",
+                worker.report().ref().id(),
+                "guard",
+                worker.guard(),
+                "look",
+                worker.report().pollNumber(),
+                "fillMilliCores",
+                worker.bestEffortMilliCores(),
+                "reservedMilliCores",
+                worker.reserved().milliCores(),
+                "checkpoint",
+                task.state().checkpoint(),
+                "config",
+                configVersion);
+    }
+}
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -85,10 +85,10 @@
     private final CallerRequests callers;
     private final GuardSessions sessions;
     private final GuardRedirects redirects;
+    private final HandedOnRecords handedOn;
     private LeaderTerm leaderTerm;
     private boolean followsJobs;
     private boolean draining;
-    private byte[] interferenceRecord;
     private CompletableFuture<Void> drained;
 
     /**
@@ -121,6 +121,7 @@
         this.decisionLog = (decision, subject, fields) -> JobEvent.emitDecision(log, decision, subject, fields);
         this.sessions = new GuardSessions(log);
         this.redirects = new GuardRedirects(log);
+        this.handedOn = new HandedOnRecords(log);
         this.applier = new RecordApplier(registry, this::onJobChanged, this::onJobRemoved, clock, log);
         this.requests = follow(JobPartitions.REQUESTS, REQUEST_TIMES, applier::requestKeys, this::onRequests);
         this.progress = follow(JobPartitions.PROGRESS, PROGRESS_TIMES, applier::progressKeys, this::onProgress);
@@ -324,8 +325,8 @@
             }
         } else if (entry.key().equals(JobTopics.WITHHELD_KEY) && !entry.isRemoval()) {
             formerLeaders.onWithheld(JobRecords.decodeWithheld(entry.value()), clock.nowMs());
-        } else if (entry.key().equals(JobTopics.INTERFERENCE_KEY) && !entry.isRemoval()) {
-            interferenceRecord = entry.value();
+        } else {
+            handedOn.onRecord(entry);
         }
     }
 
@@ -379,7 +380,7 @@
         long nowMs = clock.nowMs();
         JobScheduler scheduler = new JobScheduler(
                 registry, config.active(), limits, formerLeaders.findLeases(term, nowMs), decisionLog, nowMs);
-        restoreInterference(scheduler);
+        handedOn.restore(scheduler);
         requests.setTimes(LEADER_REQUEST_TIMES);
         leaderTerm = new LeaderTerm(
                 term,
@@ -402,16 +403,6 @@
         publishView();
     }
 
-    private void restoreInterference(JobScheduler scheduler) {
-        if (interferenceRecord != null) {
-            try {
-                scheduler.restoreInterference(JobRecords.decodeInterference(interferenceRecord));
-            } catch (FrameException e) {
-                log.emit(JobEvent.RECORD_SKIPPED, "key", JobTopics.INTERFERENCE_KEY, "reason", e.getMessage());
-            }
-        }
-    }
-
     private void onBatchWritten(JobsCommand.BatchWritten written) {
         if (leaderTerm == null || leaderTerm.term() != written.term()) {
             return;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,15 +15,12 @@
 import org.fulmarreach.core.jobs.JobOrder;
 import org.fulmarreach.core.jobs.JobScheduler;
 import org.fulmarreach.core.jobs.JobTimeLimits;
-import org.fulmarreach.core.jobs.LearnedInterference;
-import org.fulmarreach.core.jobs.WithheldLeases;
 import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.core.jobs.WorkerReport;
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.AppendResult;
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.platform.store.StoreClient;
-import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.protocol.thrift.OrderOutcome;
 import org.fulmarreach.runtime.log.EventLog;
@@ -35,9 +31,6 @@
  * depends on a record is sent only after the append of the record is acknowledged. Confined to one actor.
  */
 final class LeaderTerm {
-    /** Keep-alive interval: three fit into the 1.5 s without a record after which another entry starts an election. */
-    private static final int KEEP_ALIVE_MS = 400;
-
     /** Minimum interval between appends, which have a cost; changes within it are written together. */
     private static final int MIN_INTERVAL_MS = 25;
 
@@ -49,13 +42,8 @@
     /** Minimum interval between scheduling passes; limits the processor time of a leader with many workers. */
     private static final int DECIDE_INTERVAL_MS = 30;
 
-    /** Interval at which what is learned of interference is stored; it changes within seconds. */
-    private static final int LEARNED_INTERVAL_MS = 3_000;
-
     private final long term;
-    private final Supplier<KeyedRecord> leaderRecord;
-    private byte[] writtenLeaderRecord = {};
-    private long leaderWrittenAtMs = Long.MIN_VALUE / 2;
+    private final LeaderRecords records;
     private final JobScheduler scheduler;
     private final JobTimeLimits limits;
     private final GuardSessions sessions;
@@ -77,7 +65,6 @@
     private long acknowledgedAtMs;
     private long appendedAtMs;
     private long firstSentAtMs;
-    private long learnedTakenAtMs;
     private boolean flushScheduled;
     private long decidedAtMs;
     private boolean decisionScheduled;
@@ -108,7 +95,7 @@
             MonotonicClock clock,
             EventLog log) {
         this.term = term;
-        this.leaderRecord = leaderRecord;
+        this.records = new LeaderRecords(term, leaderRecord, scheduler, clock);
         this.scheduler = scheduler;
         this.limits = limits;
         this.sessions = sessions;
@@ -124,7 +111,6 @@
         this.formerGrantsUntilMs = startedAtMs + limits.grantWithoutStoreMs();
         this.acknowledgedAtMs = startedAtMs;
         this.appendedAtMs = startedAtMs;
-        this.learnedTakenAtMs = startedAtMs;
     }
 
     long term() {
@@ -416,14 +402,15 @@
         JobBatch batch = deferRemovals(scheduler.takeBatch());
         Optional<Map<String, Long>> withheld = takeWithheldLeases();
         boolean unchanged = batch.progress().isEmpty() && batch.removedJobIds().isEmpty() && withheld.isEmpty();
-        if (unchanged && !resigning && elapsedMs < KEEP_ALIVE_MS) {
+        if (unchanged && !resigning && elapsedMs < LeaderRecords.KEEP_ALIVE_MS) {
             // Nothing to write: the orders depend only on records that are already stored.
             send(batch.orders());
             return;
         }
         inFlight = batch;
         withheldInFlight = withheld.isPresent();
-        inFlightRecords = encode(batch, withheld);
+        resignationInFlight = resigning;
+        inFlightRecords = records.encode(batch, withheld, resigning);
         firstSentAtMs = clock.nowMs();
         append();
     }
@@ -447,61 +434,17 @@
         return new JobBatch(batch.progress(), remover.takeRemoved(), batch.orders());
     }
 
-    private List<KeyedRecord> encode(JobBatch batch, Optional<Map<String, Long>> withheld) {
-        List<KeyedRecord> records = new ArrayList<>();
-        batch.progress()
-                .forEach((id, snapshot) ->
-                        records.add(new KeyedRecord(JobTopics.progressKey(id), JobRecords.encode(snapshot))));
-        batch.removedJobIds().forEach(id -> records.add(KeyedRecord.removal(JobTopics.progressKey(id))));
-        withheld.ifPresent(bounds -> records.add(
-                new KeyedRecord(JobTopics.WITHHELD_KEY, JobRecords.encode(new WithheldLeases(term, bounds)))));
-        takeLearnedInterference().ifPresent(records::add);
-        if (resigning) {
-            resignationInFlight = true;
-        } else {
-            KeyedRecord leader = leaderRecord.get();
-            boolean changed = !Arrays.equals(leader.value(), writtenLeaderRecord);
-            if (records.isEmpty() || changed && clock.nowMs() - leaderWrittenAtMs >= KEEP_ALIVE_MS) {
-                writtenLeaderRecord = leader.value();
-                leaderWrittenAtMs = clock.nowMs();
-                records.add(leader);
-            }
-        }
-        return records;
-    }
-
-    /** Returns what the next leader should know of interference, at intervals and with a resignation. */
-    private Optional<KeyedRecord> takeLearnedInterference() {
-        long nowMs = clock.nowMs();
-        if (!resigning && nowMs - learnedTakenAtMs < LEARNED_INTERVAL_MS) {
-            return Optional.empty();
-        }
-        learnedTakenAtMs = nowMs;
-        LearnedInterference learned = scheduler.learnedInterference();
-        return learned.isEmpty()
-                ? Optional.empty()
-                : Optional.of(new KeyedRecord(JobTopics.INTERFERENCE_KEY, JobRecords.encode(learned)));
-    }
-
-    /** Encodes the resignation for one attempt to store it: leases may have been granted since the last one. */
-    private List<KeyedRecord> encodeResignation() {
-        WithheldLeases all = new WithheldLeases(term, scheduler.findLeaseBounds(clock.nowMs()));
-        return List.of(
-                new KeyedRecord(JobTopics.WITHHELD_KEY, JobRecords.encode(all)),
-                new KeyedRecord(JobTopics.LEADER_KEY, JobRecords.encodeLeader(term, "", "")));
-    }
-
     private void append() {
         appendedAtMs = clock.nowMs();
         resignationSent = resignationInFlight;
-        List<KeyedRecord> records = new ArrayList<>(inFlightRecords);
+        List<KeyedRecord> sent = new ArrayList<>(inFlightRecords);
         if (resignationInFlight) {
-            records.addAll(encodeResignation());
+            sent.addAll(records.encodeResignation());
         }
         var actor = context.getSelf();
         store.append(
                         JobPartitions.PROGRESS,
-                        records,
+                        sent,
                         new AppendCondition.InSequence(JobTopics.LEADER_PRODUCER, term, sequence + 1))
                 .thenAccept(result -> actor.tell(new JobsCommand.BatchWritten(term, result)));
     }
