Throttle the best-effort tasks first whose jobs have most work ahead

All best-effort tasks beside a serving task near its target were throttled alike (22% of their run time at a share below 20%), and paused runs were stopped after 1 s, some at 89% and 96% of their work, and then waited 5 s for another worker.

Change: ThrottlePlan takes the excess pressure from the tasks of those jobs that have the largest part of their work ahead, and a release goes the other way. A throttled run that would end within the cost of a move stays.

--- a/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
@@ -1,6 +1,7 @@
 package org.fulmarreach.core.jobs;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.DoubleSummaryStatistics;
 import java.util.HashMap;
 import java.util.List;
@@ -28,9 +29,6 @@
 
     private static final int FULL_PERCENT = 100;
 
-    /** Below this CPU share a task is paused instead: it then gains more by being moved to another worker. */
-    private static final int MIN_PERCENT = 30;
-
     /** Limits each increase of a task's CPU share, since the model may be wrong. */
     private static final int MAX_INCREASE_PERCENT = 40;
 
@@ -114,20 +112,16 @@
 
     private void throttle(WorkerView worker, List<JobTask> bestEffort, JobTask worst, long nowMs) {
         double minPressure = worst.tailRatio() >= THROTTLE_ALL_TAIL_RATIO ? 0 : NEGLIGIBLE_PRESSURE;
-        List<JobTask> contributors = new ArrayList<>();
-        double total = 0;
+        List<ThrottlePlan.Contributor> contributors = new ArrayList<>();
         for (JobTask task : bestEffort) {
             double predicted = predictedPressure(worker, task, worst);
             if (predicted > minPressure) {
-                contributors.add(task);
-                total += predicted;
+                contributors.add(
+                        new ThrottlePlan.Contributor(task, JobUrgency.remainingPermille(task.job()), predicted));
             }
         }
-        double excess = pressure(worst) - goalPressure(worst);
-        double scale = total <= excess ? 0 : 1 - excess / total;
-        for (JobTask task : contributors) {
-            int percent = (int) (task.cpuSharePercent() * scale);
-            setCpuShare(worker, task, percent < MIN_PERCENT ? 0 : percent, worst.tailRatio());
+        for (ThrottlePlan.Share share : ThrottlePlan.reduce(contributors, pressure(worst) - goalPressure(worst))) {
+            setCpuShare(worker, share.task(), share.percent(), worst.tailRatio());
         }
         if (!contributors.isEmpty()) {
             changedAtMs.put(worker.guard(), nowMs);
@@ -136,19 +130,24 @@
 
     private void release(WorkerView worker, List<JobTask> bestEffort, JobTask worst, long nowMs) {
         double headroom = goalPressure(worst) - pressure(worst);
-        for (JobTask task : bestEffort) {
-            if (task.cpuSharePercent() < FULL_PERCENT) {
-                double factor = model.factor(task.step().image(), worst.step().image());
-                double perPercent = factor * worker.share(task.step().demand().milliCores()) / FULL_PERCENT;
-                int increase = perPercent * MAX_INCREASE_PERCENT <= headroom
-                        ? MAX_INCREASE_PERCENT
-                        : (int) (headroom / perPercent);
-                int percent = Math.min(FULL_PERCENT, task.cpuSharePercent() + increase);
-                headroom -= perPercent * (percent - task.cpuSharePercent());
-                if (percent >= MIN_PERCENT && percent != task.cpuSharePercent()) {
-                    setCpuShare(worker, task, percent, worst.tailRatio());
-                    changedAtMs.put(worker.guard(), nowMs);
-                }
+        List<JobTask> throttled = new ArrayList<>(bestEffort);
+        throttled.removeIf(JobTask::hasFullCpuShare);
+        if (throttled.size() > 1) {
+            Map<JobTask, Integer> remaining = new HashMap<>();
+            throttled.forEach(task -> remaining.put(task, JobUrgency.remainingPermille(task.job())));
+            throttled.sort(Comparator.comparing(remaining::get));
+        }
+        for (JobTask task : throttled) {
+            double factor = model.factor(task.step().image(), worst.step().image());
+            double perPercent = factor * worker.share(task.step().demand().milliCores()) / FULL_PERCENT;
+            int increase = perPercent * MAX_INCREASE_PERCENT <= headroom
+                    ? MAX_INCREASE_PERCENT
+                    : (int) (headroom / perPercent);
+            int percent = Math.min(FULL_PERCENT, task.cpuSharePercent() + increase);
+            headroom -= perPercent * (percent - task.cpuSharePercent());
+            if (percent >= ThrottlePlan.MIN_PERCENT && percent != task.cpuSharePercent()) {
+                setCpuShare(worker, task, percent, worst.tailRatio());
+                changedAtMs.put(worker.guard(), nowMs);
             }
         }
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
@@ -103,7 +103,7 @@
     }
 
     /** Returns the remaining part of a job's work, weighted by estimated core time, in thousandths. */
-    private static int remainingPermille(Job job) {
+    static int remainingPermille(Job job) {
         long total = 1;
         long remaining = 0;
         for (JobTask task : job.tasks()) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunMover.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunMover.java
@@ -17,6 +17,9 @@
     /** Runs with less remaining time may finish on a draining worker, which keeps running for some seconds. */
     private static final long MAX_DRAIN_REMAINING_MS = 1_500;
 
+    /** Time that a move costs; a throttled run that could end sooner waits where it is. */
+    private static final long MOVE_COST_MS = 500;
+
     private final DecisionBuffer decisions;
     private final DecisionLog log;
 
@@ -42,7 +45,7 @@
                 }
             } else if (report.draining() && !endsBeforeShutdown(task, nowMs)) {
                 stop(task, "worker is draining", nowMs);
-            } else if (isStalled(task, nowMs)) {
+            } else if (isStalled(task, nowMs) && (task.hasFullCpuShare() || remainingMs(task) > MOVE_COST_MS)) {
                 task.avoid(report.ref());
                 if (task.hasFullCpuShare()) {
                     worker.recordFault(STALLS_TO_SUSPECT, nowMs);
@@ -103,6 +106,12 @@
                 : JobTimeLimits.THROTTLED_CHECKPOINT_STALL_MS;
     }
 
+    /** Estimates the remaining run time of a task at full CPU share, in milliseconds. */
+    private static long remainingMs(JobTask task) {
+        long remainingPercent = COMPLETE_PERCENT - task.progress().percent();
+        return task.step().estimatedMs() * remainingPercent / COMPLETE_PERCENT;
+    }
+
     private static boolean isStalled(JobTask task, long nowMs) {
         RunProgress progress = task.progress();
         if (task.step().gang() || progress.percent() >= COMPLETE_PERCENT) {
