Throttle all best-effort tasks alike if the first choice did not help

The predicted pressure of a task can be wrong; taking it from one task a review then needs several reviews to reach the task that interferes.

--- a/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
@@ -4,8 +4,10 @@
 import java.util.Comparator;
 import java.util.DoubleSummaryStatistics;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.fulmarreach.core.jobs.DecisionLog.Decision;
 
@@ -40,6 +42,9 @@
     private final DecisionLog log;
     private final Map<String, Long> changedAtMs = new HashMap<>();
 
+    /** Guards of the workers on which the last review has throttled tasks. */
+    private final Set<String> throttledLast = new HashSet<>();
+
     BestEffortPacer(InterferenceModel model, DecisionBuffer decisions, DecisionLog log) {
         this.model = model;
         this.decisions = decisions;
@@ -81,8 +86,11 @@
             setCpuShares(worker, bestEffort, FULL_PERCENT, 0, nowMs);
         } else if (worst.tailRatio() > THROTTLE_TAIL_RATIO) {
             throttle(worker, bestEffort, worst, nowMs);
-        } else if (worst.tailRatio() < GOAL_TAIL_RATIO) {
-            release(worker, bestEffort, worst, nowMs);
+        } else {
+            throttledLast.remove(worker.guard());
+            if (worst.tailRatio() < GOAL_TAIL_RATIO) {
+                release(worker, bestEffort, worst, nowMs);
+            }
         }
     }
 
@@ -120,7 +128,11 @@
                         new ThrottlePlan.Contributor(task, JobUrgency.remainingPermille(task.job()), predicted));
             }
         }
-        for (ThrottlePlan.Share share : ThrottlePlan.reduce(contributors, pressure(worst) - goalPressure(worst))) {
+        double excess = pressure(worst) - goalPressure(worst);
+        List<ThrottlePlan.Share> shares = throttledLast.add(worker.guard())
+                ? ThrottlePlan.reduce(contributors, excess)
+                : ThrottlePlan.reduceEvenly(contributors, excess);
+        for (ThrottlePlan.Share share : shares) {
             setCpuShare(worker, share.task(), share.percent(), worst.tailRatio());
         }
         if (!contributors.isEmpty()) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/ThrottlePlan.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/ThrottlePlan.java
@@ -7,7 +7,8 @@
 /**
  * Decides which best-effort tasks of a worker give way to a serving task that is near its target latency. Those whose
  * jobs have the largest part of their work ahead are throttled first: partial work has no value until the whole job is
- * done, so a delay costs least there. Throttling all alike would delay every job instead. Stateless.
+ * done, so a delay costs least there. If that was not enough, the prediction may have missed the task that interferes, so
+ * all are throttled alike then. Stateless.
  */
 final class ThrottlePlan {
     /** Below this CPU share a task is paused instead: it then gains more by being moved to another worker. */
@@ -30,6 +31,18 @@
      */
     record Share(JobTask task, int percent) {}
 
+    /** Returns the CPU shares by which the pressure falls by an excess if all contributors are throttled alike. */
+    static List<Share> reduceEvenly(List<Contributor> contributors, double excess) {
+        double total = contributors.stream().mapToDouble(Contributor::pressure).sum();
+        double scale = total <= excess ? 0 : 1 - excess / total;
+        List<Share> changed = new ArrayList<>();
+        for (Contributor each : contributors) {
+            int percent = (int) (each.task().cpuSharePercent() * scale);
+            changed.add(new Share(each.task(), percent < MIN_PERCENT ? 0 : percent));
+        }
+        return changed;
+    }
+
     /**
      * Returns the CPU shares by which the pressure falls by an excess, as far as that is possible.
      *
