--- a/core/src/main/java/org/fulmarreach/core/jobs/ThrottlePlan.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/ThrottlePlan.java
@@ -7,8 +7,8 @@
 /**
  * Decides which best-effort tasks of a worker give way to a serving task that is near its target latency. Those whose
  * jobs have the largest part of their work ahead are throttled first: partial work has no value until the whole job is
- * done, so a delay costs least there. If that was not enough, the prediction may have missed the task that interferes, so
- * all are throttled alike then. Stateless.
+ * done, so a delay costs least there. If that was not enough, the prediction may have missed the task that interferes,
+ * so all are throttled alike then. Stateless.
  */
 final class ThrottlePlan {
     /** Below this CPU share a task is paused instead: it then gains more by being moved to another worker. */
