--- a/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
@@ -1,10 +1,13 @@
 package org.fulmarreach.core.jobs;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.DoubleSummaryStatistics;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.fulmarreach.core.jobs.DecisionLog.Decision;
 
@@ -28,9 +31,6 @@
 
     private static final int FULL_PERCENT = 100;
 
-    /** Below this CPU share a task is paused instead: it then gains more by being moved to another worker. */
-    private static final int MIN_PERCENT = 30;
-
     /** Limits each increase of a task's CPU share, since the model may be wrong. */
     private static final int MAX_INCREASE_PERCENT = 40;
 
@@ -42,6 +42,9 @@
     private final DecisionLog log;
     private final Map<String, Long> changedAtMs = new HashMap<>();
 
+    /** Guards of the workers on which the last review has throttled tasks. */
+    private final Set<String> throttledLast = new HashSet<>();
+
     BestEffortPacer(InterferenceModel model, DecisionBuffer decisions, DecisionLog log) {
         this.model = model;
         this.decisions = decisions;
@@ -83,8 +86,11 @@
             setCpuShares(worker, bestEffort, FULL_PERCENT, 0, nowMs);
         } else if (worst.tailRatio() > THROTTLE_TAIL_RATIO) {
             throttle(worker, bestEffort, worst, nowMs);
-        } else if (worst.tailRatio() < GOAL_TAIL_RATIO) {
-            release(worker, bestEffort, worst, nowMs);
+        } else {
+            throttledLast.remove(worker.guard());
+            if (worst.tailRatio() < GOAL_TAIL_RATIO) {
+                release(worker, bestEffort, worst, nowMs);
+            }
         }
     }
 
@@ -114,20 +120,20 @@
 
     private void throttle(WorkerView worker, List<JobTask> bestEffort, JobTask worst, long nowMs) {
         double minPressure = worst.tailRatio() >= THROTTLE_ALL_TAIL_RATIO ? 0 : NEGLIGIBLE_PRESSURE;
-        List<JobTask> contributors = new ArrayList<>();
-        double total = 0;
+        List<ThrottlePlan.Contributor> contributors = new ArrayList<>();
         for (JobTask task : bestEffort) {
             double predicted = predictedPressure(worker, task, worst);
             if (predicted > minPressure) {
-                contributors.add(task);
-                total += predicted;
+                contributors.add(
+                        new ThrottlePlan.Contributor(task, JobUrgency.remainingPermille(task.job()), predicted));
             }
         }
         double excess = pressure(worst) - goalPressure(worst);
-        double scale = total <= excess ? 0 : 1 - excess / total;
-        for (JobTask task : contributors) {
-            int percent = (int) (task.cpuSharePercent() * scale);
-            setCpuShare(worker, task, percent < MIN_PERCENT ? 0 : percent, worst.tailRatio());
+        List<ThrottlePlan.Share> shares = throttledLast.add(worker.guard())
+                ? ThrottlePlan.reduce(contributors, excess)
+                : ThrottlePlan.reduceEvenly(contributors, excess);
+        for (ThrottlePlan.Share share : shares) {
+            setCpuShare(worker, share.task(), share.percent(), worst.tailRatio());
         }
         if (!contributors.isEmpty()) {
             changedAtMs.put(worker.guard(), nowMs);
@@ -136,19 +142,24 @@
 
     private void release(WorkerView worker, List<JobTask> bestEffort, JobTask worst, long nowMs) {
         double headroom = goalPressure(worst) - pressure(worst);
-        for (JobTask task : bestEffort) {
-            if (task.cpuSharePercent() < FULL_PERCENT) {
-                double factor = model.factor(task.step().image(), worst.step().image());
-                double perPercent = factor * worker.share(task.step().demand().milliCores()) / FULL_PERCENT;
-                int increase = perPercent * MAX_INCREASE_PERCENT <= headroom
-                        ? MAX_INCREASE_PERCENT
-                        : (int) (headroom / perPercent);
-                int percent = Math.min(FULL_PERCENT, task.cpuSharePercent() + increase);
-                headroom -= perPercent * (percent - task.cpuSharePercent());
-                if (percent >= MIN_PERCENT && percent != task.cpuSharePercent()) {
-                    setCpuShare(worker, task, percent, worst.tailRatio());
-                    changedAtMs.put(worker.guard(), nowMs);
-                }
+        List<JobTask> throttled = new ArrayList<>(bestEffort);
+        throttled.removeIf(JobTask::hasFullCpuShare);
+        if (throttled.size() > 1) {
+            Map<JobTask, Integer> remaining = new HashMap<>();
+            throttled.forEach(task -> remaining.put(task, JobUrgency.remainingPermille(task.job())));
+            throttled.sort(Comparator.comparing(remaining::get));
+        }
+        for (JobTask task : throttled) {
+            double factor = model.factor(task.step().image(), worst.step().image());
+            double perPercent = factor * worker.share(task.step().demand().milliCores()) / FULL_PERCENT;
+            int increase = perPercent * MAX_INCREASE_PERCENT <= headroom
+                    ? MAX_INCREASE_PERCENT
+                    : (int) (headroom / perPercent);
+            int percent = Math.min(FULL_PERCENT, task.cpuSharePercent() + increase);
+            headroom -= perPercent * (percent - task.cpuSharePercent());
+            if (percent >= ThrottlePlan.MIN_PERCENT && percent != task.cpuSharePercent()) {
+                setCpuShare(worker, task, percent, worst.tailRatio());
+                changedAtMs.put(worker.guard(), nowMs);
             }
         }
     }
