Start nothing in evacuated zones, and bound stops by the tasks away

Change: entries follow the keys of evacuations, also removals that were missed while the store had forgotten them; the leader passes the zones to the scheduler. Workers of such a zone are not available for placement, trials and gangs; starts that wait for an append or are held are dropped, and unlisted ones are withdrawn instead of being repeated. Starts are held while the view of evacuations is older than evacuation_ms leaves. Standing tasks move out within the limit of their step, where other zones have room, and a zone that is taken back fills over 5 s. UnavailabilityBudget answers for each stop of a standing task. Without evacuation_ms and keys the part does nothing.

A trial without the checks of the zone, of the limit and of the first seconds of a term makes 12 of the 16 tests fail.

--- a/core/src/main/java/org/fulmarreach/core/jobs/DecisionLog.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/DecisionLog.java
@@ -56,6 +56,12 @@
         /** A long-running task that may run has not been at work for a while. */
         TASK_WAITING,
         /** A task that may run is over the time limit of its next step, or has no next step. */
-        TASK_OVERDUE
+        TASK_OVERDUE,
+        /** An availability zone is evacuated; nothing is started there. */
+        ZONE_EVACUATED,
+        /** The last standing task has left an evacuated zone. */
+        ZONE_EMPTIED,
+        /** The evacuation of a zone was taken back; its workers are filled gradually. */
+        ZONE_REOPENED
     }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -32,6 +32,7 @@
     private final RunTracker runs;
     private final LifetimeChange lifetimes;
     private final RunMover mover;
+    private final ZoneEvacuation evacuation;
     private final BestEffortPacer pacer;
     private final Placement placement;
     private final TaskPlacer placer;
@@ -73,9 +74,11 @@
         this.formerLeases = formerLeases;
         this.withholder = new LeaseWithholder(limits, formerLeases.endsAtMs().keySet());
         this.log = log;
-        this.mover = new RunMover(decisions, log);
+        UnavailabilityBudget budget = new UnavailabilityBudget();
+        this.mover = new RunMover(decisions, budget, log);
         this.pacer = new BestEffortPacer(model, decisions, log);
         this.placement = new Placement(model);
+        this.evacuation = new ZoneEvacuation(workers.values(), placement, mover, budget, this::policy, log, nowMs);
         this.crashes = new CrashTracker(decisions, log, placement);
         this.placer = new TaskPlacer(workers.values(), placement, crashes, decisions, log);
         this.retention = new JobRetention(registry, limits, decisions, log);
@@ -109,6 +112,16 @@
         newConfig.queues().forEach(queue -> knownPolicies.put(queue.name(), queue.policy()));
     }
 
+    /** Replaces the evacuated zones, in which nothing is started from now on. */
+    public void evacuate(EvacuatedZones zones, long nowMs) {
+        evacuation.replace(zones, nowMs);
+    }
+
+    /** Moves standing tasks out of evacuated zones; called only while starts can be stored and sent. */
+    public void moveOutOfZones(long nowMs) {
+        evacuation.moveOut(nowMs);
+    }
+
     /**
      * Schedules a job that was added to the registry, or cancelled in it, after the term began. A former leader may
      * have placed it, if its request is read late.
@@ -160,6 +173,7 @@
             crashes.onCrash(crashed, worker, report, workers.values(), nowMs);
         }
         worker.recordReport(report, nowMs);
+        evacuation.mark(worker);
         for (JobTask task : List.copyOf(worker.assigned())) {
             if (report.leaseExpired()) {
                 runs.markLost(task, worker, "lease lapsed on an unreachable worker", nowMs);
@@ -327,7 +341,7 @@
         JobTask task = registry.findTask(start.task().toString());
         WorkerView worker = workers.get(start.worker().guard());
         return task != null
-                && (worker == null || worker.isWithinCapacity())
+                && (worker == null || worker.isWithinCapacity() && !worker.isEvacuated())
                 && task.isCurrent(start.worker(), start.run())
                 && !task.job().status().isFinal()
                 && task.progress().stopOrderedAtMs() == 0;
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTimeLimits.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTimeLimits.java
@@ -9,8 +9,10 @@
  *     platform's settings
  * @param runStopMs longest time from a worker's confirmation of a stop to the end of the run, from the platform's
  *     settings
+ * @param evacuationMs time after an acknowledged evacuation of a zone by which tasks must no longer start there, from
+ *     the platform's settings; 0 if the deployment has no evacuations
  */
-public record JobTimeLimits(long leaseMs, long statusRetentionMs, long cancelMs, long runStopMs) {
+public record JobTimeLimits(long leaseMs, long statusRetentionMs, long cancelMs, long runStopMs, long evacuationMs) {
     /** Runs outlast an outage of the store of this length: 9 s, and the time in which leases are renewed again. */
     private static final long MAX_OUTAGE_MS = 12_000;
 
@@ -53,6 +55,12 @@
     /** Part of {@link #cancelMs}, as a divisor, that a start may take from the leader to the worker's connection. */
     private static final int TRANSIT_DIVISOR = 2;
 
+    /** Part of {@link #startValidMs}, as a divisor, that remains for the call to the worker at its end. */
+    private static final int CALL_DIVISOR = 3;
+
+    /** Part of the maximum age of the view of evacuations, as a divisor, that a read may wait for new records. */
+    private static final int VIEW_READ_DIVISOR = 3;
+
     /** A worker's clock may be slow by 2%. */
     private static final int CLOCK_DRIFT_PERCENT = 2;
 
@@ -62,6 +70,11 @@
     /** Covers the delay between the end of a stopped run and the release of its resources. */
     private static final long STOP_MARGIN_MS = 100;
 
+    /** Constructs the limits of a deployment without evacuations. */
+    public JobTimeLimits(long leaseMs, long statusRetentionMs, long cancelMs, long runStopMs) {
+        this(leaseMs, statusRetentionMs, cancelMs, runStopMs, 0);
+    }
+
     /**
      * Returns the maximum age of the leader's view of cancellations at which start orders may be sent, in milliseconds.
      * Together with {@link #startValidMs} it leaves a sixth of {@link #cancelMs} for the call to the worker.
@@ -75,7 +88,29 @@
      * answers, in milliseconds.
      */
     public long startValidMs() {
-        return cancelMs / TRANSIT_DIVISOR;
+        long validMs = cancelMs / TRANSIT_DIVISOR;
+        return hasEvacuations() ? Math.min(validMs, evacuationMs / TRANSIT_DIVISOR) : validMs;
+    }
+
+    /** Tells whether operators may evacuate zones. */
+    public boolean hasEvacuations() {
+        return evacuationMs > 0;
+    }
+
+    /**
+     * Returns the maximum age of the leader's view of evacuations at which start orders may be sent, in milliseconds.
+     * Together with {@link #startValidMs} it leaves a third of that for the call to the worker.
+     */
+    public long maxEvacuationViewAgeMs() {
+        return hasEvacuations() ? evacuationMs - startValidMs() - startValidMs() / CALL_DIVISOR : Long.MAX_VALUE;
+    }
+
+    /**
+     * Returns how long a leader's read of the operators' records may wait for new ones, in milliseconds, so that one
+     * lost read does not make its view of evacuations too old.
+     */
+    public long evacuationReadWaitMs() {
+        return maxEvacuationViewAgeMs() / VIEW_READ_DIVISOR;
     }
 
     /**
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -67,6 +67,7 @@
     private final Map<String, Boolean> mostlyFree = new HashMap<>();
     private final Map<String, Boolean> allSuspected = new HashMap<>();
     private long candidates;
+    private long passAtMs;
 
     /** Time since when a standing task has found no worker by the usual rules, and when that was last so. */
     private record Wait(long sinceMs, long lastMs) {}
@@ -81,6 +82,7 @@
 
     /** Begins a pass over the waiting tasks; {@link #onCapacityFreed} must be called if it frees capacity. */
     void beginPass(long nowMs) {
+        passAtMs = nowMs;
         waits.values().removeIf(wait -> nowMs - wait.lastMs() > MAX_START_MS);
         unplaceable.clear();
         heldWorkers.clear();
@@ -422,7 +424,8 @@
         if (worker.isReservedForTrial()) {
             return Obstacle.TRIAL;
         }
-        if (!worker.taken().plus(step.reserved()).fitsInto(worker.report().capacity())) {
+        if (!worker.taken().plus(step.reserved()).fitsInto(worker.report().capacity())
+                || !worker.mayFillWith(step, passAtMs)) {
             return Obstacle.ROOM;
         }
         if (!fits(task, worker, worker.taken())) {
@@ -443,9 +446,9 @@
     }
 
     /** Tells whether a task fits on a worker whose reserved resources are {@code taken}. */
-    private static boolean fits(JobTask task, WorkerView worker, Resources taken) {
+    private boolean fits(JobTask task, WorkerView worker, Resources taken) {
         JobStep step = task.step();
-        if (!taken.plus(step.reserved()).fitsInto(worker.report().capacity())) {
+        if (!taken.plus(step.reserved()).fitsInto(worker.report().capacity()) || !worker.mayFillWith(step, passAtMs)) {
             return false;
         }
         if (!step.requiredLabel().isEmpty() && !worker.report().labels().contains(step.requiredLabel())) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunMover.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunMover.java
@@ -18,9 +18,11 @@
     private static final long MAX_DRAIN_REMAINING_MS = 1_500;
 
     private final DecisionBuffer decisions;
+    private final UnavailabilityBudget budget;
     private final DecisionLog log;
 
-    RunMover(DecisionBuffer decisions, DecisionLog log) {
+    RunMover(DecisionBuffer decisions, UnavailabilityBudget budget, DecisionLog log) {
+        this.budget = budget;
         this.decisions = decisions;
         this.log = log;
     }
@@ -42,7 +44,7 @@
                 }
             } else if (report.draining() && !endsBeforeShutdown(task, nowMs)) {
                 stop(task, "worker is draining", nowMs);
-            } else if (isStalled(task, nowMs)) {
+            } else if (isStalled(task, nowMs) && budget.mayStop(task, nowMs)) {
                 task.avoid(report.ref());
                 if (task.hasFullCpuShare()) {
                     worker.recordFault(STALLS_TO_SUSPECT, nowMs);
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -398,8 +398,8 @@
                 }
             } else if (!progress.isSent() && !task.step().gang()) {
                 // A start that still waits for its append is not applicable any more once its task is released.
-                if (nowMs - progress.orderedAtMs() > JobTimeLimits.START_WITHDRAW_MS) {
-                    releaseUnsent(task, "not sent in time");
+                if (worker.isEvacuated() || nowMs - progress.orderedAtMs() > JobTimeLimits.START_WITHDRAW_MS) {
+                    releaseUnsent(task, worker.isEvacuated() ? "zone is evacuated" : "not sent in time");
                 }
             } else if (progress.stopOrderedAtMs() > 0
                     || nowMs - Math.max(progress.orderedAtMs(), progress.sentAtMs())
@@ -410,8 +410,12 @@
                             report.ref(), task.name().toString(), task.state().run()));
                 }
             } else if (nowMs - Math.max(progress.queuedAtMs(), progress.sentAtMs()) > JobTimeLimits.START_RETRY_MS) {
-                task.updateProgress(progress.withQueued(nowMs));
-                decisions.addStart(task);
+                if (worker.isEvacuated()) {
+                    withdraw(task, nowMs);
+                } else {
+                    task.updateProgress(progress.withQueued(nowMs));
+                    decisions.addStart(task);
+                }
             }
         }
     }
--- /dev/null
+++ b/core/src/main/java/org/fulmarreach/core/jobs/StartAllowance.java
@@ -0,0 +1,28 @@
+package org.fulmarreach.core.jobs;
+
+/**
+ * Limits how much work is started on a worker whose zone was taken back: processors up to a share of its capacity that
+ * grows evenly from nothing. Immutable.
+ *
+ * @param sinceMs when the zone was taken back, as a reading of the leader's monotonic clock
+ * @param fillMs time after which the whole capacity may be used; 0 for no limit
+ */
+record StartAllowance(long sinceMs, long fillMs) {
+    /** Limits nothing. */
+    static final StartAllowance UNLIMITED = new StartAllowance(0, 0);
+
+    /** Tells whether a further task may be started on a worker now. */
+    boolean admits(JobStep step, WorkerView worker, long nowMs) {
+        long elapsedMs = nowMs - sinceMs;
+        if (elapsedMs >= fillMs) {
+            return true;
+        }
+        long started = step.demand().milliCores();
+        for (JobTask task : worker.assigned()) {
+            if (task.progress().orderedAtMs() >= sinceMs) {
+                started += task.step().demand().milliCores();
+            }
+        }
+        return started <= worker.report().capacity().milliCores() * elapsedMs / fillMs;
+    }
+}
--- a/core/src/main/java/org/fulmarreach/core/jobs/WaitDiagnosis.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WaitDiagnosis.java
@@ -116,16 +116,19 @@
     private WaitReason explainUnavailable(String service, int known, long nowMs) {
         int silent = 0;
         int draining = 0;
+        int evacuated = 0;
         for (WorkerView worker : workers) {
             if (worker.report() != null && worker.report().service().equals(service)) {
                 if (worker.report().draining() && isHeard(worker, nowMs)) {
                     draining++;
+                } else if (worker.isEvacuated() && isHeard(worker, nowMs)) {
+                    evacuated++;
                 } else {
                     silent++;
                 }
             }
         }
-        return new WaitReason.NoWorker(service, known, silent, draining);
+        return new WaitReason.NoWorker(service, known, silent, draining, evacuated);
     }
 
     private WaitReason explainNoRoom(
--- a/core/src/main/java/org/fulmarreach/core/jobs/WaitReason.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WaitReason.java
@@ -16,8 +16,9 @@
      * @param workers number of workers that last reported the service
      * @param silent those whose guard has no session or has not reported for a while, or cannot reach them
      * @param draining those that drain
+     * @param evacuated those whose zone is evacuated
      */
-    record NoWorker(String service, int workers, int silent, int draining) implements WaitReason {}
+    record NoWorker(String service, int workers, int silent, int draining, int evacuated) implements WaitReason {}
 
     /** No available worker has the label that the step requires. */
     record NoLabel(String label, int available) implements WaitReason {}
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -39,6 +39,8 @@
     private long reportedAtMs;
     private long answeredAtMs;
     private boolean reservedForTrial;
+    private boolean evacuated;
+    private StartAllowance filling = StartAllowance.UNLIMITED;
     private boolean connected;
     private final long createdAtMs;
     private long formerGrantsUntilMs;
@@ -244,6 +246,25 @@
         reservedForTrial = reserved;
     }
 
+    /** Tells whether the zone of the worker is evacuated, so that nothing is started there. */
+    boolean isEvacuated() {
+        return evacuated;
+    }
+
+    void setEvacuated(boolean isEvacuated) {
+        evacuated = isEvacuated;
+    }
+
+    /** Limits what is started on the worker for a while after its zone was taken back. */
+    void setFilling(StartAllowance allowance) {
+        filling = allowance;
+    }
+
+    /** Tells whether a task of a step may be started now on a worker whose zone may have been taken back lately. */
+    boolean mayFillWith(JobStep step, long nowMs) {
+        return filling.admits(step, this, nowMs);
+    }
+
     /** Records that the guard has no session any more; until its next report no order reaches the worker. */
     void recordDisconnected() {
         connected = false;
@@ -253,6 +274,7 @@
     boolean isAvailable(String service, long nowMs) {
         return report != null
                 && connected
+                && !evacuated
                 && report.reachable()
                 && !report.draining()
                 && report.service().equals(service)
@@ -262,7 +284,8 @@
     /** Returns a line of text for the operators' state page. */
     String describe() {
         String id = report == null ? "unknown" : report.ref().id();
-        return guard + " worker=" + id + " tasks=" + assigned.size() + " faultsInRow=" + faultsInRow;
+        return guard + " worker=" + id + " tasks=" + assigned.size() + " faultsInRow=" + faultsInRow
+                + (evacuated ? " evacuated=true" : "");
     }
 
     /** Tells whether several runs in a row failed or stalled on the worker a short time ago. */
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -60,6 +60,9 @@
     /** Whether starts wait for their append, so that none reaches a worker; they are dropped. */
     boolean holdsStarts;
 
+    /** Whether zones are evacuated in which no worker is. */
+    boolean evacuates;
+
     /** Receives the leader's decisions. */
     DecisionLog observer = DecisionLog.NONE;
 
@@ -202,7 +205,11 @@
 
     private void decide() {
         long beganNs = cpuNs();
+        if (evacuates) {
+            scheduler.evacuate(EvacuatedZones.NONE.withEvacuated("elsewhere"), nowMs);
+        }
         scheduler.tick(nowMs, nowMs, true);
+        scheduler.moveOutOfZones(nowMs);
         passes++;
         long tickedNs = cpuNs();
         tickCpuNs += tickedNs - beganNs;
--- a/core/src/test/java/org/fulmarreach/core/jobs/SchedulerHarness.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/SchedulerHarness.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.fulmarreach.core.jobs.DecisionLog.Decision;
 import org.fulmarreach.core.model.Resources;
@@ -23,7 +24,11 @@
     final JobRegistry registry = new JobRegistry();
     final Map<String, Worker> workers = new LinkedHashMap<>();
     final List<Line> lines = new ArrayList<>();
-    final JobScheduler scheduler;
+    JobScheduler scheduler;
+
+    /** Starts that the workers got. */
+    final List<JobOrder.Start> starts = new ArrayList<>();
+
     long nowMs = 1_000_000;
 
     /** Whether the pass places waiting tasks. */
@@ -43,6 +48,7 @@
         final WorkerRef ref;
         final Resources capacity;
         List<String> labels = List.of("a", "rack");
+        String zone = "zone";
         boolean silent;
         boolean draining;
 
@@ -83,6 +89,20 @@
                 nowMs);
     }
 
+    /** Replaces the leader by a new one that continues from the stored state. */
+    void replaceLeader(EvacuatedZones zones) {
+        inFlight = null;
+        registry.rollBack();
+        scheduler = new JobScheduler(
+                registry,
+                CONFIG,
+                LIMITS,
+                new FormerLeases(nowMs, Map.of()),
+                (decision, subject, fields) -> lines.add(new Line(nowMs, decision, subject, toMap(fields))),
+                nowMs);
+        scheduler.evacuate(zones, nowMs);
+    }
+
     private static Map<String, Object> toMap(Object... fields) {
         Map<String, Object> map = new HashMap<>();
         for (int i = 0; i < fields.length; i += 2) {
@@ -99,6 +119,17 @@
         return worker;
     }
 
+    Worker addWorker(String zone, int milliCores) {
+        Worker worker = addWorker(milliCores);
+        worker.zone = zone;
+        return worker;
+    }
+
+    /** Returns the names of the tasks that a worker runs. */
+    static Set<String> runningOn(Worker worker) {
+        return Set.copyOf(worker.running.keySet());
+    }
+
     JobTask submit(String id, TestSteps... steps) {
         return submit(id, "q", steps);
     }
@@ -173,7 +204,7 @@
         WorkerReport report = new WorkerReport(
                 worker.ref,
                 FakeWorker.SERVICE,
-                "zone",
+                worker.zone,
                 worker.capacity,
                 worker.labels,
                 worker.draining,
@@ -191,6 +222,9 @@
 
     private void decide() {
         scheduler.tick(nowMs, nowMs, placing);
+        if (placing && storing) {
+            scheduler.moveOutOfZones(nowMs);
+        }
         send(scheduler.takeImmediateOrders());
         if (inFlight == null) {
             inFlight = scheduler.takeBatch();
@@ -206,7 +240,9 @@
     private void send(List<JobOrder> orders) {
         for (JobOrder order : orders) {
             Worker worker = workers.get(order.worker().guard());
-            if (!worker.silent) {
+            if (!scheduler.isApplicable(order)) {
+                scheduler.onStartDropped((JobOrder.Start) order);
+            } else if (!worker.silent) {
                 execute(worker, order);
             }
         }
@@ -217,6 +253,7 @@
             case JobOrder.Start start -> {
                 String name = start.task().toString();
                 scheduler.onStartSent(start, nowMs);
+                starts.add(start);
                 if (worker.refusal.isEmpty()) {
                     worker.running.put(name, new WorkerReport.Running(name, start.run(), "", worker.percent, 5));
                 } else {
--- a/core/src/test/java/org/fulmarreach/core/jobs/TaskWaitMonitorTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/TaskWaitMonitorTest.java
@@ -50,7 +50,7 @@
         JobTask task = leader.submit("job", standing(1_000));
         leader.elapse(WAIT_MS);
         WaitReason.NoWorker reason = assertReason(task, WaitReason.NoWorker.class);
-        assertEquals(new WaitReason.NoWorker(FakeWorker.SERVICE, 2, 1, 1), reason);
+        assertEquals(new WaitReason.NoWorker(FakeWorker.SERVICE, 2, 1, 1, 0), reason);
     }
 
     /** A label that no worker has looked like a full pool. */
@@ -218,7 +218,7 @@
         leader.elapse(10_000);
         assertEquals(
                 List.of(
-                        new WaitReason.NoWorker(FakeWorker.SERVICE, 0, 0, 0).label(),
+                        new WaitReason.NoWorker(FakeWorker.SERVICE, 0, 0, 0, 0).label(),
                         new WaitReason.StartsHeld().label()),
                 leader.reasons(task));
     }
--- a/core/src/test/java/org/fulmarreach/core/jobs/TestSteps.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/TestSteps.java
@@ -18,6 +18,7 @@
     private String image = "";
     private int targetLatencyMs;
     private boolean isBestEffort;
+    private int maxUnavailable;
 
     private TestSteps(int count, Resources demand, long estimatedMs, List<Integer> predecessors) {
         this.count = count;
@@ -65,6 +66,11 @@
         return this;
     }
 
+    TestSteps atMostUnavailable(int most) {
+        maxUnavailable = most;
+        return this;
+    }
+
     TestSteps withoutCheckpoints() {
         checkpoints = false;
         return this;
@@ -87,6 +93,6 @@
                 image,
                 targetLatencyMs,
                 isBestEffort,
-                0);
+                maxUnavailable);
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/CancellationView.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/CancellationView.java
@@ -10,18 +10,21 @@
 import org.fulmarreach.runtime.log.EventLog;
 
 /**
- * Holds start orders back while the leader's view of cancellations is out of date. Any entry may store a cancellation,
- * and the leader learns of it only by reading the log; if reads get no answer, its appends and orders may still work.
+ * Holds start orders back while the leader's view of cancellations, or of evacuated zones, is out of date. Any entry
+ * may store a cancellation, and operators an evacuation, and the leader learns of them only by reading the log; if
+ * reads get no answer, its appends and orders may still work.
  * Confined to one actor.
  */
 final class CancellationView {
     private final LogTail requests;
+    private final ConfigFollower config;
     private final JobTimeLimits limits;
     private final EventLog log;
     private final Set<JobOrder> held = new LinkedHashSet<>();
 
-    CancellationView(LogTail requests, JobTimeLimits limits, EventLog log) {
+    CancellationView(LogTail requests, ConfigFollower config, JobTimeLimits limits, EventLog log) {
         this.requests = requests;
+        this.config = config;
         this.limits = limits;
         this.log = log;
     }
@@ -50,7 +53,11 @@
                     "maxAgeMs",
                     limits.maxCancellationViewAgeMs(),
                     "next",
-                    requests.nextOffset());
+                    requests.nextOffset(),
+                    "evacuationsAgeMs",
+                    config.ageMs(),
+                    "maxEvacuationsAgeMs",
+                    limits.maxEvacuationViewAgeMs());
         }
         return admitted;
     }
@@ -64,6 +71,7 @@
 
     /** Tells whether the view is recent enough for starts to be sent. */
     boolean isFresh() {
-        return requests.ageMs() <= limits.maxCancellationViewAgeMs();
+        return requests.ageMs() <= limits.maxCancellationViewAgeMs()
+                && config.ageMs() <= limits.maxEvacuationViewAgeMs();
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/ConfigFollower.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/ConfigFollower.java
@@ -4,10 +4,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.function.Consumer;
 
+import org.fulmarreach.core.jobs.EvacuatedZones;
 import org.fulmarreach.core.jobs.JobConfig;
+import org.fulmarreach.core.jobs.JobTimeLimits;
 import org.fulmarreach.platform.ingress.JobCodec;
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.platform.store.StoreClient;
@@ -17,17 +18,20 @@
 
 /**
  * Follows the operators' configuration. The newest version that was read stays active, however old it is; whether a
- * newer one may be in force by the operators' bound is known and logged. Confined to one actor.
+ * newer one may be in force by the operators' bound is known and logged. It also follows the operators' evacuations of
+ * zones. Changes are passed to the scheduler while this entry leads. Confined to one actor.
  */
 final class ConfigFollower {
     private final LogTail tail;
     private final ConfigReadBudget budget;
-    private final Consumer<JobConfig> activated;
+    private final EvacuationRecords evacuations;
     private final Consumer<LogTail.Update> read;
     private final MonotonicClock clock;
     private final EventLog log;
+    private LeaderTerm leader;
     private JobConfig active;
     private boolean outdated;
+    private boolean readsOften;
 
     /**
      * Constructs a follower that reads nothing until {@link #load}.
@@ -35,7 +39,6 @@
      * @param mailbox sends messages to the actor that owns the follower
      * @param budget time limits of the reads
      * @param random source of the jitter of retries
-     * @param activated receives each version that becomes active
      * @param read receives each update after it was applied
      */
     ConfigFollower(
@@ -43,17 +46,24 @@
             TailMailbox mailbox,
             ConfigReadBudget budget,
             Random random,
-            Consumer<JobConfig> activated,
             Consumer<LogTail.Update> read,
             MonotonicClock clock,
             EventLog log) {
         this.budget = budget;
-        this.activated = activated;
+        this.evacuations = new EvacuationRecords(clock, log);
         this.read = read;
         this.clock = clock;
         this.log = log;
         this.tail = new LogTail(
-                TopicPartition.OPERATOR, store, mailbox, log, clock, budget.times(), random, Set::of, this::onUpdate);
+                TopicPartition.OPERATOR,
+                store,
+                mailbox,
+                log,
+                clock,
+                budget.times(),
+                random,
+                evacuations::keys,
+                this::onUpdate);
     }
 
     /** Starts reading. */
@@ -61,6 +71,33 @@
         tail.reload();
     }
 
+    /**
+     * Passes the evacuated zones, and from now on each change, to the scheduler of a term. Where zones may be
+     * evacuated, the partition is read more often, since starts wait for the view of a leader to be recent enough.
+     */
+    void startLeading(LeaderTerm term, JobTimeLimits limits) {
+        leader = term;
+        term.scheduler().evacuate(evacuations.zones(), clock.nowMs());
+        if (limits.hasEvacuations()) {
+            readsOften = true;
+            tail.setTimes(budget.times().withMaxWaitMs((int) limits.evacuationReadWaitMs()));
+        }
+    }
+
+    /** Ends what {@link #startLeading} has begun. */
+    void stopLeading() {
+        leader = null;
+        if (readsOften) {
+            readsOften = false;
+            tail.setTimes(budget.times());
+        }
+    }
+
+    /** Returns the evacuated zones, according to the last read that succeeded. */
+    EvacuatedZones evacuatedZones() {
+        return evacuations.zones();
+    }
+
     /** Returns the active configuration; null before the first was read. */
     JobConfig active() {
         return active;
@@ -75,6 +112,11 @@
         return tail.isLoaded();
     }
 
+    /** Returns for how long a record of the operators may have been confirmed without being known, in milliseconds. */
+    long ageMs() {
+        return tail.ageMs();
+    }
+
     /** Returns the time up to which all confirmed versions are known, as a reading of the monotonic clock. */
     long knownUpToMs() {
         return clock.nowMs() - tail.ageMs();
@@ -108,6 +150,10 @@
     }
 
     private void onUpdate(LogTail.Update update) {
+        if (evacuations.apply(update) && leader != null) {
+            leader.scheduler().evacuate(evacuations.zones(), clock.nowMs());
+            leader.decide();
+        }
         activateNewest(update);
         checkAge();
         read.accept(update);
@@ -155,6 +201,9 @@
                 nowMs - times.sentAtMs(),
                 "answeredAgoMs",
                 nowMs - times.answeredAtMs());
-        activated.accept(config);
+        if (leader != null) {
+            leader.scheduler().configure(config);
+            leader.decide();
+        }
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -68,7 +68,7 @@
     STARTS_HELD(
             4036,
             Level.WARNING,
-            "Starts are held because cancellations could not be read for a while; check the store."),
+            "Starts are held because cancellations or evacuations could not be read for a while; check the store."),
     LEADER_RECORD_REFUSED(
             4037,
             Level.WARNING,
@@ -127,7 +127,18 @@
     ENTRY_UNREADY(
             4056,
             Level.WARNING,
-            "The readiness check fails, for the reason given; also logged when the reason changes.");
+            "The readiness check fails, for the reason given; also logged when the reason changes."),
+    EVACUATIONS_READ(
+            4090,
+            Level.INFO,
+            "The operators have evacuated zones, or taken evacuations back; the fields say when it was read."),
+    ZONE_EVACUATED(
+            4091,
+            Level.WARNING,
+            "A zone is evacuated: nothing is started there, and standing tasks are moved out as others have room."),
+    ZONE_EMPTIED(4092, Level.INFO, "The last standing task has left an evacuated zone."),
+    ZONE_REOPENED(
+            4093, Level.INFO, "The evacuation of a zone was taken back; its workers are filled over some seconds.");
 
     private final int number;
     private final Level level;
@@ -185,6 +196,9 @@
             case PACE_CHANGED -> PACE_CHANGED;
             case TASK_WAITING -> TASK_WAITING;
             case TASK_OVERDUE -> TASK_OVERDUE;
+            case ZONE_EVACUATED -> ZONE_EVACUATED;
+            case ZONE_EMPTIED -> ZONE_EMPTIED;
+            case ZONE_REOPENED -> ZONE_REOPENED;
         };
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -20,7 +20,6 @@
 import org.fulmarreach.core.jobs.DecisionLog;
 import org.fulmarreach.core.jobs.EntryLifetime;
 import org.fulmarreach.core.jobs.Job;
-import org.fulmarreach.core.jobs.JobConfig;
 import org.fulmarreach.core.jobs.JobRegistry;
 import org.fulmarreach.core.jobs.JobScheduler;
 import org.fulmarreach.core.jobs.JobTimeLimits;
@@ -126,14 +125,7 @@
         this.requests = follow(JobPartitions.REQUESTS, REQUEST_TIMES, applier::requestKeys, this::onRequests);
         this.progress = follow(JobPartitions.PROGRESS, PROGRESS_TIMES, applier::progressKeys, this::onProgress);
         this.config = new ConfigFollower(
-                store,
-                TailMailbox.of(context),
-                configBudget,
-                random,
-                this::onConfigActivated,
-                this::onConfigRead,
-                clock,
-                log);
+                store, TailMailbox.of(context), configBudget, random, this::onConfigRead, clock, log);
         this.formerLeaders = new FormerLeaders(limits);
         this.announcer = new LifetimeAnnouncer(identity.guardAddress(), requests, store, context, clock);
         this.election = new Election(
@@ -340,13 +332,6 @@
         publishView();
     }
 
-    private void onConfigActivated(JobConfig read) {
-        if (leaderTerm != null) {
-            leaderTerm.scheduler().configure(read);
-            decide();
-        }
-    }
-
     private void publishView() {
         publisher.publish(
                 draining, leaderTerm == null ? 0 : leaderTerm.scheduler().longestStandingWaitMs(clock.nowMs()));
@@ -389,12 +374,13 @@
                 limits,
                 sessions,
                 requests,
-                new CancellationView(requests, limits, log),
+                new CancellationView(requests, config, limits, log),
                 new CancellationRemover(term, registry, requests, limits, store, getContext(), clock, log),
                 store,
                 getContext(),
                 clock,
                 log);
+        config.startLeading(leaderTerm, limits);
         leaderTerm.logElected(registry.jobs().size(), config.active().version());
         redirects.clear();
         // Only a hint: without this record, guards need longer to find the leader.
@@ -418,6 +404,7 @@
     private void stepDown(String reason) {
         log.emit(JobEvent.LEADER_REPLACED, "term", leaderTerm.term(), "reason", reason);
         leaderTerm = null;
+        config.stopLeading();
         requests.setTimes(REQUEST_TIMES);
         sessions.close();
         registry.rollBack();
@@ -546,6 +533,7 @@
                         "config",
                         config.active() == null ? "none" : config.active().version())
                 .add("configLoaded", config.isLoaded())
+                .add("evacuatedZones", config.evacuatedZones().sorted())
                 .add("configAgeMs", clock.nowMs() - config.knownUpToMs())
                 .add("requestsLoaded", requests.isLoaded())
                 .add("progressLoaded", leaderTerm != null || progress.isLoaded())
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -171,10 +171,15 @@
      *     if all are, or while this entry does not lead
      */
     record View(
-            JobConfig config, long configKnownUpToMs, long configApplyMs, String unreadyReason, long standingWaitMs) {
+            JobConfig config,
+            long configKnownUpToMs,
+            long configApplyMs,
+            String unreadyReason,
+            long standingWaitMs,
+            int evacuatedZones) {
         /** Constructs the view of an entry that has read nothing yet. */
         static View starting() {
-            return new View(null, 0, 0, "this entry is starting", 0);
+            return new View(null, 0, 0, "this entry is starting", 0, 0);
         }
 
         /** Tells whether the entry should get new connections. */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -106,7 +106,8 @@
                 settings.bounds().leaseMs(),
                 settings.bounds().statusRetentionMs(),
                 settings.bounds().cancelMs(),
-                settings.bounds().runStopMs());
+                settings.bounds().runStopMs(),
+                settings.bounds().evacuationMs());
         // The client needs the actor system, and the actor needs the client: the client is created in the setup.
         ActorSystem<JobsCommand> system = ActorSystems.construct(
                 Behaviors.setup(context -> JobsActor.create(
@@ -187,6 +188,9 @@
                 .description("For how long a newer configuration may have been confirmed; none before the first")
                 .baseUnit("seconds")
                 .register(meters);
+        Gauge.builder("fulmarreach.zones.evacuated", () -> view.get().evacuatedZones())
+                .description("Zones that the operators have evacuated, as known to this entry")
+                .register(meters);
         Gauge.builder("fulmarreach.jobs.standing.wait", () -> view.get().standingWaitMs() / MS_PER_SECOND)
                 .description("How long the standing task that has waited longest is not at work; 0 without leadership")
                 .baseUnit("seconds")
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -39,6 +39,9 @@
     /** Leases are withheld only while the store answers, since they cannot be granted again without it. */
     private static final int MAX_WRITE_AGE_TO_WITHHOLD_MS = 1_000;
 
+    /** Runs are moved out of zones only while their next starts can be stored; the leader writes every 400 ms. */
+    private static final int MAX_WRITE_AGE_TO_MOVE_MS = 1_000;
+
     /** Minimum interval between scheduling passes; limits the processor time of a leader with many workers. */
     private static final int DECIDE_INTERVAL_MS = 30;
 
@@ -246,7 +249,11 @@
     private void decideNow() {
         decidedAtMs = clock.nowMs();
         handleLeftGuards();
-        scheduler.tick(clock.nowMs(), System.currentTimeMillis(), cancellations.isFresh());
+        boolean placing = cancellations.isFresh();
+        scheduler.tick(clock.nowMs(), System.currentTimeMillis(), placing);
+        if (placing && writeAgeMs() <= MAX_WRITE_AGE_TO_MOVE_MS) {
+            scheduler.moveOutOfZones(clock.nowMs());
+        }
         send(scheduler.takeImmediateOrders());
         cancellationRemover.review();
         flush();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LogTail.java
@@ -94,7 +94,12 @@
      * @param spacingMs pause after a read that returned records, since each read has a cost
      * @param retry what happens to reads without an answer
      */
-    record Times(int waitMs, int spacingMs, Retry retry) {}
+    record Times(int waitMs, int spacingMs, Retry retry) {
+        /** Returns a copy whose reads wait no longer than {@code maxWaitMs}. */
+        Times withMaxWaitMs(int maxWaitMs) {
+            return new Times(Math.min(waitMs, maxWaitMs), spacingMs, retry);
+        }
+    }
 
     /**
      * Time limits of reads without an answer, in milliseconds.
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/ViewPublisher.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/ViewPublisher.java
@@ -53,7 +53,13 @@
         if (!reason.equals(view.get().unreadyReason())) {
             log.emit(reason.isEmpty() ? JobEvent.ENTRY_READY : JobEvent.ENTRY_UNREADY, "reason", reason);
         }
-        view.set(new JobsCommand.View(config.active(), config.knownUpToMs(), config.applyMs(), reason, standingWaitMs));
+        view.set(new JobsCommand.View(
+                config.active(),
+                config.knownUpToMs(),
+                config.applyMs(),
+                reason,
+                standingWaitMs,
+                config.evacuatedZones().zones().size()));
     }
 
     /** Requests can be stored before the jobs are loaded; queries of jobs are refused until then. */
