--- a/core/src/main/java/org/fulmarreach/core/jobs/RunMover.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunMover.java
@@ -21,9 +21,11 @@
     private static final long MOVE_COST_MS = 500;
 
     private final DecisionBuffer decisions;
+    private final UnavailabilityBudget budget;
     private final DecisionLog log;
 
-    RunMover(DecisionBuffer decisions, DecisionLog log) {
+    RunMover(DecisionBuffer decisions, UnavailabilityBudget budget, DecisionLog log) {
+        this.budget = budget;
         this.decisions = decisions;
         this.log = log;
     }
@@ -45,7 +47,7 @@
                 }
             } else if (report.draining() && !endsBeforeShutdown(task, nowMs)) {
                 stop(task, "worker is draining", nowMs);
-            } else if (isStalled(task, nowMs) && (task.hasFullCpuShare() || remainingMs(task) > MOVE_COST_MS)) {
+            } else if (isStalled(task, nowMs) && isWorthMoving(task) && budget.mayStop(task, nowMs)) {
                 task.avoid(report.ref());
                 if (task.hasFullCpuShare()) {
                     worker.recordFault(STALLS_TO_SUSPECT, nowMs);
@@ -106,6 +108,10 @@
                 : JobTimeLimits.THROTTLED_CHECKPOINT_STALL_MS;
     }
 
+    private static boolean isWorthMoving(JobTask task) {
+        return task.hasFullCpuShare() || remainingMs(task) > MOVE_COST_MS;
+    }
+
     /** Estimates the remaining run time of a task at full CPU share, in milliseconds. */
     private static long remainingMs(JobTask task) {
         long remainingPercent = COMPLETE_PERCENT - task.progress().percent();
