Leave as much time between a leader's scheduling passes as they take

Cause: the interval between passes counted from the start of a pass. Where a pass takes longer than the 30 ms, as on entries with 0.12 of a core, the next report of a guard with an outcome started another pass at once, so passes took all the time of the actor that also answers callers and guards.

Change: the interval counts from the start of a pass, and after its end for as long as the pass took, 200 ms at most, since a pass also seems long when the process stood still. Passes shorter than 15 ms are spaced as before.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -39,9 +39,6 @@
     /** Leases are withheld only while the store answers, since they cannot be granted again without it. */
     private static final int MAX_WRITE_AGE_TO_WITHHOLD_MS = 1_000;
 
-    /** Minimum interval between scheduling passes; limits the processor time of a leader with many workers. */
-    private static final int DECIDE_INTERVAL_MS = 30;
-
     private final long term;
     private final LeaderRecords records;
     private final JobScheduler scheduler;
@@ -66,7 +63,7 @@
     private long appendedAtMs;
     private long firstSentAtMs;
     private boolean flushScheduled;
-    private long decidedAtMs;
+    private final PassPacing pacing = new PassPacing();
     private boolean decisionScheduled;
     private boolean resigning;
     private boolean resignationInFlight;
@@ -223,17 +220,14 @@
         }
     }
 
-    /** Runs a scheduling pass, now or as soon as the minimum interval since the last pass has elapsed. */
+    /** Runs a scheduling pass, now or as soon as {@link PassPacing} allows. */
     void decide() {
-        long elapsedMs = clock.nowMs() - decidedAtMs;
-        if (elapsedMs >= DECIDE_INTERVAL_MS) {
+        long remainingMs = pacing.remainingMs(clock.nowMs());
+        if (remainingMs <= 0) {
             decideNow();
         } else if (!decisionScheduled) {
             decisionScheduled = true;
-            context.scheduleOnce(
-                    Duration.ofMillis(DECIDE_INTERVAL_MS - elapsedMs),
-                    context.getSelf(),
-                    new JobsCommand.DecisionDue(term));
+            context.scheduleOnce(Duration.ofMillis(remainingMs), context.getSelf(), new JobsCommand.DecisionDue(term));
         }
     }
 
@@ -244,12 +238,13 @@
 
     /** Runs a scheduling pass, sends the orders that need no write, and appends the changes. */
     private void decideNow() {
-        decidedAtMs = clock.nowMs();
+        pacing.onStarted(clock.nowMs());
         handleLeftGuards();
         scheduler.tick(clock.nowMs(), System.currentTimeMillis(), cancellations.isFresh());
         send(scheduler.takeImmediateOrders());
         cancellationRemover.review();
         flush();
+        pacing.onEnded(clock.nowMs());
     }
 
     /** Places nothing on the workers of guards that have left; their reports must not count as new ones later. */
