Answer reads of known jobs and queues without the actor

Cause: callers' GETs were messages to the actor that also schedules and handles the reports of all guards.

Change: the registry keeps the acknowledged statuses in a map that other threads may read. The HTTP endpoint answers from it what the actor would answer without a read of the log: a completed or failed job, any other once the progress is loaded, and the length of a queue while requests and progress are at most 1.5 s old. All else goes to the actor as before. A new counter tells how many reads needed the actor.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Job.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Job.java
@@ -6,6 +6,7 @@
 /** A job with its tasks. Confined to the thread or actor that owns its {@link JobRegistry}. */
 public final class Job {
     private final JobSpec spec;
+    private final AcknowledgedStatuses statuses;
     private final List<JobTask> tasks = new ArrayList<>();
     private final int tasksPerOccurrence;
     private final int[] stepStarts;
@@ -19,8 +20,14 @@
     private JobStatus acknowledgedStatus = JobStatus.QUEUED;
     private JobSnapshot acknowledged;
 
-    Job(JobSpec spec) {
+    /**
+     * Constructs a job of which nothing has begun.
+     *
+     * @param statuses is told of each change of the acknowledged status
+     */
+    Job(JobSpec spec, AcknowledgedStatuses statuses) {
         this.spec = spec;
+        this.statuses = statuses;
         this.stepStarts = new int[spec.steps().size()];
         int count = 0;
         for (int step = 0; step < stepStarts.length; step++) {
@@ -194,6 +201,7 @@
     private void updateAcknowledgedStatus() {
         acknowledgedStatus =
                 acknowledged == null ? JobStatus.of(false, false, cancelled) : acknowledged.status(cancelled);
+        statuses.update(this);
     }
 
     /** Updates the counts by phase; must be called on each state change of one of the tasks. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobRegistry.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobRegistry.java
@@ -16,6 +16,7 @@
  */
 public final class JobRegistry {
     private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final AcknowledgedStatuses statuses = new AcknowledgedStatuses();
     private final Map<String, JobSnapshot> progressOfUnknownJobs = new HashMap<>();
     private final Map<String, Long> cancelledUnknownJobs = new LinkedHashMap<>();
 
@@ -28,7 +29,7 @@
         if (jobs.containsKey(spec.id())) {
             return false;
         }
-        Job job = new Job(spec);
+        Job job = new Job(spec, statuses);
         jobs.put(spec.id(), job);
         JobSnapshot progress = progressOfUnknownJobs.remove(spec.id());
         if (progress != null) {
@@ -37,6 +38,7 @@
         if (cancelledUnknownJobs.remove(spec.id()) != null) {
             job.cancel();
         }
+        statuses.add(job);
         return true;
     }
 
@@ -72,6 +74,7 @@
     /** Removes a job with any progress or cancellation kept for its id. */
     public void remove(String id) {
         jobs.remove(id);
+        statuses.remove(id);
         progressOfUnknownJobs.remove(id);
         cancelledUnknownJobs.remove(id);
     }
@@ -138,6 +141,11 @@
         return Optional.ofNullable(jobs.get(id));
     }
 
+    /** Returns the acknowledged statuses of all jobs; other threads may read them. */
+    public AcknowledgedStatuses acknowledgedStatuses() {
+        return statuses;
+    }
+
     /** Returns all jobs in the order in which they were added. */
     public Collection<Job> jobs() {
         return jobs.values();
@@ -145,13 +153,7 @@
 
     /** Counts the jobs of a queue that are still queued, as acknowledged by the store. */
     public int countWaiting(String queue) {
-        int waiting = 0;
-        for (Job job : jobs.values()) {
-            if (job.spec().queue().equals(queue) && job.acknowledgedStatus() == JobStatus.QUEUED) {
-                waiting++;
-            }
-        }
-        return waiting;
+        return statuses.countWaiting(queue);
     }
 
     JobTask findTask(String text) {
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobQueries.java
@@ -26,9 +26,6 @@
  * What this entry cannot know at present is refused. Confined to one actor.
  */
 final class JobQueries {
-    /** A count may be 2 s old when the caller has it; 500 ms are left for the way of the answer. */
-    private static final long MAX_COUNT_AGE_MS = 1_500;
-
     private static final ReadLimits CATCH_UP_LIMITS = new ReadLimits(0, HttpStoreClient.CALL_TIMEOUT_MS, false);
 
     private final JobRegistry registry;
@@ -103,7 +100,7 @@
 
     /** Answers with the number of jobs of a queue of which no task has started. */
     void answerCount(String queue, CompletableFuture<JobsCommand.CountAnswer> reply) {
-        if (requests.isLoaded() && requests.ageMs() > MAX_COUNT_AGE_MS) {
+        if (requests.isLoaded() && requests.ageMs() > JobReads.MAX_COUNT_AGE_MS) {
             long startedAtMs = clock.nowMs();
             catchUp(problem ->
                     reply.complete(problem.<JobsCommand.CountAnswer>map(JobsCommand.CountAnswer.Unavailable::new)
@@ -113,6 +110,17 @@
         }
     }
 
+    /** Returns what other threads may answer from now on, until the next change of what is loaded. */
+    JobReads reads() {
+        OptionalLong progressAge = progressAgeMs();
+        long ageMs = Math.max(requests.ageMs(), progressAge.orElse(0));
+        return new JobReads(
+                registry.acknowledgedStatuses(),
+                progress.wasLoaded(),
+                requests.isLoaded() && progressAge.isPresent(),
+                clock.nowMs() - ageMs);
+    }
+
     void onReadEnded(ReadResult result) {
         switch (result) {
             case ReadResult.Records read -> onRecords(read);
@@ -163,9 +171,7 @@
 
     private JobsCommand.StatusAnswer statusOf(Job job) {
         JobStatus status = job.acknowledgedStatus();
-        // A job that looks queued or cancelled may have been completed before, which only its progress tells.
-        boolean known = status == JobStatus.COMPLETED || status == JobStatus.FAILED;
-        return known || progress.wasLoaded()
+        return JobReads.isCertain(status, progress.wasLoaded())
                 ? new JobsCommand.StatusAnswer.Known(status)
                 : new JobsCommand.StatusAnswer.Unavailable("this entry is still loading the progress of jobs");
     }
@@ -184,7 +190,7 @@
         JobsCommand.CountAnswer answer;
         if (!requests.isLoaded() || progressAge.isEmpty()) {
             answer = new JobsCommand.CountAnswer.Unavailable("this entry is still loading the job log");
-        } else if (Math.max(requestsAgeMs, progressAge.getAsLong()) > MAX_COUNT_AGE_MS) {
+        } else if (Math.max(requestsAgeMs, progressAge.getAsLong()) > JobReads.MAX_COUNT_AGE_MS) {
             answer = new JobsCommand.CountAnswer.Unavailable(
                     "the job log could not be read for " + Math.max(requestsAgeMs, progressAge.getAsLong()) + " ms");
         } else {
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -153,7 +153,7 @@
                 clock,
                 log);
         this.callers = new CallerRequests(registry, queries, writer, applier, this::decide, clock);
-        this.publisher = new ViewPublisher(view, config, requests, clock, log);
+        this.publisher = new ViewPublisher(view, config, requests, queries::reads, clock, log);
         config.load();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
     }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -169,9 +169,20 @@
      * @param unreadyReason why the entry should get no new connections; empty if it is ready
      * @param standingWaitMs for how long the standing task that has waited longest is not at work, in milliseconds; 0
      *     if all are, or while this entry does not lead
+     * @param reads what may be answered to callers' reads
      */
     record View(
-            JobConfig config, long configKnownUpToMs, long configApplyMs, String unreadyReason, long standingWaitMs) {
+            JobConfig config,
+            long configKnownUpToMs,
+            long configApplyMs,
+            String unreadyReason,
+            long standingWaitMs,
+            JobReads reads) {
+        /** Constructs a view that leaves all reads to the actor. */
+        View(JobConfig config, long configKnownUpToMs, long configApplyMs, String unreadyReason, long standingWaitMs) {
+            this(config, configKnownUpToMs, configApplyMs, unreadyReason, standingWaitMs, JobReads.none());
+        }
+
         /** Constructs the view of an entry that has read nothing yet. */
         static View starting() {
             return new View(null, 0, 0, "this entry is starting", 0);
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
@@ -20,6 +21,7 @@
 import org.fulmarreach.core.jobs.JobConfig;
 import org.fulmarreach.core.jobs.JobQueue;
 import org.fulmarreach.core.jobs.JobSpec;
+import org.fulmarreach.core.jobs.JobStatus;
 import org.fulmarreach.platform.JsonText;
 import org.fulmarreach.platform.ingress.JobCodec;
 import org.fulmarreach.runtime.log.EventLog;
@@ -261,6 +263,11 @@
     }
 
     private CompletionStage<HttpResponse> query(HttpRequest request, String id) {
+        Optional<JobStatus> status = view.get().reads().findStatus(id);
+        countRead(status.isPresent());
+        if (status.isPresent()) {
+            return CompletableFuture.completedFuture(json(200, JobCodec.encodeStatus(status.get())));
+        }
         CompletableFuture<JobsCommand.StatusAnswer> answer = new CompletableFuture<>();
         jobs.accept(new JobsCommand.Query(id, answer));
         return answer.thenCompose(result -> switch (result) {
@@ -272,6 +279,21 @@
     }
 
     private CompletionStage<HttpResponse> countWaiting(HttpRequest request, JobQueue queue) {
+        JobReads reads = view.get().reads();
+        long nowMs = clock.nowMs();
+        OptionalInt waiting = reads.countWaiting(queue.name(), nowMs);
+        countRead(waiting.isPresent());
+        if (waiting.isPresent()) {
+            log.emit(
+                    JobEvent.QUEUE_COUNTED,
+                    "queue",
+                    queue.name(),
+                    "answer",
+                    waiting.getAsInt(),
+                    "ageMs",
+                    nowMs - reads.knownUpToMs());
+            return CompletableFuture.completedFuture(json(200, JobCodec.encodeWaiting(waiting.getAsInt())));
+        }
         CompletableFuture<JobsCommand.CountAnswer> answer = new CompletableFuture<>();
         jobs.accept(new JobsCommand.CountWaiting(queue.name(), answer));
         return answer.thenCompose(result -> switch (result) {
@@ -282,6 +304,11 @@
         });
     }
 
+    private void countRead(boolean withoutActor) {
+        meters.counter("fulmarreach.jobs.reads", "actor", withoutActor ? "no" : "yes")
+                .increment();
+    }
+
     /*
      * Responses
      */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/ViewPublisher.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/ViewPublisher.java
@@ -1,6 +1,7 @@
 package org.fulmarreach.entry.jobs;
 
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.util.MonotonicClock;
@@ -13,6 +14,7 @@
     private final AtomicReference<JobsCommand.View> view;
     private final ConfigFollower config;
     private final LogTail requests;
+    private final Supplier<JobReads> reads;
     private final MonotonicClock clock;
     private final EventLog log;
     private long requestsReadAtMs;
@@ -23,16 +25,19 @@
      * @param view is updated
      * @param config the followed configuration
      * @param requests the followed partition of callers' requests
+     * @param reads returns what other threads may answer to callers' reads
      */
     ViewPublisher(
             AtomicReference<JobsCommand.View> view,
             ConfigFollower config,
             LogTail requests,
+            Supplier<JobReads> reads,
             MonotonicClock clock,
             EventLog log) {
         this.view = view;
         this.config = config;
         this.requests = requests;
+        this.reads = reads;
         this.clock = clock;
         this.log = log;
         this.requestsReadAtMs = clock.nowMs();
@@ -53,7 +58,8 @@
         if (!reason.equals(view.get().unreadyReason())) {
             log.emit(reason.isEmpty() ? JobEvent.ENTRY_READY : JobEvent.ENTRY_UNREADY, "reason", reason);
         }
-        view.set(new JobsCommand.View(config.active(), config.knownUpToMs(), config.applyMs(), reason, standingWaitMs));
+        view.set(new JobsCommand.View(
+                config.active(), config.knownUpToMs(), config.applyMs(), reason, standingWaitMs, reads.get()));
     }
 
     /** Requests can be stored before the jobs are loaded; queries of jobs are refused until then. */
