Let callers' requests go between the reports of guards

Cause: each guard's waiting report was a message of its own in the mailbox of the actor, so after a change of the leader, or when the reports of a pool came at once, a submission waited until all of them were handled.

Change: the reports wait in a queue of their own, in their order, and one message at a time lets the actor handle eight of them before it asks for its next turn behind what has arrived meanwhile.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -217,6 +217,7 @@
             case JobsCommand.EpochAppendEnded ended -> onEpochAppendEnded(ended);
             case JobsCommand.GuardLink link -> onGuardLink(link.event());
             case JobsCommand.GuardReportDue due -> due.connection().takeReport().ifPresent(this::onGuardLink);
+            case JobsCommand.ReportTurnDue due -> due.turns().handle(this::onGuardLink);
             case JobsCommand.LeaderProbed probed -> election.onLeaderProbed(probed.term(), probed.refused());
             case JobsCommand.ForwardLink link -> forwarder.onLink(link.attempt(), link.event());
             case JobsCommand.Tick tick -> onTick();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -138,6 +138,9 @@
     /** A report of a guard waits at its connection. */
     record GuardReportDue(GuardConnection connection) implements JobsCommand {}
 
+    /** Reports of guards wait; some of them are handled now. */
+    record ReportTurnDue(ReportTurns turns) implements JobsCommand {}
+
     /** A connection to the leader of a term could not be opened; {@code refused} if no process listens there. */
     record LeaderProbed(long term, boolean refused) implements JobsCommand {}
 
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -126,10 +126,11 @@
         Materializer materializer = SystemMaterializer.get(system).materializer();
         registerGauges(view, clock, meters);
         JobsHttp http = new JobsHttp(system::tell, view, materializer, clock, log, meters);
+        ReportTurns reportTurns = new ReportTurns(system::tell);
         FrameTransport transport =
                 new FrameTransport(system, LinkSettings.DEFAULT.withSilenceTimeoutMs(SILENCE_TIMEOUT_MS), log);
         transport
-                .bind(guards.host(), guards.port(), () -> new GuardConnection(system::tell))
+                .bind(guards.host(), guards.port(), () -> new GuardConnection(reportTurns))
                 .thenAccept(binding -> system.tell(new JobsCommand.Listening(startedAtMs)));
         bind(system, settings.readinessAddress(), MAX_OPERATOR_CONNECTIONS, log, request -> readiness(http, request));
         bind(
