--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
@@ -289,7 +289,7 @@
                     "queue",
                     queue.name(),
                     "answer",
-                    waiting.getAsInt(),
+                    new JobsCommand.CountAnswer.Counted(waiting.getAsInt()),
                     "ageMs",
                     nowMs - reads.knownUpToMs());
             return CompletableFuture.completedFuture(json(200, JobCodec.encodeWaiting(waiting.getAsInt())));
