Merge the reads beside a leader's decisions

Cause: reads and requests of callers waited for reports and passes of the leader on one actor.

Change: branch reads; View carries the evacuated zones and the reads.

--- a/core/src/test/java/org/fulmarreach/core/jobs/ThrottlePlanTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/ThrottlePlanTest.java
@@ -55,6 +55,6 @@
         JobStep step = TestSteps.of(3, new Resources(1_000, 100, 0), 1_000, List.of())
                 .bestEffort("fill")
                 .build();
-        return new Job(new JobSpec("job", "batch", "", List.of(step), 0, 0, 0, 1));
+        return new Job(new JobSpec("job", "batch", "", List.of(step), 0, 0, 0, 1), new AcknowledgedStatuses());
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -145,7 +145,7 @@
                 clock,
                 log);
         this.callers = new CallerRequests(registry, queries, writer, applier, this::decide, clock);
-        this.publisher = new ViewPublisher(view, config, requests, clock, log);
+        this.publisher = new ViewPublisher(view, config, requests, queries::reads, clock, log);
         config.load();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
     }
@@ -209,6 +209,7 @@
             case JobsCommand.EpochAppendEnded ended -> onEpochAppendEnded(ended);
             case JobsCommand.GuardLink link -> onGuardLink(link.event());
             case JobsCommand.GuardReportDue due -> due.connection().takeReport().ifPresent(this::onGuardLink);
+            case JobsCommand.ReportTurnDue due -> due.turns().handle(this::onGuardLink);
             case JobsCommand.LeaderProbed probed -> election.onLeaderProbed(probed.term(), probed.refused());
             case JobsCommand.ForwardLink link -> forwarder.onLink(link.attempt(), link.event());
             case JobsCommand.Tick tick -> onTick();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -138,6 +138,9 @@
     /** A report of a guard waits at its connection. */
     record GuardReportDue(GuardConnection connection) implements JobsCommand {}
 
+    /** Reports of guards wait; some of them are handled now. */
+    record ReportTurnDue(ReportTurns turns) implements JobsCommand {}
+
     /** A connection to the leader of a term could not be opened; {@code refused} if no process listens there. */
     record LeaderProbed(long term, boolean refused) implements JobsCommand {}
 
@@ -169,6 +172,7 @@
      * @param unreadyReason why the entry should get no new connections; empty if it is ready
      * @param standingWaitMs for how long the standing task that has waited longest is not at work, in milliseconds; 0
      *     if all are, or while this entry does not lead
+     * @param reads what may be answered to callers' reads
      */
     record View(
             JobConfig config,
@@ -176,7 +180,26 @@
             long configApplyMs,
             String unreadyReason,
             long standingWaitMs,
-            int evacuatedZones) {
+            int evacuatedZones,
+            JobReads reads) {
+        /** Constructs a view that leaves all reads to the actor. */
+        View(
+                JobConfig config,
+                long configKnownUpToMs,
+                long configApplyMs,
+                String unreadyReason,
+                long standingWaitMs,
+                int evacuatedZones) {
+            this(
+                    config,
+                    configKnownUpToMs,
+                    configApplyMs,
+                    unreadyReason,
+                    standingWaitMs,
+                    evacuatedZones,
+                    JobReads.none());
+        }
+
         /** Constructs the view of an entry that has read nothing yet. */
         static View starting() {
             return new View(null, 0, 0, "this entry is starting", 0, 0);
