Order jobs by their cost for callers and keep a headroom for short jobs

Cause: standing tasks reserve the whole pool, and short jobs that reserve too find no room behind them.

Change: JobUrgency states claims, CallerCost orders them. While a service is short of room, a standing job that has just arrived goes behind jobs that can be on time. Headroom keeps the processors that short jobs have lately used free of standing tasks that have never run, each rack its part, and gives way where there is room for such a task twice over for 1 s.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -33,6 +33,7 @@
     private final LifetimeChange lifetimes;
     private final RunMover mover;
     private final BestEffortPacer pacer;
+    private final Headroom headroom = new Headroom(this::policy);
     private final Placement placement;
     private final TaskPlacer placer;
     private final JobRetention retention;
@@ -75,7 +76,7 @@
         this.log = log;
         this.mover = new RunMover(decisions, log);
         this.pacer = new BestEffortPacer(model, decisions, log);
-        this.placement = new Placement(model);
+        this.placement = new Placement(model, headroom);
         this.crashes = new CrashTracker(decisions, log, placement);
         this.placer = new TaskPlacer(workers.values(), placement, crashes, decisions, log);
         this.retention = new JobRetention(registry, limits, decisions, log);
@@ -274,6 +275,7 @@
             runs.releaseStopped(worker, limits.stopEndMs(), nowMs);
         }
         crashes.review(nowMs);
+        headroom.beginPass(active, nowMs);
         placement.beginPass(nowMs);
         List<Job> ordered = new ArrayList<>();
         for (Job job : active) {
@@ -283,7 +285,9 @@
         }
         Map<Job, JobUrgency.Rank> ranks = new HashMap<>();
         for (Job job : ordered) {
-            ranks.put(job, JobUrgency.rank(job, policy(job), unixMs));
+            QueuePolicy policy = policy(job);
+            boolean shortOfRoom = policy != null && headroom.isShortOfRoom(policy.service(), nowMs);
+            ranks.put(job, JobUrgency.rank(job, policy, shortOfRoom, unixMs));
         }
         ordered.sort(Comparator.comparing(ranks::get));
         for (Job job : ordered) {
@@ -343,6 +347,11 @@
         return waits.longestWaitMs(nowMs);
     }
 
+    /** Returns the processors that standing tasks leave to short jobs, in millicores, before the bound by capacity. */
+    public long headroomMilliCores() {
+        return headroom.milliCores();
+    }
+
     Placement placement() {
         return placement;
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
@@ -3,46 +3,51 @@
 import java.util.Comparator;
 import java.util.function.IntToLongFunction;
 
-/**
- * Ranks jobs for placement. Among jobs of equal priority, those that can still meet their target come first, and among
- * these the ones with the smallest remaining part of their work: partial work has no value until the whole job is done.
- * With a least-slack-first order instead, every job of a burst would get some capacity and most would finish late.
- * Stateless.
- */
+import org.fulmarreach.core.cost.CallerCost;
+import org.fulmarreach.core.cost.Claim;
+
+/** States what jobs claim, for {@link CallerCost}, and ranks them for placement by it. Stateless. */
 final class JobUrgency {
     /** Up to this multiple of its target a job counts as late; beyond it the result is of little use to the caller. */
     private static final int LATE_FACTOR = 3;
 
     private static final int FULL_PERCENT = 100;
+    private static final double MILLI = 1_000;
 
-    private JobUrgency() {}
+    /**
+     * A standing job that has waited for this long goes before others of its priority again, in its part of the pool.
+     * Callers allow for 3 s without a run, and small tasks give room back within about a second.
+     */
+    static final long STANDING_PATIENCE_MS = 1_500;
 
-    /** Whether a job can still meet its target, in order of precedence. */
-    enum Prospect {
-        /** Long-running or timed; has no target completion time. */
-        STANDING,
-        /** Can still be completed within its target. */
-        ON_TIME,
-        /** Will miss its target, but can be completed within {@code LATE_FACTOR} times the target. */
-        LATE,
-        /** Will take longer than {@code LATE_FACTOR} times the target. */
-        VERY_LATE
-    }
+    private JobUrgency() {}
 
     /**
      * Rank of a job; a lower rank is placed first.
      *
-     * @param priority priority of its queue
-     * @param prospect whether the job can still meet its target
-     * @param remainingPermille remaining part of the job's work, in thousandths
-     * @param slackMs time for which the job can wait and keep its prospect, in milliseconds; the submission time for a
-     *     standing job
+     * @param claim what the job claims
+     * @param first whether it goes before all others of its priority
+     * @param acceptedAtMs submission time; only decides among jobs that are first and among standing ones
      */
-    record Rank(int priority, Prospect prospect, int remainingPermille, long slackMs) implements Comparable<Rank> {
-        private static final Comparator<Rank> ORDER = Comparator.comparingInt(Rank::priority)
-                .thenComparing(Rank::prospect)
-                .thenComparingInt(Rank::remainingPermille)
-                .thenComparingLong(Rank::slackMs);
+    record Rank(Claim claim, boolean first, long acceptedAtMs) implements Comparable<Rank> {
+        private static final Comparator<Rank> ORDER = Comparator.comparingInt(
+                        (Rank rank) -> rank.claim().priority())
+                .thenComparing(rank -> !rank.first())
+                .thenComparing(Rank::compareInGroup);
+
+        private static int compareInGroup(Rank one, Rank other) {
+            int byCost = one.first() ? 0 : CallerCost.ORDER.compare(one.claim(), other.claim());
+            boolean byAge = byCost == 0 && (one.first() || one.claim() instanceof Claim.Standing);
+            return byAge ? Long.compare(one.acceptedAtMs(), other.acceptedAtMs()) : byCost;
+        }
+
+        CallerCost.Prospect prospect() {
+            return CallerCost.prospect(claim);
+        }
+
+        int remainingPermille() {
+            return CallerCost.remainingPermille(claim);
+        }
 
         @Override
         public int compareTo(Rank other) {
@@ -50,26 +55,53 @@
         }
     }
 
-    /** Ranks a job; {@code policy} is null if the settings of its queue are not known. */
+    /** Ranks a job in a pool with room for all; {@code policy} is null if the settings of its queue are not known. */
     static Rank rank(Job job, QueuePolicy policy, long unixMs) {
+        return rank(job, policy, false, unixMs);
+    }
+
+    /**
+     * Ranks a job.
+     *
+     * @param policy settings of its queue; null if they are not known
+     * @param shortOfRoom whether tasks that reserve processors wait for room in the service; if so, a standing job that
+     *     has just been accepted and has lost no run goes behind those that can still be on time
+     */
+    static Rank rank(Job job, QueuePolicy policy, boolean shortOfRoom, long unixMs) {
         if (policy == null) {
-            return new Rank(Integer.MAX_VALUE, Prospect.VERY_LATE, 0, 0);
+            return new Rank(new Claim.Finite(Integer.MAX_VALUE, -1, -1, 0, 0, 1), false, 0);
         }
+        long acceptedAtMs = job.spec().acceptedAtMs();
         boolean standing = job.spec().steps().stream().anyMatch(JobStep::longRunning);
         if (standing || job.spec().isTimed()) {
-            return new Rank(policy.priority(), Prospect.STANDING, 0, job.spec().acceptedAtMs());
+            Claim claim = new Claim.Standing(policy.priority(), 0);
+            boolean first = !shortOfRoom
+                    || job.spec().isTimed()
+                    || unixMs - acceptedAtMs >= STANDING_PATIENCE_MS
+                    || hasLostRun(job);
+            return new Rank(claim, first, acceptedAtMs);
         }
+        return new Rank(claim(job, policy, unixMs), false, acceptedAtMs);
+    }
+
+    /** Returns what a job without standing tasks or due times claims. */
+    static Claim.Finite claim(Job job, QueuePolicy policy, long unixMs) {
         long targetMs = targetMs(job.spec(), policy);
         long ageMs = unixMs - job.spec().acceptedAtMs();
-        long criticalPathMs = criticalPathMs(job.spec(), step -> remainingMs(job, step));
-        int remainingPermille = remainingPermille(job);
-        long slackMs = targetMs - ageMs - criticalPathMs;
-        if (slackMs >= 0) {
-            return new Rank(policy.priority(), Prospect.ON_TIME, remainingPermille, slackMs);
+        long total = 1;
+        long remaining = 0;
+        for (JobTask task : job.tasks()) {
+            long work = task.step().estimatedMs() * task.step().demand().milliCores();
+            total += work;
+            remaining += work / FULL_PERCENT * remainingPercent(task);
         }
-        long lateSlackMs = LATE_FACTOR * targetMs - ageMs - criticalPathMs;
-        Prospect prospect = lateSlackMs >= 0 ? Prospect.LATE : Prospect.VERY_LATE;
-        return new Rank(policy.priority(), prospect, remainingPermille, lateSlackMs);
+        return new Claim.Finite(
+                policy.priority(),
+                targetMs - ageMs,
+                LATE_FACTOR * targetMs - ageMs,
+                criticalPathMs(job.spec(), step -> remainingMs(job, step)),
+                remaining / MILLI,
+                total / MILLI);
     }
 
     /** Returns the target completion time of a job, in milliseconds after its submission. */
@@ -102,16 +134,13 @@
         return longest;
     }
 
-    /** Returns the remaining part of a job's work, weighted by estimated core time, in thousandths. */
-    private static int remainingPermille(Job job) {
-        long total = 1;
-        long remaining = 0;
+    private static boolean hasLostRun(Job job) {
         for (JobTask task : job.tasks()) {
-            long work = task.step().estimatedMs() * task.step().demand().milliCores();
-            total += work;
-            remaining += work / FULL_PERCENT * remainingPercent(task);
+            if (task.state().phase() == TaskPhase.PENDING && task.state().run() > 0) {
+                return true;
+            }
         }
-        return (int) (1_000 * remaining / total);
+        return false;
     }
 
     private static int remainingPercent(JobTask task) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -60,6 +60,7 @@
     private static final int MIN_SUSPECTED_WORKERS = 2;
 
     private final Colocation colocation;
+    private final Headroom headroom;
     private final Map<Job, Long> withoutRunSinceMs = new WeakHashMap<>();
     private final Map<JobTask, Wait> waits = new HashMap<>();
     private final Map<TaskClass, List<Resources>> unplaceable = new HashMap<>();
@@ -72,11 +73,17 @@
     private record Wait(long sinceMs, long lastMs) {}
 
     /** Class of tasks that differ only in the resources they request, as far as placement is concerned. */
-    private record TaskClass(String service, boolean longRunning, boolean bestEffort, String image) {}
+    private record TaskClass(String service, boolean longRunning, boolean confined, boolean bestEffort, String image) {}
 
-    /** Constructs a placement that avoids the interference that the model predicts. */
+    /** Constructs a placement that avoids the interference that the model predicts and keeps no headroom. */
     Placement(InterferenceModel model) {
+        this(model, new Headroom(job -> null));
+    }
+
+    /** Constructs a placement that also keeps standing tasks out of the headroom of short jobs. */
+    Placement(InterferenceModel model, Headroom headroom) {
         this.colocation = new Colocation(model);
+        this.headroom = headroom;
     }
 
     /** Begins a pass over the waiting tasks; {@link #onCapacityFreed} must be called if it frees capacity. */
@@ -91,6 +98,7 @@
     /** Must be called when tentative assignments are undone during a pass, which frees their capacity again. */
     void onCapacityFreed() {
         unplaceable.clear();
+        headroom.onReservationChanged();
     }
 
     /** Returns the total number of workers considered for tasks in all passes so far. */
@@ -110,7 +118,9 @@
      * throttles it there if necessary. A standing task also gets a suspected or reserved worker then.
      */
     WorkerView findWorker(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
-        WorkerView best = findWorkerWithoutInterference(task, service, workers, nowMs);
+        headroom.observe(task, service, () -> hasRoomTwice(task, service, workers, nowMs), nowMs);
+        Headroom.Limit limit = findLimit(task, service, workers, nowMs);
+        WorkerView best = findWorkerWithoutInterference(task, service, workers, limit, nowMs);
         if (best != null || task.job().hasAssignedTasks()) {
             withoutRunSinceMs.remove(task.job());
         }
@@ -120,11 +130,33 @@
         if (best == null && (isStanding(task) || task.step().bestEffort()) && hasWaitedLong(task, nowMs)) {
             best = task.step().bestEffort()
                     ? findWorkerDespiteInterference(task, service, workers, nowMs)
-                    : findWorkerDespiteDoubts(task, service, workers, nowMs);
+                    : findWorkerDespiteDoubts(task, service, workers, limit, nowMs);
+        }
+        if (best != null && task.step().longRunning()) {
+            headroom.onReservationChanged();
         }
         return best;
     }
 
+    private Headroom.Limit findLimit(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
+        return headroom.findLimit(task, service, workers, () -> hasRoomTwice(task, service, workers, nowMs), nowMs);
+    }
+
+    /** Tells whether the free room of a service suffices for a task twice over, whoever else may use it. */
+    private boolean hasRoomTwice(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
+        boolean found = false;
+        Resources twice = task.step().reserved().plus(task.step().reserved());
+        for (WorkerView worker : workers) {
+            if (isOpen(worker, service, workers, nowMs) && hasReservableCapacity(task, worker)) {
+                if (found || worker.taken().plus(twice).fitsInto(worker.report().capacity())) {
+                    return true;
+                }
+                found = true;
+            }
+        }
+        return false;
+    }
+
     /** Returns the number of standing tasks that found no worker by the usual rules a short time ago. */
     int waitingTasks() {
         return waits.size();
@@ -223,11 +255,13 @@
 
     /** Returns the best worker for a standing task that no worker without faults or a trial has capacity for. */
     private WorkerView findWorkerDespiteDoubts(
-            JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
+            JobTask task, String service, Collection<WorkerView> workers, Headroom.Limit limit, long nowMs) {
         WorkerView best = null;
         double bestScore = Double.MAX_VALUE;
         for (WorkerView worker : workers) {
-            if (isOpenToWaiting(task, service, worker, workers, nowMs) && hasCapacity(task, worker)) {
+            if (isOpenToWaiting(task, service, worker, workers, nowMs)
+                    && hasCapacity(task, worker)
+                    && (limit == null || limit.admits(worker))) {
                 double score = score(task, worker, 0) + doubts(task, worker, nowMs);
                 if (score < bestScore) {
                     best = worker;
@@ -291,17 +325,20 @@
     }
 
     private WorkerView findWorkerWithoutInterference(
-            JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
+            JobTask task, String service, Collection<WorkerView> workers, Headroom.Limit limit, long nowMs) {
         JobStep step = task.step();
         boolean bestEffort = step.bestEffort();
-        if (isKnownUnplaceable(step, service)) {
+        TaskClass taskClass = taskClass(step, service, limit != null);
+        if (isKnownUnplaceable(step, taskClass)) {
             return null;
         }
         WorkerView best = null;
         double bestScore = Double.MAX_VALUE;
         candidates += workers.size();
         for (WorkerView worker : workers) {
-            if (!isOpen(worker, service, workers, nowMs) || !hasCapacity(task, worker)) {
+            if (!isOpen(worker, service, workers, nowMs)
+                    || !hasCapacity(task, worker)
+                    || limit != null && !limit.admits(worker)) {
                 continue;
             }
             // The prediction iterates over all pairs of images on the worker, so cheap conditions are checked first.
@@ -316,10 +353,13 @@
             }
         }
         if (best == null) {
-            recordUnplaceable(step, service);
+            recordUnplaceable(step, taskClass);
+            if (!bestEffort) {
+                headroom.recordShortage(service, nowMs);
+            }
             if (step.longRunning() && !bestEffort && !step.gang()) {
                 // Even if one task of a gang fits, the whole gang may never fit, so no worker is held for it.
-                holdWorker(task, service, workers, nowMs);
+                holdWorker(task, service, workers, limit, nowMs);
             }
         }
         return best;
@@ -329,11 +369,14 @@
      * Holds the worker with the smallest shortage for a long-running task: for the rest of the pass it accepts only
      * long-running tasks. Otherwise smaller tasks of lower rank take all capacity that is freed, and the task starves.
      */
-    private void holdWorker(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
+    private void holdWorker(
+            JobTask task, String service, Collection<WorkerView> workers, Headroom.Limit limit, long nowMs) {
         WorkerView nearest = null;
         int least = Integer.MAX_VALUE;
         for (WorkerView worker : workers) {
-            if (isOpen(worker, service, workers, nowMs) && fits(task, worker, worker.reservedByLongRunning())) {
+            if (isOpen(worker, service, workers, nowMs)
+                    && fits(task, worker, worker.reservedByLongRunning())
+                    && (limit == null || limit.admits(worker))) {
                 int missing = worker.reserved().milliCores()
                         - worker.report().capacity().milliCores();
                 if (missing < least) {
@@ -348,8 +391,8 @@
     }
 
     /** Tells whether a task of the same class with the same or smaller demand could not be placed in this pass. */
-    private boolean isKnownUnplaceable(JobStep step, String service) {
-        for (Resources demand : unplaceable.getOrDefault(taskClass(step, service), List.of())) {
+    private boolean isKnownUnplaceable(JobStep step, TaskClass taskClass) {
+        for (Resources demand : unplaceable.getOrDefault(taskClass, List.of())) {
             if (demand.fitsInto(step.demand())) {
                 return true;
             }
@@ -358,19 +401,18 @@
     }
 
     /** Records the demand of a task that could not be placed, unless a constraint of its step may be the cause. */
-    private void recordUnplaceable(JobStep step, String service) {
+    private void recordUnplaceable(JobStep step, TaskClass taskClass) {
         if (step.requiredLabel().isEmpty() && step.maxPerWorker() == 0) {
-            List<Resources> demands =
-                    unplaceable.computeIfAbsent(taskClass(step, service), unused -> new ArrayList<>());
+            List<Resources> demands = unplaceable.computeIfAbsent(taskClass, unused -> new ArrayList<>());
             demands.removeIf(step.demand()::fitsInto);
             demands.add(step.demand());
         }
     }
 
-    private static TaskClass taskClass(JobStep step, String service) {
+    private static TaskClass taskClass(JobStep step, String service, boolean confined) {
         // The image matters only for best-effort tasks, since only their placement depends on interference.
         boolean bestEffort = step.bestEffort();
-        return new TaskClass(service, step.longRunning(), bestEffort, bestEffort ? step.image() : "");
+        return new TaskClass(service, step.longRunning(), confined, bestEffort, bestEffort ? step.image() : "");
     }
 
     private boolean isOpen(WorkerView worker, String service, Collection<WorkerView> workers, long nowMs) {
@@ -404,6 +446,7 @@
         TRIAL,
         ROOM,
         TASKS_PER_WORKER,
+        HEADROOM,
         INTERFERENCE
     }
 
@@ -428,11 +471,23 @@
         if (!fits(task, worker, worker.taken())) {
             return Obstacle.TASKS_PER_WORKER;
         }
+        Headroom.Limit limit = findLimit(task, service, workers, nowMs);
+        if (limit != null && !limit.admits(worker)) {
+            return Obstacle.HEADROOM;
+        }
         boolean accepted =
                 hasCapacity(task, worker) && (!step.bestEffort() || colocation.predictExcess(step, worker) <= 0);
         return accepted ? null : Obstacle.INTERFERENCE;
     }
 
+    /** Returns the inputs by which a standing task is kept out of the headroom on workers with room for it. */
+    WaitReason explainHeadroom(JobTask task, String service, int withRoom, Collection<WorkerView> workers, long nowMs) {
+        Headroom.Limit limit = findLimit(task, service, workers, nowMs);
+        return limit == null
+                ? new WaitReason.Headroom(withRoom, 0, 0)
+                : new WaitReason.Headroom(withRoom, limit.heldMilliCores(), limit.capacityMilliCores());
+    }
+
     private boolean hasCapacity(JobTask task, WorkerView worker) {
         JobStep step = task.step();
         return hasReservableCapacity(task, worker) && (!step.bestEffort() || Colocation.hasIdleCapacity(step, worker));
--- a/core/src/main/java/org/fulmarreach/core/jobs/TaskPlacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/TaskPlacer.java
@@ -73,18 +73,21 @@
             return;
         }
         boolean full = false;
+        boolean fullForNew = false;
         for (JobTask task : tasks) {
             if (task.state().phase() == TaskPhase.PENDING && task.isTriedAlone()) {
                 if (!CrashTracker.awaitsVerdict(task)) {
                     crashes.addWaiting(task, service);
                 }
-            } else if (task.state().phase() == TaskPhase.PENDING && full) {
+            } else if (task.state().phase() == TaskPhase.PENDING && (full || fullForNew && isNewStanding(task))) {
                 placement.recordWaiting(task, nowMs);
             } else if (task.state().phase() == TaskPhase.PENDING) {
                 WorkerView worker = placement.findWorker(task, service, workers, nowMs);
                 if (worker == null) {
-                    // Tasks of a step have the same requirements, so only those with a worker of their own remain.
-                    full = true;
+                    // Tasks of a step have the same requirements, so only those with a worker of their own remain. A
+                    // standing task that has lost its run may use the headroom, so it is tried by itself.
+                    fullForNew = true;
+                    full = !isNewStanding(task);
                 } else {
                     assign(task, worker, task.state().run() + 1, configVersion, nowMs);
                 }
@@ -92,6 +95,10 @@
         }
     }
 
+    private static boolean isNewStanding(JobTask task) {
+        return task.step().longRunning() && task.state().run() == 0;
+    }
+
     /**
      * Places all members of a gang or none. They get the same run and the same checkpoint, and both are stored for each
      * member before a start is sent, so a start that is repeated carries them too.
--- a/core/src/main/java/org/fulmarreach/core/jobs/WaitDiagnosis.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WaitDiagnosis.java
@@ -94,6 +94,9 @@
         if (available == 0) {
             return explainUnavailable(policy.service(), known, nowMs);
         }
+        if (count(counts, Obstacle.HEADROOM) > 0) {
+            return placement.explainHeadroom(task, policy.service(), count(counts, Obstacle.HEADROOM), workers, nowMs);
+        }
         if (count(counts, Obstacle.INTERFERENCE) > 0) {
             return new WaitReason.Interference(
                     count(counts, Obstacle.INTERFERENCE), task.job().hasAssignedTasks());
--- a/core/src/main/java/org/fulmarreach/core/jobs/WaitReason.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WaitReason.java
@@ -74,6 +74,15 @@
      */
     record Interference(int withRoom, boolean siblingsAssigned) implements WaitReason {}
 
+    /**
+     * The room that is left is kept free for short jobs.
+     *
+     * @param withRoom workers with room for the task
+     * @param heldMilliCores processors of the service that are kept free
+     * @param capacityMilliCores processors of the available workers of the service
+     */
+    record Headroom(int withRoom, long heldMilliCores, long capacityMilliCores) implements WaitReason {}
+
     /** A worker accepts the task, but not all members of its gang have one. */
     record GangIncomplete(int members) implements WaitReason {}
 
@@ -116,6 +125,7 @@
             case NoLabel reason -> "no available worker has the label";
             case AntiAffinity reason -> "limit of tasks per worker";
             case NoRoom reason -> "no room, taken by " + reason.taker();
+            case Headroom reason -> "room is kept free for short jobs";
             case Interference reason -> "interference";
             case GangIncomplete reason -> "no room for all members of the gang";
             case NotPlaced reason -> "not placed though a worker accepts it";
