Rank jobs by learned run times

Cause: ranks used the estimates of submitters alone, which are off by up to 5 times either way, and left out the time that a start takes, so jobs that could not be on time any more went before those that could.

Change: RunTimeModel keeps a distribution of run time by estimate for each queue, image and shape of step, with the estimate as the prior, and the mean delay of starts. JobUrgency uses the median for the remaining time and for the target, since callers are promised a multiple of the work.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -33,6 +33,7 @@
     private final LifetimeChange lifetimes;
     private final RunMover mover;
     private final BestEffortPacer pacer;
+    private final RunTimeModel times = new RunTimeModel();
     private final Headroom headroom = new Headroom(this::policy);
     private final Placement placement;
     private final TaskPlacer placer;
@@ -80,7 +81,7 @@
         this.crashes = new CrashTracker(decisions, log, placement);
         this.placer = new TaskPlacer(workers.values(), placement, crashes, decisions, log);
         this.retention = new JobRetention(registry, limits, decisions, log);
-        this.runs = new RunTracker(registry, decisions, log, crashes);
+        this.runs = new RunTracker(registry, decisions, log, crashes, times);
         this.lifetimes = new LifetimeChange(registry, runs, decisions, log);
         WaitDiagnosis diagnosis = new WaitDiagnosis(workers.values(), placement, limits);
         this.waits = new TaskWaitMonitor(active, this::policy, diagnosis, log);
@@ -287,7 +288,7 @@
         for (Job job : ordered) {
             QueuePolicy policy = policy(job);
             boolean shortOfRoom = policy != null && headroom.isShortOfRoom(policy.service(), nowMs);
-            ranks.put(job, JobUrgency.rank(job, policy, shortOfRoom, unixMs));
+            ranks.put(job, JobUrgency.rank(job, policy, times, shortOfRoom, unixMs));
         }
         ordered.sort(Comparator.comparing(ranks::get));
         for (Job job : ordered) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
@@ -57,17 +57,18 @@
 
     /** Ranks a job in a pool with room for all; {@code policy} is null if the settings of its queue are not known. */
     static Rank rank(Job job, QueuePolicy policy, long unixMs) {
-        return rank(job, policy, false, unixMs);
+        return rank(job, policy, new RunTimeModel(), false, unixMs);
     }
 
     /**
      * Ranks a job.
      *
      * @param policy settings of its queue; null if they are not known
+     * @param times what is known of run times
      * @param shortOfRoom whether tasks that reserve processors wait for room in the service; if so, a standing job that
      *     has just been accepted and has lost no run goes behind those that can still be on time
      */
-    static Rank rank(Job job, QueuePolicy policy, boolean shortOfRoom, long unixMs) {
+    static Rank rank(Job job, QueuePolicy policy, RunTimeModel times, boolean shortOfRoom, long unixMs) {
         if (policy == null) {
             return new Rank(new Claim.Finite(Integer.MAX_VALUE, -1, -1, 0, 0, 1), false, 0);
         }
@@ -81,17 +82,26 @@
                     || hasLostRun(job);
             return new Rank(claim, first, acceptedAtMs);
         }
-        return new Rank(claim(job, policy, unixMs), false, acceptedAtMs);
+        return new Rank(claim(job, policy, times, unixMs), false, acceptedAtMs);
     }
 
-    /** Returns what a job without standing tasks or due times claims. */
-    static Claim.Finite claim(Job job, QueuePolicy policy, long unixMs) {
-        long targetMs = targetMs(job.spec(), policy);
+    /**
+     * Returns what a job without standing tasks or due times claims. Its target follows from the learned run times too,
+     * since callers are promised a multiple of the work and not of their estimate; a job whose submitter declares less
+     * gains nothing by that. Each step that has not begun takes the delay of a start besides.
+     */
+    static Claim.Finite claim(Job job, QueuePolicy policy, RunTimeModel times, long unixMs) {
+        JobSpec spec = job.spec();
+        long[] expectedMs = new long[spec.steps().size()];
+        for (int step = 0; step < expectedMs.length; step++) {
+            expectedMs[step] = times.expectedMs(spec.queue(), spec.steps().get(step));
+        }
+        long targetMs = targetMs(spec, policy, step -> expectedMs[step]);
         long ageMs = unixMs - job.spec().acceptedAtMs();
         long total = 1;
         long remaining = 0;
         for (JobTask task : job.tasks()) {
-            long work = task.step().estimatedMs() * task.step().demand().milliCores();
+            long work = expectedMs[task.name().step()] * task.step().demand().milliCores();
             total += work;
             remaining += work / FULL_PERCENT * remainingPercent(task);
         }
@@ -99,14 +109,18 @@
                 policy.priority(),
                 targetMs - ageMs,
                 LATE_FACTOR * targetMs - ageMs,
-                criticalPathMs(job.spec(), step -> remainingMs(job, step)),
+                criticalPathMs(spec, step -> remainingMs(job, step, expectedMs[step], times.startDelayMs())),
                 remaining / MILLI,
                 total / MILLI);
     }
 
-    /** Returns the target completion time of a job, in milliseconds after its submission. */
+    /** Returns the target completion time of a job by its estimates, in milliseconds after its submission. */
     static long targetMs(JobSpec spec, QueuePolicy policy) {
-        long longest = criticalPathMs(spec, step -> spec.steps().get(step).estimatedMs());
+        return targetMs(spec, policy, step -> spec.steps().get(step).estimatedMs());
+    }
+
+    private static long targetMs(JobSpec spec, QueuePolicy policy, IntToLongFunction durationMs) {
+        long longest = criticalPathMs(spec, durationMs);
         return (long) (policy.criticalPathFactor() * longest) + policy.targetLatencyMs();
     }
 
@@ -125,11 +139,11 @@
         return longest;
     }
 
-    private static long remainingMs(Job job, int step) {
-        long estimatedMs = job.spec().steps().get(step).estimatedMs();
+    private static long remainingMs(Job job, int step, long expectedMs, long startDelayMs) {
         long longest = 0;
         for (JobTask task : job.tasksOf(0, step)) {
-            longest = Math.max(longest, estimatedMs * remainingPercent(task) / FULL_PERCENT);
+            long delayMs = task.state().phase() == TaskPhase.PENDING ? startDelayMs : 0;
+            longest = Math.max(longest, delayMs + expectedMs * remainingPercent(task) / FULL_PERCENT);
         }
         return longest;
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -37,8 +37,11 @@
     private final DecisionBuffer decisions;
     private final DecisionLog log;
     private final CrashTracker crashes;
+    private final RunTimeModel times;
 
-    RunTracker(JobRegistry registry, DecisionBuffer decisions, DecisionLog log, CrashTracker crashes) {
+    RunTracker(
+            JobRegistry registry, DecisionBuffer decisions, DecisionLog log, CrashTracker crashes, RunTimeModel times) {
+        this.times = times;
         this.crashes = crashes;
         this.registry = registry;
         this.decisions = decisions;
@@ -253,6 +256,7 @@
         }
         List<JobTask> members = membersOf(task);
         if (end.runEnd() == RunEnd.DONE && !task.step().longRunning()) {
+            recordRunTime(task, nowMs);
             for (JobTask member : members) {
                 if (member != task) {
                     member.releaseUntilEnded();
@@ -265,6 +269,16 @@
         decisions.markChanged(task.job());
     }
 
+    /** A run that a former leader ordered, or that may resume from a checkpoint, says nothing about the run time. */
+    private void recordRunTime(JobTask task, long nowMs) {
+        if (task.state().run() == 1 && !task.progress().repeated()) {
+            times.recordDone(
+                    task.job().spec().queue(),
+                    task.step(),
+                    nowMs - task.progress().orderedAtMs());
+        }
+    }
+
     private static void complete(JobTask task) {
         task.release();
         task.finish(TaskPhase.DONE, task.state().failures(), "");
@@ -351,6 +365,7 @@
         }
         recordBegun(task.job());
         if (!before.isListed()) {
+            times.recordStart(nowMs - before.orderedAtMs());
             log.record(
                     Decision.RUN_STARTED,
                     task.name().toString(),
