--- a/core/src/main/java/org/fulmarreach/core/jobs/Headroom.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Headroom.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
@@ -151,6 +152,14 @@
         return atMs != null && nowMs - atMs <= SHORTAGE_MS;
     }
 
+    /** Returns a line of text for each service with a headroom, before the bound by capacity. */
+    List<String> describe() {
+        return demands.entrySet().stream()
+                .map(entry -> "headroom service=" + entry.getKey() + " milliCores="
+                        + (long) demandUpTo(entry.getValue(), Integer.MAX_VALUE) + " shortages=" + shortages)
+                .toList();
+    }
+
     /** Returns the processors that are kept free for short jobs in all services, in millicores, before the bound. */
     long milliCores() {
         double sum = 0;
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -367,6 +367,11 @@
         return workers.values().stream().map(WorkerView::describe).toList();
     }
 
+    /** Returns one line of text per service with a headroom, for the operators' state page. */
+    public List<String> describeHeadroom() {
+        return headroom.describe();
+    }
+
     /*
      * Helpers
      */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -349,7 +349,9 @@
 
     private void publishView() {
         publisher.publish(
-                draining, leaderTerm == null ? 0 : leaderTerm.scheduler().longestStandingWaitMs(clock.nowMs()));
+                draining,
+                leaderTerm == null ? 0 : leaderTerm.scheduler().longestStandingWaitMs(clock.nowMs()),
+                leaderTerm == null ? 0 : leaderTerm.scheduler().headroomMilliCores());
     }
 
     /*
@@ -554,6 +556,7 @@
                 .add("guards", sessions.size())
                 .endLine();
         if (leaderTerm != null) {
+            leaderTerm.scheduler().describeHeadroom().forEach(text::addLine);
             leaderTerm.scheduler().describeWorkers().forEach(text::addLine);
         }
         return text.addJobs(registry).toString();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -169,12 +169,18 @@
      * @param unreadyReason why the entry should get no new connections; empty if it is ready
      * @param standingWaitMs for how long the standing task that has waited longest is not at work, in milliseconds; 0
      *     if all are, or while this entry does not lead
+     * @param headroomMilliCores processors that standing tasks leave to short jobs, in thousandths; 0 if not leading
      */
     record View(
-            JobConfig config, long configKnownUpToMs, long configApplyMs, String unreadyReason, long standingWaitMs) {
+            JobConfig config,
+            long configKnownUpToMs,
+            long configApplyMs,
+            String unreadyReason,
+            long standingWaitMs,
+            long headroomMilliCores) {
         /** Constructs the view of an entry that has read nothing yet. */
         static View starting() {
-            return new View(null, 0, 0, "this entry is starting", 0);
+            return new View(null, 0, 0, "this entry is starting", 0, 0);
         }
 
         /** Tells whether the entry should get new connections. */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -57,6 +57,7 @@
     private static final long EXIT_RESERVE_MS = 100;
 
     private static final double MS_PER_SECOND = 1_000;
+    private static final double MILLI_CORES_PER_CORE = 1_000;
     private static final int THREADS = 2;
     private static final int MAX_CONNECTIONS = 2_000;
     private static final int MAX_OPERATOR_CONNECTIONS = 16;
@@ -191,6 +192,10 @@
                 .description("How long the standing task that has waited longest is not at work; 0 without leadership")
                 .baseUnit("seconds")
                 .register(meters);
+        Gauge.builder("fulmarreach.jobs.headroom", () -> view.get().headroomMilliCores() / MILLI_CORES_PER_CORE)
+                .description("Processors that standing tasks leave to short jobs; 0 without leadership")
+                .baseUnit("cores")
+                .register(meters);
     }
 
     /*
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/ViewPublisher.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/ViewPublisher.java
@@ -47,13 +47,15 @@
      *
      * @param draining whether the entry is stopping
      * @param standingWaitMs how long the standing task that has waited longest is not at work, in milliseconds
+     * @param headroomMilliCores processors that standing tasks leave to short jobs, in thousandths
      */
-    void publish(boolean draining, long standingWaitMs) {
+    void publish(boolean draining, long standingWaitMs, long headroomMilliCores) {
         String reason = findUnreadyReason(draining);
         if (!reason.equals(view.get().unreadyReason())) {
             log.emit(reason.isEmpty() ? JobEvent.ENTRY_READY : JobEvent.ENTRY_UNREADY, "reason", reason);
         }
-        view.set(new JobsCommand.View(config.active(), config.knownUpToMs(), config.applyMs(), reason, standingWaitMs));
+        view.set(new JobsCommand.View(
+                config.active(), config.knownUpToMs(), config.applyMs(), reason, standingWaitMs, headroomMilliCores));
     }
 
     /** Requests can be stored before the jobs are loaded; queries of jobs are refused until then. */
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsHttpCloseTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsHttpCloseTest.java
@@ -39,7 +39,7 @@
     private final BlockingQueue<JobsCommand> commands = new LinkedBlockingQueue<>();
     private final JobsHttp http = new JobsHttp(
             commands::add,
-            new AtomicReference<>(new JobsCommand.View(CONFIG, Long.MAX_VALUE, 0, "", 0)),
+            new AtomicReference<>(new JobsCommand.View(CONFIG, Long.MAX_VALUE, 0, "", 0, 0)),
             SystemMaterializer.get(system).materializer(),
             clock,
             new EventLog("test"),
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/StandingWaitTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/StandingWaitTest.java
@@ -58,6 +58,7 @@
                 .atMost(Duration.ofSeconds(10))
                 .until(() -> describe().contains("leads=true") && view.get().ready());
         assertTrue(meters.scrape().contains(NONE), meters::scrape);
+        assertTrue(meters.scrape().contains("fulmarreach_jobs_headroom_cores 0.0"), meters::scrape);
         CompletableFuture<WriteOutcome> stored = new CompletableFuture<>();
         entry.tell(new JobsCommand.Submit(standingJob(), MonotonicClock.system().nowMs() + 3_000, stored));
         stored.get(5, TimeUnit.SECONDS);
