--- a/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
@@ -38,6 +38,7 @@
     private static final long CHANGE_INTERVAL_MS = 550;
 
     private final InterferenceModel model;
+    private final RunTimeModel times;
     private final DecisionBuffer decisions;
     private final DecisionLog log;
     private final Map<String, Long> changedAtMs = new HashMap<>();
@@ -45,8 +46,9 @@
     /** Guards of the workers on which the last review has throttled tasks. */
     private final Set<String> throttledLast = new HashSet<>();
 
-    BestEffortPacer(InterferenceModel model, DecisionBuffer decisions, DecisionLog log) {
+    BestEffortPacer(InterferenceModel model, RunTimeModel times, DecisionBuffer decisions, DecisionLog log) {
         this.model = model;
+        this.times = times;
         this.decisions = decisions;
         this.log = log;
     }
@@ -125,7 +127,7 @@
             double predicted = predictedPressure(worker, task, worst);
             if (predicted > minPressure) {
                 contributors.add(
-                        new ThrottlePlan.Contributor(task, JobUrgency.remainingPermille(task.job()), predicted));
+                        new ThrottlePlan.Contributor(task, JobUrgency.remainingPermille(task.job(), times), predicted));
             }
         }
         double excess = pressure(worst) - goalPressure(worst);
@@ -146,7 +148,7 @@
         throttled.removeIf(JobTask::hasFullCpuShare);
         if (throttled.size() > 1) {
             Map<JobTask, Integer> remaining = new HashMap<>();
-            throttled.forEach(task -> remaining.put(task, JobUrgency.remainingPermille(task.job())));
+            throttled.forEach(task -> remaining.put(task, JobUrgency.remainingPermille(task.job(), times)));
             throttled.sort(Comparator.comparing(remaining::get));
         }
         for (JobTask task : throttled) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -34,6 +34,8 @@
     private final RunMover mover;
     private final ZoneEvacuation evacuation;
     private final BestEffortPacer pacer;
+    private final RunTimeModel times = new RunTimeModel();
+    private final Headroom headroom = new Headroom(this::policy);
     private final Placement placement;
     private final TaskPlacer placer;
     private final JobRetention retention;
@@ -76,13 +78,13 @@
         this.log = log;
         UnavailabilityBudget budget = new UnavailabilityBudget();
         this.mover = new RunMover(decisions, budget, log);
-        this.pacer = new BestEffortPacer(model, decisions, log);
-        this.placement = new Placement(model);
+        this.pacer = new BestEffortPacer(model, times, decisions, log);
+        this.placement = new Placement(model, headroom);
         this.evacuation = new ZoneEvacuation(workers.values(), placement, mover, budget, this::policy, log, nowMs);
         this.crashes = new CrashTracker(decisions, log, placement);
         this.placer = new TaskPlacer(workers.values(), placement, crashes, decisions, log);
         this.retention = new JobRetention(registry, limits, decisions, log);
-        this.runs = new RunTracker(registry, decisions, log, crashes);
+        this.runs = new RunTracker(registry, decisions, log, crashes, times);
         this.lifetimes = new LifetimeChange(registry, runs, decisions, log);
         WaitDiagnosis diagnosis = new WaitDiagnosis(workers.values(), placement, limits);
         this.waits = new TaskWaitMonitor(active, this::policy, diagnosis, log);
@@ -288,6 +290,7 @@
             runs.releaseStopped(worker, limits.stopEndMs(), nowMs);
         }
         crashes.review(nowMs);
+        headroom.beginPass(active, nowMs);
         placement.beginPass(nowMs);
         List<Job> ordered = new ArrayList<>();
         for (Job job : active) {
@@ -297,7 +300,9 @@
         }
         Map<Job, JobUrgency.Rank> ranks = new HashMap<>();
         for (Job job : ordered) {
-            ranks.put(job, JobUrgency.rank(job, policy(job), unixMs));
+            QueuePolicy policy = policy(job);
+            boolean shortOfRoom = policy != null && headroom.isShortOfRoom(policy.service(), nowMs);
+            ranks.put(job, JobUrgency.rank(job, policy, times, shortOfRoom, unixMs));
         }
         ordered.sort(Comparator.comparing(ranks::get));
         for (Job job : ordered) {
@@ -357,6 +362,11 @@
         return waits.longestWaitMs(nowMs);
     }
 
+    /** Returns the processors that standing tasks leave to short jobs, in millicores, before the bound by capacity. */
+    public long headroomMilliCores() {
+        return headroom.milliCores();
+    }
+
     Placement placement() {
         return placement;
     }
@@ -371,6 +381,11 @@
         return workers.values().stream().map(WorkerView::describe).toList();
     }
 
+    /** Returns one line of text per service with a headroom, for the operators' state page. */
+    public List<String> describeHeadroom() {
+        return headroom.describe();
+    }
+
     /*
      * Helpers
      */
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
@@ -3,46 +3,51 @@
 import java.util.Comparator;
 import java.util.function.IntToLongFunction;
 
-/**
- * Ranks jobs for placement. Among jobs of equal priority, those that can still meet their target come first, and among
- * these the ones with the smallest remaining part of their work: partial work has no value until the whole job is done.
- * With a least-slack-first order instead, every job of a burst would get some capacity and most would finish late.
- * Stateless.
- */
+import org.fulmarreach.core.cost.CallerCost;
+import org.fulmarreach.core.cost.Claim;
+
+/** States what jobs claim, for {@link CallerCost}, and ranks them for placement by it. Stateless. */
 final class JobUrgency {
     /** Up to this multiple of its target a job counts as late; beyond it the result is of little use to the caller. */
     private static final int LATE_FACTOR = 3;
 
     private static final int FULL_PERCENT = 100;
+    private static final double MILLI = 1_000;
 
-    private JobUrgency() {}
+    /**
+     * A standing job that has waited for this long goes before others of its priority again, in its part of the pool.
+     * Callers allow for 3 s without a run, and small tasks give room back within about a second.
+     */
+    static final long STANDING_PATIENCE_MS = 1_500;
 
-    /** Whether a job can still meet its target, in order of precedence. */
-    enum Prospect {
-        /** Long-running or timed; has no target completion time. */
-        STANDING,
-        /** Can still be completed within its target. */
-        ON_TIME,
-        /** Will miss its target, but can be completed within {@code LATE_FACTOR} times the target. */
-        LATE,
-        /** Will take longer than {@code LATE_FACTOR} times the target. */
-        VERY_LATE
-    }
+    private JobUrgency() {}
 
     /**
      * Rank of a job; a lower rank is placed first.
      *
-     * @param priority priority of its queue
-     * @param prospect whether the job can still meet its target
-     * @param remainingPermille remaining part of the job's work, in thousandths
-     * @param slackMs time for which the job can wait and keep its prospect, in milliseconds; the submission time for a
-     *     standing job
+     * @param claim what the job claims
+     * @param first whether it goes before all others of its priority
+     * @param acceptedAtMs submission time; only decides among jobs that are first and among standing ones
      */
-    record Rank(int priority, Prospect prospect, int remainingPermille, long slackMs) implements Comparable<Rank> {
-        private static final Comparator<Rank> ORDER = Comparator.comparingInt(Rank::priority)
-                .thenComparing(Rank::prospect)
-                .thenComparingInt(Rank::remainingPermille)
-                .thenComparingLong(Rank::slackMs);
+    record Rank(Claim claim, boolean first, long acceptedAtMs) implements Comparable<Rank> {
+        private static final Comparator<Rank> ORDER = Comparator.comparingInt(
+                        (Rank rank) -> rank.claim().priority())
+                .thenComparing(rank -> !rank.first())
+                .thenComparing(Rank::compareInGroup);
+
+        private static int compareInGroup(Rank one, Rank other) {
+            int byCost = one.first() ? 0 : CallerCost.ORDER.compare(one.claim(), other.claim());
+            boolean byAge = byCost == 0 && (one.first() || one.claim() instanceof Claim.Standing);
+            return byAge ? Long.compare(one.acceptedAtMs(), other.acceptedAtMs()) : byCost;
+        }
+
+        CallerCost.Prospect prospect() {
+            return CallerCost.prospect(claim);
+        }
+
+        int remainingPermille() {
+            return CallerCost.remainingPermille(claim);
+        }
 
         @Override
         public int compareTo(Rank other) {
@@ -50,31 +55,96 @@
         }
     }
 
-    /** Ranks a job; {@code policy} is null if the settings of its queue are not known. */
+    /** Ranks a job in a pool with room for all; {@code policy} is null if the settings of its queue are not known. */
     static Rank rank(Job job, QueuePolicy policy, long unixMs) {
+        return rank(job, policy, new RunTimeModel(), false, unixMs);
+    }
+
+    /**
+     * Ranks a job.
+     *
+     * @param policy settings of its queue; null if they are not known
+     * @param times what is known of run times
+     * @param shortOfRoom whether tasks that reserve processors wait for room in the service; if so, a standing job that
+     *     has just been accepted and has lost no run goes behind those that can still be on time
+     */
+    static Rank rank(Job job, QueuePolicy policy, RunTimeModel times, boolean shortOfRoom, long unixMs) {
         if (policy == null) {
-            return new Rank(Integer.MAX_VALUE, Prospect.VERY_LATE, 0, 0);
+            return new Rank(new Claim.Finite(Integer.MAX_VALUE, -1, -1, 0, 0, 1), false, 0);
         }
+        long acceptedAtMs = job.spec().acceptedAtMs();
         boolean standing = job.spec().steps().stream().anyMatch(JobStep::longRunning);
         if (standing || job.spec().isTimed()) {
-            return new Rank(policy.priority(), Prospect.STANDING, 0, job.spec().acceptedAtMs());
+            Claim claim = new Claim.Standing(policy.priority(), 0);
+            boolean first = !shortOfRoom
+                    || job.spec().isTimed()
+                    || unixMs - acceptedAtMs >= STANDING_PATIENCE_MS
+                    || hasLostRun(job);
+            return new Rank(claim, first, acceptedAtMs);
         }
-        long targetMs = targetMs(job.spec(), policy);
+        return new Rank(claim(job, policy, times, unixMs), false, acceptedAtMs);
+    }
+
+    /**
+     * Returns what a job without standing tasks or due times claims. Its target follows from the learned run times too,
+     * since callers are promised a multiple of the work and not of their estimate; a job whose submitter declares less
+     * gains nothing by that. Each step that has not begun takes the delay of a start besides.
+     */
+    static Claim.Finite claim(Job job, QueuePolicy policy, RunTimeModel times, long unixMs) {
+        JobSpec spec = job.spec();
+        long[] expectedMs = expectedMs(spec, times);
+        long targetMs = targetMs(spec, policy, step -> expectedMs[step]);
         long ageMs = unixMs - job.spec().acceptedAtMs();
-        long criticalPathMs = criticalPathMs(job.spec(), step -> remainingMs(job, step));
-        int remainingPermille = remainingPermille(job);
-        long slackMs = targetMs - ageMs - criticalPathMs;
-        if (slackMs >= 0) {
-            return new Rank(policy.priority(), Prospect.ON_TIME, remainingPermille, slackMs);
+        Work work = work(job, expectedMs);
+        return new Claim.Finite(
+                policy.priority(),
+                targetMs - ageMs,
+                LATE_FACTOR * targetMs - ageMs,
+                criticalPathMs(spec, step -> remainingMs(job, step, expectedMs[step], times.startDelayMs())),
+                work.remaining() / MILLI,
+                work.total() / MILLI);
+    }
+
+    /** Returns the remaining part of a job's work, in thousandths. */
+    static int remainingPermille(Job job, RunTimeModel times) {
+        Work work = work(job, expectedMs(job.spec(), times));
+        return (int) (1_000 * work.remaining() / work.total());
+    }
+
+    /**
+     * Work of a job.
+     *
+     * @param total all of it, in milliseconds times thousandths of a core
+     * @param remaining what is still to be done, in the same unit
+     */
+    private record Work(long total, long remaining) {}
+
+    private static Work work(Job job, long[] expectedMs) {
+        long total = 1;
+        long remaining = 0;
+        for (JobTask task : job.tasks()) {
+            long work = expectedMs[task.name().step()] * task.step().demand().milliCores();
+            total += work;
+            remaining += work / FULL_PERCENT * remainingPercent(task);
+        }
+        return new Work(total, remaining);
+    }
+
+    private static long[] expectedMs(JobSpec spec, RunTimeModel times) {
+        long[] expectedMs = new long[spec.steps().size()];
+        for (int step = 0; step < expectedMs.length; step++) {
+            expectedMs[step] = times.expectedMs(spec.queue(), spec.steps().get(step));
         }
-        long lateSlackMs = LATE_FACTOR * targetMs - ageMs - criticalPathMs;
-        Prospect prospect = lateSlackMs >= 0 ? Prospect.LATE : Prospect.VERY_LATE;
-        return new Rank(policy.priority(), prospect, remainingPermille, lateSlackMs);
+        return expectedMs;
     }
 
-    /** Returns the target completion time of a job, in milliseconds after its submission. */
+    /** Returns the target completion time of a job by its estimates, in milliseconds after its submission. */
     static long targetMs(JobSpec spec, QueuePolicy policy) {
-        long longest = criticalPathMs(spec, step -> spec.steps().get(step).estimatedMs());
+        return targetMs(spec, policy, step -> spec.steps().get(step).estimatedMs());
+    }
+
+    private static long targetMs(JobSpec spec, QueuePolicy policy, IntToLongFunction durationMs) {
+        long longest = criticalPathMs(spec, durationMs);
         return (long) (policy.criticalPathFactor() * longest) + policy.targetLatencyMs();
     }
 
@@ -93,25 +163,22 @@
         return longest;
     }
 
-    private static long remainingMs(Job job, int step) {
-        long estimatedMs = job.spec().steps().get(step).estimatedMs();
+    private static long remainingMs(Job job, int step, long expectedMs, long startDelayMs) {
         long longest = 0;
         for (JobTask task : job.tasksOf(0, step)) {
-            longest = Math.max(longest, estimatedMs * remainingPercent(task) / FULL_PERCENT);
+            long delayMs = task.state().phase() == TaskPhase.PENDING ? startDelayMs : 0;
+            longest = Math.max(longest, delayMs + expectedMs * remainingPercent(task) / FULL_PERCENT);
         }
         return longest;
     }
 
-    /** Returns the remaining part of a job's work, weighted by estimated core time, in thousandths. */
-    static int remainingPermille(Job job) {
-        long total = 1;
-        long remaining = 0;
+    private static boolean hasLostRun(Job job) {
         for (JobTask task : job.tasks()) {
-            long work = task.step().estimatedMs() * task.step().demand().milliCores();
-            total += work;
-            remaining += work / FULL_PERCENT * remainingPercent(task);
+            if (task.state().phase() == TaskPhase.PENDING && task.state().run() > 0) {
+                return true;
+            }
         }
-        return (int) (1_000 * remaining / total);
+        return false;
     }
 
     private static int remainingPercent(JobTask task) {
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -172,6 +172,8 @@
      * @param unreadyReason why the entry should get no new connections; empty if it is ready
      * @param standingWaitMs for how long the standing task that has waited longest is not at work, in milliseconds; 0
      *     if all are, or while this entry does not lead
+     * @param headroomMilliCores processors that standing tasks leave to short jobs, in thousandths; 0 if not leading
+     * @param evacuatedZones number of zones that are evacuated
      * @param reads what may be answered to callers' reads
      */
     record View(
@@ -180,29 +182,17 @@
             long configApplyMs,
             String unreadyReason,
             long standingWaitMs,
+            long headroomMilliCores,
             int evacuatedZones,
             JobReads reads) {
         /** Constructs a view that leaves all reads to the actor. */
-        View(
-                JobConfig config,
-                long configKnownUpToMs,
-                long configApplyMs,
-                String unreadyReason,
-                long standingWaitMs,
-                int evacuatedZones) {
-            this(
-                    config,
-                    configKnownUpToMs,
-                    configApplyMs,
-                    unreadyReason,
-                    standingWaitMs,
-                    evacuatedZones,
-                    JobReads.none());
+        View(JobConfig config, long configKnownUpToMs, long configApplyMs, String unreadyReason) {
+            this(config, configKnownUpToMs, configApplyMs, unreadyReason, 0, 0, 0, JobReads.none());
         }
 
         /** Constructs the view of an entry that has read nothing yet. */
         static View starting() {
-            return new View(null, 0, 0, "this entry is starting", 0, 0);
+            return new View(null, 0, 0, "this entry is starting");
         }
 
         /** Tells whether the entry should get new connections. */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/ViewPublisher.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/ViewPublisher.java
@@ -52,8 +52,9 @@
      *
      * @param draining whether the entry is stopping
      * @param standingWaitMs how long the standing task that has waited longest is not at work, in milliseconds
+     * @param headroomMilliCores processors that standing tasks leave to short jobs, in thousandths
      */
-    void publish(boolean draining, long standingWaitMs) {
+    void publish(boolean draining, long standingWaitMs, long headroomMilliCores) {
         String reason = findUnreadyReason(draining);
         if (!reason.equals(view.get().unreadyReason())) {
             log.emit(reason.isEmpty() ? JobEvent.ENTRY_READY : JobEvent.ENTRY_UNREADY, "reason", reason);
@@ -64,6 +65,7 @@
                 config.applyMs(),
                 reason,
                 standingWaitMs,
+                headroomMilliCores,
                 config.evacuatedZones().zones().size(),
                 reads.get()));
     }
