Decide by the load of the pool whether a job can still be of use

Callers saw: every job was accepted, also when all of them waited until their results were of no use.

core.overload decides from a job's claim and a summary of the pool's load (work ahead by priority and rank class, room, measured throughput). PoolLoadMeter measures the load in the scheduling pass each 500 ms.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 
 import org.fulmarreach.core.jobs.DecisionLog.Decision;
+import org.fulmarreach.core.overload.PoolLoad;
 
 /**
  * Schedules jobs on workers for one term of a leader. It updates the {@link JobRegistry} before the log;
@@ -42,6 +43,7 @@
     private final LeaseWithholder withholder;
     private final TaskWaitMonitor waits;
     private final NextStepMonitor nextSteps;
+    private final PoolLoadMeter loadMeter;
     private final Map<String, QueuePolicy> knownPolicies = new HashMap<>();
     private JobConfig config;
 
@@ -83,6 +85,7 @@
         this.lifetimes = new LifetimeChange(registry, runs, decisions, log);
         WaitDiagnosis diagnosis = new WaitDiagnosis(workers.values(), placement, limits);
         this.waits = new TaskWaitMonitor(active, this::policy, diagnosis, log);
+        this.loadMeter = new PoolLoadMeter(workers.values(), this::policy, nowMs);
         this.nextSteps = new NextStepMonitor(registry, active, workers, crashes, waits, limits, log);
         for (Job job : registry.jobs()) {
             adopt(job, nowMs);
@@ -293,6 +296,7 @@
         retention.removeExpired(active, unixMs);
         waits.review(nowMs, unixMs, placing);
         nextSteps.review(nowMs, unixMs);
+        loadMeter.review(active, nowMs, unixMs);
     }
 
     /*
@@ -343,6 +347,16 @@
         return waits.longestWaitMs(nowMs);
     }
 
+    /** Returns the load of the pools as measured in the last seconds. */
+    public PoolLoad poolLoad() {
+        return loadMeter.load();
+    }
+
+    /** Returns when the load of the pools was measured. */
+    public long poolLoadMeasuredAtMs() {
+        return loadMeter.measuredAtMs();
+    }
+
     Placement placement() {
         return placement;
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
@@ -74,8 +74,17 @@
 
     /** Returns the target completion time of a job, in milliseconds after its submission. */
     static long targetMs(JobSpec spec, QueuePolicy policy) {
-        long longest = criticalPathMs(spec, step -> spec.steps().get(step).estimatedMs());
-        return (long) (policy.criticalPathFactor() * longest) + policy.targetLatencyMs();
+        return (long) (policy.criticalPathFactor() * criticalPathMs(spec)) + policy.targetLatencyMs();
+    }
+
+    /** Returns the time after a job's submission from which its result is of little use, in milliseconds. */
+    static long uselessMs(JobSpec spec, QueuePolicy policy) {
+        return LATE_FACTOR * targetMs(spec, policy);
+    }
+
+    /** Returns the estimated duration of the critical path through all steps of a job in milliseconds. */
+    static long criticalPathMs(JobSpec spec) {
+        return criticalPathMs(spec, step -> spec.steps().get(step).estimatedMs());
     }
 
     /** Returns the duration of the critical path through the steps in milliseconds. */
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 
 import org.fulmarreach.core.model.Resources;
+import org.fulmarreach.core.overload.PoolLoad;
 
 /**
  * A pool of workers with one leader under virtual time and without a network: workers report every 500 ms and whenever
@@ -165,6 +166,14 @@
         decide();
     }
 
+    PoolLoad poolLoad() {
+        return scheduler.poolLoad();
+    }
+
+    long poolLoadAgeMs() {
+        return nowMs - scheduler.poolLoadMeasuredAtMs();
+    }
+
     Placement placement() {
         return scheduler.placement();
     }
