Refuse jobs at the door that can't be of use, and say when to return

Callers saw no refusal for lack of room, and each 503 asked them to return after 1 s, all at the same time.

While a pool is short of room the leader stores its load each 500 ms (key load of the progress partition), and once when that is over.

--- a/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
@@ -1,6 +1,7 @@
 package org.fulmarreach.daemon;
 
 import java.nio.file.Path;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ExecutionException;
@@ -38,6 +39,11 @@
 
     private NodeMain() {}
 
+    /** Environment variable that tells whether an entry refuses jobs whose results would be of no use. */
+    private static final String REFUSALS_VARIABLE = "FULMARREACH_OVERLOAD_REFUSALS";
+
+    private static final Set<String> REFUSALS = Set.of("on", "off");
+
     /** Starts the daemon. */
     public static void main(String[] args) {
         System.setProperty("java.util.logging.manager", DrainLogManager.class.getName());
@@ -59,13 +65,20 @@
             System.exit(EXIT_BAD_SETTINGS);
             return;
         }
+        String refusals = parsed.getString("overload_refusals");
+        if (!REFUSALS.contains(refusals)) {
+            System.err.println("Invalid value " + refusals + ". Remedy: set " + REFUSALS_VARIABLE
+                    + " or --overload-refusals to on or off.");
+            System.exit(EXIT_BAD_SETTINGS);
+            return;
+        }
         switch (NodeSettingsReader.read(Path.of(file))) {
             case Result.Err<NodeSettings>(var problem) -> {
                 System.err.println("Invalid settings: " + problem.message() + "\n" + problem.remedy());
                 System.exit(EXIT_BAD_SETTINGS);
             }
             case Result.Ok<NodeSettings>(var settings) ->
-                run(parsed.getString("role"), settings, Path.of(file), parsed.getLong("exit_after_ms"));
+                run(parsed, settings, Path.of(file));
         }
     }
 
@@ -81,6 +94,10 @@
         parser.addArgument("--settings")
                 .setDefault(System.getenv(NodeSettingsReader.PATH_VARIABLE))
                 .help("settings file as JSON; default from " + NodeSettingsReader.PATH_VARIABLE);
+        parser.addArgument("--overload-refusals")
+                .setDefault(System.getenv().getOrDefault(REFUSALS_VARIABLE, "on"))
+                .help("on or off: whether an entry refuses jobs whose results would be of no use any more while a"
+                        + " pool has too little room; default from " + REFUSALS_VARIABLE + ", else on");
         parser.addArgument("--exit-after-ms")
                 .type(Long.class)
                 .setDefault(0L)
@@ -88,14 +105,20 @@
         return parser;
     }
 
-    private static void run(String role, NodeSettings settings, Path file, long exitAfterMs) {
+    private static void run(Namespace parsed, NodeSettings settings, Path file) {
+        String role = parsed.getString("role");
+        long exitAfterMs = parsed.getLong("exit_after_ms");
         BoundedLogHandler handler = BoundedLogHandler.install(Level.INFO);
         EventLog log = new EventLog(settings.node());
         ExitStatus status = new ExitStatus();
         CompletionStage<?> stopped;
         if (role.equals("entry")) {
             JobsNode node = JobsNode.start(
-                    settings, MonotonicClock.system(), log, new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+                    settings,
+                    MonotonicClock.system(),
+                    log,
+                    new PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
+                    parsed.getString("overload_refusals").equals("on"));
             stopped = node.whenStopped();
             long drainTimeoutMs = settings.bounds().stopGraceMs() - EXIT_MARGIN_MS;
             Runtime.getRuntime()
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/CallerRequests.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/CallerRequests.java
@@ -1,6 +1,9 @@
 package org.fulmarreach.entry.jobs;
 
+import java.util.Optional;
+
 import org.fulmarreach.core.jobs.JobRegistry;
+import org.fulmarreach.core.overload.AdmissionDecision;
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
@@ -24,6 +27,8 @@
     private final JobQueries queries;
     private final RequestWriter writer;
     private final RecordApplier applier;
+    private final PoolLoadView poolLoad;
+    private final SubmissionsOnTheWay onTheWay = new SubmissionsOnTheWay();
     private final Runnable decide;
     private final MonotonicClock clock;
 
@@ -31,6 +36,7 @@
      * Constructs the handler.
      *
      * @param queries reads the log to its end before a job counts as unknown
+     * @param poolLoad decides whether there is room for a job
      * @param decide runs after each request that was stored
      */
     CallerRequests(
@@ -38,25 +44,57 @@
             JobQueries queries,
             RequestWriter writer,
             RecordApplier applier,
+            PoolLoadView poolLoad,
             Runnable decide,
             MonotonicClock clock) {
         this.registry = registry;
         this.queries = queries;
         this.writer = writer;
         this.applier = applier;
+        this.poolLoad = poolLoad;
         this.decide = decide;
         this.clock = clock;
     }
 
-    /** Stores a submission, unless the job is known already. */
+    /**
+     * Stores a submission, unless the job is known already, or there is too little room for it. A request may repeat
+     * one whose answer was lost, at this entry or another, so a job is refused only after the log was read to its end.
+     */
     void submit(JobsCommand.Submit submit) {
         String id = submit.job().id();
         if (registry.find(id).isPresent()) {
             submit.reply().complete(new WriteOutcome.Stored());
-            return;
+        } else if (findRefusal(submit).isEmpty()) {
+            store(submit);
+        } else {
+            // The load may change during the read, so it is asked again.
+            queries.find(id, problem -> {
+                if (registry.find(id).isPresent()) {
+                    submit.reply().complete(new WriteOutcome.Stored());
+                    return;
+                }
+                Optional<AdmissionDecision.Refuse> refusal =
+                        problem.isPresent() ? Optional.empty() : findRefusal(submit);
+                refusal.ifPresentOrElse(
+                        refuse -> submit.reply().complete(new WriteOutcome.Overloaded(refuse)), () -> store(submit));
+            });
         }
+    }
+
+    private Optional<AdmissionDecision.Refuse> findRefusal(JobsCommand.Submit submit) {
+        boolean refusable =
+                submit.refusable() && !onTheWay.contains(submit.job().id(), clock.nowMs());
+        return refusable && poolLoad.decide(submit.job()) instanceof AdmissionDecision.Refuse refuse
+                ? Optional.of(refuse)
+                : Optional.empty();
+    }
+
+    private void store(JobsCommand.Submit submit) {
+        String id = submit.job().id();
         KeyedRecord entry = new KeyedRecord(JobTopics.jobKey(id), JobRecords.encode(submit.job()));
+        onTheWay.begin(id);
         writer.write(entry, submit.deadlineAtMs(), outcome -> {
+            onTheWay.end(id, outcome, clock.nowMs());
             if (outcome instanceof WriteOutcome.Stored) {
                 applier.addJob(submit.job());
                 decide.run();
@@ -90,7 +128,10 @@
     /** Stores a request for an entry that cannot reach the store. */
     void storeForwarded(FrameLink link, long correlationId, ForwardedRequest request) {
         KeyedRecord entry = RequestForwarder.toRecord(request);
+        String id = JobTopics.jobId(entry.key());
+        onTheWay.begin(id);
         writer.writeForwarded(entry, clock.nowMs() + request.getTimeoutMs(), outcome -> {
+            onTheWay.end(id, outcome, clock.nowMs());
             if (outcome instanceof WriteOutcome.Stored) {
                 applier.applyRequest(entry);
                 decide.run();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/HandedOnRecords.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/HandedOnRecords.java
@@ -9,13 +9,15 @@
 
 /**
  * Keeps the newest records in which leaders have stored what they have learned, for the next term of this entry. They
- * are decoded only when it begins. Confined to one actor.
+ * are decoded only when it begins. The load of the pools is passed on at once. Confined to one actor.
  */
 final class HandedOnRecords {
+    private final PoolLoadView poolLoad;
     private final EventLog log;
     private byte[] interference;
 
-    HandedOnRecords(EventLog log) {
+    HandedOnRecords(PoolLoadView poolLoad, EventLog log) {
+        this.poolLoad = poolLoad;
         this.log = log;
     }
 
@@ -23,6 +25,8 @@
     void onRecord(KeyedRecord entry) {
         if (entry.key().equals(JobTopics.INTERFERENCE_KEY) && !entry.isRemoval()) {
             interference = entry.value();
+        } else if (entry.key().equals(JobTopics.POOL_LOAD_KEY)) {
+            poolLoad.onRecord(entry);
         }
     }
 
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -92,6 +92,12 @@
     STORE_LOADED(4042, Level.INFO, "The newest records of a partition were read."),
     RECORD_SKIPPED(4043, Level.SEVERE, "A record of the log cannot be decoded and is ignored; report it."),
     REMOVAL_FAILED(4044, Level.WARNING, "The requests of forgotten jobs could not be removed; this is tried again."),
+    JOB_OVERLOADED(
+            4068,
+            Level.INFO,
+            "A submission was refused: by the load of the pool, its result would come too late to be of any use."),
+    POOL_LOAD_CHANGED(
+            4069, Level.INFO, "The leader has stored that a pool has become short of room, or that none is any more."),
     REMOVAL_MISSED(
             4045,
             Level.INFO,
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -85,6 +86,7 @@
     private final CallerRequests callers;
     private final GuardSessions sessions;
     private final GuardRedirects redirects;
+    private final PoolLoadView poolLoad;
     private final HandedOnRecords handedOn;
     private LeaderTerm leaderTerm;
     private boolean followsJobs;
@@ -121,7 +123,8 @@
         this.decisionLog = (decision, subject, fields) -> JobEvent.emitDecision(log, decision, subject, fields);
         this.sessions = new GuardSessions(log);
         this.redirects = new GuardRedirects(log);
-        this.handedOn = new HandedOnRecords(log);
+        this.poolLoad = new PoolLoadView(this::leadingScheduler, clock, log);
+        this.handedOn = new HandedOnRecords(poolLoad, log);
         this.applier = new RecordApplier(registry, this::onJobChanged, this::onJobRemoved, clock, log);
         this.requests = follow(JobPartitions.REQUESTS, REQUEST_TIMES, applier::requestKeys, this::onRequests);
         this.progress = follow(JobPartitions.PROGRESS, PROGRESS_TIMES, applier::progressKeys, this::onProgress);
@@ -152,7 +155,7 @@
                 applier::applyRequest,
                 clock,
                 log);
-        this.callers = new CallerRequests(registry, queries, writer, applier, this::decide, clock);
+        this.callers = new CallerRequests(registry, queries, writer, applier, poolLoad, this::decide, clock);
         this.publisher = new ViewPublisher(view, config, requests, clock, log);
         config.load();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
@@ -532,6 +535,10 @@
      * Helpers
      */
 
+    private Optional<JobScheduler> leadingScheduler() {
+        return leaderTerm == null ? Optional.empty() : Optional.of(leaderTerm.scheduler());
+    }
+
     private OptionalLong leaderAgeMs() {
         return leaderTerm == null ? OptionalLong.empty() : OptionalLong.of(leaderTerm.writeAgeMs());
     }
@@ -552,6 +559,7 @@
                 .add("requestsAgeMs", requests.ageMs())
                 .add("jobs", registry.jobs().size())
                 .add("guards", sessions.size())
+                .add("poolLoad", poolLoad.describe())
                 .endLine();
         if (leaderTerm != null) {
             leaderTerm.scheduler().describeWorkers().forEach(text::addLine);
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsCommand.java
@@ -20,9 +20,16 @@
      *
      * @param job specification of the job
      * @param deadlineAtMs monotonic time by which the caller must have an answer
+     * @param refusable whether the job may be refused if the pool has too little room for it
      * @param reply completed with the outcome
      */
-    record Submit(JobSpec job, long deadlineAtMs, CompletableFuture<WriteOutcome> reply) implements JobsCommand {}
+    record Submit(JobSpec job, long deadlineAtMs, boolean refusable, CompletableFuture<WriteOutcome> reply)
+            implements JobsCommand {
+        /** Constructs the submission of a job that is accepted whatever the load of the pool is. */
+        Submit(JobSpec job, long deadlineAtMs, CompletableFuture<WriteOutcome> reply) {
+            this(job, deadlineAtMs, false, reply);
+        }
+    }
 
     /**
      * Cancels a job.
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
@@ -20,11 +20,13 @@
 import org.fulmarreach.core.jobs.JobConfig;
 import org.fulmarreach.core.jobs.JobQueue;
 import org.fulmarreach.core.jobs.JobSpec;
+import org.fulmarreach.core.overload.AdmissionDecision;
 import org.fulmarreach.platform.JsonText;
 import org.fulmarreach.platform.ingress.JobCodec;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 
@@ -42,18 +44,19 @@
     /** Longest deadline that is taken from a header; the request is kept in memory for that long. */
     private static final long MAX_WAIT_MS = 600_000;
 
-    /** Time after which this or another entry can probably serve the request: about the duration of an election. */
-    private static final int RETRY_AFTER_S = 1;
-
     private static final long BODY_TIMEOUT_MS = 3_000;
     private static final int MAX_ID_CHARS = 64;
 
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int UNAVAILABLE = 503;
+
     private final Consumer<JobsCommand> jobs;
     private final AtomicReference<JobsCommand.View> view;
     private final Materializer materializer;
     private final MonotonicClock clock;
     private final EventLog log;
     private final MeterRegistry meters;
+    private final boolean refusesUseless;
     private final Map<CompletableFuture<HttpResponse>, HttpRequest> pending = new ConcurrentHashMap<>();
     private volatile boolean closing;
     private volatile long refuseFromMs = Long.MAX_VALUE;
@@ -68,6 +71,7 @@
      * @param clock monotonic clock
      * @param log event log
      * @param meters registry for the count and latency of requests by queue
+     * @param refusesUseless whether jobs are refused whose results would come too late to be of any use
      */
     JobsHttp(
             Consumer<JobsCommand> jobs,
@@ -75,13 +79,15 @@
             Materializer materializer,
             MonotonicClock clock,
             EventLog log,
-            MeterRegistry meters) {
+            MeterRegistry meters,
+            boolean refusesUseless) {
         this.jobs = jobs;
         this.view = view;
         this.materializer = materializer;
         this.clock = clock;
         this.log = log;
         this.meters = meters;
+        this.refusesUseless = refusesUseless;
     }
 
     /**
@@ -125,7 +131,8 @@
         if (startedAtMs >= refuseFromMs) {
             answer = refuse(request, path, 503, "this entry is stopping");
         } else if (config == null) {
-            answer = refuse(request, path, 503, "this entry has not loaded its configuration yet");
+            int retryAfterS = RetryTimes.whileLoading(path);
+            answer = refuse(request, path, UNAVAILABLE, "this entry has not loaded its configuration yet", retryAfterS);
         } else if (queue.isEmpty()) {
             answer = refuseUnknownQueue(request, path, current, startedAtMs);
         } else {
@@ -155,7 +162,7 @@
         int status = isRead ? 503 : 504;
         String reason = "this entry stopped before the request was decided";
         logRefusal(request, request.getUri().path(), status, reason);
-        return refusal(status, reason);
+        return refusal(status, reason, RetryTimes.SOON_S);
     }
 
     /*
@@ -171,10 +178,11 @@
         return refuse(
                 request,
                 path,
-                503,
+                UNAVAILABLE,
                 "no queue is known for this host and path; version "
                         + current.config().version() + " of the configuration may be out of date for "
-                        + current.configAgeMs(nowMs) + " ms");
+                        + current.configAgeMs(nowMs) + " ms",
+                RetryTimes.whileLoading(path));
     }
 
     private CompletionStage<HttpResponse> route(HttpRequest request, JobQueue queue, String id, JobConfig config) {
@@ -225,9 +233,12 @@
 
     private CompletionStage<HttpResponse> store(HttpRequest request, JobSpec job, long deadlineAtMs, long version) {
         CompletableFuture<WriteOutcome> outcome = new CompletableFuture<>();
-        jobs.accept(new JobsCommand.Submit(job, deadlineAtMs, outcome));
+        jobs.accept(new JobsCommand.Submit(job, deadlineAtMs, refusesUseless, outcome));
         return outcome.thenCompose(result -> {
             logSubmission(job, result, version);
+            if (result instanceof WriteOutcome.Overloaded overloaded) {
+                return refuseOverloaded(request, job, overloaded.decision());
+            }
             return answerWrite(request, job.id(), result);
         });
     }
@@ -237,11 +248,23 @@
             case WriteOutcome.Stored stored -> JobEvent.JOB_ACCEPTED;
             case WriteOutcome.Undecided undecided -> JobEvent.JOB_UNDECIDED;
             case WriteOutcome.Refused refused -> JobEvent.JOB_REFUSED;
+            case WriteOutcome.Overloaded overloaded -> JobEvent.JOB_OVERLOADED;
             case WriteOutcome.Missing missing -> JobEvent.JOB_REFUSED;
         };
         log.emit(event, "id", job.id(), "queue", job.queue(), "config", version, "outcome", result);
     }
 
+    private CompletionStage<HttpResponse> refuseOverloaded(
+            HttpRequest request, JobSpec job, AdmissionDecision.Refuse decision) {
+        Counter.builder("fulmarreach.jobs.overloaded")
+                .description("Submissions refused since their results would come too late to be of any use")
+                .tags("queue", job.queue(), "reason", decision.rankClass().name())
+                .register(meters)
+                .increment();
+        return refuse(
+                request, job.id(), TOO_MANY_REQUESTS, decision.reason(), RetryTimes.ofMs(decision.retryAfterMs()));
+    }
+
     private CompletionStage<HttpResponse> cancel(HttpRequest request, JobQueue queue, String id) {
         CompletableFuture<WriteOutcome> outcome = new CompletableFuture<>();
         jobs.accept(new JobsCommand.Cancel(id, deadlineAtMs(request, queue), outcome));
@@ -254,7 +277,10 @@
     private CompletionStage<HttpResponse> answerWrite(HttpRequest request, String id, WriteOutcome outcome) {
         return switch (outcome) {
             case WriteOutcome.Stored stored -> CompletableFuture.completedFuture(HttpResponse.create());
-            case WriteOutcome.Refused refused -> refuse(request, id, 503, refused.reason());
+            case WriteOutcome.Refused refused ->
+                refuse(request, id, UNAVAILABLE, refused.reason(), RetryTimes.whileStoreIsAway(id));
+            case WriteOutcome.Overloaded overloaded ->
+                refuse(request, id, UNAVAILABLE, overloaded.decision().reason());
             case WriteOutcome.Undecided undecided -> refuse(request, id, 504, undecided.reason());
             case WriteOutcome.Missing missing -> refuse(request, id, 410, "no such job");
         };
@@ -287,9 +313,14 @@
      */
 
     private CompletionStage<HttpResponse> refuse(HttpRequest request, String id, int status, String reason) {
+        return refuse(request, id, status, reason, RetryTimes.SOON_S);
+    }
+
+    private CompletionStage<HttpResponse> refuse(
+            HttpRequest request, String id, int status, String reason, int retryAfterS) {
         request.discardEntityBytes(materializer);
         logRefusal(request, id, status, reason);
-        return CompletableFuture.completedFuture(refusal(status, reason));
+        return CompletableFuture.completedFuture(refusal(status, reason, retryAfterS));
     }
 
     private void logRefusal(HttpRequest request, String id, int status, String reason) {
@@ -305,10 +336,10 @@
                 reason);
     }
 
-    private static HttpResponse refusal(int status, String reason) {
+    private static HttpResponse refusal(int status, String reason, int retryAfterS) {
         HttpResponse response = json(status, JsonText.writeObject(Map.of("error", reason)));
-        return status == 503
-                ? response.addHeader(RawHeader.create("Retry-After", Integer.toString(RETRY_AFTER_S)))
+        return status == UNAVAILABLE || status == TOO_MANY_REQUESTS
+                ? response.addHeader(RawHeader.create("Retry-After", Integer.toString(retryAfterS)))
                 : response;
     }
 
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -95,9 +95,14 @@
      * @param clock monotonic clock
      * @param log event log
      * @param meters metrics, served at {@code /metrics} on the second internal port
+     * @param refusesUseless whether jobs are refused whose results would come too late to be of any use
      */
     public static JobsNode start(
-            NodeSettings settings, MonotonicClock clock, EventLog log, PrometheusMeterRegistry meters) {
+            NodeSettings settings,
+            MonotonicClock clock,
+            EventLog log,
+            PrometheusMeterRegistry meters,
+            boolean refusesUseless) {
         long startedAtMs = clock.nowMs();
         Address store = Address.parse(settings.storeAddress());
         Address guards = new Address(settings.ipAddress(), settings.firstInternalPort());
@@ -125,7 +130,7 @@
                 THREADS);
         Materializer materializer = SystemMaterializer.get(system).materializer();
         registerGauges(view, clock, meters);
-        JobsHttp http = new JobsHttp(system::tell, view, materializer, clock, log, meters);
+        JobsHttp http = new JobsHttp(system::tell, view, materializer, clock, log, meters, refusesUseless);
         FrameTransport transport =
                 new FrameTransport(system, LinkSettings.DEFAULT.withSilenceTimeoutMs(SILENCE_TIMEOUT_MS), log);
         transport
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderRecords.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderRecords.java
@@ -11,9 +11,11 @@
 import org.fulmarreach.core.jobs.JobScheduler;
 import org.fulmarreach.core.jobs.LearnedInterference;
 import org.fulmarreach.core.jobs.WithheldLeases;
+import org.fulmarreach.core.overload.PoolLoad;
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
+import org.fulmarreach.protocol.io.PoolLoadRecords;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
 /** Encodes the records that a leader appends in one term. Confined to one actor. */
@@ -21,6 +23,9 @@
     /** Keep-alive interval: three fit into the 1.5 s without a record after which another entry starts an election. */
     static final int KEEP_ALIVE_MS = 400;
 
+    /** Interval at which the load of the pools is stored while one is short of room. */
+    private static final int LOAD_INTERVAL_MS = 500;
+
     /** Interval at which what is learned of interference is stored; it changes within seconds. */
     private static final int LEARNED_INTERVAL_MS = 3_000;
 
@@ -31,6 +36,9 @@
     private byte[] writtenLeaderRecord = {};
     private long leaderWrittenAtMs = Long.MIN_VALUE / 2;
     private long learnedTakenAtMs;
+    private long loadWrittenAtMs = Long.MIN_VALUE / 2;
+    private long loadNumber;
+    private boolean shortageWritten;
 
     /**
      * Constructs the encoder of a term that begins now.
@@ -61,6 +69,7 @@
                 new KeyedRecord(JobTopics.WITHHELD_KEY, JobRecords.encode(new WithheldLeases(term, bounds)))));
         takeLearnedInterference(resigning).ifPresent(records::add);
         if (!resigning) {
+            takePoolLoad().ifPresent(records::add);
             KeyedRecord leader = leaderRecord.get();
             boolean changed = !Arrays.equals(leader.value(), writtenLeaderRecord);
             if (records.isEmpty() || changed && clock.nowMs() - leaderWrittenAtMs >= KEEP_ALIVE_MS) {
@@ -80,6 +89,20 @@
                 new KeyedRecord(JobTopics.LEADER_KEY, JobRecords.encodeLeader(term, "", "")));
     }
 
+    /** Returns the load of the pools, at intervals while one is short of room, and once when none is any more. */
+    private Optional<KeyedRecord> takePoolLoad() {
+        PoolLoad load = scheduler.poolLoad();
+        boolean due = load.isShort() ? clock.nowMs() - loadWrittenAtMs >= LOAD_INTERVAL_MS : shortageWritten;
+        if (!due) {
+            return Optional.empty();
+        }
+        loadWrittenAtMs = clock.nowMs();
+        shortageWritten = load.isShort();
+        loadNumber++;
+        byte[] value = PoolLoadRecords.encode(new PoolLoadRecords.Stored(term, loadNumber, load));
+        return Optional.of(new KeyedRecord(JobTopics.POOL_LOAD_KEY, value));
+    }
+
     /** Returns what the next leader should know of interference, at intervals and with a resignation. */
     private Optional<KeyedRecord> takeLearnedInterference(boolean resigning) {
         long nowMs = clock.nowMs();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
@@ -152,6 +152,9 @@
                     case WriteOutcome.Refused refused -> new ForwardOutcome(ForwardStatus.REFUSED, refused.reason());
                     case WriteOutcome.Undecided undecided ->
                         new ForwardOutcome(ForwardStatus.UNDECIDED, undecided.reason());
+                    case WriteOutcome.Overloaded overloaded ->
+                        new ForwardOutcome(
+                                ForwardStatus.REFUSED, overloaded.decision().reason());
                     case WriteOutcome.Missing missing -> new ForwardOutcome(ForwardStatus.REFUSED, "no such job");
                 });
     }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
@@ -219,6 +219,7 @@
                 write.undecided = true;
                 resolveUnforwarded(write, undecided.reason());
             }
+            case WriteOutcome.Overloaded overloaded -> resolveUnforwarded(write, "unexpected outcome");
             case WriteOutcome.Missing missing -> resolveUnforwarded(write, "unexpected outcome");
         }
     }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/WriteOutcome.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/WriteOutcome.java
@@ -1,5 +1,7 @@
 package org.fulmarreach.entry.jobs;
 
+import org.fulmarreach.core.overload.AdmissionDecision;
+
 /** Outcome of a request that is written to the store. */
 public sealed interface WriteOutcome {
     /** The request is stored. */
@@ -19,6 +21,14 @@
      */
     record Undecided(String reason) implements WriteOutcome {}
 
+    /**
+     * The job is not stored by this entry, no append of it is in flight here, and the log did not contain it: the pool
+     * has too little room for it.
+     *
+     * @param decision the decision with its inputs
+     */
+    record Overloaded(AdmissionDecision.Refuse decision) implements WriteOutcome {}
+
     /** The job to change does not exist. */
     record Missing() implements WriteOutcome {}
 }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsHttpCloseTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsHttpCloseTest.java
@@ -43,7 +43,8 @@
             SystemMaterializer.get(system).materializer(),
             clock,
             new EventLog("test"),
-            new SimpleMeterRegistry());
+            new SimpleMeterRegistry(),
+            true);
 
     @AfterEach
     void stop() {
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobsHttpDeadlineTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobsHttpDeadlineTest.java
@@ -40,7 +40,8 @@
             SystemMaterializer.get(system).materializer(),
             clock,
             new EventLog("test"),
-            new SimpleMeterRegistry());
+            new SimpleMeterRegistry(),
+            true);
 
     @AfterEach
     void stop() {
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/OutdatedConfigTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/OutdatedConfigTest.java
@@ -65,7 +65,8 @@
                 SystemMaterializer.get(entry).materializer(),
                 clock,
                 new EventLog("entry-0"),
-                meters);
+                meters,
+                true);
         JobsNode.registerGauges(view, clock, meters);
         Awaitility.await().atMost(TIMEOUT).until(() -> view.get().ready());
     }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/RemovedQueueTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/RemovedQueueTest.java
@@ -139,7 +139,8 @@
                 SystemMaterializer.get(entry).materializer(),
                 MonotonicClock.system(),
                 new EventLog("entry-0"),
-                new SimpleMeterRegistry());
+                new SimpleMeterRegistry(),
+                true);
         HttpRequest request = HttpRequest.POST("/q/" + JOB)
                 .addHeader(RawHeader.create("Host", "h"))
                 .withEntity(
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobTopics.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobTopics.java
@@ -23,6 +23,9 @@
     /** Key of what the leader has learned of the interference between tasks. */
     public static final String INTERFERENCE_KEY = "interference";
 
+    /** Key of the load of the pools, which is written while one is short of room. */
+    public static final String POOL_LOAD_KEY = "load";
+
     /** Producer name that the leader uses for the sequence numbers of its appends. */
     public static final String LEADER_PRODUCER = "leader";
 
