--- a/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
@@ -77,8 +77,7 @@
                 System.err.println("Invalid settings: " + problem.message() + "\n" + problem.remedy());
                 System.exit(EXIT_BAD_SETTINGS);
             }
-            case Result.Ok<NodeSettings>(var settings) ->
-                run(parsed, settings, Path.of(file));
+            case Result.Ok<NodeSettings>(var settings) -> run(parsed, settings, Path.of(file));
         }
     }
 
