--- a/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
@@ -148,6 +148,16 @@
         return (long) (policy.criticalPathFactor() * longest) + policy.targetLatencyMs();
     }
 
+    /** Returns the time after a job's submission from which its result is of little use, in milliseconds. */
+    static long uselessMs(JobSpec spec, QueuePolicy policy) {
+        return LATE_FACTOR * targetMs(spec, policy);
+    }
+
+    /** Returns the estimated duration of the critical path through all steps of a job in milliseconds. */
+    static long criticalPathMs(JobSpec spec) {
+        return criticalPathMs(spec, step -> spec.steps().get(step).estimatedMs());
+    }
+
     /** Returns the duration of the critical path through the steps in milliseconds. */
     private static long criticalPathMs(JobSpec spec, IntToLongFunction durationMs) {
         long[] ends = new long[spec.steps().size()];
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/JobReadsTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/JobReadsTest.java
@@ -127,7 +127,8 @@
                 SystemMaterializer.get(entry).materializer(),
                 MonotonicClock.system(),
                 new EventLog("entry-0"),
-                meters);
+                meters,
+                true);
     }
 
     /** Keeps the actor within one message until the end of the test. */
