Leave standing tasks that start up in an evacuated zone

Cause: the search for tasks to move out of a zone took each listed task, and the budget grants the stop of a task below 100 percent without counting the others. Callers saw all four tasks of a step that allows one unavailable task stopped within two seconds. The leader's view is as old as the last report, so such tasks may be at work by the time their stops arrive.

Change: only tasks that are listed with 100 percent are moved. One that does not start up is still stopped as stalled after its timeout.

--- a/core/src/main/java/org/fulmarreach/core/jobs/ZoneEvacuation.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/ZoneEvacuation.java
@@ -192,14 +192,13 @@
         return worker.report() != null && worker.report().zone().equals(zone);
     }
 
-    /** Tells whether a task may be stopped now; a member of a gang would stop all others with it. */
+    /**
+     * Tells whether a task may be stopped now; a member of a gang would stop all others with it. A task that starts up
+     * stays, although the budget grants its stop: by the time the order arrives it may be at work.
+     */
     private boolean isMovable(JobTask task, long nowMs) {
         JobStep step = task.step();
-        if (!step.longRunning()
-                || step.gang()
-                || task.job().status().isFinal()
-                || task.progress().stopOrderedAtMs() > 0
-                || !WaitDiagnosis.isAtWork(task, nowMs)) {
+        if (!step.longRunning() || step.gang() || task.job().status().isFinal() || !budget.isAtWork(task, nowMs)) {
             return false;
         }
         if (step.maxUnavailable() == 0) {
--- a/core/src/test/java/org/fulmarreach/core/jobs/ZoneEvacuationTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/ZoneEvacuationTest.java
@@ -189,6 +189,26 @@
         assertEquals(0, inside.stops);
     }
 
+    /**
+     * The leader's view of a run is as old as the last report: a task that it sees start up may be at work by the time
+     * the stop arrives, and so may all others of its step, which were stopped with it.
+     */
+    @Test
+    void tasksThatStartUpAreNotMoved() {
+        SchedulerHarness.Worker inside = pool.addWorker("a", 4_000);
+        inside.percent = 50;
+        pool.elapse(ZoneEvacuation.QUIET_MS);
+        pool.submit("serving", standing(4).atMostUnavailable(1));
+        pool.elapse(500);
+        for (int i = 0; i < 20; i++) {
+            pool.addWorker("b", 4_000);
+        }
+        evacuate(A);
+        pool.elapse(SETTLE_MS);
+        assertEquals(4, SchedulerHarness.runningOn(inside).size());
+        assertEquals(0, inside.stops);
+    }
+
     /** A new leader does not know all workers yet. */
     @Test
     void nothingIsMovedInTheFirstSecondsOfATerm() {
