Test a gang split by an evacuation, and starts held for an old view

Two paths of the evacuation had no test: the members of a gang that started outside wait for one whose start is withdrawn, and a leader whose reads of the operators' records get no answer while all else works.

--- a/core/src/test/java/org/fulmarreach/core/jobs/SchedulerHarness.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/SchedulerHarness.java
@@ -77,6 +77,15 @@
             this.ref = ref;
             this.capacity = capacity;
         }
+
+        /** Ends all runs by themselves. */
+        void endRuns(RunEnd how) {
+            for (WorkerReport.Running run : running.values()) {
+                ends++;
+                ended.add(new WorkerReport.Ended(ends, run.task(), run.run(), how, ""));
+            }
+            running.clear();
+        }
     }
 
     SchedulerHarness() {
--- a/core/src/test/java/org/fulmarreach/core/jobs/ZoneEvacuationTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/ZoneEvacuationTest.java
@@ -209,6 +209,25 @@
         assertEquals(0, inside.stops);
     }
 
+    /** The others of the gang have started and wait for a member whose start was dropped. */
+    @Test
+    void gangThatTheEvacuationSplitsIsPlacedOutsideAsAWhole() {
+        SchedulerHarness.Worker inside = pool.addWorker("a", 1_000);
+        SchedulerHarness.Worker outside = pool.addWorker("b", 1_000);
+        inside.lists = false;
+        JobTask first = pool.submit("gang", batch(2).gang());
+        pool.elapse(600);
+        assertEquals(2, pool.starts.size());
+        evacuate(A);
+        pool.addWorker("b", 1_000);
+        pool.elapse(4_000);
+        assertEquals(2, pool.starts.size(), "a member was started without the others");
+        outside.endRuns(RunEnd.BROKEN);
+        pool.elapse(SETTLE_MS);
+        assertEquals(4, pool.starts.size());
+        assertEquals(2, running(first.job()));
+    }
+
     /** A new leader does not know all workers yet. */
     @Test
     void nothingIsMovedInTheFirstSecondsOfATerm() {
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/EvacuationTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/EvacuationTest.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.awaitility.Awaitility;
@@ -94,6 +96,23 @@
         });
     }
 
+    /** The records of jobs are read and written meanwhile, so all else that starts depend on works. */
+    @Test
+    void startsAreHeldWhileTheOperatorsRecordsGetNoAnswer() throws Exception {
+        start();
+        await(() -> describe().contains("leads=true"));
+        store.silenceReads(TopicPartition.OPERATOR);
+        await(() -> configAgeMs() > LIMITS.maxEvacuationViewAgeMs());
+        put("evacuate/z", "{}");
+        submit();
+        reportForOneSecond();
+        assertEquals(List.of(), guard.starts());
+        store.silenceReads(null);
+        await(() -> describe().contains("evacuatedZones=[z]"));
+        reportForOneSecond();
+        assertEquals(List.of(), guard.starts());
+    }
+
     /** The store may have deleted the record that took the evacuation back before it was read. */
     @Test
     void removalThatWasMissedIsNoticed() throws Exception {
@@ -195,6 +214,12 @@
         return described.get(5, TimeUnit.SECONDS);
     }
 
+    private long configAgeMs() throws Exception {
+        Matcher matcher = Pattern.compile("configAgeMs=(\\d+)").matcher(describe());
+        assertTrue(matcher.find(), "no age of the configuration");
+        return Long.parseLong(matcher.group(1));
+    }
+
     private void submit() throws Exception {
         JobStep step =
                 new JobStep(1, SMALL, 100, List.of(), false, false, false, "", "", 0, false, false, "", 0, false, 0);
