Count the members of a gang together while a zone is filled

Cause: the workers of a gang are chosen before its first member is ordered, and the allowance of a worker whose zone was taken back counts ordered runs only. A gang of eight tasks of one core started on a worker of ten as soon as one of them was allowed, so the zone was not filled gradually.

Change: tasks that are tentatively on the worker count as well.

Result: membersOfAGangCountTogetherWhileAZoneIsFilled failed before (8 starts in place of 0) and passes, with the 18 other tests of ZoneEvacuationTest.

--- a/core/src/main/java/org/fulmarreach/core/jobs/StartAllowance.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/StartAllowance.java
@@ -19,7 +19,8 @@
         }
         long started = step.demand().milliCores();
         for (JobTask task : worker.assigned()) {
-            if (task.progress().orderedAtMs() >= sinceMs) {
+            // Members of a gang are on the worker before they are assigned: a gang is chosen as a whole.
+            if (!task.isAssigned() || task.progress().orderedAtMs() >= sinceMs) {
                 started += task.step().demand().milliCores();
             }
         }
--- a/core/src/test/java/org/fulmarreach/core/jobs/ZoneEvacuationTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/ZoneEvacuationTest.java
@@ -271,6 +271,20 @@
         assertEquals(1, pool.of(Decision.ZONE_REOPENED).size());
     }
 
+    /** The members are chosen before the first of them is ordered, so none of them counted for the others. */
+    @Test
+    void membersOfAGangCountTogetherWhileAZoneIsFilled() {
+        pool.addWorker("a", 10_000);
+        evacuate(A);
+        pool.submit("gang", batch(8).gang());
+        pool.elapse(SETTLE_MS);
+        evacuate(A.withReopened("a", pool.nowMs));
+        pool.elapse(ZoneEvacuation.FILL_MS * 8 / 10 - STEP_MS);
+        assertEquals(0, pool.starts.size());
+        pool.elapse(500);
+        assertEquals(8, pool.starts.size());
+    }
+
     @Test
     void withoutEvacuationsTheOrdersAreTheSame() {
         assertEquals(ordersOf(false), ordersOf(true));
