Count the others for a stop of a task that may be at work unseen

Cause: the budget granted the stop of each task that the leader does not see at work, without counting the others. Its view is as old as the last report: a task that starts up may be at work when the stop arrives, and one on a silent worker may be at work all the time.

The test taskThatIsNotAtWorkMayBeStopped asserted the faulty answer for a task that had just shown progress; it is replaced by taskThatDoesNotStartUpMayBeStopped, and by two tests of the cases that count now.

--- a/core/src/test/java/org/fulmarreach/core/jobs/UnavailabilityBudgetTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/UnavailabilityBudgetTest.java
@@ -78,14 +78,38 @@
     }
 
     @Test
-    void taskThatIsNotAtWorkMayBeStopped() {
+    void taskThatDoesNotStartUpMayBeStopped() {
         Job job = start(1);
         stop(job.tasks().get(1));
-        JobTask first = job.tasks().get(0);
-        first.updateProgress(first.progress().withListing(50, 0, "", pool.nowMs));
+        listHalfStarted(job.tasks().get(0), pool.nowMs - JobTimeLimits.STARTUP_TIMEOUT_MS - 1);
         assertTrue(mayStop(job));
     }
 
+    /** It may be at work by the time the stop arrives, as the leader's view is as old as the last report. */
+    @Test
+    void taskThatStartsUpIsCountedAsOneAtWork() {
+        Job job = start(1);
+        stop(job.tasks().get(1));
+        listHalfStarted(job.tasks().get(0), pool.nowMs);
+        assertFalse(mayStop(job));
+    }
+
+    /** It may be at work, which the leader can't see. */
+    @Test
+    void taskOnASilentWorkerIsCountedAsOneAtWork() {
+        Job job = start(1);
+        stop(job.tasks().get(1));
+        workerOf(job.tasks().get(0)).silent = true;
+        pool.elapse(JobTimeLimits.REPORT_TIMEOUT_MS + 500);
+        stop(job.tasks().get(1));
+        assertFalse(mayStop(job));
+    }
+
+    @Test
+    void taskWithoutARunMayBeStopped() {
+        assertTrue(mayStop(submit(1)));
+    }
+
     @Test
     void taskOnADrainingWorkerMayBeStopped() {
         Job job = start(1);
@@ -147,6 +171,10 @@
         return job;
     }
 
+    private static void listHalfStarted(JobTask task, long atMs) {
+        task.updateProgress(task.progress().withListing(50, 0, "", atMs));
+    }
+
     private boolean mayStop(Job job) {
         return budget.mayStop(job.tasks().get(0), pool.nowMs);
     }
