--- a/core/src/test/java/org/fulmarreach/core/jobs/ZoneEvacuationTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/ZoneEvacuationTest.java
@@ -189,6 +189,45 @@
         assertEquals(0, inside.stops);
     }
 
+    /**
+     * The leader's view of a run is as old as the last report: a task that it sees start up may be at work by the time
+     * the stop arrives, and so may all others of its step, which were stopped with it.
+     */
+    @Test
+    void tasksThatStartUpAreNotMoved() {
+        SchedulerHarness.Worker inside = pool.addWorker("a", 4_000);
+        inside.percent = 50;
+        pool.elapse(ZoneEvacuation.QUIET_MS);
+        pool.submit("serving", standing(4).atMostUnavailable(1));
+        pool.elapse(500);
+        for (int i = 0; i < 20; i++) {
+            pool.addWorker("b", 4_000);
+        }
+        evacuate(A);
+        pool.elapse(SETTLE_MS);
+        assertEquals(4, SchedulerHarness.runningOn(inside).size());
+        assertEquals(0, inside.stops);
+    }
+
+    /** The others of the gang have started and wait for a member whose start was dropped. */
+    @Test
+    void gangThatTheEvacuationSplitsIsPlacedOutsideAsAWhole() {
+        SchedulerHarness.Worker inside = pool.addWorker("a", 1_000);
+        SchedulerHarness.Worker outside = pool.addWorker("b", 1_000);
+        inside.lists = false;
+        JobTask first = pool.submit("gang", batch(2).gang());
+        pool.elapse(600);
+        assertEquals(2, pool.starts.size());
+        evacuate(A);
+        pool.addWorker("b", 1_000);
+        pool.elapse(4_000);
+        assertEquals(2, pool.starts.size(), "a member was started without the others");
+        outside.endRuns(RunEnd.BROKEN);
+        pool.elapse(SETTLE_MS);
+        assertEquals(4, pool.starts.size());
+        assertEquals(2, running(first.job()));
+    }
+
     /** A new leader does not know all workers yet. */
     @Test
     void nothingIsMovedInTheFirstSecondsOfATerm() {
@@ -232,6 +271,20 @@
         assertEquals(1, pool.of(Decision.ZONE_REOPENED).size());
     }
 
+    /** The members are chosen before the first of them is ordered, so none of them counted for the others. */
+    @Test
+    void membersOfAGangCountTogetherWhileAZoneIsFilled() {
+        pool.addWorker("a", 10_000);
+        evacuate(A);
+        pool.submit("gang", batch(8).gang());
+        pool.elapse(SETTLE_MS);
+        evacuate(A.withReopened("a", pool.nowMs));
+        pool.elapse(ZoneEvacuation.FILL_MS * 8 / 10 - STEP_MS);
+        assertEquals(0, pool.starts.size());
+        pool.elapse(500);
+        assertEquals(8, pool.starts.size());
+    }
+
     @Test
     void withoutEvacuationsTheOrdersAreTheSame() {
         assertEquals(ordersOf(false), ordersOf(true));
