--- a/runtime/src/test/java/org/fulmarreach/runtime/net/ClientAdmissionTest.java
+++ b/runtime/src/test/java/org/fulmarreach/runtime/net/ClientAdmissionTest.java
@@ -59,7 +59,8 @@
     }
 
     private ClientAdmission.Client admit(int maxConnections) {
-        return admission.admit(LISTENER, maxConnections, InetAddress.getLoopbackAddress())
+        return admission
+                .admit(LISTENER, maxConnections, InetAddress.getLoopbackAddress())
                 .orElseThrow();
     }
 }
--- a/runtime/src/test/java/org/fulmarreach/runtime/net/RequestFramerTest.java
+++ b/runtime/src/test/java/org/fulmarreach/runtime/net/RequestFramerTest.java
@@ -41,17 +41,20 @@
         }
         assertEquals(
                 "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nabcd",
-                assertInstanceOf(RequestFramer.Result.Complete.class, result).bytes().utf8String());
+                assertInstanceOf(RequestFramer.Result.Complete.class, result)
+                        .bytes()
+                        .utf8String());
     }
 
     @Test
     void declaredBodyFollowsItsHead() {
-        assertInstanceOf(
-                RequestFramer.Result.HeadOnly.class, next("POST /a HTTP/1.1\r\nContent-Length: 4\r\n\r\nab"));
+        assertInstanceOf(RequestFramer.Result.HeadOnly.class, next("POST /a HTTP/1.1\r\nContent-Length: 4\r\n\r\nab"));
         assertInstanceOf(RequestFramer.Result.Incomplete.class, next("c"));
         assertEquals(
                 "abcd",
-                assertInstanceOf(RequestFramer.Result.Body.class, next("d")).bytes().utf8String());
+                assertInstanceOf(RequestFramer.Result.Body.class, next("d"))
+                        .bytes()
+                        .utf8String());
     }
 
     /** The endpoint refuses a body that is too large by its declared length, with its own answer. */
