Let the headroom give way to room on suspected workers

A new standing task goes to a suspected worker after 1.5 s, since callers are promised a run within 3 s if there is room for it twice over. The headroom looked for that room on sound workers only, so it never gave way there, and the task waited until the suspicion ended (4 s). It now counts the workers that the task may get after its wait.

The new case of HeadroomTest failed before (not placed 2 s after its submission) and passes; HeadroomTest, StandingWaitTest and StandingPlacementTest: 18 tests pass.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -146,12 +146,15 @@
         return headroom.findLimit(task, service, workers, () -> hasRoomTwice(task, service, workers, nowMs), nowMs);
     }
 
-    /** Tells whether the free room of a service suffices for a task twice over, whoever else may use it. */
+    /**
+     * Tells whether the free room of a service suffices for a task twice over, whoever else may use it. Callers count
+     * the room of suspected workers too, which the task gets once it has waited for long.
+     */
     private boolean hasRoomTwice(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         boolean found = false;
         Resources twice = task.step().reserved().plus(task.step().reserved());
         for (WorkerView worker : workers) {
-            if (isOpen(worker, service, workers, nowMs) && hasReservableCapacity(task, worker)) {
+            if (isOpenToWaiting(task, service, worker, workers, nowMs) && hasReservableCapacity(task, worker)) {
                 if (found || worker.taken().plus(twice).fitsInto(worker.report().capacity())) {
                     return true;
                 }
--- a/core/src/test/java/org/fulmarreach/core/jobs/HeadroomTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/HeadroomTest.java
@@ -145,6 +145,38 @@
         assertTrue(lost.isAssigned() && lost.state().run() == 2, lost.state().toString());
     }
 
+    /** Callers count the room of suspected workers too, where standing tasks are placed once they have waited. */
+    @Test
+    void givesWayIfOnlyASuspectedWorkerHasRoomTwiceOver() {
+        PoolEmulator pool = pool(2);
+        submitStanding(pool, "full", 1, 10_000);
+        submitStanding(pool, "part", 1, 7_000);
+        pool.run(500);
+        pool.faultyJobs.add("faulty");
+        List<Decision> suspicions = new ArrayList<>();
+        pool.observer = (decision, subject, fields) -> {
+            if (decision == Decision.WORKER_SUSPECTED) {
+                suspicions.add(decision);
+            }
+        };
+        submit(pool, "faulty", TestSteps.of(3, new Resources(1_000, 1_000, 0), 100, List.of()), 100);
+        for (int ms = 0; ms < 5_000 && suspicions.isEmpty(); ms += PoolEmulator.STEP_MS) {
+            pool.run(PoolEmulator.STEP_MS);
+        }
+        assertFalse(suspicions.isEmpty(), "the failures make the only worker with room a suspect");
+        for (int i = 0; i < 8; i++) {
+            submit(pool, "short-" + i, TestSteps.of(1, new Resources(1_000, 1_000, 0), 1_000, List.of()), 1_000);
+        }
+        pool.run(500);
+        assertEquals(0, assigned(pool, "short-0"), "the only worker with room is suspected");
+        submitStanding(pool, "second", 1, 1_500);
+        pool.run(1_000);
+        assertEquals(0, assigned(pool, "second"), "waits for a sound worker");
+        pool.run(1_000);
+        assertEquals(1, assigned(pool, "second"), "given way");
+        assertEquals(0, assigned(pool, "short-0"), "the worker is still suspected");
+    }
+
     private static PoolEmulator pool(int workers) {
         PoolEmulator pool = new PoolEmulator(SEED, 0, 0, CONFIG);
         for (int i = 0; i < workers; i++) {
