Leave throttled runs out of the learned run times

A best-effort run that is throttled for the sake of a serving task takes longer than its work. The time was learned as that of the step, and targets follow from it, so late jobs of a congested pool would have counted as on time. A run that has ever had less than its full share is not learned from any more.

The new case of RunTimeModelTest failed before (one class learned) and passes; RunTimeModelTest and HeadroomTest: 17 tests pass.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -353,6 +353,10 @@
         return headroom.milliCores();
     }
 
+    RunTimeModel runTimes() {
+        return times;
+    }
+
     Placement placement() {
         return placement;
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -24,6 +24,7 @@
     private int pollsWithoutRun = NOT_COUNTING;
     private long lastPollNumber;
     private int cpuSharePercent = FULL_CPU_SHARE_PERCENT;
+    private boolean throttled;
 
     /** Position of the checkpoint's last change among those of the job in this term; 0 if it was read from the log. */
     private long checkpointChange;
@@ -152,6 +153,7 @@
         progress = RunProgress.firstOrderedAt(nowMs);
         pollsWithoutRun = NOT_COUNTING;
         cpuSharePercent = FULL_CPU_SHARE_PERCENT;
+        throttled = false;
     }
 
     /**
@@ -235,6 +237,12 @@
 
     void setCpuSharePercent(int percent) {
         cpuSharePercent = percent;
+        throttled |= percent < FULL_CPU_SHARE_PERCENT;
+    }
+
+    /** Tells whether the current run has ever had less than its full CPU share. */
+    boolean hasBeenThrottled() {
+        return throttled;
     }
 
     /**
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -269,9 +269,9 @@
         decisions.markChanged(task.job());
     }
 
-    /** A run that a former leader ordered, or that may resume from a checkpoint, says nothing about the run time. */
+    /** A run of a former leader, one that may resume from a checkpoint, or a throttled one does not tell the work. */
     private void recordRunTime(JobTask task, long nowMs) {
-        if (task.state().run() == 1 && !task.progress().repeated()) {
+        if (task.state().run() == 1 && !task.progress().repeated() && !task.hasBeenThrottled()) {
             times.recordDone(
                     task.job().spec().queue(),
                     task.step(),
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -165,6 +165,10 @@
         decide();
     }
 
+    RunTimeModel runTimes() {
+        return scheduler.runTimes();
+    }
+
     Placement placement() {
         return scheduler.placement();
     }
--- a/core/src/test/java/org/fulmarreach/core/jobs/RunTimeModelTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/RunTimeModelTest.java
@@ -4,6 +4,8 @@
 
 import org.fulmarreach.core.model.Resources;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -88,6 +90,27 @@
         assertEquals(400 + 1_500, JobUrgency.claim(job, policy, model, 0).targetInMs(), 1_500 * BUCKET_ERROR);
     }
 
+    /** A throttled run takes longer than its work; by that, a congested pool would count late jobs as on time. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void throttledRunsAreLeftOut(boolean throttled) {
+        JobConfig config = new JobConfig(
+                1, List.of(new JobQueue("q", "h", "/q/", FakeWorker.SERVICE, 0, 2, 3_000, 400, 1.5)), 1_000_000);
+        PoolEmulator pool = new PoolEmulator(11, 0, 0, config);
+        pool.addWorker(0, new Resources(10_000, 100_000, 0));
+        pool.run(1_000);
+        pool.submit(new JobSpec("job", "q", "", List.of(step(1_000, 500)), 0, 0, 0, pool.nowMs), List.of(1_000L));
+        pool.run(500);
+        Job job = pool.registry.find("job").orElseThrow();
+        if (throttled) {
+            job.tasks().get(0).setCpuSharePercent(50);
+            job.tasks().get(0).setCpuSharePercent(100);
+        }
+        pool.run(3_000);
+        assertEquals(JobStatus.COMPLETED, job.status());
+        assertEquals(throttled ? 0 : 1, pool.runTimes().classes());
+    }
+
     private static JobStep step(long estimatedMs, int milliCores) {
         return TestSteps.of(1, new Resources(milliCores, 100, 0), estimatedMs, List.of())
                 .build();
