--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -381,6 +381,10 @@
         return loadMeter.measuredAtMs();
     }
 
+    RunTimeModel runTimes() {
+        return times;
+    }
+
     Placement placement() {
         return placement;
     }
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -177,6 +177,10 @@
         return nowMs - scheduler.poolLoadMeasuredAtMs();
     }
 
+    RunTimeModel runTimes() {
+        return scheduler.runTimes();
+    }
+
     Placement placement() {
         return scheduler.placement();
     }
