Ignore records of the load that are read together

An entry that returns after it was cut off from the store reads all records of that time at once. The second one counted as fresh, whatever its age, since the one before it had just arrived, so jobs could be refused by the load of a leader that is gone. A record now counts only if it arrives at least 100 ms after the one before it for each record written (they are 500 ms apart).

PoolLoadViewTest failed before (a refusal by records read together) and passes; with OverloadRefusalTest 13 tests pass.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/PoolLoadView.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/PoolLoadView.java
@@ -17,10 +17,13 @@
 
 /**
  * The load of the pools as known to this entry: its own measurement while it leads, otherwise the last record of a
- * leader. A record counts only if the one before it has arrived within {@link PoolLoad#VALID_MS}: an entry that starts
- * or returns reads a record of any age. Confined to one actor.
+ * leader. A record counts only if the one before it has arrived within {@link PoolLoad#VALID_MS}, and not together with
+ * it: an entry that starts or returns reads several records of any age at once. Confined to one actor.
  */
 final class PoolLoadView {
+    /** Least time between arrivals for each record written; a part of the interval at which records are written. */
+    private static final long MIN_INTERVAL_MS = 100;
+
     private final Supplier<Optional<JobScheduler>> leading;
     private final MonotonicClock clock;
     private final EventLog log;
@@ -57,7 +60,10 @@
         }
         long nowMs = clock.nowMs();
         boolean wasShort = newest != null && newest.load().isShort();
-        followsAnother = sameTerm && nowMs - arrivedAtMs <= PoolLoad.VALID_MS;
+        long elapsedMs = nowMs - arrivedAtMs;
+        followsAnother = sameTerm
+                && elapsedMs <= PoolLoad.VALID_MS
+                && elapsedMs / MIN_INTERVAL_MS >= read.number() - newest.number();
         newest = read;
         arrivedAtMs = nowMs;
         if (wasShort != read.load().isShort()) {
