Ask callers to return after 1 or 2 s while the store is away

A caller that met a store which was away for a moment was sent away for 2 or 3 s instead of 1 s as before, longer than many short jobs have until their target. The spread by the id stays. The test's values change from 2 or 3 to 1 or 2, and it now checks both; it failed before. JobsHttpRefusalTest and PoolLoadViewTest: 6 tests pass.

--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RetryTimes.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RetryTimes.java
@@ -11,8 +11,8 @@
     /** Loading the configuration takes about a second after a start. */
     private static final int LOADING_S = 1;
 
-    /** An entry whose store is away asks it again every 500 ms, and other entries may reach it. */
-    private static final int STORE_AWAY_S = 2;
+    /** The store may be away for a moment only, and other entries may reach it; callers lose what they wait longer. */
+    private static final int STORE_AWAY_S = 1;
 
     private static final double MS_PER_S = 1_000;
 
