--- a/runtime/src/main/java/org/fulmarreach/runtime/net/ClientAdmission.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/ClientAdmission.java
@@ -194,11 +194,6 @@
             return false;
         }
 
-        /** Tells whether all connections together hold more than half of the memory that they may. */
-        boolean isMemoryScarce() {
-            return heldBytes.get() > limits.memoryBytes() / 2;
-        }
-
         void release(long bytes) {
             held.addAndGet(-bytes);
             heldBytes.addAndGet(-bytes);
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/ConnectionStage.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/ConnectionStage.java
@@ -33,7 +33,7 @@
     /** Limits how long a peer that does not read or close may keep a connection after the last answer. */
     private static final Duration LINGER = Duration.ofSeconds(5);
 
-    /** While memory is scarce, requests sent ahead wait longer one after another, so that others come first. */
+    /** Requests sent ahead of the answers wait longer one after another, so that other connections come first. */
     private static final int AHEAD_STEP_MS = 10;
 
     private static final int MAX_AHEAD_MS = 1_000;
@@ -315,9 +315,7 @@
             } else {
                 connection.received();
                 sentAhead++;
-                if (client.isMemoryScarce()) {
-                    scheduleOnce(AHEAD_TIMER, Duration.ofMillis(Math.min(MAX_AHEAD_MS, AHEAD_STEP_MS * sentAhead)));
-                }
+                scheduleOnce(AHEAD_TIMER, Duration.ofMillis(Math.min(MAX_AHEAD_MS, AHEAD_STEP_MS * sentAhead)));
             }
             advance();
         }
