--- a/runtime/src/main/java/org/fulmarreach/runtime/net/ClientLimits.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/ClientLimits.java
@@ -56,16 +56,6 @@
         return (int) read(environment, Setting.MAX_HTTP_CONNECTIONS, Integer.toString(defaultConnections));
     }
 
-    /**
-     * Checks all variables of the limits, so that a process can end before it starts to listen.
-     *
-     * @throws FulmarreachException if a value is not a number or is out of range
-     */
-    public static void check(Map<String, String> environment) {
-        of(environment);
-        maxConnections(environment, 1);
-    }
-
     private static ClientLimits of(long memoryBytes, int header, int receive, int write, int linger) {
         long heapPart = Runtime.getRuntime().maxMemory() / HEAP_PARTS;
         return new ClientLimits(memoryBytes == 0 ? heapPart : memoryBytes, header, receive, write, linger);
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/ConnectionStage.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/ConnectionStage.java
@@ -118,7 +118,7 @@
         public void preStart() {
             AsyncCallback<Integer> closeIfIdle = createAsyncCallback(ignored -> closeIfIdle());
             connection.onClose(() -> closeIfIdle.invoke(0));
-            AsyncCallback<Integer> evict = createAsyncCallback(ignored -> evict());
+            AsyncCallback<Integer> evict = createAsyncCallback(ignored -> abort("the memory or place is needed"));
             client.onEvict(() -> evict.invoke(0));
             scheduleWithFixedDelay(IDLE_TIMER, IDLE_CHECK, IDLE_CHECK);
         }
@@ -158,22 +158,9 @@
             complete(toHttp);
         }
 
-        /** A request may have been passed on since this connection was chosen; then it ends with the answer. */
-        private void evict() {
-            if (isAnswerDue && !isBodyDue) {
-                endsAfterAnswer = true;
-            } else {
-                abort("the memory or place is needed");
-            }
-        }
-
-        /**
-         * Bytes may have arrived since the decision to close this connection, or a request sent ahead waits until the
-         * transport has taken the answer before; then it stays open.
-         */
+        /** Bytes may have arrived since the decision to close this connection; then it stays open. */
         private void closeIfIdle() {
-            boolean isIdle = !connection.isInProgress() && framer.isEmpty() && pendingOutput.isEmpty();
-            if (isIdle && !isClosed(toNet)) {
+            if (!connection.isInProgress() && !isClosed(toNet)) {
                 endOutput();
                 cancel(fromHttp);
                 complete(toHttp);
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/RequestFramer.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/RequestFramer.java
@@ -245,10 +245,7 @@
                 }
                 case String name -> {
                     boolean isForwarded = forwardedNames.isEmpty() || forwardedNames.contains(name);
-                    if (isForwarded && forwardedLines++ == MAX_FORWARDED_LINES) {
-                        // Leaving out a line that an endpoint reads would change what the request means.
-                        refusal = new Result.Refused(431, "headerLines");
-                    } else if (isForwarded) {
+                    if (isForwarded && forwardedLines++ < MAX_FORWARDED_LINES) {
                         forwarded.write(buffer, start, colon + 1 - start);
                         writeLine(forwarded, " " + valueOf(colon + 1, end));
                     }
@@ -402,7 +399,7 @@
     private long estimateCost(int bytes) {
         return REQUEST_COST_BYTES
                 + (long) COPIES * bytes
-                + (long) LINE_COST_BYTES * head.forwardedLines
+                + (long) LINE_COST_BYTES * Math.min(head.forwardedLines, MAX_FORWARDED_LINES)
                 + (long) SEGMENT_COST_BYTES * countSegments();
     }
 
