--- a/entry/src/main/java/org/fulmarreach/entry/http/EntryHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/http/EntryHttp.java
@@ -1,7 +1,6 @@
 package org.fulmarreach.entry.http;
 
 import java.net.InetSocketAddress;
-import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -16,11 +15,8 @@
 import org.fulmarreach.runtime.cfg.Setting;
 import org.fulmarreach.runtime.cfg.Settings;
 import org.fulmarreach.runtime.log.EventLog;
-import org.fulmarreach.runtime.net.ClientAdmission;
-import org.fulmarreach.runtime.net.ClientLimits;
 import org.fulmarreach.runtime.net.HttpBinding;
 import org.fulmarreach.runtime.net.HttpListener;
-import org.fulmarreach.runtime.util.MonotonicClock;
 
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -68,20 +64,16 @@
         AtomicInteger running = new AtomicInteger();
         int maxConnections = settings.intNumber(Setting.MAX_HTTP_CONNECTIONS);
         registerGauges(meters, bodies, running, maxConnections);
-        ClientAdmission admission = new ClientAdmission(ClientLimits.of(settings), MonotonicClock.system(), log);
-        admission.register(meters);
-        int maxBodyBytes = settings.intNumber(Setting.MAX_BODY_BYTES);
         CompletionStage<HttpBinding> callers = HttpListener.bind(
                 system,
-                new HttpListener.Endpoint(settings.address(Setting.HTTP), maxConnections, maxBodyBytes, Set.of()),
-                admission,
+                settings.address(Setting.HTTP),
+                maxConnections,
                 request -> handleCounted(running, callEndpoint, request),
                 (request, failure) -> handleFailure(log, request, failure));
         CompletionStage<HttpBinding> operators = HttpListener.bind(
                 system,
-                new HttpListener.Endpoint(
-                        settings.address(Setting.OPERATOR_HTTP), MAX_OPERATOR_CONNECTIONS, maxBodyBytes, Set.of()),
-                admission,
+                settings.address(Setting.OPERATOR_HTTP),
+                MAX_OPERATOR_CONNECTIONS,
                 operatorEndpoint::handle,
                 (request, failure) -> handleFailure(log, request, failure));
         return callers.thenCombine(operators, EntryHttp::new);
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/HttpConnections.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/HttpConnections.java
@@ -113,11 +113,6 @@
             return ended;
         }
 
-        /** Returns whether a handler works on a request. */
-        boolean isHandled() {
-            return handled.get() > 0;
-        }
-
         boolean isInProgress() {
             return receivedSinceAnswer || handled.get() > 0;
         }
