Name the jobs that have no run, with the reason

Change: JobWaits keeps since when each job has had no run at work; only a run that its worker lists ends a wait, and the wait goes back to the submission also under a new leader. 4094 (JOB_WAITING) names such a job after 2 s with the reason and its inputs, at most 10 lines a second. The lines about changes of workers move out of JobScheduler to make room. No decision changes.

--- a/core/src/main/java/org/fulmarreach/core/jobs/DecisionLog.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/DecisionLog.java
@@ -55,6 +55,8 @@
         PACE_CHANGED,
         /** A long-running task that may run has not been at work for a while. */
         TASK_WAITING,
+        /** A job has had no run at work for a while, though the turn of one of its tasks has come. */
+        JOB_WAITING,
         /** A task that may run is over the time limit of its next step, or has no next step. */
         TASK_OVERDUE,
         /** An availability zone is evacuated; nothing is started there. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/Job.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Job.java
@@ -112,6 +112,16 @@
         return count(TaskPhase.ASSIGNED) > 0;
     }
 
+    /** Returns the number of tasks that are done. */
+    int doneTasks() {
+        return count(TaskPhase.DONE);
+    }
+
+    /** Tells whether a worker is known to have begun a task. */
+    boolean hasBegun() {
+        return begun;
+    }
+
     /** Tells whether all predecessors of a step are done within an occurrence. */
     boolean isReady(int occurrence, int step) {
         for (int predecessor : spec.steps().get(step).predecessors()) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -45,6 +45,8 @@
     private final InterferenceModel model = new InterferenceModel();
     private final LeaseWithholder withholder;
     private final TaskWaitMonitor waits;
+    private final JobWaits jobWaits = new JobWaits();
+    private final JobWaitMonitor jobWaitMonitor;
     private final NextStepMonitor nextSteps;
     private final PoolLoadMeter loadMeter;
     private final Map<String, QueuePolicy> knownPolicies = new HashMap<>();
@@ -90,6 +92,7 @@
         this.lifetimes = new LifetimeChange(registry, runs, decisions, log);
         WaitDiagnosis diagnosis = new WaitDiagnosis(workers.values(), placement, limits);
         this.waits = new TaskWaitMonitor(active, this::policy, diagnosis, log);
+        this.jobWaitMonitor = new JobWaitMonitor(jobWaits, this::policy, diagnosis, log);
         this.loadMeter = new PoolLoadMeter(workers.values(), this::policy, times, nowMs);
         this.nextSteps = new NextStepMonitor(registry, active, workers, crashes, waits, limits, log);
         for (Job job : registry.jobs()) {
@@ -155,20 +158,10 @@
         WorkerView worker = workers.computeIfAbsent(report.ref().guard(), guard -> newView(guard, nowMs));
         String ignored = worker.findReasonToIgnore(report, nowMs);
         if (ignored != null) {
-            log.record(
-                    Decision.WORKER_CHANGED,
-                    report.ref().id(),
-                    "bornMs",
-                    report.ref().startedAtMs(),
-                    "newestBornMs",
-                    worker.newestStartMs(),
-                    "look",
-                    report.pollNumber(),
-                    "outcome",
-                    ignored);
+            WorkerChangeLog.recordIgnored(log, worker, report, ignored);
             return false;
         }
-        logWorkerChange(worker, report);
+        WorkerChangeLog.recordChange(log, worker, report);
         lifetimes.adoptListed(report, worker, nowMs);
         if (worker.report() == null) {
             crashes.onUnseenEnd(worker, report, nowMs);
@@ -294,6 +287,7 @@
         }
         crashes.review(nowMs);
         headroom.beginPass(active, nowMs);
+        jobWaits.review(active, nowMs, unixMs);
         placement.beginPass(nowMs);
         List<Job> ordered = new ArrayList<>();
         for (Job job : active) {
@@ -314,6 +308,7 @@
         placer.placeTrials(config.version(), nowMs);
         retention.removeExpired(active, unixMs);
         waits.review(nowMs, unixMs, placing);
+        jobWaitMonitor.review(nowMs, unixMs, placing);
         nextSteps.review(nowMs, unixMs);
         loadMeter.review(active, nowMs, unixMs);
     }
@@ -437,35 +432,6 @@
         }
     }
 
-    private void logWorkerChange(WorkerView worker, WorkerReport report) {
-        WorkerReport before = worker.report();
-        if (before == null || !before.ref().equals(report.ref())) {
-            log.record(
-                    Decision.WORKER_SEEN,
-                    report.ref().id(),
-                    "guard",
-                    report.ref().guard(),
-                    "bornMs",
-                    report.ref().startedAtMs(),
-                    "zone",
-                    report.zone(),
-                    "milliCores",
-                    report.capacity().milliCores(),
-                    "memoryMb",
-                    report.capacity().memoryMb());
-        } else if (before.reachable() != report.reachable() || before.draining() != report.draining()) {
-            log.record(
-                    Decision.WORKER_CHANGED,
-                    report.ref().id(),
-                    "reachable",
-                    report.reachable(),
-                    "draining",
-                    report.draining(),
-                    "look",
-                    report.pollNumber());
-        }
-    }
-
     private void expireLeases(long nowMs) {
         for (WorkerView worker : workers.values()) {
             long ageMs = nowMs - worker.grantedAtMs();
--- a/core/src/main/java/org/fulmarreach/core/jobs/WaitReason.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WaitReason.java
@@ -114,6 +114,17 @@
     record LeaseNotOver(String guard, long answeredForMs, long remainingMs, boolean reconnected)
             implements WaitReason {}
 
+    /**
+     * The task may crash its workers, and is tried alone or given up next.
+     *
+     * @param crashes crashes that it is suspected of
+     * @param convicted whether it is given up unless its crashes prove to be a power loss
+     */
+    record Suspected(int crashes, boolean convicted) implements WaitReason {}
+
+    /** The run has ended and its worker does not list the end, so it may have succeeded and is not started again. */
+    record EndForgotten(String guard) implements WaitReason {}
+
     /** The task is assigned and no worker's assigned tasks include it. */
     record NoWorkerView(String guard) implements WaitReason {}
 
@@ -134,6 +145,8 @@
             case StartNotListed reason -> "start sent but not listed";
             case BeingStopped reason -> "being stopped";
             case LeaseNotOver reason -> "lease of a silent worker not over";
+            case Suspected reason -> "suspected of crashes, waits for its trial or verdict";
+            case EndForgotten reason -> "end of the run forgotten by its worker";
             case NoWorkerView reason -> "assigned, but in no worker's tasks";
         };
     }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -106,6 +106,10 @@
             4046,
             Level.WARNING,
             "A long-running task that may run has not been at work for 2 s; the reason and its inputs say why."),
+    JOB_WAITING(
+            4094,
+            Level.WARNING,
+            "A job has had no run at work for 2 s though a task's turn has come; the reason and its inputs say why."),
     TASK_OVERDUE(
             4047, Level.SEVERE, "A task that may run is over the time limit of its next step, or has none; report it."),
     CANCELLED_BEFORE_SUBMISSION(
@@ -201,6 +205,7 @@
             case TASK_GIVEN_UP -> TASK_GIVEN_UP;
             case PACE_CHANGED -> PACE_CHANGED;
             case TASK_WAITING -> TASK_WAITING;
+            case JOB_WAITING -> JOB_WAITING;
             case TASK_OVERDUE -> TASK_OVERDUE;
             case ZONE_EVACUATED -> ZONE_EVACUATED;
             case ZONE_EMPTIED -> ZONE_EMPTIED;
