--- a/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
@@ -178,6 +178,12 @@
         return crashedAtMs > 0;
     }
 
+    /** Begins a new lifetime after a crash, without waiting for the usual restart. */
+    void returnFromCrash() {
+        crashedAtMs = 0;
+        restart();
+    }
+
     /** Executes an order; returns the reason for which a start was refused, or null. */
     String execute(JobOrder order, JobRegistry registry) {
         if (!order.worker().equals(ref) || isDown()) {
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -208,6 +208,20 @@
         scheduler.restoreInterference(learned);
     }
 
+    /** Ends all workers and the leader at the same moment; they return together, without anything but the store. */
+    void losePower(int forMs) {
+        for (FakeWorker worker : ordered) {
+            worker.crash();
+            silent.add(worker);
+        }
+        run(forMs);
+        for (FakeWorker worker : ordered) {
+            worker.returnFromCrash();
+            silent.remove(worker);
+        }
+        replaceLeader();
+    }
+
     /** Returns the time from a job's submission to its completion in milliseconds; -1 if it is not completed. */
     long latencyMs(String jobId) {
         Long done = doneAtMs.get(jobId);
