Count only processors when a waiting job asks whether a service is mostly free

Cause: a best-effort job without a run may go where it interferes if less than half of the service's room is reserved. That was asked of each resource, and best-effort tasks reserve memory: 12 tasks of 13 GB hold more than half of a worker of 250 GB. So the tasks that such a job is to run beside closed the exception that was made for it.

Change: only processors count, which best-effort tasks do not reserve. The task itself must fit in memory as before.

The last reason of each job is in the message of JobGapTest.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -208,7 +208,7 @@
     /**
      * Returns the worker for a best-effort task that no worker accepts without interference or overcommitment: one
      * whose serving tasks are well below their targets and that has no other best-effort tasks. If there is none, and
-     * less than half of the service's room is reserved, the worker may have others: callers expect every job to have a
+     * less than half of the service's processors are reserved, the worker may have others: callers expect every job to have a
      * run then. In a fuller service the job waits, since slowing down all best-effort tasks would cost more; a standing
      * task does not wait for a worker whose idle processors suffice for it beside the others.
      */
@@ -308,18 +308,21 @@
         return faults + (worker.isReservedForTrial() ? RESERVED_PENALTY : 0);
     }
 
-    /** Tells whether less than half of each resource of the usable workers of a service is reserved. */
+    /**
+     * Tells whether less than half of the processors of the usable workers of a service is reserved. Memory does not
+     * count: most of it is held by the best-effort tasks that the waiting job is to run beside.
+     */
     private boolean isMostlyFree(String service, Collection<WorkerView> workers, long nowMs) {
         return mostlyFree.computeIfAbsent(service, unused -> {
-            Resources reserved = Resources.NONE;
-            Resources capacity = Resources.NONE;
+            long reserved = 0;
+            long capacity = 0;
             for (WorkerView worker : workers) {
                 if (isUsable(worker, service, workers, nowMs)) {
-                    reserved = reserved.plus(worker.reserved());
-                    capacity = capacity.plus(worker.report().capacity());
+                    reserved += worker.reserved().milliCores();
+                    capacity += worker.report().capacity().milliCores();
                 }
             }
-            return reserved.plus(reserved).fitsInto(capacity);
+            return 2 * reserved < capacity;
         });
     }
 
--- a/core/src/test/java/org/fulmarreach/core/jobs/JobGapTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/JobGapTest.java
@@ -61,6 +61,7 @@
         private final PoolEmulator pool;
         private final Map<String, Long> hinderedAtMs = new HashMap<>();
         private final Set<String> lost = new HashSet<>();
+        private final Map<String, String> reasons = new HashMap<>();
         private final List<String> violations = new ArrayList<>();
         private long disturbedAtMs;
         private int jobs;
@@ -76,6 +77,11 @@
                 worker.beginMs = 150;
                 worker.checkpointMs = 1_000;
             });
+            pool.observer = (decision, subject, fields) -> {
+                if (decision == DecisionLog.Decision.JOB_WAITING) {
+                    reasons.put(subject.substring(0, subject.indexOf('.')), List.of(fields) + "");
+                }
+            };
             disturbedAtMs = pool.nowMs;
         }
 
@@ -161,7 +167,7 @@
                 } else if (pool.nowMs - hinderedAtMs.getOrDefault(id, job.spec().acceptedAtMs()) > MAX_WITHOUT_RUN_MS
                         && lost.add(id)) {
                     violations.add("seed " + seed + " at " + pool.nowMs + ": " + id + " accepted at "
-                            + job.spec().acceptedAtMs());
+                            + job.spec().acceptedAtMs() + ", last reason " + reasons.get(id) + "\n");
                 }
             }
         }
