Keep a job's wait until a run of it is at work

Cause: the clock of the exception for a job without a run began when the leader first found no worker for it, began anew with each leader, and was taken away by any assignment, also one that was refused or lost at once.

Change: JobWaits is the only clock. A run that its worker lists ends a wait; a start that was ordered less than 1 s ago only delays the exception; a new leader takes over the waits from the submission, and those of jobs that have lost their runs as long ones.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -83,7 +83,7 @@
         UnavailabilityBudget budget = new UnavailabilityBudget();
         this.mover = new RunMover(decisions, budget, log);
         this.pacer = new BestEffortPacer(model, times, decisions, log);
-        this.placement = new Placement(model, headroom);
+        this.placement = new Placement(model, headroom, jobWaits);
         this.evacuation = new ZoneEvacuation(workers.values(), placement, mover, budget, this::policy, log, nowMs);
         this.crashes = new CrashTracker(decisions, log, placement);
         this.placer = new TaskPlacer(workers.values(), placement, crashes, decisions, log);
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobWaits.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobWaits.java
@@ -18,6 +18,9 @@
     /** Wait of a job that is found without a run and had one under a former leader; longer than any limit. */
     static final long UNKNOWN_WAIT_MS = 3_000;
 
+    /** Time in which a worker usually lists a run after its start was ordered; most do within half of it. */
+    private static final long START_MS = 1_000;
+
     /** Value of {@link Look#sinceMs} of a job that does not wait. */
     private static final long NOT_WAITING = Long.MAX_VALUE;
 
@@ -57,6 +60,22 @@
         return look == null || look.sinceMs() == NOT_WAITING ? 0 : nowMs - look.sinceMs();
     }
 
+    /**
+     * Returns for how long a job has had no run at work; 0 if a start of it was ordered so lately that its worker may
+     * list it next.
+     */
+    long waitedWithoutStartMs(Job job, long nowMs) {
+        long waitedMs = waitedMs(job, nowMs);
+        if (waitedMs > 0 && job.hasAssignedTasks()) {
+            for (JobTask task : job.tasks()) {
+                if (task.isAssigned() && nowMs - task.progress().orderedAtMs() < START_MS) {
+                    return 0;
+                }
+            }
+        }
+        return waitedMs;
+    }
+
     /** Returns the jobs that have waited for at least a time. */
     List<Job> findWaiting(long minWaitMs, long nowMs) {
         return looks.keySet().stream()
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.WeakHashMap;
 
 import org.fulmarreach.core.model.Resources;
 
@@ -61,7 +60,7 @@
 
     private final Colocation colocation;
     private final Headroom headroom;
-    private final Map<Job, Long> withoutRunSinceMs = new WeakHashMap<>();
+    private final JobWaits jobWaits;
     private final Map<JobTask, Wait> waits = new HashMap<>();
     private final Map<TaskClass, List<Resources>> unplaceable = new HashMap<>();
     private final Set<WorkerView> heldWorkers = new HashSet<>();
@@ -78,13 +77,18 @@
 
     /** Constructs a placement that avoids the interference that the model predicts and keeps no headroom. */
     Placement(InterferenceModel model) {
-        this(model, new Headroom(job -> null));
+        this(model, new Headroom(job -> null), new JobWaits());
     }
 
-    /** Constructs a placement that also keeps standing tasks out of the headroom of short jobs. */
-    Placement(InterferenceModel model, Headroom headroom) {
+    /**
+     * Constructs a placement that also keeps standing tasks out of the headroom of short jobs.
+     *
+     * @param jobWaits for how long jobs have had no run, reviewed by the scheduler
+     */
+    Placement(InterferenceModel model, Headroom headroom, JobWaits jobWaits) {
         this.colocation = new Colocation(model);
         this.headroom = headroom;
+        this.jobWaits = jobWaits;
     }
 
     /** Begins a pass over the waiting tasks; {@link #onCapacityFreed} must be called if it frees capacity. */
@@ -127,9 +131,6 @@
         headroom.observe(task, service, () -> hasRoomTwice(task, service, workers, nowMs), nowMs);
         Headroom.Limit limit = findLimit(task, service, workers, nowMs);
         WorkerView best = findWorkerWithoutInterference(task, service, workers, limit, nowMs);
-        if (best != null || task.job().hasAssignedTasks()) {
-            withoutRunSinceMs.remove(task.job());
-        }
         if (best != null) {
             waits.remove(task);
         }
@@ -189,15 +190,9 @@
 
     /** Tells whether a standing task without a worker, or else its whole job, has had no run for a while. */
     private boolean hasWaitedLong(JobTask task, long nowMs) {
-        long sinceMs;
-        if (isStanding(task)) {
-            sinceMs = recordWait(task, nowMs);
-        } else if (task.job().hasAssignedTasks()) {
-            return false;
-        } else {
-            sinceMs = withoutRunSinceMs.computeIfAbsent(task.job(), unused -> nowMs);
-        }
-        return nowMs - sinceMs >= MAX_WITHOUT_RUN_MS;
+        long waitedMs =
+                isStanding(task) ? nowMs - recordWait(task, nowMs) : jobWaits.waitedWithoutStartMs(task.job(), nowMs);
+        return waitedMs >= MAX_WITHOUT_RUN_MS;
     }
 
     /** Tells whether a task is promised a run by itself, whatever other tasks of its job do. */
