Serve jobs that are too late in the order of their submission

Cause: among jobs whose result is of no use any more the smallest remaining part went first. No caller gains by that order, and a job with much left is passed by all others for as long as there are any.

Change: among these the oldest goes first. The order of all others is as it was.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
@@ -27,7 +27,8 @@
      *
      * @param claim what the job claims
      * @param first whether it goes before all others of its priority
-     * @param acceptedAtMs submission time; only decides among jobs that are first and among standing ones
+     * @param acceptedAtMs submission time; only decides among jobs that are first, among standing ones, and among those
+     *     whose result comes too late to be of use
      */
     record Rank(Claim claim, boolean first, long acceptedAtMs) implements Comparable<Rank> {
         private static final Comparator<Rank> ORDER = Comparator.comparingInt(
@@ -36,11 +37,19 @@
                 .thenComparing(Rank::compareInGroup);
 
         private static int compareInGroup(Rank one, Rank other) {
-            int byCost = one.first() ? 0 : CallerCost.ORDER.compare(one.claim(), other.claim());
-            boolean byAge = byCost == 0 && (one.first() || one.claim() instanceof Claim.Standing);
+            if (one.first() || one.isUseless() && other.isUseless()) {
+                return Long.compare(one.acceptedAtMs(), other.acceptedAtMs());
+            }
+            int byCost = CallerCost.ORDER.compare(one.claim(), other.claim());
+            boolean byAge = byCost == 0 && one.claim() instanceof Claim.Standing;
             return byAge ? Long.compare(one.acceptedAtMs(), other.acceptedAtMs()) : byCost;
         }
 
+        /** Tells whether the job has nothing to lose by a delay; the oldest goes first then, so that none starves. */
+        private boolean isUseless() {
+            return prospect() == CallerCost.Prospect.USELESS;
+        }
+
         CallerCost.Prospect prospect() {
             return CallerCost.prospect(claim);
         }
