Add failing seeds and faults to the test of waiting jobs

JobGapTest plays 200 seeds instead of 40, and the same loads with workers that fail, jobs that fail or crash their workers, and standing tasks that fit nowhere.

--- a/core/src/test/java/org/fulmarreach/core/jobs/JobGapTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/JobGapTest.java
@@ -20,7 +20,7 @@
  * its task twice over and less than half of the processors are reserved.
  */
 class JobGapTest {
-    private static final int SEEDS = Integer.getInteger("job.gap.seeds", 40);
+    private static final int SEEDS = Integer.getInteger("job.gap.seeds", 200);
     private static final int FIRST_SEED = Integer.getInteger("job.gap.first", 0);
 
     private static final Resources WORKER = new Resources(64_000, 250_000, 0);
@@ -47,16 +47,31 @@
     /** Guards against a job that waits without a bound, behind others or since nobody keeps for how long it has. */
     @Test
     void noJobIsWithoutARunWhileThereIsRoom() {
+        assertEquals(List.of(), simulate(false), "jobs without a run for over 3 s beside free room");
+    }
+
+    /**
+     * The same with workers that fail all runs for a while, jobs that fail or crash their workers, and standing tasks
+     * too large for any worker. Guards against a job that waits for workers which are suspected, reserved for a trial,
+     * or held for another task.
+     */
+    @Test
+    void noJobIsWithoutARunAfterFaults() {
+        assertEquals(List.of(), simulate(true), "jobs without a run for over 3 s beside free room");
+    }
+
+    private static List<String> simulate(boolean faulty) {
         List<String> violations = new ArrayList<>();
         for (int seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-            violations.addAll(new Scenario(seed).simulate());
+            violations.addAll(new Scenario(seed, faulty).simulate());
         }
-        assertEquals(List.of(), violations, "jobs without a run for over 3 s beside free room");
+        return violations;
     }
 
     /** One random load with its events. */
     private static final class Scenario {
         private final int seed;
+        private final boolean faulty;
         private final Random random;
         private final PoolEmulator pool;
         private final Map<String, Long> hinderedAtMs = new HashMap<>();
@@ -66,8 +81,9 @@
         private long disturbedAtMs;
         private int jobs;
 
-        Scenario(int seed) {
+        Scenario(int seed, boolean faulty) {
             this.seed = seed;
+            this.faulty = faulty;
             this.random = new Random(seed);
             this.pool = new PoolEmulator(seed, 0.3 * random.nextDouble(), 1 + 2 * random.nextDouble(), CONFIG);
             for (int i = 0; i < WORKERS; i++) {
@@ -96,6 +112,13 @@
                                 .serving("serve-" + i, 18),
                         0);
             }
+            if (faulty) {
+                submit(
+                        "standing",
+                        TestSteps.of(3, new Resources(40_000, 26_000, 0), 0, List.of())
+                                .serving("large", 18),
+                        0);
+            }
             double quickPerStep = 0.2 * random.nextDouble();
             double longPerStep = 0.02 + 0.12 * random.nextDouble();
             long powerOffAtMs = pool.nowMs + TRAFFIC_MS / 2 + random.nextInt(TRAFFIC_MS / 2);
@@ -111,6 +134,9 @@
                     disturbedAtMs = pool.nowMs;
                     pool.replaceLeader();
                 }
+                if (faulty) {
+                    injectFault();
+                }
                 if (pool.nowMs >= powerOffAtMs) {
                     powerOffAtMs = Long.MAX_VALUE;
                     pool.losePower(POWER_OFF_MS);
@@ -118,16 +144,40 @@
                 }
                 advance();
             }
+            pool.workers.values().forEach(worker -> worker.failing = false);
             for (long untilMs = pool.nowMs + FINISH_MS; pool.nowMs < untilMs; ) {
                 advance();
             }
             return violations;
         }
 
-        private void submitQuick() {
+        /** Begins or ends a time in which a worker fails all runs, crashes one, or submits a job that does harm. */
+        private void injectFault() {
+            List<FakeWorker> workers = List.copyOf(pool.workers.values());
+            FakeWorker worker = workers.get(random.nextInt(WORKERS));
+            switch (random.nextInt(100)) {
+                case 0, 1, 2 -> worker.failing = !worker.failing;
+                case 3 -> {
+                    if (workers.stream().noneMatch(FakeWorker::isDown)) {
+                        worker.crash();
+                    }
+                }
+                case 4 -> pool.faultyJobs.add(submitQuick());
+                case 5 -> {
+                    String id = "quick-" + jobs;
+                    pool.deadlyTasks.add(id + ".0.0.0");
+                    submitQuick();
+                }
+                default -> {
+                    // No fault in this step.
+                }
+            }
+        }
+
+        private String submitQuick() {
             int taskMs = 400 + random.nextInt(2_000);
             Resources demand = new Resources(1_000 + random.nextInt(3_000), 2_000 + random.nextInt(6_000), 0);
-            submit("quick", TestSteps.of(1 + random.nextInt(10), demand, taskMs, List.of()), taskMs);
+            return submit("quick", TestSteps.of(1 + random.nextInt(10), demand, taskMs, List.of()), taskMs);
         }
 
         private void submitLong() {
@@ -140,12 +190,13 @@
                     taskMs);
         }
 
-        private void submit(String queue, TestSteps steps, long taskMs) {
+        private String submit(String queue, TestSteps steps, long taskMs) {
             String id = queue + "-" + jobs++;
             JobStep step = steps.build();
             pool.submit(
                     new JobSpec(id, queue, "", List.of(step), 0, 0, 0, pool.nowMs),
                     Collections.nCopies(step.taskCount(), taskMs));
+            return id;
         }
 
         /*
@@ -154,6 +205,9 @@
 
         private void advance() {
             pool.run(STEP_MS);
+            if (pool.workers.values().stream().anyMatch(worker -> worker.failing || worker.isDown())) {
+                disturbedAtMs = pool.nowMs;
+            }
             boolean calm = pool.nowMs - disturbedAtMs > SETTLE_MS;
             boolean mostlyFree = isMostlyFree();
             for (Job job : pool.registry.jobs()) {
