Let a waiting job run beside serving tasks that are within the pacer's goal

What callers saw: a best-effort job without a run while the workers with room had a serving task between 0.5 and 0.8 of its target (LOST).

Cause: the exception for a job without a run took only workers whose serving tasks are below half of their targets; no other worker was ever asked.

Change: in a service that is mostly free a worker counts up to 0.8 of a target, where the pacer does not throttle yet, after all workers that are well below. The scores move from Placement to WorkerScore to make room.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -16,27 +16,6 @@
  * the remaining workers wins. Not thread-safe.
  */
 final class Placement {
-    /** Weight of the predicted pressure excess relative to the load of the worker in a best-effort task's score. */
-    private static final double PRESSURE_WEIGHT = 1;
-
-    /**
-     * Groups serving tasks by image, so that a best-effort image that interferes with one of them still finds workers
-     * without that one. Outweighs any difference in load.
-     */
-    private static final double MIXED_IMAGES_PENALTY = 2;
-
-    /** Packs serving tasks onto workers that already have some, so that other workers stay free of them. */
-    private static final double PACKING_BONUS = 1;
-
-    /** Tasks run longer away from the rack of their data or of their step; outweighs any difference in load. */
-    private static final double REMOTE_PENALTY = 1.5;
-
-    /** Each successive fault of a worker counts as much as this additional share of load. */
-    private static final double FAULT_PENALTY = 0.5;
-
-    /** Keeps a retry off the worker of the previous attempt while another worker has capacity. */
-    private static final double AVOIDED_PENALTY = 4;
-
     /** A job or standing task without a run for this long is placed where it interferes; callers allow for 3 s. */
     private static final long MAX_WITHOUT_RUN_MS = 1_500;
 
@@ -46,6 +25,9 @@
     /** Outweighs any predicted excess, so that workers without best-effort tasks come first. */
     private static final double OVERCOMMIT_PENALTY = 100;
 
+    /** Outweighs any overcommitment, which slows down only best-effort tasks. */
+    private static final double NEAR_TARGET_PENALTY = 300;
+
     /** Outweighs any overcommitment, so that a worker whose runs fail comes last. */
     private static final double SUSPECTED_PENALTY = 1_000;
 
@@ -55,6 +37,9 @@
     /** Tail ratio up to which serving tasks tolerate an interfering task until it is throttled. */
     private static final double LOW_TAIL_RATIO = 0.5;
 
+    /** Tail ratio up to which the pacer does not throttle, and raises CPU shares. */
+    private static final double FAIR_TAIL_RATIO = 0.8;
+
     /** Number of suspected workers from which on the jobs are a likelier cause of the failures. */
     private static final int MIN_SUSPECTED_WORKERS = 2;
 
@@ -215,9 +200,11 @@
             boolean free = worker.bestEffortMilliCores() == 0;
             if (isOpenToWaiting(task, service, worker, workers, nowMs)
                     && hasReservableCapacity(task, worker)
-                    && isWellBelowTargets(worker)
-                    && (free || hasRoomBesideOthers(task, worker) || isMostlyFree(service, workers, nowMs))) {
+                    && (free || hasRoomBesideOthers(task, worker) || isMostlyFree(service, workers, nowMs))
+                    && (tailRatio(worker) <= LOW_TAIL_RATIO
+                            || tailRatio(worker) <= FAIR_TAIL_RATIO && isMostlyFree(service, workers, nowMs))) {
                 double excess = colocation.predictExcess(task.step(), worker);
+                excess += tailRatio(worker) <= LOW_TAIL_RATIO ? 0 : NEAR_TARGET_PENALTY;
                 if (!free) {
                     excess += OVERCOMMIT_PENALTY + worker.bestEffortMilliCores() / Colocation.idleMilliCores(worker);
                 }
@@ -266,7 +253,7 @@
             if (isOpenToWaiting(task, service, worker, workers, nowMs)
                     && hasCapacity(task, worker)
                     && (limit == null || limit.admits(worker))) {
-                double score = score(task, worker, 0) + doubts(task, worker, nowMs);
+                double score = WorkerScore.of(task, worker, 0) + doubts(task, worker, nowMs);
                 if (score < bestScore) {
                     best = worker;
                     bestScore = score;
@@ -323,12 +310,15 @@
 
     /** Tells whether the tail latencies of all serving tasks of a worker are well below their targets. */
     private boolean isWellBelowTargets(WorkerView worker) {
+        return tailRatio(worker) <= LOW_TAIL_RATIO;
+    }
+
+    private static double tailRatio(WorkerView worker) {
+        double worst = 0;
         for (JobTask serving : worker.assigned()) {
-            if (serving.step().isServing() && serving.tailRatio() > LOW_TAIL_RATIO) {
-                return false;
-            }
+            worst = Math.max(worst, serving.tailRatio());
         }
-        return true;
+        return worst;
     }
 
     private WorkerView findWorkerWithoutInterference(
@@ -353,7 +343,7 @@
             if (excess > 0) {
                 continue;
             }
-            double score = score(task, worker, excess);
+            double score = WorkerScore.of(task, worker, excess);
             if (score < bestScore) {
                 best = worker;
                 bestScore = score;
@@ -516,46 +506,4 @@
         }
         return step.maxPerWorker() == 0 || worker.countTasksOfStep(task) < step.maxPerWorker();
     }
-
-    /** Tells whether the worker has serving tasks of another image. */
-    private static boolean hasOtherServingImages(JobStep serving, WorkerView worker) {
-        int images = worker.servingByImage().size();
-        return images > 1 || images == 1 && !worker.servingByImage().containsKey(serving.image());
-    }
-
-    private static double score(JobTask task, WorkerView worker, double excess) {
-        JobStep step = task.step();
-        double capacity = Math.max(1, worker.report().capacity().milliCores());
-        double bestEffortLoad = worker.bestEffortMilliCores() / capacity;
-        double reservedLoad = worker.reserved().milliCores() / capacity;
-        double score = reservedLoad + bestEffortLoad + worker.faultsInRow() * FAULT_PENALTY;
-        if (step.bestEffort()) {
-            score = worker.bestEffortMilliCores() / Colocation.idleMilliCores(worker);
-            score += PRESSURE_WEIGHT * excess + worker.faultsInRow() * FAULT_PENALTY;
-        } else if (step.isServing()) {
-            score += hasOtherServingImages(step, worker) ? MIXED_IMAGES_PENALTY : 0;
-            score -= worker.servingTasks() > 0 ? PACKING_BONUS : 0;
-        }
-        if (worker.report().ref().equals(task.avoided())) {
-            score += AVOIDED_PENALTY;
-        }
-        if (!step.dataRack().isEmpty() && !worker.rack().equals(step.dataRack())) {
-            score += REMOTE_PENALTY;
-        }
-        if (step.rackLocal() && isRemoteFromStep(task, worker)) {
-            score += REMOTE_PENALTY;
-        }
-        return score;
-    }
-
-    private static boolean isRemoteFromStep(JobTask task, WorkerView worker) {
-        for (JobTask other :
-                task.job().tasksOf(task.name().occurrence(), task.name().step())) {
-            String rack = other.lastRack();
-            if (other.isAssigned() && rack != null) {
-                return !rack.equals(worker.rack());
-            }
-        }
-        return false;
-    }
 }
