--- a/core/src/main/java/org/fulmarreach/core/jobs/JobWaitMonitor.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobWaitMonitor.java
@@ -21,8 +21,8 @@
     /** Callers allow for 3 s. */
     static final long REPORT_AFTER_MS = 2_000;
 
-    /** Finding a reason walks through all workers. With two checks a second, at most 10 lines a second. */
-    static final int MAX_REASONS_PER_CHECK = 5;
+    /** Finding a reason walks through all workers. With two checks a second, at most 4 lines a second. */
+    static final int MAX_REASONS_PER_CHECK = 2;
 
     private final JobWaits waits;
     private final Function<Job, QueuePolicy> policies;
