Give best-effort tasks of all sizes the same chance at idle processors

What callers saw: a job of 35 tasks with 8.15 cores had one run at a time for 11 s and none of a task that was not done at the end (LOST), while younger jobs with smaller tasks had dozens.

Cause: a task had to fit whole below the limit of overcommitment. On a full worker, what one task frees suffices only for one of its size or a smaller one, so smaller tasks of lower rank take all room that is freed.

Change: the middle of the task has to be below the limit. A full worker carries half a task more or less than before, whatever the sizes.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Colocation.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Colocation.java
@@ -41,9 +41,13 @@
         return comparedPairs;
     }
 
-    /** Tells whether the processors that are idle most of the time suffice for one more best-effort task. */
+    /**
+     * Tells whether the processors that are idle most of the time suffice for one more best-effort task. Half of the
+     * task may exceed the limit. If the whole task had to fit, what one task frees would suffice only for one of its
+     * size or a smaller one, and larger tasks would starve behind a stream of those.
+     */
     static boolean hasIdleCapacity(JobStep step, WorkerView worker) {
-        double filled = worker.bestEffortMilliCores() + step.demand().milliCores();
+        double filled = worker.bestEffortMilliCores() + step.demand().milliCores() / 2.0;
         return worker.bestEffortMilliCores() == 0 || filled <= MAX_IDLE_OVERCOMMIT * idleMilliCores(worker);
     }
 
--- a/core/src/test/java/org/fulmarreach/core/jobs/LargeTaskTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/LargeTaskTest.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import java.util.Random;
 
 import org.fulmarreach.core.model.Resources;
 import org.junit.jupiter.api.Test;
