Let the soak check that no job is without a run beside free workers

The worker soak looked only at standing tasks and at whether a job is completed in the end. Now a job that ends by itself must have a run again 9 s after its last one, in calm, with room for it twice over and less than half of the capacity in use; gangs are left out, since their room is that of all members. StandingGaps checks this with the same windows as before.

The soak itself was not run on this commit yet.

--- a/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
+++ b/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
@@ -26,8 +26,8 @@
  * leave with their machine, refuse connections, and hold orders and polls back, while other writers send heartbeats,
  * while the store is silent, refuses calls or loses answers, and while guards and entries are paused and killed, also
  * leaders in a row. An operator changes the configuration all the time. After each burst of faults the deployment is
- * left alone. Checks, from what the workers ran, that no task runs twice and no standing task is without a run for
- * longer than the platform's rules allow, and from what callers see, that every job is completed and that a
+ * left alone. Checks, from what the workers ran, that no task runs twice and no standing task, and no job that ends by
+ * itself, is without a run for longer than the platform's rules allow, and from what callers see, that every job is completed and that a
  * configuration is in force in time and never back. The faults of each burst, in their order, depend only on the seed
  * and the kinds of faults, and how many of them there are also on its time; faults overlap.
  */
@@ -225,7 +225,7 @@
                 + (atWork ? "at work" : "not all at work"));
     }
 
-    /** Returns the times in which a standing task was without a run for longer than allowed. */
+    /** Returns the times in which a standing task, or a whole job, was without a run for longer than allowed. */
     private List<String> findGaps(long cancelledAtMs) {
         StandingGaps gaps = new StandingGaps(
                 faults.disruptions().list(),
@@ -241,10 +241,22 @@
                 gaps.find(new StandingGaps.Task(task, Workload.MILLI_CORES, owed, site.history.findSpans(task)))
                         .forEach(gap -> found.add(gap.describe(site.history.beganAtMs())));
             }
+            if (!isLasting(id) && jobs.get(id).kind() != Workload.Kind.GANG) {
+                findGapsOfJob(gaps, id, fromMs)
+                        .forEach(gap -> found.add("JOB " + gap.describe(site.history.beganAtMs())));
+            }
         });
         return found;
     }
 
+    /** A job is owed a run until its last one ends; whether it is completed then is checked by itself. */
+    private List<StandingGaps.Gap> findGapsOfJob(StandingGaps gaps, String id, long fromMs) {
+        List<StandingGaps.Span> spans = site.history.findSpansOfJob(id);
+        long lastMs = spans.stream().mapToLong(StandingGaps.Span::fromMs).max().orElse(fromMs);
+        StandingGaps.Span owed = new StandingGaps.Span(fromMs, Math.max(fromMs, lastMs));
+        return gaps.findOfJob(new StandingGaps.Task(id, Workload.MILLI_CORES, owed, spans));
+    }
+
     /** Returns the jobs that are neither completed nor, if they last, at work in time. */
     private List<String> awaitJobs() {
         return awaitAll(
--- a/standin/src/main/java/org/fulmarreach/standin/site/RunHistory.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/RunHistory.java
@@ -235,6 +235,15 @@
         return runsByTask.getOrDefault(task, List.of()).stream().map(Run::span).toList();
     }
 
+    /** Returns the times in which tasks of a job were at work. */
+    public synchronized List<StandingGaps.Span> findSpansOfJob(String id) {
+        return runsByTask.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith(id + "."))
+                .flatMap(entry -> entry.getValue().stream())
+                .map(Run::span)
+                .toList();
+    }
+
     /** Returns the moment from which the times of the printed runs are counted, in Unix milliseconds. */
     public long beganAtMs() {
         return beganAtMs;
--- a/standin/src/main/java/org/fulmarreach/standin/site/StandingGaps.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/StandingGaps.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongPredicate;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
@@ -104,6 +105,19 @@
 
     /** Returns the gaps of a task that are longer than allowed, in the order of time. */
     public List<Gap> find(Task task) {
+        return find(task, atMs -> true);
+    }
+
+    /**
+     * Returns the gaps of a job that ends by itself, given by the runs of all its tasks. The rule holds for it only while
+     * less than half of the capacity is in use; the time after a run in which no window begins covers the lease of a
+     * worker that is lost with the only run.
+     */
+    public List<Gap> findOfJob(Task job) {
+        return find(job, this::isMostlyFreeAt);
+    }
+
+    private List<Gap> find(Task task, LongPredicate mayRunAt) {
         List<Gap> found = new ArrayList<>();
         long idleFromMs = task.owed().fromMs();
         for (Span run : task.runs().stream()
@@ -113,15 +127,16 @@
                             task,
                             new Span(
                                     idleFromMs,
-                                    Math.min(run.fromMs(), task.owed().toMs())))
+                                    Math.min(run.fromMs(), task.owed().toMs())),
+                            mayRunAt)
                     .ifPresent(found::add);
             idleFromMs = Math.max(idleFromMs, run.toMs());
         }
-        findGap(task, new Span(idleFromMs, task.owed().toMs())).ifPresent(found::add);
+        findGap(task, new Span(idleFromMs, task.owed().toMs()), mayRunAt).ifPresent(found::add);
         return found;
     }
 
-    private Optional<Gap> findGap(Task task, Span idle) {
+    private Optional<Gap> findGap(Task task, Span idle, LongPredicate mayRunAt) {
         if (idle.toMs() <= idle.fromMs()) {
             return Optional.empty();
         }
@@ -136,7 +151,9 @@
                 .mapToLong(Long::longValue);
         return starts.filter(startMs -> startMs >= earliestMs && startMs < idle.toMs() - WINDOW_MS)
                 .sorted()
-                .filter(startMs -> isCalm(startMs) && hasRoom(task.milliCores(), startMs))
+                .filter(startMs -> isCalm(startMs)
+                        && holdsInWindow(
+                                atMs -> hasRoomTwiceAt(task.milliCores(), atMs) && mayRunAt.test(atMs), startMs))
                 .boxed()
                 .findFirst()
                 .map(startMs -> new Gap(task.name(), idle, startMs, findPlannedWork(idle.fromMs(), startMs)));
@@ -160,15 +177,15 @@
         return span.fromMs() <= toMs && span.toMs() > fromMs;
     }
 
-    /** Room shrinks only when a run starts or a worker stops taking tasks. */
-    private boolean hasRoom(int milliCores, long startMs) {
+    /** Tells whether a condition on the room holds; room shrinks only when a run starts or a worker takes no tasks. */
+    private boolean holdsInWindow(LongPredicate room, long startMs) {
         LongStream changes = LongStream.concat(
                 services.stream().mapToLong(service -> service.span().toMs()),
                 runs.stream().mapToLong(run -> run.span().fromMs()));
         return LongStream.concat(LongStream.of(startMs), changes)
                 .filter(atMs -> atMs >= startMs && atMs <= startMs + WINDOW_MS)
                 .distinct()
-                .allMatch(atMs -> hasRoomTwiceAt(milliCores, atMs));
+                .allMatch(room);
     }
 
     private boolean hasRoomTwiceAt(int milliCores, long atMs) {
@@ -180,6 +197,18 @@
                 >= 2;
     }
 
+    private boolean isMostlyFreeAt(long atMs) {
+        long used = 0;
+        long capacity = 0;
+        for (Service service : services) {
+            if (includes(service.span(), atMs)) {
+                used += used(service, atMs);
+                capacity += service.capacityMilliCores();
+            }
+        }
+        return 2 * used < capacity;
+    }
+
     private long used(Service service, long atMs) {
         return runs.stream()
                 .filter(run -> run.worker().equals(service.worker()) && includes(run.span(), atMs))
--- a/standin/src/test/java/org/fulmarreach/standin/site/StandingGapsTest.java
+++ b/standin/src/test/java/org/fulmarreach/standin/site/StandingGapsTest.java
@@ -104,6 +104,24 @@
         assertEquals(List.of(), find(new Span(1_000, 20_000)));
     }
 
+    /** Guards against a job that ends by itself and is owed a run in a full pool, or none in one that is half free. */
+    @Test
+    void jobIsOwedARunWhileLessThanHalfIsInUse() {
+        services.set(0, new Service("i-0", 8 * MILLI_CORES, new Span(0, Long.MAX_VALUE)));
+        Span[] away = {new Span(1_000, 20_000), new Span(40_000, 100_000)};
+        runs.add(new Run("i-0", 4 * MILLI_CORES, new Span(0, Long.MAX_VALUE)));
+        assertEquals(List.of(), findOfJob(away));
+        runs.set(0, new Run("i-0", 4 * MILLI_CORES, new Span(0, 30_000)));
+        assertEquals(30_000, findOfJob(away).get(0).windowMs());
+        runs.set(0, new Run("i-0", 3 * MILLI_CORES, new Span(0, Long.MAX_VALUE)));
+        assertEquals(26_000, findOfJob(away).get(0).windowMs());
+    }
+
+    private List<Gap> findOfJob(Span... spans) {
+        return new StandingGaps(disruptions, services, runs)
+                .findOfJob(new Task("a", MILLI_CORES, OWED, List.of(spans)));
+    }
+
     private List<Gap> find(Span... spans) {
         return new StandingGaps(disruptions, services, runs)
                 .find(new Task("a.0.0.0", MILLI_CORES, OWED, List.of(spans)));
