--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -188,9 +188,10 @@
     /**
      * Returns the worker for a best-effort task that no worker accepts without interference or overcommitment: one
      * whose serving tasks are well below their targets and that has no other best-effort tasks. If there is none, and
-     * less than half of the service's processors are reserved, the worker may have others: callers expect every job to have a
-     * run then. In a fuller service the job waits, since slowing down all best-effort tasks would cost more; a standing
-     * task does not wait for a worker whose idle processors suffice for it beside the others.
+     * less than half of the service's processors are reserved, the worker may have others, or serving tasks up to the
+     * tail ratio that the pacer aims for: callers expect every job to have a run then. In a fuller service the job
+     * waits, since slowing down all best-effort tasks would cost more; a standing task does not wait for a worker whose
+     * idle processors suffice for it beside the others.
      */
     private WorkerView findWorkerDespiteInterference(
             JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
