--- a/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
+++ b/it/src/main/java/org/fulmarreach/it/site/WorkerSoakMain.java
@@ -27,9 +27,9 @@
  * while the store is silent, refuses calls or loses answers, and while guards and entries are paused and killed, also
  * leaders in a row. An operator changes the configuration all the time. After each burst of faults the deployment is
  * left alone. Checks, from what the workers ran, that no task runs twice and no standing task, and no job that ends by
- * itself, is without a run for longer than the platform's rules allow, and from what callers see, that every job is completed and that a
- * configuration is in force in time and never back. The faults of each burst, in their order, depend only on the seed
- * and the kinds of faults, and how many of them there are also on its time; faults overlap.
+ * itself, is without a run for longer than the platform's rules allow, and from what callers see, that every job is
+ * completed and that a configuration is in force in time and never back. The faults of each burst, in their order,
+ * depend only on the seed and the kinds of faults, and how many of them there are also on its time; faults overlap.
  */
 public final class WorkerSoakMain {
     private static final int ENTRIES = 3;
--- a/standin/src/main/java/org/fulmarreach/standin/site/StandingGaps.java
+++ b/standin/src/main/java/org/fulmarreach/standin/site/StandingGaps.java
@@ -109,9 +109,9 @@
     }
 
     /**
-     * Returns the gaps of a job that ends by itself, given by the runs of all its tasks. The rule holds for it only while
-     * less than half of the capacity is in use; the time after a run in which no window begins covers the lease of a
-     * worker that is lost with the only run.
+     * Returns the gaps of a job that ends by itself, given by the runs of all its tasks. The rule holds for it only
+     * while less than half of the capacity is in use; the time after a run in which no window begins covers the lease
+     * of a worker that is lost with the only run.
      */
     public List<Gap> findOfJob(Task job) {
         return find(job, this::isMostlyFreeAt);
