Start a task throttled beside serving tasks near their targets

Change: such a run has the smallest CPU share from its start, ordered as soon as it is listed, and the pacer raises it as for any throttled task.

Result: WaitingJobsTest and ColocationLoadTest green.

--- a/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
@@ -80,6 +80,12 @@
         });
         model.learn(worker.guard(), new InterferenceModel.Sample(nowMs, shares, means));
         worker.setPressures(highest);
+        for (JobTask task : bestEffort) {
+            if (task.takeShareThatIsDue()) {
+                setCpuShare(worker, task, task.cpuSharePercent(), worst == null ? 0 : worst.tailRatio());
+                changedAtMs.put(worker.guard(), nowMs);
+            }
+        }
         if (bestEffort.isEmpty()
                 || nowMs - changedAtMs.getOrDefault(worker.guard(), nowMs - CHANGE_INTERVAL_MS) < CHANGE_INTERVAL_MS) {
             return;
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -25,6 +25,7 @@
     private long lastPollNumber;
     private int cpuSharePercent = FULL_CPU_SHARE_PERCENT;
     private boolean throttled;
+    private boolean shareIsDue;
 
     /** Position of the checkpoint's last change among those of the job in this term; 0 if it was read from the log. */
     private long checkpointChange;
@@ -154,6 +155,7 @@
         pollsWithoutRun = NOT_COUNTING;
         cpuSharePercent = FULL_CPU_SHARE_PERCENT;
         throttled = false;
+        shareIsDue = false;
     }
 
     /**
@@ -240,6 +242,19 @@
         throttled |= percent < FULL_CPU_SHARE_PERCENT;
     }
 
+    /** Gives the current run, which is not on its worker yet, less than its full CPU share from the start. */
+    void startThrottled(int percent) {
+        setCpuSharePercent(percent);
+        shareIsDue = true;
+    }
+
+    /** Tells once whether the run is listed and the CPU share that it was to start with is still to be ordered. */
+    boolean takeShareThatIsDue() {
+        boolean due = shareIsDue && progress.isListed();
+        shareIsDue &= !due;
+        return due;
+    }
+
     /** Tells whether the current run has ever had less than its full CPU share. */
     boolean hasBeenThrottled() {
         return throttled;
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -51,6 +51,7 @@
     private final Set<WorkerView> heldWorkers = new HashSet<>();
     private final Map<String, Boolean> mostlyFree = new HashMap<>();
     private final Map<String, Boolean> allSuspected = new HashMap<>();
+    private JobTask placedNearTargets;
     private long candidates;
     private long passAtMs;
 
@@ -123,6 +124,7 @@
             best = task.step().bestEffort()
                     ? findWorkerDespiteInterference(task, service, workers, nowMs)
                     : findWorkerDespiteDoubts(task, service, workers, limit, nowMs);
+            placedNearTargets = best != null && task.step().bestEffort() && !isWellBelowTargets(best) ? task : null;
         }
         if (best != null && task.step().longRunning()) {
             headroom.onReservationChanged();
@@ -130,6 +132,11 @@
         return best;
     }
 
+    /** Tells whether the last worker found is for this best-effort task and has serving tasks near their targets. */
+    boolean isPlacedNearTargets(JobTask task) {
+        return placedNearTargets == task;
+    }
+
     private Headroom.Limit findLimit(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         return headroom.findLimit(task, service, workers, () -> hasRoomTwice(task, service, workers, nowMs), nowMs);
     }
@@ -189,9 +196,9 @@
      * Returns the worker for a best-effort task that no worker accepts without interference or overcommitment: one
      * whose serving tasks are well below their targets and that has no other best-effort tasks. If there is none, and
      * less than half of the service's processors are reserved, the worker may have others, or serving tasks up to the
-     * tail ratio that the pacer aims for: callers expect every job to have a run then. In a fuller service the job
-     * waits, since slowing down all best-effort tasks would cost more; a standing task does not wait for a worker whose
-     * idle processors suffice for it beside the others.
+     * tail ratio that the pacer aims for, beside which the task starts throttled: callers expect every job to have a
+     * run then. In a fuller service the job waits, since slowing down all best-effort tasks would cost more; a standing
+     * task does not wait for a worker whose idle processors suffice for it beside the others.
      */
     private WorkerView findWorkerDespiteInterference(
             JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/TaskPlacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/TaskPlacer.java
@@ -134,6 +134,9 @@
 
     private void assign(JobTask task, WorkerView worker, int run, long configVersion, long nowMs) {
         task.assign(worker.report().ref(), worker.rack(), run, nowMs);
+        if (placement.isPlacedNearTargets(task)) {
+            task.startThrottled(ThrottlePlan.MIN_PERCENT);
+        }
         worker.add(task);
         decisions.markChanged(task.job());
         decisions.addStart(task);
