Send a waiting job whose start was refused to another worker

Cause: the search for the worker of a job that has waited counted the worker that refused the last start as doubtful only for standing tasks. The worker with the least excess was chosen again in each pass.

Change: the refusing worker comes last for all tasks, as it does in the usual search.

Result: WaitingJobExceptionTest red before, green now.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -283,9 +283,9 @@
         return worker.isReservedForTrial() && worker.assigned().stream().anyMatch(JobTask::isTriedAlone);
     }
 
-    /** Returns what is added to the score of a worker that a standing task gets only because it has waited for long. */
+    /** Returns what is added to the score of a worker that a task gets only because it has waited for long. */
     private static double doubts(JobTask task, WorkerView worker, long nowMs) {
-        boolean avoided = isStanding(task) && worker.report().ref().equals(task.avoided());
+        boolean avoided = worker.report().ref().equals(task.avoided());
         double faults = avoided || worker.isSuspected(nowMs) ? SUSPECTED_PENALTY + worker.faultsInRow() : 0;
         return faults + (worker.isReservedForTrial() ? RESERVED_PENALTY : 0);
     }
