--- a/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobExceptionTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobExceptionTest.java
@@ -33,6 +33,18 @@
                 () -> "no run after " + MAX_WITHOUT_RUN_MS + " ms and " + (leader.starts.size() - 6) + " starts");
     }
 
+    /** A new leader took a job that had just become due for one that has waited since its submission. */
+    @Test
+    void waitOfATimedJobBeginsWhenItIsDue() {
+        long nowMs = 1_000_000;
+        JobStep step = bestEffort(1, 1_000).build();
+        JobRegistry registry = new JobRegistry();
+        registry.submit(new JobSpec("timed", "q", "", List.of(step), nowMs, 0, 1, nowMs - 60_000));
+        JobWaits waits = new JobWaits();
+        waits.review(registry.jobs(), nowMs + 100, nowMs + 100);
+        assertEquals(100, waits.waitedMs(registry.find("timed").orElseThrow(), nowMs + 100));
+    }
+
     private static TestSteps bestEffort(int count, long taskMs) {
         return TestSteps.of(count, new Resources(4_000, 500, 0), taskMs, List.of())
                 .bestEffort("fill");
