Count the wait of a timed job from its due time

Cause: JobWaits took the wait of a job that a new leader finds without a run back to its submission, also if it was not due yet for most of that time.

Change: the wait begins with the submission or the due time of the occurrence whose turn has come, whichever is later.

Result: WaitingJobExceptionTest red before, green now; JobWaitMonitorTest green.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobWaits.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobWaits.java
@@ -8,7 +8,7 @@
 /**
  * Keeps since when each job that may run has had no run at work. Only a run that its worker lists ends a wait: a start
  * that is refused, withdrawn or lost on the way leaves it as it is. The wait of a job that this leader finds without a
- * run at the begin of its term goes back to the job's submission, or, if it has had runs, to an unknown time: it counts
+ * run at the begin of its term goes back to the job's submission or due time, or, if it has had runs, to an unknown time: it counts
  * as longer than any limit, as the former leader was away for a while. Lives for one term; not thread-safe.
  */
 final class JobWaits {
@@ -46,8 +46,8 @@
         Map<Job, Look> next = new LinkedHashMap<>();
         for (Job job : active) {
             if (!job.status().isFinal()) {
-                boolean waits = !isAtWork(job, nowMs) && findNextTask(job, unixMs) != null;
-                long sinceMs = waits ? findStartMs(job, nowMs, unixMs) : NOT_WAITING;
+                JobTask task = isAtWork(job, nowMs) ? null : findNextTask(job, unixMs);
+                long sinceMs = task == null ? NOT_WAITING : findStartMs(task, nowMs, unixMs);
                 next.put(job, new Look(sinceMs, job.doneTasks()));
             }
         }
@@ -106,13 +106,16 @@
      * Helpers
      */
 
-    private long findStartMs(Job job, long nowMs, long unixMs) {
+    private long findStartMs(JobTask task, long nowMs, long unixMs) {
+        Job job = task.job();
         Look before = looks.get(job);
         if (before != null) {
             boolean goesOn = before.sinceMs() != NOT_WAITING && before.doneTasks() == job.doneTasks();
             return goesOn ? before.sinceMs() : nowMs;
         }
-        long ageMs = Math.max(0, unixMs - job.spec().acceptedAtMs());
+        JobSpec spec = job.spec();
+        long ageMs = Math.max(
+                0, unixMs - Math.max(spec.acceptedAtMs(), spec.dueMs(task.name().occurrence())));
         return nowMs - (job.hasBegun() ? Math.min(ageMs, UNKNOWN_WAIT_MS) : ageMs);
     }
 
