Add a failing test for suspects beside best-effort tasks

The order of the trials does not help here: a best-effort suspect is tried only where idle processors suffice and no interference is predicted.

--- a/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobExceptionTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobExceptionTest.java
@@ -1,5 +1,6 @@
 package org.fulmarreach.core.jobs;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 
@@ -14,6 +15,11 @@
     /** Callers expect a job to have a run within this time. */
     private static final int MAX_WITHOUT_RUN_MS = 3_000;
 
+    private static final int STEP_MS = 50;
+    private static final Resources WORKER = new Resources(64_000, 250_000, 0);
+    private static final JobConfig CONFIG = new JobConfig(
+            1, List.of(new JobQueue("q", "h", "/q/", FakeWorker.SERVICE, 0, 2, 3_000, 400, 1.5)), 1_000_000);
+
     /** A waiting job was sent to the worker that refuses it in each pass, and never to the other one. */
     @Test
     void jobWhoseStartIsRefusedGoesToAnotherWorker() {
@@ -45,8 +51,63 @@
         assertEquals(100, waits.waitedMs(registry.find("timed").orElseThrow(), nowMs + 100));
     }
 
+    /** A suspect of a crash waited for its trial until best-effort tasks had ended, beside unreserved processors. */
+    @Test
+    void suspectIsTriedBesideBestEffortTasks() {
+        PoolEmulator pool = pool(4);
+        submit(pool, "fill", best(60), 20_000);
+        pool.run(3_000);
+        Job job = submit(pool, "job", best(1), 5_000);
+        assertTrue(waitForRunMs(pool, job) <= MAX_WITHOUT_RUN_MS, "no run in time before the crash");
+        JobTask task = job.tasks().get(0);
+        boolean[] suspected = new boolean[1];
+        pool.observer = (decision, subject, fields) -> suspected[0] |= decision == DecisionLog.Decision.TASK_SUSPECTED
+                && subject.equals(task.name().toString());
+        pool.workers.get(task.state().worker().guard()).crash();
+        for (int ms = 0; ms < 10_000 && !suspected[0]; ms += STEP_MS) {
+            pool.run(STEP_MS);
+        }
+        assertTrue(suspected[0], "the task is not suspected");
+        int waitedMs = waitForRunMs(pool, job);
+        assertTrue(waitedMs <= MAX_WITHOUT_RUN_MS, () -> "no run for " + waitedMs + " ms after the run was lost");
+    }
+
     private static TestSteps bestEffort(int count, long taskMs) {
         return TestSteps.of(count, new Resources(4_000, 500, 0), taskMs, List.of())
                 .bestEffort("fill");
     }
+
+    private static PoolEmulator pool(int workers) {
+        PoolEmulator pool = new PoolEmulator(1, 0, 0, CONFIG);
+        for (int i = 0; i < workers; i++) {
+            pool.addWorker(i, WORKER);
+        }
+        pool.workers.values().forEach(worker -> worker.beginMs = 150);
+        pool.run(1_000);
+        return pool;
+    }
+
+    private static TestSteps best(int count) {
+        return TestSteps.of(count, new Resources(8_000, 4_000, 0), 20_000, List.of())
+                .bestEffort("fill");
+    }
+
+    private static Job submit(PoolEmulator pool, String id, TestSteps steps, long taskMs) {
+        JobStep step = steps.build();
+        pool.submit(
+                new JobSpec(id, "q", "", List.of(step), 0, 0, 0, pool.nowMs),
+                Collections.nCopies(step.taskCount(), taskMs));
+        return pool.registry.find(id).orElseThrow();
+    }
+
+    /** Returns the time until a worker runs the first task of a job, in ms; 30 s at most. */
+    private static int waitForRunMs(PoolEmulator pool, Job job) {
+        String task = job.tasks().get(0).name().toString();
+        int waitedMs = 0;
+        while (waitedMs < 30_000 && pool.workers.values().stream().noneMatch(worker -> worker.runs(task))) {
+            pool.run(STEP_MS);
+            waitedMs += STEP_MS;
+        }
+        return waitedMs;
+    }
 }
