Try a suspect of a waiting job beside best-effort tasks

Cause: a job that has had no run for 1.5 s may go where it interferes or overcommits idle processors, if the service is mostly free, but a suspect is placed by Placement.canHost, which did not know that exception.

Change: canHost applies it too, on workers whose serving tasks are well below their targets.

Ruled out: more interference by it.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -416,15 +416,23 @@
         return isUsable(worker, service, workers, nowMs) && !worker.isReservedForTrial();
     }
 
-    /** Tells whether a worker that is reserved for a task can run it now. */
+    /**
+     * Tells whether a worker that is reserved for a task can run it now. A best-effort task whose job has had no run for
+     * a while may interfere and overcommit there, as it may on any other worker of a service that is mostly free.
+     */
     boolean canHost(JobTask task, String service, WorkerView worker, Collection<WorkerView> workers, long nowMs) {
         JobStep step = task.step();
-        if (!isUsable(worker, service, workers, nowMs) || !hasCapacity(task, worker)) {
+        if (!isUsable(worker, service, workers, nowMs) || !hasReservableCapacity(task, worker)) {
             return false;
         }
-        return !step.bestEffort()
+        boolean tolerated = !step.bestEffort()
                 || colocation.predictExcess(step, worker) <= 0
                 || worker.bestEffortMilliCores() == 0 && isWellBelowTargets(worker);
+        return tolerated && hasCapacity(task, worker)
+                || step.bestEffort()
+                        && hasWaitedLong(task, nowMs)
+                        && isWellBelowTargets(worker)
+                        && isMostlyFree(service, workers, nowMs);
     }
 
     /** Tells whether a worker can run a task once the runs on it that do not last have ended. */
