Add a failing test for jobs beside suspected workers with room

A suspected worker gets new work only if all available workers of its service are suspected. A single worker that is full, and so had no run to fail, closes that: a sound job has no run for 4.0 s, the time of suspicion, beside three free workers whose runs failed because of other jobs. The exception for jobs that have waited asks for usable workers too, and there is none for jobs that reserve processors.

--- a/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobExceptionTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobExceptionTest.java
@@ -72,6 +72,31 @@
         assertTrue(waitedMs <= MAX_WITHOUT_RUN_MS, () -> "no run for " + waitedMs + " ms after the run was lost");
     }
 
+    /**
+     * A job waited while all workers with room were suspected, since one that is full was not: the jobs that failed
+     * there are the likelier cause, as they are if all workers are suspected.
+     */
+    @Test
+    void jobGetsARunThoughOthersFailOnAllWorkersWithRoom() {
+        PoolEmulator pool = pool(4);
+        submit(pool, "full", TestSteps.of(1, WORKER, 0, List.of()).longRunning(), 0);
+        pool.run(1_000);
+        boolean[] suspected = new boolean[1];
+        pool.observer =
+                (decision, subject, fields) -> suspected[0] |= decision == DecisionLog.Decision.WORKER_SUSPECTED;
+        for (int i = 0; i < 3; i++) {
+            pool.faultyJobs.add("failing-" + i);
+            submit(pool, "failing-" + i, TestSteps.of(4, new Resources(1_000, 1_000, 0), 200, List.of()), 200);
+        }
+        for (int ms = 0; ms < 2_000 && !suspected[0]; ms += STEP_MS) {
+            pool.run(STEP_MS);
+        }
+        assertTrue(suspected[0], "no worker is suspected");
+        Job job = submit(pool, "job", TestSteps.of(1, new Resources(10_000, 1_000, 0), 1_000, List.of()), 1_000);
+        int waitedMs = waitForRunMs(pool, job);
+        assertTrue(waitedMs <= MAX_WITHOUT_RUN_MS, () -> "no run for " + waitedMs + " ms beside three free workers");
+    }
+
     private static TestSteps bestEffort(int count, long taskMs) {
         return TestSteps.of(count, new Resources(4_000, 500, 0), taskMs, List.of())
                 .bestEffort("fill");
