Add a failing test for large tasks after an evacuation

Workers of a zone that is taken back are filled evenly over 5 s. A task that needs over 60% of a worker has no run for over 3 s beside empty workers if the rest of the service has no room.

--- a/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobExceptionTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobExceptionTest.java
@@ -97,6 +97,21 @@
         assertTrue(waitedMs <= MAX_WITHOUT_RUN_MS, () -> "no run for " + waitedMs + " ms beside three free workers");
     }
 
+    /** A job with large tasks waited beside empty workers until their zone had been filled to its size. */
+    @Test
+    void largeTaskStartsInTimeAfterItsZoneIsTakenBack() {
+        SchedulerHarness leader = new SchedulerHarness();
+        leader.addWorker("a", 10_000);
+        leader.addWorker("a", 10_000);
+        EvacuatedZones evacuated = EvacuatedZones.NONE.withEvacuated("a");
+        leader.scheduler.evacuate(evacuated, leader.nowMs);
+        leader.submit("job", TestSteps.of(1, new Resources(8_000, 500, 0), 1_000, List.of()));
+        leader.elapse(2_000);
+        leader.scheduler.evacuate(evacuated.withReopened("a", leader.nowMs), leader.nowMs);
+        leader.elapse(MAX_WITHOUT_RUN_MS);
+        assertEquals(1, leader.starts.size(), "starts within " + MAX_WITHOUT_RUN_MS + " ms");
+    }
+
     private static TestSteps bestEffort(int count, long taskMs) {
         return TestSteps.of(count, new Resources(4_000, 500, 0), taskMs, List.of())
                 .bestEffort("fill");
