--- a/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 
 import org.fulmarreach.core.model.Resources;
 import org.junit.jupiter.api.Test;
@@ -26,6 +27,8 @@
     /** Interference for 4 s on end is rare, so it takes more seeds to meet it. */
     private static final int SERVING_SEEDS = 300;
 
+    private static final int LEADER_SEEDS = 600;
+
     private static final int CHECK_MS = 100;
     private static final String OVER_TARGET = " was over its target for 4 s by interference";
 
@@ -64,6 +67,51 @@
         assertEquals(List.of(), overTarget, "serving tasks over their targets");
     }
 
+    /**
+     * The same with changes of the leader, the last of them 8 s before the check begins. Guards against a leader that
+     * places the jobs which it finds without a run beside serving tasks of whose interference it knows too little.
+     */
+    @Test
+    void servingTasksStayWithinTheirTargetsAfterChangesOfTheLeader() {
+        List<String> overTarget = new ArrayList<>();
+        for (int seed = 1; seed <= LEADER_SEEDS; seed++) {
+            Random random = new Random(seed);
+            PoolEmulator pool = new PoolEmulator(seed, random.nextDouble(), 1 + 4 * random.nextDouble(), CONFIG);
+            for (int i = 0; i < WORKERS; i++) {
+                pool.addWorker(i, WORKER);
+            }
+            pool.run(1_000);
+            int standing = 1 + random.nextInt(2);
+            for (int i = 0; i < standing; i++) {
+                TestSteps serving = TestSteps.of(WORKERS, new Resources(13_000, 26_000, 0), 0, List.of())
+                        .serving("serve-" + i, 18)
+                        .atMostPerWorker(1);
+                submit(pool, "standing-" + i, serving, 0);
+            }
+            pool.run(5_000);
+            for (int i = 0; i < 25; i++) {
+                submitBestEffort(pool, "batch-" + i, random, 1_000 + random.nextInt(6_000));
+                pool.run(100 * random.nextInt(8));
+                if (i % 6 == 5) {
+                    pool.replaceLeader();
+                }
+            }
+            pool.replaceLeader();
+            pool.run(8_000);
+            pool.overTargetTooLong.clear();
+            for (int i = 0; i < 12; i++) {
+                if (i < 6) {
+                    submitBestEffort(pool, "late-" + i, random, 4_000);
+                }
+                pool.run(2_000);
+            }
+            if (!pool.overTargetTooLong.isEmpty()) {
+                overTarget.add("seed " + seed + ": " + Set.copyOf(pool.overTargetTooLong) + OVER_TARGET);
+            }
+        }
+        assertEquals(List.of(), overTarget, "serving tasks over their targets");
+    }
+
     /**
      * Jobs whose tasks always fail. Guards against a job that waits because two runs in a row failed on every worker,
      * so that none of them gets new work for a while.
@@ -174,4 +222,14 @@
         JobSpec spec = new JobSpec(id, "q", "", List.of(step), 0, 0, 0, pool.nowMs);
         pool.submit(spec, Collections.nCopies(step.taskCount(), taskMs));
     }
+
+    private static void submitBestEffort(PoolEmulator pool, String id, Random random, int taskMs) {
+        TestSteps steps = TestSteps.of(
+                        2 + random.nextInt(12),
+                        new Resources(5_000 + random.nextInt(4_000), 2_000, 0),
+                        taskMs,
+                        List.of())
+                .bestEffort("fill-" + random.nextInt(5));
+        submit(pool, id, steps, taskMs);
+    }
 }
