Add a failing test for best-effort jobs with much larger tasks

The middle of a task has to be below the limit of overcommitment. That mends 9 against 5 cores, but a task still has to find half of the difference of the sizes: with 20 against 1 core all 20 later jobs are done first.

--- a/core/src/test/java/org/fulmarreach/core/jobs/LargeTaskTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/LargeTaskTest.java
@@ -15,8 +15,6 @@
  */
 class LargeTaskTest {
     private static final Resources WORKER = new Resources(64_000, 250_000, 0);
-    private static final Resources LARGE = new Resources(9_000, 1_000, 0);
-    private static final Resources SMALL = new Resources(5_000, 1_000, 0);
     private static final JobConfig CONFIG = new JobConfig(
             1, List.of(new JobQueue("q", "h", "/q/", FakeWorker.SERVICE, 2, 3, 3_000, 1_000, 2.0)), 1_000_000);
     private static final int TASKS = 12;
@@ -28,16 +26,28 @@
 
     @Test
     void jobWithLargeTasksIsDoneBeforeMuchLaterOnes() {
+        assertFewPass(9_000, 5_000, TASKS);
+    }
+
+    /** Half of a large task is more than many small ones free together. */
+    @Test
+    void jobWithMuchLargerTasksIsDoneBeforeMuchLaterOnes() {
+        assertFewPass(20_000, 1_000, 5 * TASKS);
+    }
+
+    private void assertFewPass(int largeMilliCores, int smallMilliCores, int smallTasks) {
+        Resources large = new Resources(largeMilliCores, 1_000, 0);
+        Resources small = new Resources(smallMilliCores, 1_000, 0);
         for (int i = 0; i < 2; i++) {
             pool.addWorker(i, WORKER);
         }
         pool.run(1_000);
-        submit("first", SMALL, 4 * TASKS);
+        submit("first", small, 4 * smallTasks);
         pool.run(500);
-        submit("large", LARGE, TASKS);
+        submit("large", large, TASKS);
         for (int i = 0; i < LATER_JOBS; i++) {
             pool.run(50);
-            submit("small-" + i, SMALL, TASKS);
+            submit("small-" + i, small, smallTasks);
         }
         for (int ms = 0; ms < 120_000 && pool.latencyMs("large") < 0; ms += 100) {
             pool.run(100);
