--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -291,9 +291,9 @@
         return worker.isReservedForTrial() && worker.assigned().stream().anyMatch(JobTask::isTriedAlone);
     }
 
-    /** Returns what is added to the score of a worker that a standing task gets only because it has waited for long. */
+    /** Returns what is added to the score of a worker that a task gets only because it has waited for long. */
     private static double doubts(JobTask task, WorkerView worker, long nowMs) {
-        boolean avoided = isStanding(task) && worker.report().ref().equals(task.avoided());
+        boolean avoided = worker.report().ref().equals(task.avoided());
         double faults = avoided || worker.isSuspected(nowMs) ? SUSPECTED_PENALTY + worker.faultsInRow() : 0;
         return faults + (worker.isReservedForTrial() ? RESERVED_PENALTY : 0);
     }
@@ -424,15 +424,23 @@
         return isUsable(worker, service, workers, nowMs) && !worker.isReservedForTrial();
     }
 
-    /** Tells whether a worker that is reserved for a task can run it now. */
+    /**
+     * Tells whether a worker that is reserved for a task can run it now. A best-effort task whose job has had no run for
+     * a while may interfere and overcommit there, as it may on any other worker of a service that is mostly free.
+     */
     boolean canHost(JobTask task, String service, WorkerView worker, Collection<WorkerView> workers, long nowMs) {
         JobStep step = task.step();
-        if (!isUsable(worker, service, workers, nowMs) || !hasCapacity(task, worker)) {
+        if (!isUsable(worker, service, workers, nowMs) || !hasReservableCapacity(task, worker)) {
             return false;
         }
-        return !step.bestEffort()
+        boolean tolerated = !step.bestEffort()
                 || colocation.predictExcess(step, worker) <= 0
                 || worker.bestEffortMilliCores() == 0 && isWellBelowTargets(worker);
+        return tolerated && hasCapacity(task, worker)
+                || step.bestEffort()
+                        && hasWaitedLong(task, nowMs)
+                        && isWellBelowTargets(worker)
+                        && isMostlyFree(service, workers, nowMs);
     }
 
     /** Tells whether a worker can run a task once the runs on it that do not last have ended. */
