Let a job without a run use suspected workers for a first attempt

Cause: a suspected worker was closed to all but standing tasks, and its room did not count when it was asked whether the service is mostly free. Jobs that reserve processors had no exception at all.

Change: in a service that is mostly free, counted over all available workers, a job that has waited may go to a suspected worker or one that is reserved for a trial which has not begun, as long as the task has not failed yet: it risks one attempt. Jobs that reserve processors may too.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -111,7 +111,8 @@
      * Returns the best worker for a task of {@code service}, or null if there is none now. To prevent starvation, a
      * best-effort task that would interfere on every worker, or for which all idle processors are taken, is placed
      * nevertheless once its job has had no run for a while; a standing one once it has had none itself. The pacer
-     * throttles it there if necessary. A standing task also gets a suspected or reserved worker then.
+     * throttles it there if necessary. A task also gets a suspected or reserved worker then; one that does not stand
+     * only in a service that is mostly free, since callers expect its job to have a run only there.
      */
     WorkerView findWorker(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
         headroom.observe(task, service, () -> hasRoomTwice(task, service, workers, nowMs), nowMs);
@@ -120,10 +121,12 @@
         if (best != null) {
             waits.remove(task);
         }
-        if (best == null && (isStanding(task) || task.step().bestEffort()) && hasWaitedLong(task, nowMs)) {
-            best = task.step().bestEffort()
-                    ? findWorkerDespiteInterference(task, service, workers, nowMs)
-                    : findWorkerDespiteDoubts(task, service, workers, limit, nowMs);
+        if (best == null && hasWaitedLong(task, nowMs)) {
+            if (task.step().bestEffort()) {
+                best = findWorkerDespiteInterference(task, service, workers, nowMs);
+            } else if (isStanding(task) || isMostlyFree(service, workers, nowMs)) {
+                best = findWorkerDespiteDoubts(task, service, workers, limit, nowMs);
+            }
             placedNearTargets = best != null && task.step().bestEffort() && !isWellBelowTargets(best) ? task : null;
         }
         if (best != null && task.step().longRunning()) {
@@ -252,7 +255,7 @@
         return suspected >= MIN_SUSPECTED_WORKERS;
     }
 
-    /** Returns the best worker for a standing task that no worker without faults or a trial has capacity for. */
+    /** Returns the best worker for a task that no worker without faults or a trial has capacity for. */
     private WorkerView findWorkerDespiteDoubts(
             JobTask task, String service, Collection<WorkerView> workers, Headroom.Limit limit, long nowMs) {
         WorkerView best = null;
@@ -272,13 +275,16 @@
     }
 
     /**
-     * Tells whether a worker may get a task that has waited for long. A standing task may go to a suspected worker: it
-     * has no limit of attempts, and the jobs whose runs failed there may be the cause. It may also go to one that is
-     * reserved for a trial which has not begun, since the runs there may leave no room for the trial for long.
+     * Tells whether a worker may get a task that has waited for long. It may go to a suspected worker, since the jobs
+     * whose runs failed there may be the cause: a standing task has no limit of attempts, and any other one risks its
+     * first attempt. It may also go to one that is reserved for a trial which has not begun, since the runs there may
+     * leave no room for the trial for long.
      */
     private boolean isOpenToWaiting(
             JobTask task, String service, WorkerView worker, Collection<WorkerView> workers, long nowMs) {
-        return isStanding(task)
+        boolean despiteDoubts =
+                isStanding(task) || task.state().failures() == 0 && isMostlyFree(service, workers, nowMs);
+        return despiteDoubts
                 ? worker.isAvailable(service, nowMs) && !hasTrial(worker)
                 : isOpen(worker, service, workers, nowMs);
     }
@@ -299,15 +305,15 @@
     }
 
     /**
-     * Tells whether less than half of the processors of the usable workers of a service is reserved. Memory does not
-     * count: most of it is held by the best-effort tasks that the waiting job is to run beside.
+     * Tells whether less than half of the processors of the available workers of a service is reserved, of suspected
+     * ones too: callers count their room. Memory does not count: most of it is held by the best-effort tasks that the waiting job is to run beside.
      */
     private boolean isMostlyFree(String service, Collection<WorkerView> workers, long nowMs) {
         return mostlyFree.computeIfAbsent(service, unused -> {
             long reserved = 0;
             long capacity = 0;
             for (WorkerView worker : workers) {
-                if (isUsable(worker, service, workers, nowMs)) {
+                if (worker.isAvailable(service, nowMs)) {
                     reserved += worker.reserved().milliCores();
                     capacity += worker.report().capacity().milliCores();
                 }
