Hold idle processors for the first best-effort task that finds too few

Change: in each pass the worker with the most idle processors is held for the first best-effort task that finds too few anywhere, as a worker is held for a standing task. Gangs hold none, and jobs that have waited are placed as before.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Colocation.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Colocation.java
@@ -51,6 +51,11 @@
         return worker.bestEffortMilliCores() == 0 || filled <= MAX_IDLE_OVERCOMMIT * idleMilliCores(worker);
     }
 
+    /** Returns the millicores by which best-effort tasks fall short of the maximum overcommitment; may be negative. */
+    static double spareMilliCores(WorkerView worker) {
+        return MAX_IDLE_OVERCOMMIT * idleMilliCores(worker) - worker.bestEffortMilliCores();
+    }
+
     /** Returns the millicores that are idle most of the time: unreserved, or reserved but unused by serving tasks. */
     static double idleMilliCores(WorkerView worker) {
         double busy = worker.reserved().milliCores() - (1 - SERVING_UTILIZATION) * worker.servingMilliCores();
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -49,6 +49,7 @@
     private final Map<JobTask, Wait> waits = new HashMap<>();
     private final Map<TaskClass, List<Resources>> unplaceable = new HashMap<>();
     private final Set<WorkerView> heldWorkers = new HashSet<>();
+    private final Map<String, WorkerView> heldForBestEffort = new HashMap<>();
     private final Map<String, Boolean> mostlyFree = new HashMap<>();
     private final Map<String, Boolean> allSuspected = new HashMap<>();
     private JobTask placedNearTargets;
@@ -83,6 +84,7 @@
         waits.values().removeIf(wait -> nowMs - wait.lastMs() > MAX_START_MS);
         unplaceable.clear();
         heldWorkers.clear();
+        heldForBestEffort.clear();
         mostlyFree.clear();
         allSuspected.clear();
     }
@@ -372,6 +374,9 @@
                 // Even if one task of a gang fits, the whole gang may never fit, so no worker is held for it.
                 holdWorker(task, service, workers, limit, nowMs);
             }
+            if (bestEffort && !step.gang() && !heldForBestEffort.containsKey(service)) {
+                holdIdleProcessors(task, service, workers, nowMs);
+            }
         }
         return best;
     }
@@ -401,6 +406,28 @@
         }
     }
 
+    /**
+     * Holds the worker with the most idle processors for the first best-effort task that finds too few of them: for the
+     * rest of the pass it accepts no other one by the usual rules. Otherwise smaller tasks of lower rank take all that
+     * is freed, and a large task starves.
+     */
+    private void holdIdleProcessors(JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
+        WorkerView nearest = null;
+        double most = Double.NEGATIVE_INFINITY;
+        for (WorkerView worker : workers) {
+            if (isOpen(worker, service, workers, nowMs)
+                    && hasReservableCapacity(task, worker)
+                    && Colocation.spareMilliCores(worker) > most
+                    && colocation.predictExcess(task.step(), worker) <= 0) {
+                nearest = worker;
+                most = Colocation.spareMilliCores(worker);
+            }
+        }
+        if (nearest != null) {
+            heldForBestEffort.put(service, nearest);
+        }
+    }
+
     /** Tells whether a task of the same class with the same or smaller demand could not be placed in this pass. */
     private boolean isKnownUnplaceable(JobStep step, TaskClass taskClass) {
         for (Resources demand : unplaceable.getOrDefault(taskClass, List.of())) {
@@ -510,7 +537,9 @@
 
     private boolean hasCapacity(JobTask task, WorkerView worker) {
         JobStep step = task.step();
-        return hasReservableCapacity(task, worker) && (!step.bestEffort() || Colocation.hasIdleCapacity(step, worker));
+        return hasReservableCapacity(task, worker)
+                && (!step.bestEffort()
+                        || Colocation.hasIdleCapacity(step, worker) && !heldForBestEffort.containsValue(worker));
     }
 
     private boolean hasReservableCapacity(JobTask task, WorkerView worker) {
