Add a failing test for standing tasks that need memory

After a loss of power the new leader takes the wait of all jobs for long, so each best-effort job gets a run in the first pass, beside others and beyond the idle processors. Together they take the memory of all workers; standing tasks that come a second later have no run for 6 to 12 s.

--- a/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
@@ -29,6 +29,11 @@
 
     private static final int LEADER_SEEDS = 600;
 
+    private static final int POWER_SEEDS = 20;
+
+    /** Callers expect each standing task to have a run within this time, however full a service is. */
+    private static final int MAX_WITHOUT_STANDING_RUN_MS = 6_000;
+
     private static final int CHECK_MS = 100;
     private static final String OVER_TARGET = " was over its target for 4 s by interference";
 
@@ -112,6 +117,57 @@
         assertEquals(List.of(), overTarget, "serving tasks over their targets");
     }
 
+    /**
+     * Standing tasks that are submitted after a loss of power, among many best-effort jobs without a run. Guards against
+     * a new leader that gives all these jobs a run at once, although the idle processors are taken: their memory is
+     * what the standing tasks need then.
+     */
+    @Test
+    void standingTasksFindMemoryAmongBestEffortJobsWithoutARun() {
+        List<String> waiting = new ArrayList<>();
+        for (int seed = 1; seed <= POWER_SEEDS; seed++) {
+            Random random = new Random(seed);
+            PoolEmulator pool = new PoolEmulator(seed, 0.3, 2, CONFIG);
+            for (int i = 0; i < 4; i++) {
+                pool.addWorker(i, WORKER);
+            }
+            pool.workers.values().forEach(worker -> {
+                worker.beginMs = 150;
+                worker.checkpointMs = 1_000;
+            });
+            pool.run(1_000);
+            for (int i = 0; i < 80; i++) {
+                int taskMs = 2_000 + random.nextInt(6_000);
+                int count = 4 + random.nextInt(20);
+                Resources demand = new Resources(4_000 + random.nextInt(6_000), 10_000 + random.nextInt(10_000), 0);
+                submit(
+                        pool,
+                        "batch-" + i,
+                        TestSteps.of(count, demand, taskMs, List.of()).bestEffort("fill-" + i % 6),
+                        taskMs);
+                pool.run(100);
+            }
+            pool.losePower(1_600);
+            pool.run(1_000);
+            submit(
+                    pool,
+                    "standing",
+                    TestSteps.of(4, new Resources(13_000, 40_000, 0), 0, List.of())
+                            .serving("serve", 18),
+                    0);
+            pool.run(MAX_WITHOUT_STANDING_RUN_MS);
+            Job standing = pool.registry.find("standing").orElseThrow();
+            long running = standing.tasks().stream()
+                    .filter(task -> pool.workers.values().stream()
+                            .anyMatch(worker -> worker.runs(task.name().toString())))
+                    .count();
+            if (running < standing.tasks().size()) {
+                waiting.add("seed " + seed + ": " + running + " of 4");
+            }
+        }
+        assertEquals(List.of(), waiting, "standing tasks at work after " + MAX_WITHOUT_STANDING_RUN_MS + " ms");
+    }
+
     /**
      * Jobs whose tasks always fail. Guards against a job that waits because two runs in a row failed on every worker,
      * so that none of them gets new work for a while.
