--- a/core/src/main/java/org/fulmarreach/core/jobs/JobWaits.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobWaits.java
@@ -8,8 +8,9 @@
 /**
  * Keeps since when each job that may run has had no run at work. Only a run that its worker lists ends a wait: a start
  * that is refused, withdrawn or lost on the way leaves it as it is. The wait of a job that this leader finds without a
- * run at the begin of its term goes back to the job's submission or due time, or, if it has had runs, to an unknown time: it counts
- * as longer than any limit, as the former leader was away for a while. Lives for one term; not thread-safe.
+ * run at the begin of its term goes back to the job's submission or due time, or, if it has had runs, to an unknown
+ * time: it counts as longer than any limit, as the former leader was away for a while. Lives for one term; not
+ * thread-safe.
  */
 final class JobWaits {
     /** A check walks through all active jobs, so not each pass makes one. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -188,9 +188,9 @@
     /**
      * Returns the worker for a best-effort task that no worker accepts without interference or overcommitment: one
      * whose serving tasks are well below their targets and that has no other best-effort tasks. If there is none, and
-     * less than half of the service's processors are reserved, the worker may have others: callers expect every job to have a
-     * run then. In a fuller service the job waits, since slowing down all best-effort tasks would cost more; a standing
-     * task does not wait for a worker whose idle processors suffice for it beside the others.
+     * less than half of the service's processors are reserved, the worker may have others: callers expect every job to
+     * have a run then. In a fuller service the job waits, since slowing down all best-effort tasks would cost more; a
+     * standing task does not wait for a worker whose idle processors suffice for it beside the others.
      */
     private WorkerView findWorkerDespiteInterference(
             JobTask task, String service, Collection<WorkerView> workers, long nowMs) {
@@ -417,8 +417,8 @@
     }
 
     /**
-     * Tells whether a worker that is reserved for a task can run it now. A best-effort task whose job has had no run for
-     * a while may interfere and overcommit there, as it may on any other worker of a service that is mostly free.
+     * Tells whether a worker that is reserved for a task can run it now. A best-effort task whose job has had no run
+     * for a while may interfere and overcommit there, as it may on any other worker of a service that is mostly free.
      */
     boolean canHost(JobTask task, String service, WorkerView worker, Collection<WorkerView> workers, long nowMs) {
         JobStep step = task.step();
--- a/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobsTest.java
@@ -118,9 +118,9 @@
     }
 
     /**
-     * Standing tasks that are submitted after a loss of power, among many best-effort jobs without a run. Guards against
-     * a new leader that gives all these jobs a run at once, although the idle processors are taken: their memory is
-     * what the standing tasks need then.
+     * Standing tasks that are submitted after a loss of power, among many best-effort jobs without a run. Guards
+     * against a new leader that gives all these jobs a run at once, although the idle processors are taken: their
+     * memory is what the standing tasks need then.
      */
     @Test
     void standingTasksFindMemoryAmongBestEffortJobsWithoutARun() {
