Add a failing test for the task that a waiting job runs first

Its tasks 2 to 6 were done at 31.6 to 32.0 s, and the ends were not stored before the loss of power. From 47 s on the job had one run at a time, of the tasks 2, 3, 4 and 5 again; one was at work from 70.2 s to the end at 72.3 s. For the platform these are done, and the task 7 that it names never ran.

--- a/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobExceptionTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobExceptionTest.java
@@ -39,6 +39,26 @@
                 () -> "no run after " + MAX_WITHOUT_RUN_MS + " ms and " + (leader.starts.size() - 6) + " starts");
     }
 
+    /**
+     * The only run of a waiting job went to a task whose former run was lost together with its end, and that callers
+     * know as done, while the next task that they wait for had none.
+     */
+    @Test
+    void waitingJobRunsATaskFirstThatHasNotRun() {
+        SchedulerHarness leader = new SchedulerHarness();
+        SchedulerHarness.Worker worker = leader.addWorker(10_000);
+        leader.elapse(500);
+        leader.submit("fill", bestEffort(3, 60_000));
+        leader.elapse(1_000);
+        JobTask lost = leader.submit("job", bestEffort(3, 60_000));
+        lost.assign(worker.ref, "rack", 1, leader.nowMs);
+        lost.finish(TaskPhase.PENDING, 0, "");
+        lost.job().markBegun();
+        leader.elapse(MAX_WITHOUT_RUN_MS);
+        Set<String> running = SchedulerHarness.runningOn(worker);
+        assertTrue(running.contains("job.0.0.1"), () -> "at work: " + running);
+    }
+
     /** A new leader took a job that had just become due for one that has waited since its submission. */
     @Test
     void waitOfATimedJobBeginsWhenItIsDue() {
