Let a waiting job run tasks first that have not run

Cause: a job that has waited gets one run at a time, and its tasks go in the order of their index. After a loss of power those whose ends were not stored come first and run again; the platform has them as done, and waits for the next one.

Change: in such a job tasks that have run and have no checkpoint go last.

Result: WaitingJobExceptionTest red before, green now.

--- a/core/src/main/java/org/fulmarreach/core/jobs/TaskPlacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/TaskPlacer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 
 import org.fulmarreach.core.jobs.DecisionLog.Decision;
@@ -74,7 +75,7 @@
         }
         boolean full = false;
         boolean fullForNew = false;
-        for (JobTask task : tasks) {
+        for (JobTask task : sortForPlacement(tasks, nowMs)) {
             if (task.state().phase() == TaskPhase.PENDING && task.isTriedAlone()) {
                 if (!CrashTracker.awaitsVerdict(task)) {
                     crashes.addWaiting(task, service);
@@ -95,6 +96,22 @@
         }
     }
 
+    /**
+     * Returns the tasks of a step in the order in which they are placed. A job that has waited for long gets one run at
+     * a time. Tasks that have not run, or can go on from a checkpoint, go first then: the end of a run that was lost
+     * may be known to callers as done, and another run of that task is no progress to them.
+     */
+    private List<JobTask> sortForPlacement(List<JobTask> tasks, long nowMs) {
+        JobTask first = tasks.get(0);
+        if (first.step().longRunning() || !first.job().hasBegun() || !placement.hasWaitedLong(first, nowMs)) {
+            return tasks;
+        }
+        return tasks.stream()
+                .sorted(Comparator.comparing(task ->
+                        task.state().run() > 0 && task.state().checkpoint().isEmpty()))
+                .toList();
+    }
+
     private static boolean isNewStanding(JobTask task) {
         return task.step().longRunning() && task.state().run() == 0;
     }
