--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -458,8 +458,8 @@
     }
 
     /**
-     * Tells whether a worker that is reserved for a task can run it now. A best-effort task whose job has had no run for
-     * a while may interfere and overcommit there, as it may on any other worker of a service that is mostly free.
+     * Tells whether a worker that is reserved for a task can run it now. A best-effort task whose job has had no run
+     * for a while may interfere and overcommit there, as it may on any other worker of a service that is mostly free.
      */
     boolean canHost(JobTask task, String service, WorkerView worker, Collection<WorkerView> workers, long nowMs) {
         JobStep step = task.step();
