Let a new leader place by the usual rules for 1 s before waits count

What callers would see: standing tasks that are submitted shortly after a change of the leader find no memory (found in the review).

Cause: a new leader counts the wait of all jobs without a run as long, so its first passes gave each of them a run on the workers that had reported, before anything that reserves room was placed.

Change: waits are kept as before, but they count for the exception only 1 s after the term's begin, when all guards have reported.

JobGapTest green.

--- a/core/src/main/java/org/fulmarreach/core/jobs/JobWaits.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobWaits.java
@@ -19,6 +19,12 @@
     /** Wait of a job that is found without a run and had one under a former leader; longer than any limit. */
     static final long UNKNOWN_WAIT_MS = 3_000;
 
+    /**
+     * Time at the begin of a term in which no wait counts: guards report within it, and what reserves room is placed.
+     * Otherwise all jobs without a run would take room at the first report.
+     */
+    private static final long TERM_SETTLES_MS = 1_000;
+
     /** Time in which a worker usually lists a run after its start was ordered; most do within half of it. */
     private static final long START_MS = 1_000;
 
@@ -27,6 +33,7 @@
 
     private Map<Job, Look> looks = new LinkedHashMap<>();
     private long checkedAtMs;
+    private long settledAtMs;
     private boolean checked;
 
     /**
@@ -42,6 +49,9 @@
         if (checked && nowMs - checkedAtMs < CHECK_INTERVAL_MS) {
             return;
         }
+        if (!checked) {
+            settledAtMs = nowMs + TERM_SETTLES_MS;
+        }
         checked = true;
         checkedAtMs = nowMs;
         Map<Job, Look> next = new LinkedHashMap<>();
@@ -63,9 +73,12 @@
 
     /**
      * Returns for how long a job has had no run at work; 0 if a start of it was ordered so lately that its worker may
-     * list it next.
+     * list it next, or if the term has just begun.
      */
     long waitedWithoutStartMs(Job job, long nowMs) {
+        if (nowMs < settledAtMs) {
+            return 0;
+        }
         long waitedMs = waitedMs(job, nowMs);
         if (waitedMs > 0 && job.hasAssignedTasks()) {
             for (JobTask task : job.tasks()) {
