--- a/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
+++ b/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
@@ -11,6 +11,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
@@ -64,6 +65,7 @@
     private final String network;
     private final int firstPort;
     private final int entryCount;
+    private final Map<String, String> environment;
     private final Map<String, ManagedProcess> processes = new ConcurrentHashMap<>();
     private final HttpClient client = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
@@ -72,7 +74,17 @@
 
     /** Starts a deployment and waits until all entries are ready. */
     PlatformSite(int entryCount, int workerCount) {
+        this(entryCount, workerCount, Map.of());
+    }
+
+    /**
+     * Starts a deployment and waits until all entries are ready.
+     *
+     * @param environment additional environment variables of all processes
+     */
+    PlatformSite(int entryCount, int workerCount, Map<String, String> environment) {
         this.entryCount = entryCount;
+        this.environment = Map.copyOf(environment);
         // The process id keeps several deployments on one machine apart.
         long pid = ProcessHandle.current().pid();
         network = "127." + (10 + pid % 200) + "." + (1 + pid / 200 % 250) + ".";
@@ -148,6 +160,8 @@
 
     /** Starts a process, for the first time or again. */
     void startProcess(String name) {
+        Map<String, String> variables = new HashMap<>(environment);
+        variables.put("FULMARREACH_NODE_FILE", directory.resolve(name + ".json").toString());
         processes.put(
                 name,
                 ManagedProcess.start(
@@ -155,9 +169,27 @@
                         directory,
                         "platform-node",
                         List.of(name.startsWith("entry") ? "entry" : "guard"),
-                        Map.of(
-                                "FULMARREACH_NODE_FILE",
-                                directory.resolve(name + ".json").toString())));
+                        variables));
+    }
+
+    /** Returns the address for callers of an entry. */
+    InetSocketAddress callerAddress(int entry) {
+        return new InetSocketAddress(network + (1 + entry), firstPort);
+    }
+
+    /** Returns the address of the readiness check of an entry. */
+    InetSocketAddress readinessAddress(int entry) {
+        return new InetSocketAddress(network + (1 + entry), firstPort + 1);
+    }
+
+    /** Returns the address of the pages for operators of an entry. */
+    InetSocketAddress operatorAddress(int entry) {
+        return new InetSocketAddress(network + (1 + entry), firstPort + OPERATOR_PORT);
+    }
+
+    /** Returns the address at which the guard of a machine receives heartbeats. */
+    InetSocketAddress heartbeatAddress(int machine) {
+        return new InetSocketAddress(machineHost(machine), firstPort + 2);
     }
 
     ManagedProcess process(String name) {
@@ -259,7 +291,7 @@
     /** Writes the settings of a guard and returns its worker; neither is started. */
     private PlatformWorker createMachine() throws IOException {
         int number = allWorkers.size();
-        String host = network + (50 + number);
+        String host = machineHost(number);
         writeSettings("guard-" + number, "guard", host, storeHosts().get(0));
         PlatformWorker worker =
                 new PlatformWorker("i-" + number, SERVICE, host, firstPort + 3, host + ":" + (firstPort + 2), history);
@@ -267,6 +299,10 @@
         return worker;
     }
 
+    private String machineHost(int machine) {
+        return network + (50 + machine);
+    }
+
     private HttpRequest.Builder request(int entry, int port, String path) {
         return HttpRequest.newBuilder(URI.create("http://" + network + (1 + entry) + ":" + port + path))
                 .timeout(Duration.ofSeconds(3))
@@ -366,7 +402,7 @@
         Files.writeString(directory.resolve(name + ".json"), settings.toString());
     }
 
-    private void awaitReady() {
+    void awaitReady() {
         long untilMs = System.currentTimeMillis() + READY_MS;
         for (int entry = 0; entry < entryCount; ) {
             if (isReady(entry)) {
