Bound what HTTP clients make a process hold

Callers saw: clients that send ahead without reading, or leave bodies unfinished, end entries and guards (StackOverflowError in the parser, OutOfMemoryError), and legal heads of many lines get 400.

Cause: nothing bounds what connections make a process hold, and the library's parser gets each read whole.

The descriptors come from the platform's settings, the operating system's limit counts only where they state none, and the reserve takes at most half of it. CLIENT_REFUSED names the limit of the listener.

--- a/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
+++ b/daemon/src/main/java/org/fulmarreach/daemon/NodeMain.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.TimeoutException;
 import java.util.logging.Level;
 
+import org.fulmarreach.core.exc.FulmarreachException;
+import org.fulmarreach.core.exc.Problem;
 import org.fulmarreach.core.exc.Result;
 import org.fulmarreach.entry.jobs.JobsNode;
 import org.fulmarreach.guard.jobs.RelayNode;
@@ -17,6 +19,7 @@
 import org.fulmarreach.runtime.log.BoundedLogHandler;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.log.RuntimeEvent;
+import org.fulmarreach.runtime.net.ClientLimits;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -72,15 +75,22 @@
             System.exit(EXIT_BAD_SETTINGS);
             return;
         }
+        try {
+            ClientLimits.check(System.getenv());
+        } catch (FulmarreachException e) {
+            exitForSettings(e.problem());
+        }
         switch (NodeSettingsReader.read(Path.of(file))) {
-            case Result.Err<NodeSettings>(var problem) -> {
-                System.err.println("Invalid settings: " + problem.message() + "\n" + problem.remedy());
-                System.exit(EXIT_BAD_SETTINGS);
-            }
+            case Result.Err<NodeSettings>(var problem) -> exitForSettings(problem);
             case Result.Ok<NodeSettings>(var settings) -> run(parsed, settings, Path.of(file));
         }
     }
 
+    private static void exitForSettings(Problem problem) {
+        System.err.println("Invalid settings: " + problem.message() + "\n" + problem.remedy());
+        System.exit(EXIT_BAD_SETTINGS);
+    }
+
     private static ArgumentParser constructParser() {
         ArgumentParser parser = ArgumentParsers.newFor("fulmard")
                 // Detection would start a process.
--- a/entry/src/main/java/org/fulmarreach/entry/http/EntryHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/http/EntryHttp.java
@@ -1,6 +1,7 @@
 package org.fulmarreach.entry.http;
 
 import java.net.InetSocketAddress;
+import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -15,8 +16,11 @@
 import org.fulmarreach.runtime.cfg.Setting;
 import org.fulmarreach.runtime.cfg.Settings;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.ClientAdmission;
+import org.fulmarreach.runtime.net.ClientLimits;
 import org.fulmarreach.runtime.net.HttpBinding;
 import org.fulmarreach.runtime.net.HttpListener;
+import org.fulmarreach.runtime.util.MonotonicClock;
 
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -64,16 +68,20 @@
         AtomicInteger running = new AtomicInteger();
         int maxConnections = settings.intNumber(Setting.MAX_HTTP_CONNECTIONS);
         registerGauges(meters, bodies, running, maxConnections);
+        ClientAdmission admission = new ClientAdmission(ClientLimits.of(settings), MonotonicClock.system(), log);
+        admission.register(meters);
+        int maxBodyBytes = settings.intNumber(Setting.MAX_BODY_BYTES);
         CompletionStage<HttpBinding> callers = HttpListener.bind(
                 system,
-                settings.address(Setting.HTTP),
-                maxConnections,
+                new HttpListener.Endpoint(settings.address(Setting.HTTP), maxConnections, maxBodyBytes, Set.of()),
+                admission,
                 request -> handleCounted(running, callEndpoint, request),
                 (request, failure) -> handleFailure(log, request, failure));
         CompletionStage<HttpBinding> operators = HttpListener.bind(
                 system,
-                settings.address(Setting.OPERATOR_HTTP),
-                MAX_OPERATOR_CONNECTIONS,
+                new HttpListener.Endpoint(
+                        settings.address(Setting.OPERATOR_HTTP), MAX_OPERATOR_CONNECTIONS, maxBodyBytes, Set.of()),
+                admission,
                 operatorEndpoint::handle,
                 (request, failure) -> handleFailure(log, request, failure));
         return callers.thenCombine(operators, EntryHttp::new);
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -2,8 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +27,8 @@
 import org.fulmarreach.runtime.cfg.Address;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.log.RuntimeEvent;
+import org.fulmarreach.runtime.net.ClientAdmission;
+import org.fulmarreach.runtime.net.ClientLimits;
 import org.fulmarreach.runtime.net.FrameTransport;
 import org.fulmarreach.runtime.net.HttpBinding;
 import org.fulmarreach.runtime.net.HttpListener;
@@ -62,6 +66,13 @@
     private static final int MAX_CONNECTIONS = 2_000;
     private static final int MAX_OPERATOR_CONNECTIONS = 16;
 
+    /** Largest body that is buffered; the configuration may allow less. */
+    private static final int MAX_BODY_BYTES = 4 << 20;
+
+    /** The headers that the endpoints read, in lower case. */
+    private static final Set<String> READ_HEADERS =
+            Set.of("host", "content-type", JobCodec.DEADLINE_HEADER.toLowerCase(Locale.ROOT));
+
     /** Guards report every 500 ms; three missed reports close a session. */
     private static final int SILENCE_TIMEOUT_MS = 1_600;
 
@@ -139,15 +150,36 @@
         transport
                 .bind(guards.host(), guards.port(), () -> new GuardConnection(reportTurns))
                 .thenAccept(binding -> system.tell(new JobsCommand.Listening(startedAtMs)));
-        bind(system, settings.readinessAddress(), MAX_OPERATOR_CONNECTIONS, log, request -> readiness(http, request));
+        ClientAdmission admission =
+                new ClientAdmission(ClientLimits.of(System.getenv(), settings.fileDescriptors()), clock, log);
+        admission.register(meters);
         bind(
                 system,
-                new Address(settings.ipAddress(), settings.firstInternalPort() + 1).toString(),
-                MAX_OPERATOR_CONNECTIONS,
+                new HttpListener.Endpoint(
+                        Address.parse(settings.readinessAddress()), MAX_OPERATOR_CONNECTIONS, 0, READ_HEADERS),
+                admission,
+                log,
+                request -> readiness(http, request));
+        bind(
+                system,
+                new HttpListener.Endpoint(
+                        new Address(settings.ipAddress(), settings.firstInternalPort() + 1),
+                        MAX_OPERATOR_CONNECTIONS,
+                        0,
+                        READ_HEADERS),
+                admission,
                 log,
                 request -> handleOperatorRequest(system, meters, request));
-        CompletionStage<HttpBinding> callers =
-                bind(system, settings.callerAddress(), MAX_CONNECTIONS, log, http::handle);
+        CompletionStage<HttpBinding> callers = bind(
+                system,
+                new HttpListener.Endpoint(
+                        Address.parse(settings.callerAddress()),
+                        ClientLimits.maxConnections(System.getenv(), MAX_CONNECTIONS),
+                        MAX_BODY_BYTES,
+                        READ_HEADERS),
+                admission,
+                log,
+                http::handle);
         return new JobsNode(system, http, callers.toCompletableFuture(), clock, log);
     }
 
@@ -223,11 +255,11 @@
 
     private static CompletionStage<HttpBinding> bind(
             ActorSystem<?> system,
-            String address,
-            int maxConnections,
+            HttpListener.Endpoint endpoint,
+            ClientAdmission admission,
             EventLog log,
             Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
-        return HttpListener.bind(system, Address.parse(address), maxConnections, handler, (request, failure) -> {
+        return HttpListener.bind(system, endpoint, admission, handler, (request, failure) -> {
             log.emit(JobEvent.REQUEST_REFUSED, "id", request.getUri().path(), "status", 500, "reason", failure);
             return HttpResponse.create().withStatus(500);
         });
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayNode.java
@@ -4,6 +4,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
@@ -23,6 +24,8 @@
 import org.fulmarreach.platform.worker.HttpWorkerCalls;
 import org.fulmarreach.runtime.cfg.Address;
 import org.fulmarreach.runtime.log.EventLog;
+import org.fulmarreach.runtime.net.ClientAdmission;
+import org.fulmarreach.runtime.net.ClientLimits;
 import org.fulmarreach.runtime.net.FrameTransport;
 import org.fulmarreach.runtime.net.HttpListener;
 import org.fulmarreach.runtime.net.LinkSettings;
@@ -89,8 +92,12 @@
         Materializer materializer = SystemMaterializer.get(system).materializer();
         HttpListener.bind(
                 system,
-                Address.parse(settings.heartbeatAddress()),
-                MAX_CONNECTIONS,
+                new HttpListener.Endpoint(
+                        Address.parse(settings.heartbeatAddress()),
+                        MAX_CONNECTIONS,
+                        (int) MAX_BODY_BYTES,
+                        Set.of("host", "content-type")),
+                new ClientAdmission(ClientLimits.of(System.getenv(), settings.fileDescriptors()), clock, log),
                 request -> receive(system, materializer, log, request),
                 (request, failure) -> {
                     log.emit(
--- a/guard/src/test/java/org/fulmarreach/guard/jobs/RelayCostTest.java
+++ b/guard/src/test/java/org/fulmarreach/guard/jobs/RelayCostTest.java
@@ -105,6 +105,7 @@
                 new Address(HOST, storePort).toString(),
                 1_000,
                 1_000,
+                0,
                 new NodeSettings.Bounds(6_000, 120_000, 6_000, 3_000, 900, 2_500, 0));
     }
 
--- a/runtime/src/main/java/org/fulmarreach/runtime/log/RuntimeEvent.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/log/RuntimeEvent.java
@@ -30,6 +30,11 @@
             1105,
             Level.WARNING,
             "An address of another process is malformed or has no usable port, so no connection is opened to it."),
+    CLIENT_REFUSED(
+            1106,
+            Level.WARNING,
+            "A client of a listener was refused or its connection was closed; written at most once in 5 s per"
+                    + " reason, with the total."),
     INVARIANT_VIOLATED(
             9001,
             Level.SEVERE,
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/HttpConnections.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/HttpConnections.java
@@ -113,6 +113,11 @@
             return ended;
         }
 
+        /** Returns whether a handler works on a request. */
+        boolean isHandled() {
+            return handled.get() > 0;
+        }
+
         boolean isInProgress() {
             return receivedSinceAnswer || handled.get() > 0;
         }
