--- a/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
+++ b/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
@@ -160,6 +160,31 @@
                                 directory.resolve(name + ".json").toString())));
     }
 
+    /** Returns the address for callers of an entry. */
+    InetSocketAddress callerAddress(int entry) {
+        return new InetSocketAddress(network + (1 + entry), firstPort);
+    }
+
+    /** Returns the address of the readiness check of an entry. */
+    InetSocketAddress readinessAddress(int entry) {
+        return new InetSocketAddress(network + (1 + entry), firstPort + 1);
+    }
+
+    /** Returns the address of the pages for operators of an entry. */
+    InetSocketAddress operatorAddress(int entry) {
+        return new InetSocketAddress(network + (1 + entry), firstPort + OPERATOR_PORT);
+    }
+
+    /** Returns the address at which the guard of a machine receives heartbeats. */
+    InetSocketAddress heartbeatAddress(int machine) {
+        return new InetSocketAddress(machineHost(machine), firstPort + 2);
+    }
+
+    /** Returns the address at which a guard asks the worker of its machine. */
+    InetSocketAddress workerAddress(int machine) {
+        return new InetSocketAddress(machineHost(machine), firstPort + 3);
+    }
+
     ManagedProcess process(String name) {
         return processes.get(name);
     }
@@ -259,7 +284,7 @@
     /** Writes the settings of a guard and returns its worker; neither is started. */
     private PlatformWorker createMachine() throws IOException {
         int number = allWorkers.size();
-        String host = network + (50 + number);
+        String host = machineHost(number);
         writeSettings("guard-" + number, "guard", host, storeHosts().get(0));
         PlatformWorker worker =
                 new PlatformWorker("i-" + number, SERVICE, host, firstPort + 3, host + ":" + (firstPort + 2), history);
@@ -267,6 +292,10 @@
         return worker;
     }
 
+    private String machineHost(int machine) {
+        return network + (50 + machine);
+    }
+
     private HttpRequest.Builder request(int entry, int port, String path) {
         return HttpRequest.newBuilder(URI.create("http://" + network + (1 + entry) + ":" + port + path))
                 .timeout(Duration.ofSeconds(3))
@@ -366,7 +395,7 @@
         Files.writeString(directory.resolve(name + ".json"), settings.toString());
     }
 
-    private void awaitReady() {
+    void awaitReady() {
         long untilMs = System.currentTimeMillis() + READY_MS;
         for (int entry = 0; entry < entryCount; ) {
             if (isReady(entry)) {
