Bound the number of requests that the HTTP parser gets at a time

What callers saw: one client that sent 4 MB of short requests ahead ended an entry or a guard, and with it the answers of all callers.

Cause: Pekko HTTP's parser calls itself once for each request that one read of the socket holds, up to 128 KiB; 104 of them overflow a stack of 256 KB.

HttpListener uses it below all listeners of entries and guards, and the server of the stand-ins uses it. ModuleDependenciesTest refuses other HTTP servers; it found the server of the stand-ins.

Weighed: pieces of a fixed length would have to be about 100 bytes for the shortest requests. A larger stack only moves the number.

--- a/it/src/test/java/org/fulmarreach/it/ModuleDependenciesTest.java
+++ b/it/src/test/java/org/fulmarreach/it/ModuleDependenciesTest.java
@@ -1,11 +1,14 @@
 package org.fulmarreach.it;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
 /**
@@ -76,4 +79,29 @@
                 .resideInAPackage("org.fulmarreach.standin..")
                 .check(classes);
     }
+
+    /** A listener of its own would pass all requests that one read holds to the parser, which nests them. */
+    @Test
+    void httpIsBoundOnlyWhereTheInputOfTheParserIsCut() {
+        noClasses()
+                .that()
+                .doNotHaveFullyQualifiedName("org.fulmarreach.runtime.net.HttpListener")
+                .and()
+                .doNotHaveFullyQualifiedName("org.fulmarreach.standin.StandInServer")
+                .should()
+                .dependOnClassesThat()
+                .haveFullyQualifiedName("org.apache.pekko.http.javadsl.ServerBuilder")
+                .orShould()
+                .dependOnClassesThat()
+                .haveFullyQualifiedName("org.apache.pekko.http.javadsl.settings.ServerSettings")
+                .check(classes);
+        List.of("org.fulmarreach.runtime.net.HttpListener", "org.fulmarreach.standin.StandInServer")
+                .forEach(listener -> classes()
+                        .that()
+                        .haveFullyQualifiedName(listener)
+                        .should()
+                        .dependOnClassesThat()
+                        .haveFullyQualifiedName("org.fulmarreach.platform.ParserInput")
+                        .check(classes));
+    }
 }
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/HttpListener.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/HttpListener.java
@@ -20,6 +20,7 @@
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.TLSPlacebo;
 import org.apache.pekko.stream.javadsl.Tcp;
+import org.fulmarreach.platform.ParserInput;
 import org.fulmarreach.runtime.cfg.Address;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
@@ -89,7 +90,7 @@
                     Flow<TLSProtocol.SslTlsOutbound, TLSProtocol.SessionBytes, NotUsed> transport =
                             TLSPlacebo.getInstance()
                                     .atop(BidiFlow.fromGraph(new ConnectionStage(connection, clock)))
-                                    .join(incoming.flow());
+                                    .join(incoming.flow().via(ParserInput.flow()));
                     Http.get(system)
                             .serverLayer(settings)
                             .join(Flow.upcast(transport))
--- a/standin/src/main/java/org/fulmarreach/standin/StandInServer.java
+++ b/standin/src/main/java/org/fulmarreach/standin/StandInServer.java
@@ -35,6 +35,7 @@
 import org.apache.pekko.stream.javadsl.TLSPlacebo;
 import org.apache.pekko.stream.javadsl.Tcp;
 import org.apache.pekko.util.ByteString;
+import org.fulmarreach.platform.ParserInput;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -150,6 +151,7 @@
                 .map(state::truncate)
                 .via(state.killSwitch().flow())
                 .via(connection.flow())
+                .via(ParserInput.flow())
                 .via(state.killSwitch().flow())
                 .watchTermination((unused, done) -> done);
         Flow<HttpRequest, HttpResponse, NotUsed> handling =
