--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -308,7 +308,8 @@
 
     /**
      * Tells whether less than half of the processors of the available workers of a service is reserved, of suspected
-     * ones too: callers count their room. Memory does not count: most of it is held by the best-effort tasks that the waiting job is to run beside.
+     * ones too: callers count their room. Memory does not count: most of it is held by the best-effort tasks that the
+     * waiting job is to run beside.
      */
     private boolean isMostlyFree(String service, Collection<WorkerView> workers, long nowMs) {
         return mostlyFree.computeIfAbsent(service, unused -> {
--- a/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
+++ b/it/src/main/java/org/fulmarreach/it/site/PlatformSite.java
@@ -192,6 +192,11 @@
         return new InetSocketAddress(machineHost(machine), firstPort + 2);
     }
 
+    /** Returns the address at which a guard asks the worker of its machine. */
+    InetSocketAddress workerAddress(int machine) {
+        return new InetSocketAddress(machineHost(machine), firstPort + 3);
+    }
+
     ManagedProcess process(String name) {
         return processes.get(name);
     }
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/HttpListener.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/HttpListener.java
@@ -24,6 +24,7 @@
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.stream.javadsl.TLSPlacebo;
 import org.apache.pekko.stream.javadsl.Tcp;
+import org.fulmarreach.platform.ParserInput;
 import org.fulmarreach.runtime.cfg.Address;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.util.MonotonicClock;
@@ -156,7 +157,7 @@
                     Flow<TLSProtocol.SslTlsOutbound, TLSProtocol.SessionBytes, NotUsed> transport =
                             TLSPlacebo.getInstance()
                                     .atop(BidiFlow.fromGraph(stage))
-                                    .join(incoming.flow());
+                                    .join(incoming.flow().via(ParserInput.flow()));
                     layer.join(Flow.upcast(transport)).join(answers).run(materializer);
                     return connection.whenEnded().thenApply(ended -> (Object) ended);
                 })
