Throttle only the run that is placed near targets

Cause: the mark of a task that was placed beside serving tasks near their targets was only replaced by the next exception. A later run of the same task that was placed by the usual rules started throttled, too.

Change: each search clears the mark.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -120,6 +120,7 @@
         headroom.observe(task, service, () -> hasRoomTwice(task, service, workers, nowMs), nowMs);
         Headroom.Limit limit = findLimit(task, service, workers, nowMs);
         WorkerView best = findWorkerWithoutInterference(task, service, workers, limit, nowMs);
+        placedNearTargets = null;
         if (best != null) {
             waits.remove(task);
         }
--- a/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobExceptionTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/WaitingJobExceptionTest.java
@@ -132,6 +132,34 @@
         assertEquals(1, leader.starts.size(), "starts within " + MAX_WITHOUT_RUN_MS + " ms");
     }
 
+    /** A run that was placed by the usual rules started throttled, since an earlier one of its task had been. */
+    @Test
+    void onlyRunsBesideServingTasksNearTheirTargetsStartThrottled() {
+        SchedulerHarness leader = new SchedulerHarness();
+        SchedulerHarness.Worker near = leader.addWorker(8_000);
+        leader.submit(
+                "serving",
+                TestSteps.of(1, new Resources(3_000, 500, 0), 0, List.of()).serving("serve", 7));
+        leader.elapse(1_000);
+        JobTask task = leader.submit("job", bestEffort(1, 10_000));
+        leader.elapse(3_000);
+        assertEquals(1, countThrottled(leader, task), "the first run is throttled");
+        leader.addWorker(2_000);
+        leader.elapse(1_000);
+        near.silent = true;
+        leader.scheduler.onGuardLost(near.ref.guard());
+        leader.elapse(10_000);
+        assertEquals(2, task.state().run(), "runs");
+        assertEquals(1, countThrottled(leader, task), "the second run is not");
+    }
+
+    private static long countThrottled(SchedulerHarness leader, JobTask task) {
+        return leader.of(DecisionLog.Decision.PACE_CHANGED).stream()
+                .filter(line -> line.subject().equals(task.name().toString()))
+                .filter(line -> line.fields().get("percent").equals(ThrottlePlan.MIN_PERCENT))
+                .count();
+    }
+
     private static TestSteps bestEffort(int count, long taskMs) {
         return TestSteps.of(count, new Resources(4_000, 500, 0), taskMs, List.of())
                 .bestEffort("fill");
