Drop the buffer of a connection when it ends

Cause: ConnectionStage gives the memory of a connection back when its stage stops, but the other stages of the connection live on for about a second and refer to it, and with it to the buffer.

Ruled out: reads before a reservation (16 KiB a connection), jobs handed in by earlier crowds (the live heap was 20 to 28 MB before the crowd).

Before: ConnectionStageTest.closedConnectionHoldsNoBytes red, 825 bytes held after the end. After: green.

--- a/runtime/src/main/java/org/fulmarreach/runtime/net/ConnectionStage.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/ConnectionStage.java
@@ -80,6 +80,11 @@
         return new BidiShape<>(fromHttp, toNet, fromNet, toHttp);
     }
 
+    /** Returns the memory that the bytes of an unfinished request occupy. */
+    int bufferedBytes() {
+        return framer.capacityBytes();
+    }
+
     @Override
     public GraphStageLogic createLogic(Attributes attributes) {
         return new Logic();
@@ -125,6 +130,8 @@
 
         @Override
         public void postStop() {
+            // The other stages of the connection may go on for a while and refer to this one.
+            framer.close();
             client.ended();
             connection.ended();
         }
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/RequestFramer.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/RequestFramer.java
@@ -43,6 +43,7 @@
     private static final int MAX_FORWARDED_LINES = 128;
     private static final int MIN_CAPACITY = 512;
     private static final int NONE = -1;
+    private static final byte[] NO_BYTES = {};
 
     /** Estimates of the memory of parsed requests, from the objects that the HTTP library and endpoints create. */
     private static final int REQUEST_COST_BYTES = 4_096;
@@ -55,7 +56,7 @@
     private final int maxBodyBytes;
     private final Set<String> forwardedNames;
 
-    private byte[] buffer = new byte[0];
+    private byte[] buffer = NO_BYTES;
     private int length;
     private int scanned;
     private int lineBytes;
@@ -106,6 +107,13 @@
         length += size;
     }
 
+    /** Drops the held bytes; no other method may be called afterwards, except {@link #capacityBytes}. */
+    void close() {
+        buffer = NO_BYTES;
+        length = 0;
+        head = null;
+    }
+
     /** Returns the next request; after {@link Result.Refused} no further call is allowed. */
     Result next() {
         if (headEnd == NONE) {
--- a/runtime/src/test/java/org/fulmarreach/runtime/net/ConnectionStageTest.java
+++ b/runtime/src/test/java/org/fulmarreach/runtime/net/ConnectionStageTest.java
@@ -91,13 +91,26 @@
         assertEquals(Optional.empty(), next());
     }
 
+    /** Buffers of closed connections stayed in memory without being counted, and the process ran out of memory. */
+    @Test
+    void closedConnectionHoldsNoBytes() {
+        ConnectionStage stage = run(request -> heldAnswer);
+        input.offer(
+                ByteString.fromString("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n" + "a".repeat(500)));
+        await(() -> requests.get() == 1);
+        assertTrue(stage.bufferedBytes() >= 500, "buffered: " + stage.bufferedBytes());
+        admit(1);
+        await(() -> connections.countOpen() == 0);
+        assertEquals(0, stage.bufferedBytes());
+    }
+
     private ClientAdmission.Client admit(int maxConnections) {
         return admission
                 .admit(LISTENER, maxConnections, InetAddress.getLoopbackAddress())
                 .orElseThrow();
     }
 
-    private void run(Function<ByteString, CompletionStage<ByteString>> answerer) {
+    private ConnectionStage run(Function<ByteString, CompletionStage<ByteString>> answerer) {
         ConnectionStage stage = new ConnectionStage(connection, client, admission.limits(), 1_000, Set.of(), clock);
         Flow<ByteString, ByteString, NotUsed> http = Flow.of(ByteString.class).mapAsync(1, request -> {
             requests.incrementAndGet();
@@ -109,6 +122,7 @@
                 .run(system);
         input = streams.first();
         output = streams.second();
+        return stage;
     }
 
     private Optional<ByteString> next() throws Exception {
