Count failed starts in WorkOutcomeTest from before the request

Cause: the test noted the time after its request to the worker was answered. After one failure a worker is rated below all others, so no second one follows.

The time is now noted before the request.

--- a/it/src/test/java/org/fulmarreach/it/WorkOutcomeTest.java
+++ b/it/src/test/java/org/fulmarreach/it/WorkOutcomeTest.java
@@ -76,8 +76,9 @@
 
     private static void avoidFailingWorker(Deployment deployment, WorkObserver work) {
         Deployment.VmProcess failing = findVmWithout(deployment, work);
-        deployment.http().post(failing.worker(), "/control", "{\"failAll\":true}");
+        // A start may fail before the answer arrives, and the worker may then get no other one for a while.
         long fromMs = System.currentTimeMillis();
+        deployment.http().post(failing.worker(), "/control", "{\"failAll\":true}");
         WorkObserver.await("a failed start", () -> countFailedStarts(work, failing, fromMs) >= 1);
         long failedMs = System.currentTimeMillis();
         WorkObserver.await("20 runs on other VMs", () -> work.countFinishedSince(failedMs) >= 20);
