Start a large waiting task on an empty worker of a reopened zone

What callers saw: after an evacuation was taken back, a job whose task needs 80% of a worker had no run for 4.0 s beside empty workers.

Cause: what is started on such a worker is limited to a share of its processors that grows over 5 s, so one task that is larger than the share waits until the share has reached its size. The bound on the wait of a job did not apply to this limit.

Change: a task of a job that has waited for 1.5 s may be the first one of a worker from 1.5 s after the zone was taken back. All other starts are limited as before (ZoneEvacuationTest unchanged and green).

Before: WaitingJobExceptionTest.largeTaskStartsInTimeAfterItsZoneIsTakenBack red, listed.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -213,7 +213,7 @@
         for (WorkerView worker : workers) {
             boolean free = worker.bestEffortMilliCores() == 0;
             if (isOpenToWaiting(task, service, worker, workers, nowMs)
-                    && hasReservableCapacity(task, worker)
+                    && hasReservableCapacityForWaiting(task, worker)
                     && (free || hasRoomBesideOthers(task, worker) || isMostlyFree(service, workers, nowMs))
                     && (tailRatio(worker) <= LOW_TAIL_RATIO
                             || tailRatio(worker) <= FAIR_TAIL_RATIO && isMostlyFree(service, workers, nowMs))) {
@@ -265,7 +265,7 @@
         double bestScore = Double.MAX_VALUE;
         for (WorkerView worker : workers) {
             if (isOpenToWaiting(task, service, worker, workers, nowMs)
-                    && hasCapacity(task, worker)
+                    && hasReservableCapacityForWaiting(task, worker)
                     && (limit == null || limit.admits(worker))) {
                 double score = WorkerScore.of(task, worker, 0) + doubts(task, worker, nowMs);
                 if (score < bestScore) {
@@ -545,13 +545,28 @@
     }
 
     private boolean hasReservableCapacity(JobTask task, WorkerView worker) {
-        return fits(task, worker, worker.taken()) && (task.step().longRunning() || !heldWorkers.contains(worker));
+        return fits(task, worker, worker.taken()) && !isHeldFrom(task, worker);
+    }
+
+    /** Tells whether a worker has the room to reserve for a task that has waited for long. */
+    private boolean hasReservableCapacityForWaiting(JobTask task, WorkerView worker) {
+        return hasRoom(task, worker, worker.taken())
+                && worker.mayFillWithWaiting(task.step(), MAX_WITHOUT_RUN_MS, passAtMs)
+                && !isHeldFrom(task, worker);
     }
 
-    /** Tells whether a task fits on a worker whose reserved resources are {@code taken}. */
+    private boolean isHeldFrom(JobTask task, WorkerView worker) {
+        return !task.step().longRunning() && heldWorkers.contains(worker);
+    }
+
+    /** Tells whether a task fits on a worker whose reserved resources are {@code taken}, and may be started there. */
     private boolean fits(JobTask task, WorkerView worker, Resources taken) {
+        return hasRoom(task, worker, taken) && worker.mayFillWith(task.step(), passAtMs);
+    }
+
+    private boolean hasRoom(JobTask task, WorkerView worker, Resources taken) {
         JobStep step = task.step();
-        if (!taken.plus(step.reserved()).fitsInto(worker.report().capacity()) || !worker.mayFillWith(step, passAtMs)) {
+        if (!taken.plus(step.reserved()).fitsInto(worker.report().capacity())) {
             return false;
         }
         if (!step.requiredLabel().isEmpty() && !worker.report().labels().contains(step.requiredLabel())) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/StartAllowance.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/StartAllowance.java
@@ -17,13 +17,28 @@
         if (elapsedMs >= fillMs) {
             return true;
         }
-        long started = step.demand().milliCores();
+        long started = step.demand().milliCores() + startedMilliCores(worker);
+        return started <= worker.report().capacity().milliCores() * elapsedMs / fillMs;
+    }
+
+    /**
+     * Tells whether a task that has waited for long may be started on a worker now: also one that is larger than the
+     * share, if it is the first one there.
+     *
+     * @param minElapsedMs time from when the zone was taken back to such a first task
+     */
+    boolean admitsWaiting(JobStep step, WorkerView worker, long minElapsedMs, long nowMs) {
+        return admits(step, worker, nowMs) || nowMs - sinceMs >= minElapsedMs && startedMilliCores(worker) == 0;
+    }
+
+    private long startedMilliCores(WorkerView worker) {
+        long started = 0;
         for (JobTask task : worker.assigned()) {
             // Members of a gang are on the worker before they are assigned: a gang is chosen as a whole.
             if (!task.isAssigned() || task.progress().orderedAtMs() >= sinceMs) {
                 started += task.step().demand().milliCores();
             }
         }
-        return started <= worker.report().capacity().milliCores() * elapsedMs / fillMs;
+        return started;
     }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -265,6 +265,11 @@
         return filling.admits(step, this, nowMs);
     }
 
+    /** The same for a task that has waited for long, see {@link StartAllowance#admitsWaiting}. */
+    boolean mayFillWithWaiting(JobStep step, long minElapsedMs, long nowMs) {
+        return filling.admitsWaiting(step, this, minElapsedMs, nowMs);
+    }
+
     /** Records that the guard has no session any more; until its next report no order reaches the worker. */
     void recordDisconnected() {
         connected = false;
