Bound the messages to a guard and the starts under way

Cause: all orders for a worker were one message, encoded on the actor of the sender; FrameException "encoded Frame has 8046935 bytes" ended it. Change: orders are divided into messages, the starts under way to a worker are bounded with room left for other jobs, a start that fits no message fails its task, and a link drops a message over the limit. Related paths: checkpoints that workers report, long specifications, gangs.

--- a/core/src/main/java/org/fulmarreach/core/jobs/Job.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Job.java
@@ -3,12 +3,15 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.fulmarreach.core.model.Utf8;
+
 /** A job with its tasks. Confined to the thread or actor that owns its {@link JobRegistry}. */
 public final class Job {
     private final JobSpec spec;
     private final AcknowledgedStatuses statuses;
     private final List<JobTask> tasks = new ArrayList<>();
     private final int tasksPerOccurrence;
+    private final int payloadBytes;
     private final int[] stepStarts;
     private final int[] phaseCounts = new int[TaskPhase.values().length];
     private boolean begun;
@@ -28,6 +31,7 @@
     Job(JobSpec spec, AcknowledgedStatuses statuses) {
         this.spec = spec;
         this.statuses = statuses;
+        this.payloadBytes = Utf8.length(spec.payload());
         this.stepStarts = new int[spec.steps().size()];
         int count = 0;
         for (int step = 0; step < stepStarts.length; step++) {
@@ -48,6 +52,11 @@
         phaseCounts[TaskPhase.PENDING.ordinal()] = tasks.size();
     }
 
+    /** Returns the size in bytes of the text that each start of a task carries. */
+    int payloadBytes() {
+        return payloadBytes;
+    }
+
     /** Returns the specification that the caller submitted. */
     public JobSpec spec() {
         return spec;
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -225,6 +225,11 @@
         runs.onStartNotSent(start, "not sent, the guard has no session");
     }
 
+    /** Fails the task of a start that fits no message to a guard. */
+    public void onStartUndeliverable(JobOrder.Start start) {
+        runs.onStartUndeliverable(start);
+    }
+
     /** Releases the task of a start that was dropped since it is not applicable any more. */
     public void onStartDropped(JobOrder.Start start) {
         runs.onStartNotSent(start, "not sent, not applicable any more");
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -214,6 +214,7 @@
             boolean free = worker.bestEffortMilliCores() == 0;
             if (isOpenToWaiting(task, service, worker, workers, nowMs)
                     && hasReservableCapacityForWaiting(task, worker)
+                    && mayOrderStart(task, worker)
                     && (free || hasRoomBesideOthers(task, worker) || isMostlyFree(service, workers, nowMs))
                     && (tailRatio(worker) <= LOW_TAIL_RATIO
                             || tailRatio(worker) <= FAIR_TAIL_RATIO && isMostlyFree(service, workers, nowMs))) {
@@ -266,6 +267,7 @@
         for (WorkerView worker : workers) {
             if (isOpenToWaiting(task, service, worker, workers, nowMs)
                     && hasReservableCapacityForWaiting(task, worker)
+                    && mayOrderStart(task, worker)
                     && (limit == null || limit.admits(worker))) {
                 double score = WorkerScore.of(task, worker, 0) + doubts(task, worker, nowMs);
                 if (score < bestScore) {
@@ -349,6 +351,7 @@
         }
         WorkerView best = null;
         double bestScore = Double.MAX_VALUE;
+        boolean startsUnderWay = false;
         candidates += workers.size();
         for (WorkerView worker : workers) {
             if (!isOpen(worker, service, workers, nowMs)
@@ -356,6 +359,10 @@
                     || limit != null && !limit.admits(worker)) {
                 continue;
             }
+            if (!mayOrderStart(task, worker)) {
+                startsUnderWay = true;
+                continue;
+            }
             // The prediction iterates over all pairs of images on the worker, so cheap conditions are checked first.
             double excess = bestEffort ? colocation.predictExcess(step, worker) : 0;
             if (excess > 0) {
@@ -367,7 +374,7 @@
                 bestScore = score;
             }
         }
-        if (best == null) {
+        if (best == null && !startsUnderWay) {
             recordUnplaceable(step, taskClass);
             if (!bestEffort) {
                 headroom.recordShortage(service, nowMs);
@@ -493,6 +500,7 @@
         SUSPECTED,
         TRIAL,
         ROOM,
+        STARTS_UNDER_WAY,
         TASKS_PER_WORKER,
         HEADROOM,
         INTERFERENCE
@@ -517,6 +525,9 @@
                 || !worker.mayFillWith(step, passAtMs)) {
             return Obstacle.ROOM;
         }
+        if (!mayOrderStart(task, worker)) {
+            return Obstacle.STARTS_UNDER_WAY;
+        }
         if (!fits(task, worker, worker.taken())) {
             return Obstacle.TASKS_PER_WORKER;
         }
@@ -564,6 +575,11 @@
         return hasRoom(task, worker, taken) && worker.mayFillWith(task.step(), passAtMs);
     }
 
+    /** The members of a gang start together, so they do not wait for the starts under way. */
+    private static boolean mayOrderStart(JobTask task, WorkerView worker) {
+        return task.step().gang() || worker.starting().admits(task.job());
+    }
+
     private boolean hasRoom(JobTask task, WorkerView worker, Resources taken) {
         JobStep step = task.step();
         if (!taken.plus(step.reserved()).fitsInto(worker.report().capacity())) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -160,7 +160,25 @@
         }
     }
 
+    /** Fails the task of a start that fits no message, so that no attempt can be made. */
+    void onStartUndeliverable(JobOrder.Start start) {
+        JobTask task = registry.findTask(start.task().toString());
+        if (task != null && task.isCurrent(start.worker(), start.run())) {
+            logStartRefused(task, "too large for a message to the guard");
+            task.release();
+            task.finish(TaskPhase.FAILED, task.state().failures(), "");
+            decisions.markChanged(task.job());
+        }
+    }
+
     private void releaseUnsent(JobTask task, String reason) {
+        logStartRefused(task, reason);
+        task.release();
+        task.finish(TaskPhase.PENDING, task.state().failures(), "");
+        decisions.markChanged(task.job());
+    }
+
+    private void logStartRefused(JobTask task, String reason) {
         log.record(
                 Decision.START_REFUSED,
                 task.name().toString(),
@@ -170,9 +188,6 @@
                 task.state().worker().id(),
                 "outcome",
                 reason);
-        task.release();
-        task.finish(TaskPhase.PENDING, task.state().failures(), "");
-        decisions.markChanged(task.job());
     }
 
     /**
@@ -401,6 +416,7 @@
 
     /** Repeats the start of, withdraws, or marks as lost the assigned runs that the worker does not list. */
     private void reviewUnlisted(WorkerReport report, WorkerView worker, Set<JobTask> listed, long nowMs) {
+        StartWindow repeated = new StartWindow();
         for (JobTask task : List.copyOf(worker.assigned())) {
             RunProgress progress = task.progress();
             if (listed.contains(task)) {
@@ -427,12 +443,23 @@
             } else if (nowMs - Math.max(progress.queuedAtMs(), progress.sentAtMs()) > JobTimeLimits.START_RETRY_MS) {
                 if (worker.isEvacuated()) {
                     withdraw(task, nowMs);
-                } else {
+                } else if (repeated.admits(task.job()) || task.step().gang()) {
+                    repeated.add(task);
                     task.updateProgress(progress.withQueued(nowMs));
                     decisions.addStart(task);
                 }
             }
         }
+        countStarting(worker);
+    }
+
+    private static void countStarting(WorkerView worker) {
+        worker.starting().clear();
+        for (JobTask task : worker.assigned()) {
+            if (!task.progress().isListed() && task.progress().stopOrderedAtMs() == 0) {
+                worker.starting().add(task);
+            }
+        }
     }
 
     /**
--- a/core/src/main/java/org/fulmarreach/core/jobs/WaitDiagnosis.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WaitDiagnosis.java
@@ -101,6 +101,9 @@
             return new WaitReason.Interference(
                     count(counts, Obstacle.INTERFERENCE), task.job().hasAssignedTasks());
         }
+        if (count(counts, Obstacle.STARTS_UNDER_WAY) > 0) {
+            return new WaitReason.StartsUnderWay(count(counts, Obstacle.STARTS_UNDER_WAY), available);
+        }
         if (count(counts, Obstacle.TASKS_PER_WORKER) > 0) {
             return new WaitReason.AntiAffinity(
                     task.step().maxPerWorker(), count(counts, Obstacle.TASKS_PER_WORKER), available);
--- a/core/src/main/java/org/fulmarreach/core/jobs/WaitReason.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WaitReason.java
@@ -23,6 +23,9 @@
     /** No available worker has the label that the step requires. */
     record NoLabel(String label, int available) implements WaitReason {}
 
+    /** Workers with room are still taking up as many starts as may be under way to a worker. */
+    record StartsUnderWay(int withRoom, int available) implements WaitReason {}
+
     /** Each worker with room has as many tasks of the step as it may have. */
     record AntiAffinity(int maxPerWorker, int withRoom, int available) implements WaitReason {}
 
@@ -135,6 +138,7 @@
             case StartsHeld reason -> "starts held, cancellations or requests cannot be read";
             case NoWorker reason -> "no worker available";
             case NoLabel reason -> "no available worker has the label";
+            case StartsUnderWay reason -> "starts under way to the workers with room";
             case AntiAffinity reason -> "limit of tasks per worker";
             case NoRoom reason -> "no room, taken by " + reason.taker();
             case Headroom reason -> "room is kept free for short jobs";
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -41,6 +41,7 @@
     private boolean reservedForTrial;
     private boolean evacuated;
     private StartAllowance filling = StartAllowance.UNLIMITED;
+    private final StartWindow starting = new StartWindow();
     private boolean connected;
     private final long createdAtMs;
     private long formerGrantsUntilMs;
@@ -255,6 +256,11 @@
         evacuated = isEvacuated;
     }
 
+    /** Returns the starts under way to the worker, as of its last report and with those ordered since. */
+    StartWindow starting() {
+        return starting;
+    }
+
     /** Limits what is started on the worker for a while after its zone was taken back. */
     void setFilling(StartAllowance allowance) {
         filling = allowance;
@@ -358,6 +364,7 @@
     void add(JobTask task) {
         if (assigned.add(task)) {
             task.setWorkerView(this);
+            starting.add(task);
             reserved = reserved.plus(task.step().reserved());
             reservedByLongRunning = reservedByLongRunning.plus(longRunningReservation(task));
             bestEffortMilliCores += bestEffortMilliCoresOf(task);
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/GuardSessions.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/GuardSessions.java
@@ -11,6 +11,7 @@
 import org.fulmarreach.core.jobs.JobOrder;
 import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.protocol.io.GuardMessages;
+import org.fulmarreach.protocol.io.OrderBatches;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.net.FrameLink;
@@ -88,29 +89,52 @@
     /**
      * Sends orders, and with them a grant, to the guards that have a session and have reported a worker in it. Orders
      * for other guards are dropped: stops that are still needed are sent again when the guard reports, and so are
-     * starts that were sent before.
+     * starts that were sent before. An order that fits no message is dropped, and the others are sent.
      *
-     * @return guards to which a grant was sent
+     * @return guards to which a grant was sent, and the orders that fit no message
      */
-    Set<String> send(long term, List<JobOrder> orders, long writeAgeMs) {
+    Sent send(long term, List<JobOrder> orders, long writeAgeMs) {
         Map<WorkerRef, List<JobOrder>> byWorker = new LinkedHashMap<>();
         for (JobOrder order : orders) {
             byWorker.computeIfAbsent(order.worker(), worker -> new ArrayList<>())
                     .add(order);
         }
-        Set<String> granted = new HashSet<>();
+        Sent sent = new Sent(new HashSet<>(), new ArrayList<>());
         byWorker.forEach((worker, each) -> {
             Session session = byGuard.get(worker.guard());
             if (session != null && session.worker() != null) {
-                session.link()
-                        .send(
-                                0,
-                                Body.leaderOrders(
-                                        GuardMessages.toThrift(term, session.tickMs(), worker, each, writeAgeMs)));
-                granted.add(worker.guard());
+                OrderBatches divided = OrderBatches.of(each);
+                for (List<JobOrder> batch : divided.batches()) {
+                    session.link()
+                            .send(
+                                    0,
+                                    Body.leaderOrders(
+                                            GuardMessages.toThrift(term, session.tickMs(), worker, batch, writeAgeMs)));
+                    sent.granted().add(worker.guard());
+                }
+                divided.oversized().forEach(order -> logOversized(order, worker));
+                sent.oversized().addAll(divided.oversized());
             }
         });
-        return granted;
+        return sent;
+    }
+
+    /**
+     * What became of orders.
+     *
+     * @param granted guards to which orders were sent, and with them a grant
+     * @param oversized orders that were dropped, since they fit no message
+     */
+    record Sent(Set<String> granted, List<JobOrder> oversized) {}
+
+    private void logOversized(JobOrder order, WorkerRef worker) {
+        String task = switch (order) {
+            case JobOrder.Start start -> start.task().toString();
+            case JobOrder.Stop stop -> stop.task();
+            case JobOrder.SetCpuShare share -> share.task().toString();
+            case JobOrder.Acknowledge acknowledge -> "none";
+        };
+        log.emit(JobEvent.ORDER_TOO_LARGE, "id", task, "guard", worker.guard(), "worker", worker.id());
     }
 
     /** Closes all connections. */
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -148,7 +148,11 @@
             "A zone is evacuated: nothing is started there, and standing tasks are moved out as others have room."),
     ZONE_EMPTIED(4092, Level.INFO, "The last standing task has left an evacuated zone."),
     ZONE_REOPENED(
-            4093, Level.INFO, "The evacuation of a zone was taken back; its workers are filled over some seconds.");
+            4093, Level.INFO, "The evacuation of a zone was taken back; its workers are filled over some seconds."),
+    ORDER_TOO_LARGE(
+            4057,
+            Level.SEVERE,
+            "An order fits no message to its guard and was dropped; a task that cannot be started so has failed.");
 
     private final int number;
     private final Level level;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -368,11 +369,14 @@
             List<JobOrder> sendable = applicable.stream()
                     .filter(order -> !scheduler.withholdsLease(order.worker().guard()))
                     .toList();
-            Set<String> granted = sessions.send(term, sendable, writeAgeMs());
-            granted.forEach(guard -> scheduler.onGrantSent(guard, nowMs));
+            GuardSessions.Sent sent = sessions.send(term, sendable, writeAgeMs());
+            sent.granted().forEach(guard -> scheduler.onGrantSent(guard, nowMs));
+            Set<JobOrder> oversized = new HashSet<>(sent.oversized());
             for (JobOrder order : applicable) {
                 if (order instanceof JobOrder.Start start) {
-                    if (granted.contains(start.worker().guard())) {
+                    if (oversized.contains(start)) {
+                        scheduler.onStartUndeliverable(start);
+                    } else if (sent.granted().contains(start.worker().guard())) {
                         scheduler.onStartSent(start, nowMs);
                     } else {
                         scheduler.onStartNotSent(start);
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import org.fulmarreach.protocol.io.ThriftBytes;
 import org.fulmarreach.protocol.thrift.Body;
+import org.fulmarreach.protocol.thrift.Frame;
 import org.fulmarreach.protocol.thrift.LeaderOrders;
 import org.fulmarreach.runtime.net.FrameLink;
 
@@ -63,8 +65,10 @@
         return sent.stream().filter(Body::isSetLeaderOrders).count();
     }
 
+    /** Encodes the frame as a real connection does, which has a limit on its size. */
     @Override
     public void send(long correlationId, Body body) {
+        ThriftBytes.encode(new Frame(correlationId, body));
         sent.add(body);
     }
 
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/RelayEvent.java
@@ -27,6 +27,10 @@
             "A heartbeat names a lifetime of the worker that has not answered yet; the guard asks the worker."),
     ROWS_SKIPPED(
             4108, Level.WARNING, "The worker's lists have another number of rows that name no run; they are left out."),
+    CHECKPOINTS_LEFT_OUT(
+            4118,
+            Level.WARNING,
+            "The worker lists another number of checkpoints that are too long to be kept; these runs have none."),
     START_DONE(4110, Level.INFO, "The worker accepted the start of a run."),
     START_REFUSED(4111, Level.INFO, "The worker, or the guard on its behalf, refused the start of a run."),
     START_EXPIRED(
--- a/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
+++ b/guard/src/main/java/org/fulmarreach/guard/jobs/WorkerRelay.java
@@ -391,9 +391,7 @@
         lease.updateClock(answer.clockMs(), nowMs);
         boolean newEnds = !answer.ended().isEmpty() && answer.lastEndNumber() > snapshot.lastEndNumber();
         boolean first = !hasSnapshot;
-        if (answer.skippedRows() != snapshot.skippedRows()) {
-            log.emit(RelayEvent.ROWS_SKIPPED, "worker", workerRef.id(), "rows", answer.skippedRows());
-        }
+        SnapshotLog.logOmissions(log, workerRef.id(), snapshot, answer);
         snapshot = answer;
         dispatcher.onEnded(answer.ended());
         hasSnapshot = true;
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/GuardMessages.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/GuardMessages.java
@@ -9,6 +9,7 @@
 import org.fulmarreach.core.jobs.RunEnd;
 import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.core.jobs.WorkerReport;
+import org.fulmarreach.core.model.Utf8;
 import org.fulmarreach.protocol.thrift.EndedRun;
 import org.fulmarreach.protocol.thrift.LeaderOrders;
 import org.fulmarreach.protocol.thrift.PaceRun;
@@ -22,18 +23,32 @@
 
 /** Converts the messages between a guard and the leader. Stateless and thread-safe. */
 public final class GuardMessages {
+    /**
+     * Bound on the checkpoints of a report in total, in bytes. The report must fit a frame whatever a worker lists, and
+     * the names of its runs cannot be left out.
+     */
+    private static final int MAX_REPORTED_CHECKPOINT_BYTES = 1 << 20;
+
     private GuardMessages() {}
 
-    /** Converts the report of a worker to Thrift. */
+    /**
+     * Converts the report of a worker to Thrift. If its checkpoints are too large in total, those of the last runs are
+     * left out, of which the leader then keeps the checkpoints that it knows.
+     */
     public static WorkerStatus toThrift(WorkerReport report) {
-        List<RunStatus> running = new ArrayList<>();
-        for (WorkerReport.Running run : report.running()) {
-            running.add(new RunStatus(run.task(), run.run(), run.checkpoint(), run.percent(), run.usage()));
-        }
+        int checkpointBytes = 0;
         List<EndedRun> ended = new ArrayList<>();
         for (WorkerReport.Ended end : report.ended()) {
+            checkpointBytes += Utf8.length(end.checkpoint());
+            String checkpoint = checkpointBytes <= MAX_REPORTED_CHECKPOINT_BYTES ? end.checkpoint() : "";
             ended.add(new EndedRun(
-                    end.number(), end.task(), end.run(), end.runEnd().name(), end.checkpoint()));
+                    end.number(), end.task(), end.run(), end.runEnd().name(), checkpoint));
+        }
+        List<RunStatus> running = new ArrayList<>();
+        for (WorkerReport.Running run : report.running()) {
+            checkpointBytes += Utf8.length(run.checkpoint());
+            String checkpoint = checkpointBytes <= MAX_REPORTED_CHECKPOINT_BYTES ? run.checkpoint() : "";
+            running.add(new RunStatus(run.task(), run.run(), checkpoint, run.percent(), run.usage()));
         }
         WorkerStatus status = new WorkerStatus(
                 JobRecords.toThrift(report.ref()),
--- a/runtime/src/main/java/org/fulmarreach/runtime/log/RuntimeEvent.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/log/RuntimeEvent.java
@@ -35,6 +35,10 @@
             Level.WARNING,
             "A client of a listener was refused or its connection was closed; written at most once in 5 s per"
                     + " reason, with the total."),
+    FRAME_NOT_SENT(
+            1107,
+            Level.SEVERE,
+            "A message to another process is over the limit of a frame and was dropped; report it."),
     INVARIANT_VIOLATED(
             9001,
             Level.SEVERE,
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/FrameLink.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/FrameLink.java
@@ -10,7 +10,8 @@
     }
 
     /**
-     * Sends a message.
+     * Sends a message. One that is over the limit of a frame is dropped with a log line, so that it neither stops its
+     * sender nor the messages after it.
      *
      * @param correlationId id that matches an answer to its request; 0 for one-way messages
      * @param body the message
--- a/runtime/src/main/java/org/fulmarreach/runtime/net/QueuedLink.java
+++ b/runtime/src/main/java/org/fulmarreach/runtime/net/QueuedLink.java
@@ -5,6 +5,7 @@
 import java.util.Queue;
 
 import org.apache.pekko.actor.ActorRef;
+import org.fulmarreach.core.exc.FrameException;
 import org.fulmarreach.protocol.io.ThriftBytes;
 import org.fulmarreach.protocol.thrift.Body;
 import org.fulmarreach.protocol.thrift.Frame;
@@ -40,7 +41,20 @@
 
     @Override
     public void send(long correlationId, Body body) {
-        byte[] frame = ThriftBytes.encode(new Frame(correlationId, body));
+        byte[] frame;
+        try {
+            frame = ThriftBytes.encode(new Frame(correlationId, body));
+        } catch (FrameException e) {
+            log.emit(
+                    RuntimeEvent.FRAME_NOT_SENT,
+                    "remote",
+                    address,
+                    "message",
+                    body.getSetField(),
+                    "reason",
+                    e.getMessage());
+            return;
+        }
         long refusedAtBytes = enqueue(frame);
         if (refusedAtBytes > 0) {
             log.emit(RuntimeEvent.SEND_BUFFER_FULL, "remote", address, "pendingBytes", refusedAtBytes);
--- a/runtime/src/test/java/org/fulmarreach/runtime/cfg/SettingsPageTest.java
+++ b/runtime/src/test/java/org/fulmarreach/runtime/cfg/SettingsPageTest.java
@@ -44,6 +44,22 @@
             page.append(" | ").append(setting.max() == 0 ? "" : setting.min() + " to " + setting.max());
             page.append(" | ").append(setting.description()).append(" |\n");
         }
+        page.append("""
+
+                ## Fixed bounds
+
+                They cannot be set. Requests and workers that keep to the platform's own limits do not meet them, apart
+                from the first.
+
+                | bound | value | effect |
+                |---|---|---|
+                | starts under way to one worker | 256, or 512 KiB of text \
+                | Further tasks wait; a job may use as much as it leaves to others. Gangs start whole. |
+                | specification of a job | 4,000 bytes | The submission is refused with status 400. |
+                | specification of a gang, times its tasks | 4 MiB | The submission is refused with status 400. |
+                | checkpoint of a task | 4,096 characters | A longer one is not kept (event 4118); the run goes on. |
+                | checkpoints in one report of a worker | 1 MiB | Those of the last runs are left out of the report. |
+                """);
         return page.toString();
     }
 
