Construct tasks when they are needed and bound the memory of jobs

Cause: Job constructed its tasks of all occurrences when it was read, 108 bytes each, at every entry, and nothing bounded their sum. Change: JobTasks constructs a task when it is asked for and drops it when its end is stored; states are kept in parts, shared where they are equal; JobMemory bounds what is accepted by the heap, with status 429.

--- a/core/src/main/java/org/fulmarreach/core/jobs/DecisionBuffer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/DecisionBuffer.java
@@ -51,8 +51,9 @@
     JobBatch takeBatch(Set<String> forgotten) {
         Map<String, JobSnapshot> progress = new LinkedHashMap<>();
         for (Job job : changed) {
-            if (job.getAndClearChanged() && !forgotten.contains(job.spec().id())) {
-                progress.put(job.spec().id(), job.snapshot());
+            JobSnapshot change = job.takeChange();
+            if (change != null && !forgotten.contains(job.spec().id())) {
+                progress.put(job.spec().id(), change);
             }
         }
         changed.clear();
--- a/core/src/main/java/org/fulmarreach/core/jobs/Headroom.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Headroom.java
@@ -283,9 +283,11 @@
         for (int step = 0; step < job.spec().steps().size(); step++) {
             int each = job.spec().steps().get(step).reserved().milliCores();
             if (each > 0 && job.isReady(0, step)) {
-                for (JobTask task : job.tasksOf(0, step)) {
-                    TaskPhase phase = task.state().phase();
-                    int counted = phase == TaskPhase.PENDING || phase == TaskPhase.ASSIGNED ? 1 : 0;
+                int from = job.indexOf(0, step);
+                for (int index = from;
+                        index < from + job.spec().steps().get(step).taskCount();
+                        index++) {
+                    int counted = job.stateAt(index).phase().isOpen() ? 1 : 0;
                     milliCores += (long) counted * each;
                     tasks += counted;
                 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/Job.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Job.java
@@ -1,18 +1,20 @@
 package org.fulmarreach.core.jobs;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
+import java.util.function.Predicate;
 
 import org.fulmarreach.core.model.Utf8;
 
 /** A job with its tasks. Confined to the thread or actor that owns its {@link JobRegistry}. */
 public final class Job {
+    private static final int FULL_PERCENT = 100;
+
     private final JobSpec spec;
     private final AcknowledgedStatuses statuses;
-    private final List<JobTask> tasks = new ArrayList<>();
-    private final int tasksPerOccurrence;
+    private final JobTasks tasks;
     private final int payloadBytes;
-    private final int[] stepStarts;
     private final int[] phaseCounts = new int[TaskPhase.values().length];
     private boolean begun;
     private boolean cancelled;
@@ -23,6 +25,12 @@
     private JobStatus acknowledgedStatus = JobStatus.QUEUED;
     private JobSnapshot acknowledged;
 
+    /** States that were last read or taken for writing; those of tasks that are not constructed are present. */
+    private TaskStates stored;
+
+    /** Parts of the tasks with changes that have not been taken for writing. */
+    private final BitSet changedParts = new BitSet();
+
     /**
      * Constructs a job of which nothing has begun.
      *
@@ -32,24 +40,8 @@
         this.spec = spec;
         this.statuses = statuses;
         this.payloadBytes = Utf8.length(spec.payload());
-        this.stepStarts = new int[spec.steps().size()];
-        int count = 0;
-        for (int step = 0; step < stepStarts.length; step++) {
-            stepStarts[step] = count;
-            count += spec.steps().get(step).taskCount();
-        }
-        this.tasksPerOccurrence = count;
-        for (int occurrence = 0; occurrence < spec.occurrences(); occurrence++) {
-            for (int step = 0; step < stepStarts.length; step++) {
-                for (int index = 0; index < spec.steps().get(step).taskCount(); index++) {
-                    tasks.add(new JobTask(
-                            this,
-                            new TaskName(spec.id(), occurrence, step, index),
-                            spec.steps().get(step)));
-                }
-            }
-        }
-        phaseCounts[TaskPhase.PENDING.ordinal()] = tasks.size();
+        this.tasks = new JobTasks(this, spec);
+        resetTo(TaskStates.initial(tasks.size()));
     }
 
     /** Returns the size in bytes of the text that each start of a task carries. */
@@ -69,10 +61,85 @@
 
     /** Returns the tasks of one step of one occurrence. */
     public List<JobTask> tasksOf(int occurrence, int step) {
-        int from = occurrence * tasksPerOccurrence + stepStarts[step];
+        int from = tasks.indexOf(occurrence, step);
         return tasks.subList(from, from + spec.steps().get(step).taskCount());
     }
 
+    /** Returns the number of tasks of all occurrences. */
+    int size() {
+        return tasks.size();
+    }
+
+    /** Returns the position of the first task of a step among all tasks. */
+    int indexOf(int occurrence, int step) {
+        return tasks.indexOf(occurrence, step);
+    }
+
+    /** Returns the state of the task at a position; does not construct the task, unlike {@link #tasks}. */
+    TaskState stateAt(int index) {
+        JobTask task = tasks.findPresent(index);
+        return task == null ? stored.get(index) : task.state();
+    }
+
+    /** Returns the remaining part of the task at a position; does not construct it. */
+    int remainingPercentAt(int index) {
+        if (stateAt(index).phase() == TaskPhase.DONE) {
+            return 0;
+        }
+        JobTask task = tasks.findPresent(index);
+        return FULL_PERCENT - (task == null ? 0 : task.progress().percent());
+    }
+
+    /** Returns the state in which a task is constructed. */
+    TaskState storedState(int index) {
+        return stored.get(index);
+    }
+
+    /** Returns the tasks that are constructed: at least those that this leader has placed or adopted and not ended. */
+    List<JobTask> presentTasks() {
+        return tasks.present(0, tasks.size());
+    }
+
+    /** Returns the constructed tasks of one step of one occurrence. */
+    List<JobTask> presentTasksOf(int occurrence, int step) {
+        int from = tasks.indexOf(occurrence, step);
+        return tasks.present(from, from + spec.steps().get(step).taskCount());
+    }
+
+    /** Returns the first task of a step that has not ended, or null. */
+    JobTask findOpenTask(int occurrence, int step) {
+        int from = tasks.indexOf(occurrence, step);
+        for (int index = from; index < from + spec.steps().get(step).taskCount(); index++) {
+            if (stateAt(index).phase().isOpen()) {
+                return tasks.get(index);
+            }
+        }
+        return null;
+    }
+
+    /** Returns the tasks of a step that have not ended. */
+    List<JobTask> openTasksOf(int occurrence, int step) {
+        List<JobTask> open = new ArrayList<>();
+        int from = tasks.indexOf(occurrence, step);
+        for (int index = from; index < from + spec.steps().get(step).taskCount(); index++) {
+            if (stateAt(index).phase().isOpen()) {
+                open.add(tasks.get(index));
+            }
+        }
+        return open;
+    }
+
+    /** Returns the tasks whose state meets a condition that initial states do not meet. */
+    List<JobTask> findTasks(Predicate<TaskState> condition) {
+        List<JobTask> found = new ArrayList<>();
+        for (int index = 0; index < tasks.size(); index++) {
+            if (condition.test(stateAt(index))) {
+                found.add(tasks.get(index));
+            }
+        }
+        return found;
+    }
+
     /** Tells whether the caller cancelled the job. */
     public boolean isCancelled() {
         return cancelled;
@@ -108,7 +175,24 @@
 
     /** Returns the progress to be stored, including changes that are not written yet. */
     public JobSnapshot snapshot() {
-        return new JobSnapshot(tasks.stream().map(JobTask::state).toList(), settledAtMs, begun);
+        TaskStates states = stored;
+        for (int part = 0; part < states.countParts(); part++) {
+            // The checkpoints of a job with one part are written with each change of it.
+            if (changedParts.get(part) || states.countParts() == 1) {
+                states = states.withPart(part, statesOf(part));
+            }
+        }
+        return new JobSnapshot(states, settledAtMs, begun);
+    }
+
+    private List<TaskState> statesOf(int part) {
+        int from = part * TaskStates.PART_TASKS;
+        int to = Math.min(tasks.size(), from + TaskStates.PART_TASKS);
+        List<TaskState> states = new ArrayList<>(to - from);
+        for (int index = from; index < to; index++) {
+            states.add(stateAt(index));
+        }
+        return states;
     }
 
     /** Tells whether a task waits for a worker, for its predecessors or for its due time. */
@@ -134,8 +218,9 @@
     /** Tells whether all predecessors of a step are done within an occurrence. */
     boolean isReady(int occurrence, int step) {
         for (int predecessor : spec.steps().get(step).predecessors()) {
-            for (JobTask task : tasksOf(occurrence, predecessor)) {
-                if (task.state().phase() != TaskPhase.DONE) {
+            int from = tasks.indexOf(occurrence, predecessor);
+            for (int index = from; index < from + spec.steps().get(predecessor).taskCount(); index++) {
+                if (stateAt(index).phase() != TaskPhase.DONE) {
                     return false;
                 }
             }
@@ -147,12 +232,12 @@
         if (name.occurrence() < 0
                 || name.occurrence() >= spec.occurrences()
                 || name.step() < 0
-                || name.step() >= stepStarts.length
+                || name.step() >= spec.steps().size()
                 || name.index() < 0
                 || name.index() >= spec.steps().get(name.step()).taskCount()) {
             return null;
         }
-        return tasksOf(name.occurrence(), name.step()).get(name.index());
+        return tasks.get(tasks.indexOf(name));
     }
 
     /*
@@ -168,7 +253,7 @@
     void discard() {
         discarded = true;
         cancelled = true;
-        tasks.forEach(JobTask::release);
+        presentTasks().forEach(JobTask::release);
     }
 
     /** Records that a worker has begun a task; returns true if that was not known before. */
@@ -189,12 +274,9 @@
     }
 
     void restore(JobSnapshot snapshot) {
-        for (int i = 0; i < tasks.size() && i < snapshot.tasks().size(); i++) {
-            tasks.get(i).restore(snapshot.tasks().get(i));
-        }
+        resetTo(snapshot.states().resizedTo(tasks.size()));
         settledAtMs = snapshot.settledAtMs();
         begun = snapshot.begun();
-        changed = false;
         acknowledge(snapshot);
     }
 
@@ -204,18 +286,38 @@
             restore(acknowledged);
             return;
         }
-        tasks.forEach(task -> task.restore(TaskState.INITIAL));
+        resetTo(TaskStates.initial(tasks.size()));
         settledAtMs = 0;
         begun = false;
+    }
+
+    private void resetTo(TaskStates states) {
+        stored = states;
+        for (JobTask task : presentTasks()) {
+            task.restore(states.get(tasks.indexOf(task.name())));
+        }
+        for (TaskPhase phase : TaskPhase.values()) {
+            phaseCounts[phase.ordinal()] = states.count(phase);
+        }
         changed = false;
+        changedParts.clear();
     }
 
     /** Records that the store has acknowledged this progress. */
     void acknowledge(JobSnapshot snapshot) {
         acknowledged = snapshot;
+        dropEndedTasks(snapshot);
         updateAcknowledgedStatus();
     }
 
+    private void dropEndedTasks(JobSnapshot snapshot) {
+        if (snapshot.settledAtMs() > 0 && !hasAssignedTasks() && changedParts.isEmpty()) {
+            tasks.dropAll();
+        } else {
+            tasks.dropDone(stored);
+        }
+    }
+
     /** The cancellation and the progress are read from two partitions, so neither order may decide the status. */
     private void updateAcknowledgedStatus() {
         acknowledgedStatus =
@@ -243,9 +345,21 @@
         changed = true;
     }
 
-    boolean getAndClearChanged() {
+    /** Records that the state of a task has changed. */
+    void markChanged(JobTask task) {
+        changed = true;
+        changedParts.set(tasks.indexOf(task.name()) / TaskStates.PART_TASKS);
+    }
+
+    /** Returns the progress to be stored and clears the changes; null if there are none. */
+    JobSnapshot takeChange() {
         boolean was = changed && !discarded;
+        JobSnapshot taken = was ? snapshot() : null;
+        if (was) {
+            stored = taken.states();
+        }
         changed = false;
-        return was;
+        changedParts.clear();
+        return taken;
     }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobRegistry.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobRegistry.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -19,6 +20,26 @@
     private final AcknowledgedStatuses statuses = new AcknowledgedStatuses();
     private final Map<String, JobSnapshot> progressOfUnknownJobs = new HashMap<>();
     private final Map<String, Long> cancelledUnknownJobs = new LinkedHashMap<>();
+    private final JobMemory memory;
+
+    /** Constructs an empty registry whose memory is bounded by the heap of this process. */
+    public JobRegistry() {
+        this(JobMemory.ofHeap());
+    }
+
+    /**
+     * Constructs an empty registry.
+     *
+     * @param memory counts the jobs
+     */
+    public JobRegistry(JobMemory memory) {
+        this.memory = memory;
+    }
+
+    /** Returns the bound on the memory of jobs, which counts those of this registry. */
+    public JobMemory memory() {
+        return memory;
+    }
 
     /**
      * Adds a job. A job with a known id is left unchanged.
@@ -31,6 +52,7 @@
         }
         Job job = new Job(spec, statuses);
         jobs.put(spec.id(), job);
+        memory.add(spec);
         JobSnapshot progress = progressOfUnknownJobs.remove(spec.id());
         if (progress != null) {
             job.restore(progress);
@@ -73,7 +95,10 @@
 
     /** Removes a job with any progress or cancellation kept for its id. */
     public void remove(String id) {
-        jobs.remove(id);
+        Job removed = jobs.remove(id);
+        if (removed != null) {
+            memory.remove(removed.spec());
+        }
         statuses.remove(id);
         progressOfUnknownJobs.remove(id);
         cancelledUnknownJobs.remove(id);
@@ -156,6 +181,14 @@
         return statuses.countWaiting(queue);
     }
 
+    /** Returns when the first job that has settled was settled, in Unix milliseconds; empty if none has. */
+    public OptionalLong findFirstSettledAtMs() {
+        return jobs.values().stream()
+                .mapToLong(Job::acknowledgedSettledAtMs)
+                .filter(settledAtMs -> settledAtMs > 0)
+                .min();
+    }
+
     JobTask findTask(String text) {
         return TaskName.parse(text)
                 .map(name ->
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -421,7 +421,7 @@
 
     /** Takes up the runs of a former leader, and its suspicions. */
     private void adoptTasks(Job job, long nowMs) {
-        for (JobTask task : job.tasks()) {
+        for (JobTask task : job.findTasks(state -> state.phase() == TaskPhase.ASSIGNED || state.crashes() > 0)) {
             WorkerView worker = null;
             if (task.isAssigned()) {
                 if (task.hasWorkerView() || task.isEndForgotten()) {
@@ -452,7 +452,7 @@
         JobStatus status = job.status();
         if (status.isFinal()) {
             boolean stopping = false;
-            for (JobTask task : job.tasks()) {
+            for (JobTask task : job.presentTasks()) {
                 if (task.isEndForgotten()) {
                     runs.settleForgotten(task);
                 } else if (task.isAssigned()) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobSnapshot.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobSnapshot.java
@@ -12,18 +12,20 @@
 public record JobSnapshot(List<TaskState> tasks, long settledAtMs, boolean begun) {
     /** Copies the list. */
     public JobSnapshot {
-        tasks = List.copyOf(tasks);
+        tasks = TaskStates.copyOf(tasks);
+    }
+
+    /** Returns the states of the tasks in parts. */
+    public TaskStates states() {
+        return TaskStates.copyOf(tasks);
     }
 
     /** Derives the status that callers see. */
     public JobStatus status(boolean cancelled) {
-        boolean allDone = true;
-        for (TaskState task : tasks) {
-            if (task.phase() == TaskPhase.FAILED) {
-                return JobStatus.FAILED;
-            }
-            allDone &= task.phase() == TaskPhase.DONE;
+        TaskStates states = states();
+        if (states.count(TaskPhase.FAILED) > 0) {
+            return JobStatus.FAILED;
         }
-        return JobStatus.of(allDone, begun, cancelled);
+        return JobStatus.of(states.count(TaskPhase.DONE) == states.size(), begun, cancelled);
     }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -16,7 +16,7 @@
     private final Job job;
     private final TaskName name;
     private final JobStep step;
-    private TaskState state = TaskState.INITIAL;
+    private TaskState state;
     private RunProgress progress = RunProgress.NONE;
     private WorkerRef avoided;
     private String rack;
@@ -30,10 +30,11 @@
     /** Position of the checkpoint's last change among those of the job in this term; 0 if it was read from the log. */
     private long checkpointChange;
 
-    JobTask(Job job, TaskName name, JobStep step) {
+    JobTask(Job job, TaskName name, JobStep step, TaskState state) {
         this.job = job;
         this.name = name;
         this.step = step;
+        this.state = state;
     }
 
     /** Returns the job that the task belongs to. */
@@ -297,7 +298,7 @@
 
     private void change(TaskState changed) {
         replace(changed);
-        job.markChanged();
+        job.markChanged(this);
     }
 
     private void replace(TaskState next) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobUrgency.java
@@ -131,10 +131,16 @@
     private static Work work(Job job, long[] expectedMs) {
         long total = 1;
         long remaining = 0;
-        for (JobTask task : job.tasks()) {
-            long work = expectedMs[task.name().step()] * task.step().demand().milliCores();
-            total += work;
-            remaining += work / FULL_PERCENT * remainingPercent(task);
+        for (int occurrence = 0; occurrence < job.spec().occurrences(); occurrence++) {
+            for (int step = 0; step < expectedMs.length; step++) {
+                JobStep each = job.spec().steps().get(step);
+                long work = expectedMs[step] * each.demand().milliCores();
+                int from = job.indexOf(occurrence, step);
+                total += work * each.taskCount();
+                for (int index = from; index < from + each.taskCount(); index++) {
+                    remaining += work / FULL_PERCENT * job.remainingPercentAt(index);
+                }
+            }
         }
         return new Work(total, remaining);
     }
@@ -184,25 +190,21 @@
 
     private static long remainingMs(Job job, int step, long expectedMs, long startDelayMs) {
         long longest = 0;
-        for (JobTask task : job.tasksOf(0, step)) {
-            long delayMs = task.state().phase() == TaskPhase.PENDING ? startDelayMs : 0;
-            longest = Math.max(longest, delayMs + expectedMs * remainingPercent(task) / FULL_PERCENT);
+        int from = job.indexOf(0, step);
+        for (int index = from; index < from + job.spec().steps().get(step).taskCount(); index++) {
+            long delayMs = job.stateAt(index).phase() == TaskPhase.PENDING ? startDelayMs : 0;
+            longest = Math.max(longest, delayMs + expectedMs * job.remainingPercentAt(index) / FULL_PERCENT);
         }
         return longest;
     }
 
     private static boolean hasLostRun(Job job) {
-        for (JobTask task : job.tasks()) {
-            if (task.state().phase() == TaskPhase.PENDING && task.state().run() > 0) {
+        for (int index = 0; index < job.size(); index++) {
+            TaskState state = job.stateAt(index);
+            if (state.phase() == TaskPhase.PENDING && state.run() > 0) {
                 return true;
             }
         }
         return false;
     }
-
-    private static int remainingPercent(JobTask task) {
-        return task.state().phase() == TaskPhase.DONE
-                ? 0
-                : FULL_PERCENT - task.progress().percent();
-    }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobWaits.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobWaits.java
@@ -81,7 +81,7 @@
         }
         long waitedMs = waitedMs(job, nowMs);
         if (waitedMs > 0 && job.hasAssignedTasks()) {
-            for (JobTask task : job.tasks()) {
+            for (JobTask task : job.presentTasks()) {
                 if (task.isAssigned() && nowMs - task.progress().orderedAtMs() < START_MS) {
                     return 0;
                 }
@@ -103,13 +103,9 @@
                 occurrence < job.spec().occurrences() && job.spec().dueMs(occurrence) <= unixMs;
                 occurrence++) {
             for (int step = 0; step < job.spec().steps().size(); step++) {
-                if (job.isReady(occurrence, step)) {
-                    for (JobTask task : job.tasksOf(occurrence, step)) {
-                        TaskPhase phase = task.state().phase();
-                        if (phase == TaskPhase.PENDING || phase == TaskPhase.ASSIGNED) {
-                            return task;
-                        }
-                    }
+                JobTask open = job.isReady(occurrence, step) ? job.findOpenTask(occurrence, step) : null;
+                if (open != null) {
+                    return open;
                 }
             }
         }
@@ -137,7 +133,7 @@
         if (!job.hasAssignedTasks()) {
             return false;
         }
-        for (JobTask task : job.tasks()) {
+        for (JobTask task : job.presentTasks()) {
             if (WaitDiagnosis.isAtWork(task, nowMs)) {
                 return true;
             }
--- a/core/src/main/java/org/fulmarreach/core/jobs/NextStepMonitor.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/NextStepMonitor.java
@@ -113,7 +113,7 @@
             }
             for (int step = 0; step < job.spec().steps().size(); step++) {
                 if (job.isReady(occurrence, step)) {
-                    for (JobTask task : job.tasksOf(occurrence, step)) {
+                    for (JobTask task : findTasks(job, occurrence, step)) {
                         Step found = findStep(task, nowMs);
                         if (found != null) {
                             Step before = steps.get(task);
@@ -126,6 +126,15 @@
         }
     }
 
+    /** The next step of a task that is not constructed yet is the next pass, unless no pass considers its job. */
+    private List<JobTask> findTasks(Job job, int occurrence, int step) {
+        return isConsidered(job) ? job.presentTasksOf(occurrence, step) : job.openTasksOf(occurrence, step);
+    }
+
+    private boolean isConsidered(Job job) {
+        return active.contains(job) && job.hasWaitingTasks();
+    }
+
     /** Returns the next step of a task that is neither at work nor considered by each pass, or else null. */
     private Step findStep(JobTask task, long nowMs) {
         return switch (task.state().phase()) {
@@ -136,7 +145,7 @@
     }
 
     private Step findStepOfPending(JobTask task, long nowMs) {
-        if (!active.contains(task.job()) || !task.job().hasWaitingTasks()) {
+        if (!isConsidered(task.job())) {
             return new Step("not considered by the passes", task.state(), nowMs, 0);
         }
         if (CrashTracker.awaitsVerdict(task) && !crashes.hasVerdictDue(task)) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/PoolLoadMeter.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/PoolLoadMeter.java
@@ -110,7 +110,7 @@
             if (policy == null || job.status().isFinal() || !JobAdmission.hasTarget(job.spec())) {
                 continue;
             }
-            visited += job.tasks().size();
+            visited += job.size();
             Remaining left = measure(job, policy);
             remaining.put(job, left);
             if (left.waitingCoreMs() > 0) {
@@ -149,10 +149,11 @@
             JobStep spec = job.spec().steps().get(step);
             double left = 0;
             boolean hasPending = false;
-            for (JobTask task : job.tasksOf(0, step)) {
-                TaskPhase phase = task.state().phase();
-                if (phase == TaskPhase.PENDING || phase == TaskPhase.ASSIGNED) {
-                    double work = coreMs(spec) * (FULL_PERCENT - task.progress().percent()) / FULL_PERCENT;
+            int from = job.indexOf(0, step);
+            for (int index = from; index < from + spec.taskCount(); index++) {
+                TaskPhase phase = job.stateAt(index).phase();
+                if (phase.isOpen()) {
+                    double work = coreMs(spec) * job.remainingPercentAt(index) / FULL_PERCENT;
                     left += work;
                     pending += phase == TaskPhase.PENDING ? work : 0;
                     hasPending |= phase == TaskPhase.PENDING;
--- a/core/src/main/java/org/fulmarreach/core/jobs/TaskPhase.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/TaskPhase.java
@@ -13,6 +13,11 @@
 
     private static final TaskPhase[] VALUES = values();
 
+    /** Tells whether a task in this phase has still to run, or to run on. */
+    boolean isOpen() {
+        return this == PENDING || this == ASSIGNED;
+    }
+
     /**
      * Returns the phase with the given ordinal.
      *
--- a/core/src/main/java/org/fulmarreach/core/jobs/TaskPlacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/TaskPlacer.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 
 import org.fulmarreach.core.jobs.DecisionLog.Decision;
@@ -73,43 +72,74 @@
             placeGang(tasks, service, configVersion, nowMs);
             return;
         }
-        boolean full = false;
-        boolean fullForNew = false;
-        for (JobTask task : sortForPlacement(tasks, nowMs)) {
-            if (task.state().phase() == TaskPhase.PENDING && task.isTriedAlone()) {
-                if (!CrashTracker.awaitsVerdict(task)) {
-                    crashes.addWaiting(task, service);
-                }
-            } else if (task.state().phase() == TaskPhase.PENDING && (full || fullForNew && isNewStanding(task))) {
-                placement.recordWaiting(task, nowMs);
-            } else if (task.state().phase() == TaskPhase.PENDING) {
-                WorkerView worker = placement.findWorker(task, service, workers, nowMs);
-                if (worker == null) {
-                    // Tasks of a step have the same requirements, so only those with a worker of their own remain. A
-                    // standing task that has lost its run may use the headroom, so it is tried by itself.
-                    fullForNew = true;
-                    full = !isNewStanding(task);
-                } else {
-                    assign(task, worker, task.state().run() + 1, configVersion, nowMs);
+        boolean untouchedFirst = placesUntouchedFirst(tasks.get(0), nowMs);
+        StepFill fill = new StepFill(service, configVersion, nowMs);
+        int from = job.indexOf(occurrence, step);
+        for (int round = 0; round < (untouchedFirst ? 2 : 1); round++) {
+            for (int index = 0; index < tasks.size(); index++) {
+                TaskState state = job.stateAt(from + index);
+                boolean inTurn = !untouchedFirst || repeatsWork(state) == (round == 1);
+                // A task that is not constructed yet is left so while there is no room for it.
+                if (state.phase() == TaskPhase.PENDING && inTurn && (!fill.full || hasOwnTurn(job, step, state))) {
+                    fill.place(tasks.get(index));
                 }
             }
         }
     }
 
+    /** Tells whether a task is considered though there is no room for others of its step. */
+    private static boolean hasOwnTurn(Job job, int step, TaskState state) {
+        return job.spec().steps().get(step).longRunning() || state.crashes() > 0;
+    }
+
     /**
-     * Returns the tasks of a step in the order in which they are placed. A job that has waited for long gets one run at
-     * a time. Tasks that have not run, or can go on from a checkpoint, go first then: the end of a run that was lost
-     * may be known to callers as done, and another run of that task is no progress to them.
+     * Tells whether tasks that have not run, or can go on from a checkpoint, are placed before the others of their
+     * step. A job that has waited for long gets one run at a time, and the end of a run that was lost may be known to
+     * callers as done, so another run of that task is no progress to them.
      */
-    private List<JobTask> sortForPlacement(List<JobTask> tasks, long nowMs) {
-        JobTask first = tasks.get(0);
-        if (first.step().longRunning() || !first.job().hasBegun() || !placement.hasWaitedLong(first, nowMs)) {
-            return tasks;
+    private boolean placesUntouchedFirst(JobTask first, long nowMs) {
+        return !first.step().longRunning() && first.job().hasBegun() && placement.hasWaitedLong(first, nowMs);
+    }
+
+    private static boolean repeatsWork(TaskState state) {
+        return state.run() > 0 && state.checkpoint().isEmpty();
+    }
+
+    /** Placement of the pending tasks of a step in one pass. */
+    private final class StepFill {
+        private final String service;
+        private final long configVersion;
+        private final long nowMs;
+        private boolean full;
+        private boolean fullForNew;
+
+        StepFill(String service, long configVersion, long nowMs) {
+            this.service = service;
+            this.configVersion = configVersion;
+            this.nowMs = nowMs;
+        }
+
+        void place(JobTask task) {
+            if (task.isTriedAlone()) {
+                if (!CrashTracker.awaitsVerdict(task)) {
+                    crashes.addWaiting(task, service);
+                }
+                return;
+            }
+            if (full || fullForNew && isNewStanding(task)) {
+                placement.recordWaiting(task, nowMs);
+                return;
+            }
+            WorkerView worker = placement.findWorker(task, service, workers, nowMs);
+            if (worker == null) {
+                // Tasks of a step have the same requirements, so only those with a worker of their own remain. A
+                // standing task that has lost its run may use the headroom, so it is tried by itself.
+                fullForNew = true;
+                full = !isNewStanding(task);
+            } else {
+                assign(task, worker, task.state().run() + 1, configVersion, nowMs);
+            }
         }
-        return tasks.stream()
-                .sorted(Comparator.comparing(task ->
-                        task.state().run() > 0 && task.state().checkpoint().isEmpty()))
-                .toList();
     }
 
     private static boolean isNewStanding(JobTask task) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/UnavailabilityBudget.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/UnavailabilityBudget.java
@@ -47,14 +47,14 @@
 
     /** Returns the number of other tasks of the same step and occurrence that are not at work, for whatever reason. */
     int countOthersUnavailable(JobTask task, long nowMs) {
-        int count = 0;
+        int atWork = 0;
         for (JobTask other :
-                task.job().tasksOf(task.name().occurrence(), task.name().step())) {
-            if (other != task && !isAtWork(other, nowMs)) {
-                count++;
+                task.job().presentTasksOf(task.name().occurrence(), task.name().step())) {
+            if (other != task && isAtWork(other, nowMs)) {
+                atWork++;
             }
         }
-        return count;
+        return task.step().taskCount() - 1 - atWork;
     }
 
     /** Tells whether the run of a standing task is started up, and neither stopped nor on a silent worker. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerScore.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerScore.java
@@ -63,7 +63,7 @@
 
     private static boolean isRemoteFromStep(JobTask task, WorkerView worker) {
         for (JobTask other :
-                task.job().tasksOf(task.name().occurrence(), task.name().step())) {
+                task.job().presentTasksOf(task.name().occurrence(), task.name().step())) {
             String rack = other.lastRack();
             if (other.isAssigned() && rack != null) {
                 return !rack.equals(worker.rack());
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/CallerRequests.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/CallerRequests.java
@@ -1,8 +1,10 @@
 package org.fulmarreach.entry.jobs;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.fulmarreach.core.jobs.JobRegistry;
+import org.fulmarreach.core.jobs.JobTimeLimits;
 import org.fulmarreach.core.overload.AdmissionDecision;
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.protocol.io.JobRecords;
@@ -29,6 +31,7 @@
     private final RecordApplier applier;
     private final PoolLoadView poolLoad;
     private final SubmissionsOnTheWay onTheWay = new SubmissionsOnTheWay();
+    private final JobTimeLimits limits;
     private final Runnable decide;
     private final MonotonicClock clock;
 
@@ -45,6 +48,7 @@
             RequestWriter writer,
             RecordApplier applier,
             PoolLoadView poolLoad,
+            JobTimeLimits limits,
             Runnable decide,
             MonotonicClock clock) {
         this.registry = registry;
@@ -52,13 +56,15 @@
         this.writer = writer;
         this.applier = applier;
         this.poolLoad = poolLoad;
+        this.limits = limits;
         this.decide = decide;
         this.clock = clock;
     }
 
     /**
-     * Stores a submission, unless the job is known already, or there is too little room for it. A request may repeat
-     * one whose answer was lost, at this entry or another, so a job is refused only after the log was read to its end.
+     * Stores a submission, unless the job is known already, or there is too little room or memory for it. A request may
+     * repeat one whose answer was lost, at this entry or another, so a job is refused only after the log was read to
+     * its end.
      */
     void submit(JobsCommand.Submit submit) {
         String id = submit.job().id();
@@ -73,28 +79,41 @@
                     submit.reply().complete(new WriteOutcome.Stored());
                     return;
                 }
-                Optional<AdmissionDecision.Refuse> refusal =
-                        problem.isPresent() ? Optional.empty() : findRefusal(submit);
-                refusal.ifPresentOrElse(
-                        refuse -> submit.reply().complete(new WriteOutcome.Overloaded(refuse)), () -> store(submit));
+                Optional<WriteOutcome> refusal = problem.isPresent() ? Optional.empty() : findRefusal(submit);
+                refusal.ifPresentOrElse(submit.reply()::complete, () -> store(submit));
             });
         }
     }
 
-    private Optional<AdmissionDecision.Refuse> findRefusal(JobsCommand.Submit submit) {
-        boolean refusable =
-                submit.refusable() && !onTheWay.contains(submit.job().id(), clock.nowMs());
-        return refusable && poolLoad.decide(submit.job()) instanceof AdmissionDecision.Refuse refuse
-                ? Optional.of(refuse)
+    private Optional<WriteOutcome> findRefusal(JobsCommand.Submit submit) {
+        if (onTheWay.contains(submit.job().id(), clock.nowMs())) {
+            return Optional.empty();
+        }
+        if (!registry.memory().admits(submit.job())) {
+            return Optional.of(new WriteOutcome.TooManyJobs(findMemoryRetryMs()));
+        }
+        return submit.refusable() && poolLoad.decide(submit.job()) instanceof AdmissionDecision.Refuse refuse
+                ? Optional.of(new WriteOutcome.Overloaded(refuse))
                 : Optional.empty();
     }
 
+    /** Memory becomes free when the retention of a settled job ends. */
+    private long findMemoryRetryMs() {
+        OptionalLong settledAtMs = registry.findFirstSettledAtMs();
+        long retentionMs = limits.statusRetentionMs();
+        return settledAtMs.isPresent()
+                ? Math.clamp(settledAtMs.getAsLong() + retentionMs - System.currentTimeMillis(), 0, retentionMs)
+                : retentionMs;
+    }
+
     private void store(JobsCommand.Submit submit) {
         String id = submit.job().id();
         KeyedRecord entry = new KeyedRecord(JobTopics.jobKey(id), JobRecords.encode(submit.job()));
         onTheWay.begin(id);
+        registry.memory().add(submit.job());
         writer.write(entry, submit.deadlineAtMs(), outcome -> {
             onTheWay.end(id, outcome, clock.nowMs());
+            registry.memory().remove(submit.job());
             if (outcome instanceof WriteOutcome.Stored) {
                 applier.addJob(submit.job());
                 decide.run();
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
@@ -251,6 +251,7 @@
             case WriteOutcome.Undecided undecided -> JobEvent.JOB_UNDECIDED;
             case WriteOutcome.Refused refused -> JobEvent.JOB_REFUSED;
             case WriteOutcome.Overloaded overloaded -> JobEvent.JOB_OVERLOADED;
+            case WriteOutcome.TooManyJobs tooMany -> JobEvent.JOB_REFUSED;
             case WriteOutcome.Missing missing -> JobEvent.JOB_REFUSED;
         };
         log.emit(event, "id", job.id(), "queue", job.queue(), "config", version, "outcome", result);
@@ -283,6 +284,8 @@
                 refuse(request, id, UNAVAILABLE, refused.reason(), RetryTimes.whileStoreIsAway(id));
             case WriteOutcome.Overloaded overloaded ->
                 refuse(request, id, UNAVAILABLE, overloaded.decision().reason());
+            case WriteOutcome.TooManyJobs tooMany ->
+                refuse(request, id, TOO_MANY_REQUESTS, tooMany.reason(), RetryTimes.ofMs(tooMany.retryAfterMs()));
             case WriteOutcome.Undecided undecided -> refuse(request, id, 504, undecided.reason());
             case WriteOutcome.Missing missing -> refuse(request, id, 410, "no such job");
         };
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
@@ -155,6 +155,8 @@
                     case WriteOutcome.Overloaded overloaded ->
                         new ForwardOutcome(
                                 ForwardStatus.REFUSED, overloaded.decision().reason());
+                    case WriteOutcome.TooManyJobs tooMany ->
+                        new ForwardOutcome(ForwardStatus.REFUSED, tooMany.reason());
                     case WriteOutcome.Missing missing -> new ForwardOutcome(ForwardStatus.REFUSED, "no such job");
                 });
     }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
@@ -220,6 +220,7 @@
                 resolveUnforwarded(write, undecided.reason());
             }
             case WriteOutcome.Overloaded overloaded -> resolveUnforwarded(write, "unexpected outcome");
+            case WriteOutcome.TooManyJobs tooMany -> resolveUnforwarded(write, "unexpected outcome");
             case WriteOutcome.Missing missing -> resolveUnforwarded(write, "unexpected outcome");
         }
     }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/WriteOutcome.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/WriteOutcome.java
@@ -29,6 +29,18 @@
      */
     record Overloaded(AdmissionDecision.Refuse decision) implements WriteOutcome {}
 
+    /**
+     * The job is not stored, as for {@link Overloaded}: the jobs that are kept leave too little memory for it.
+     *
+     * @param retryAfterMs time after which a repeated request may be accepted, in milliseconds
+     */
+    record TooManyJobs(long retryAfterMs) implements WriteOutcome {
+        String reason() {
+            return "the jobs that are kept leave too little memory for this one; try again after the time in"
+                    + " Retry-After, or submit fewer tasks or occurrences at once";
+        }
+    }
+
     /** The job to change does not exist. */
     record Missing() implements WriteOutcome {}
 }
--- a/runtime/src/test/java/org/fulmarreach/runtime/cfg/SettingsPageTest.java
+++ b/runtime/src/test/java/org/fulmarreach/runtime/cfg/SettingsPageTest.java
@@ -57,6 +57,8 @@
                 | Further tasks wait; a job may use as much as it leaves to others. Gangs start whole. |
                 | specification of a job | 4,000 bytes | The submission is refused with status 400. |
                 | specification of a gang, times its tasks | 4 MiB | The submission is refused with status 400. |
+                | memory of all jobs that an entry keeps | 40% of the heap \
+                | A submission that needs more than a quarter of what is left is refused with status 429. |
                 | checkpoint of a task | 4,096 characters | A longer one is not kept (event 4118); the run goes on. |
                 | checkpoints in one report of a worker | 1 MiB | Those of the last runs are left out of the report. |
                 """);
