--- a/core/src/main/java/org/fulmarreach/core/jobs/DecisionBuffer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/DecisionBuffer.java
@@ -10,7 +10,7 @@
 /** Buffers a leader's decisions until they are written to the log or sent to guards. Not thread-safe. */
 final class DecisionBuffer {
     private final Set<Job> changed = new LinkedHashSet<>();
-    private final Set<String> removedJobIds = new LinkedHashSet<>();
+    private final List<StoredProgress> removed = new ArrayList<>();
     private final Map<WorkerRef, Long> endsToAcknowledge = new LinkedHashMap<>();
     private List<JobOrder> afterCommit = new ArrayList<>();
     private List<JobOrder> immediate = new ArrayList<>();
@@ -19,8 +19,8 @@
         changed.add(job);
     }
 
-    void removeJob(String jobId) {
-        removedJobIds.add(jobId);
+    void remove(StoredProgress job) {
+        removed.add(job);
     }
 
     void addStart(JobTask task) {
@@ -49,9 +49,9 @@
      * @param forgotten ids of jobs whose records are being removed; their progress must not be written again
      */
     JobBatch takeBatch(Set<String> forgotten) {
-        Map<String, JobSnapshot> progress = new LinkedHashMap<>();
+        Map<String, JobChange> progress = new LinkedHashMap<>();
         for (Job job : changed) {
-            JobSnapshot change = job.takeChange();
+            JobChange change = job.takeChange();
             if (change != null && !forgotten.contains(job.spec().id())) {
                 progress.put(job.spec().id(), change);
             }
@@ -61,8 +61,8 @@
         afterCommit = new ArrayList<>();
         endsToAcknowledge.forEach((worker, number) -> orders.add(new JobOrder.Acknowledge(worker, number)));
         endsToAcknowledge.clear();
-        Set<String> removed = new LinkedHashSet<>(removedJobIds);
-        removedJobIds.clear();
-        return new JobBatch(progress, removed, orders);
+        JobBatch batch = new JobBatch(progress, removed, orders);
+        removed.clear();
+        return batch;
     }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/Job.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Job.java
@@ -31,6 +31,9 @@
     /** Parts of the tasks with changes that have not been taken for writing. */
     private final BitSet changedParts = new BitSet();
 
+    /** Parts of the tasks of which a record of their own was read or written. */
+    private final BitSet storedParts = new BitSet();
+
     /**
      * Constructs a job of which nothing has begun.
      *
@@ -160,6 +163,11 @@
         return acknowledged == null ? 0 : acknowledged.settledAtMs();
     }
 
+    /** Returns the parts of the tasks that are stored apart. */
+    List<Integer> storedParts() {
+        return storedParts.stream().boxed().toList();
+    }
+
     /** Tells whether the store has acknowledged progress of the job. */
     boolean hasStoredProgress() {
         return acknowledged != null;
@@ -273,17 +281,33 @@
         }
     }
 
+    /**
+     * Takes over stored progress. Parts of the tasks that are stored apart are newer: they were written after the job
+     * was last stored as a whole.
+     *
+     * @param snapshot without tasks if all of them are stored apart
+     */
     void restore(JobSnapshot snapshot) {
-        resetTo(snapshot.states().resizedTo(tasks.size()));
-        settledAtMs = snapshot.settledAtMs();
-        begun = snapshot.begun();
-        acknowledge(snapshot);
+        boolean whole = !snapshot.tasks().isEmpty();
+        TaskStates states = whole ? snapshot.states().resizedTo(tasks.size()) : stored;
+        for (int part = storedParts.nextSetBit(0); whole && part >= 0; part = storedParts.nextSetBit(part + 1)) {
+            states = states.withPart(part, stored.part(part));
+        }
+        reset(new JobSnapshot(states, snapshot.settledAtMs(), snapshot.begun()));
+    }
+
+    /** Takes over the stored states of a part of the tasks; ignores one that the job does not have. */
+    void restorePart(int part, List<TaskState> states) {
+        if (part < stored.countParts() && states.size() == stored.part(part).size()) {
+            storedParts.set(part);
+            reset(new JobSnapshot(stored.withPart(part, states), settledAtMs, begun));
+        }
     }
 
     /** Discards changes that the store has not acknowledged. */
     void rollBack() {
         if (acknowledged != null) {
-            restore(acknowledged);
+            reset(acknowledged);
             return;
         }
         resetTo(TaskStates.initial(tasks.size()));
@@ -291,6 +315,13 @@
         begun = false;
     }
 
+    private void reset(JobSnapshot snapshot) {
+        resetTo(snapshot.states());
+        settledAtMs = snapshot.settledAtMs();
+        begun = snapshot.begun();
+        acknowledge(snapshot);
+    }
+
     private void resetTo(TaskStates states) {
         stored = states;
         for (JobTask task : presentTasks()) {
@@ -303,6 +334,12 @@
         changedParts.clear();
     }
 
+    /** Records that the store has acknowledged a change. */
+    void acknowledge(JobChange change) {
+        change.parts().forEach(storedParts::set);
+        acknowledge(change.snapshot());
+    }
+
     /** Records that the store has acknowledged this progress. */
     void acknowledge(JobSnapshot snapshot) {
         acknowledged = snapshot;
@@ -351,15 +388,28 @@
         changedParts.set(tasks.indexOf(task.name()) / TaskStates.PART_TASKS);
     }
 
-    /** Returns the progress to be stored and clears the changes; null if there are none. */
-    JobSnapshot takeChange() {
-        boolean was = changed && !discarded;
-        JobSnapshot taken = was ? snapshot() : null;
-        if (was) {
-            stored = taken.states();
+    /** Returns what is to be stored and clears it; null if nothing has changed. */
+    JobChange takeChange() {
+        JobChange taken = null;
+        if (changed && !discarded) {
+            JobSnapshot snapshot = snapshot();
+            stored = snapshot.states();
+            taken = new JobChange(snapshot, findPartsToStore());
         }
         changed = false;
         changedParts.clear();
         return taken;
     }
+
+    private List<Integer> findPartsToStore() {
+        List<Integer> parts = new ArrayList<>();
+        for (int part = 0; stored.countParts() > 1 && part < stored.countParts(); part++) {
+            // A former version has stored the job as a whole.
+            boolean isMissing = !stored.isInitial(part) && !storedParts.get(part);
+            if (changedParts.get(part) || isMissing) {
+                parts.add(part);
+            }
+        }
+        return parts;
+    }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobRegistry.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobRegistry.java
@@ -1,14 +1,15 @@
 package org.fulmarreach.core.jobs;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeMap;
 
 /**
  * All jobs in the log, rebuilt from its records by every entry. The leader also applies its own changes before they are
@@ -18,10 +19,23 @@
 public final class JobRegistry {
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final AcknowledgedStatuses statuses = new AcknowledgedStatuses();
-    private final Map<String, JobSnapshot> progressOfUnknownJobs = new HashMap<>();
+    private final Map<String, UnknownProgress> progressOfUnknownJobs = new HashMap<>();
     private final Map<String, Long> cancelledUnknownJobs = new LinkedHashMap<>();
     private final JobMemory memory;
 
+    /** Progress that was read of a job which is not known. */
+    private static final class UnknownProgress {
+        private JobSnapshot snapshot;
+        private final Map<Integer, List<TaskState>> parts = new TreeMap<>();
+
+        void restoreTo(Job job) {
+            parts.forEach(job::restorePart);
+            if (snapshot != null) {
+                job.restore(snapshot);
+            }
+        }
+    }
+
     /** Constructs an empty registry whose memory is bounded by the heap of this process. */
     public JobRegistry() {
         this(JobMemory.ofHeap());
@@ -53,9 +67,9 @@
         Job job = new Job(spec, statuses);
         jobs.put(spec.id(), job);
         memory.add(spec);
-        JobSnapshot progress = progressOfUnknownJobs.remove(spec.id());
+        UnknownProgress progress = progressOfUnknownJobs.remove(spec.id());
         if (progress != null) {
-            job.restore(progress);
+            progress.restoreTo(job);
         }
         if (cancelledUnknownJobs.remove(spec.id()) != null) {
             job.cancel();
@@ -78,16 +92,33 @@
         }
     }
 
-    /** Replaces the progress of a job by a stored snapshot, which is kept if the job is not known yet. */
+    /**
+     * Replaces the progress of a job by a stored snapshot, which is kept if the job is not known yet.
+     *
+     * @param snapshot without tasks if all of them are stored apart
+     */
     public void restore(String id, JobSnapshot snapshot) {
         Job job = jobs.get(id);
         if (job == null) {
-            progressOfUnknownJobs.put(id, snapshot);
+            progressOfUnknownJobs.computeIfAbsent(id, unknown -> new UnknownProgress()).snapshot = snapshot;
         } else {
             job.restore(snapshot);
         }
     }
 
+    /** Replaces the states of a part of a job's tasks by stored ones, which are kept if the job is not known yet. */
+    public void restorePart(String id, int part, List<TaskState> states) {
+        Job job = jobs.get(id);
+        if (job == null) {
+            progressOfUnknownJobs
+                    .computeIfAbsent(id, unknown -> new UnknownProgress())
+                    .parts
+                    .put(part, TaskStates.copyOf(states));
+        } else {
+            job.restorePart(part, states);
+        }
+    }
+
     /** Discards all changes that the store has not acknowledged; used when this entry ceases to be the leader. */
     public void rollBack() {
         jobs.values().forEach(Job::rollBack);
@@ -138,29 +169,37 @@
                 .toList();
     }
 
-    /** Returns the ids of the jobs, known or not, of which stored progress is known. */
-    public Set<String> idsWithProgress() {
-        Set<String> ids = new HashSet<>(progressOfUnknownJobs.keySet());
+    /** Returns the jobs, known or not, of which stored progress is known, with the parts that are stored apart. */
+    public List<StoredProgress> jobsWithProgress() {
+        List<StoredProgress> found = new ArrayList<>();
+        progressOfUnknownJobs.forEach((id, progress) -> found.add(nameRecords(id, progress)));
         jobs.values().stream()
                 .filter(Job::hasStoredProgress)
-                .forEach(job -> ids.add(job.spec().id()));
-        return ids;
+                .forEach(job -> found.add(new StoredProgress(job.spec().id(), job.storedParts())));
+        return found;
+    }
+
+    private static StoredProgress nameRecords(String id, UnknownProgress progress) {
+        return new StoredProgress(id, List.copyOf(progress.parts.keySet()));
     }
 
     /**
-     * Returns the ids of the jobs of which only the progress is known and whose retention has ended: a leader that
+     * Returns the jobs of which only the progress is known and whose retention has ended: a leader that
      * stopped after it removed their requests has left them.
      *
      * @param unixMs jobs that were settled before this time
      */
-    List<String> findSettledWithoutRequest(long unixMs) {
+    List<StoredProgress> findSettledWithoutRequest(long unixMs) {
         return progressOfUnknownJobs.entrySet().stream()
-                .filter(entry ->
-                        entry.getValue().settledAtMs() > 0 && entry.getValue().settledAtMs() < unixMs)
-                .map(Map.Entry::getKey)
+                .filter(entry -> isSettledBefore(entry.getValue().snapshot, unixMs))
+                .map(entry -> nameRecords(entry.getKey(), entry.getValue()))
                 .toList();
     }
 
+    private static boolean isSettledBefore(JobSnapshot snapshot, long unixMs) {
+        return snapshot != null && snapshot.settledAtMs() > 0 && snapshot.settledAtMs() < unixMs;
+    }
+
     /** Finds a job by its id. */
     public Optional<Job> find(String id) {
         return Optional.ofNullable(jobs.get(id));
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobRetention.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobRetention.java
@@ -28,9 +28,9 @@
 
     /** Decides to remove the jobs whose retention has ended, except those that are still active. */
     void removeExpired(Collection<Job> active, long unixMs) {
-        for (String id : registry.findSettledWithoutRequest(unixMs - limits.statusRetentionMs())) {
-            if (removing.add(id)) {
-                decisions.removeJob(id);
+        for (StoredProgress job : registry.findSettledWithoutRequest(unixMs - limits.statusRetentionMs())) {
+            if (removing.add(job.id())) {
+                decisions.remove(job);
             }
         }
         for (Job job : registry.jobs()) {
@@ -38,15 +38,17 @@
             long settledAtMs = job.acknowledgedSettledAtMs();
             boolean expired = settledAtMs > 0 && unixMs - settledAtMs > limits.statusRetentionMs();
             if (expired && !active.contains(job) && removing.add(job.spec().id())) {
-                decisions.removeJob(job.spec().id());
+                decisions.remove(new StoredProgress(job.spec().id(), job.storedParts()));
                 log.record(Decision.JOB_FORGOTTEN, job.spec().id(), "settledForMs", unixMs - settledAtMs);
             }
         }
     }
 
     /** Applies the store's acknowledgement of removals. */
-    void onRemoved(Collection<String> jobIds) {
-        jobIds.forEach(registry::remove);
-        removing.removeAll(jobIds);
+    void onRemoved(Collection<StoredProgress> jobs) {
+        for (StoredProgress job : jobs) {
+            registry.remove(job.id());
+            removing.remove(job.id());
+        }
     }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -329,8 +329,8 @@
 
     /** Applies the store's acknowledgement of a batch. */
     public void onCommitted(JobBatch batch) {
-        batch.progress().forEach((id, snapshot) -> registry.find(id).ifPresent(job -> job.acknowledge(snapshot)));
-        retention.onRemoved(batch.removedJobIds());
+        batch.progress().forEach((id, change) -> registry.find(id).ifPresent(job -> job.acknowledge(change)));
+        retention.onRemoved(batch.removed());
     }
 
     /** Returns the orders that may be sent without a preceding write, and clears them. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobTask.java
@@ -177,7 +177,8 @@
     }
 
     void finish(TaskPhase phase, int failures, String checkpoint) {
-        String kept = checkpoint.isEmpty() ? state.checkpoint() : checkpoint;
+        String newest = checkpoint.isEmpty() ? state.checkpoint() : checkpoint;
+        String kept = phase == TaskPhase.DONE ? "" : newest;
         change(new TaskState(phase, state.run(), state.worker(), failures, kept, state.crashes(), state.soleCrashes()));
         progress = RunProgress.NONE;
     }
--- a/core/src/main/java/org/fulmarreach/core/jobs/LearnedInterference.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/LearnedInterference.java
@@ -1,5 +1,6 @@
 package org.fulmarreach.core.jobs;
 
+import java.util.HashMap;
 import java.util.Map;
 
 /**
@@ -24,6 +25,16 @@
         servingByImage = Map.copyOf(servingByImage);
     }
 
+    /** Returns what is known of half of the serving images, or of none if there is one. */
+    public LearnedInterference firstHalf() {
+        Map<String, Serving> half = new HashMap<>();
+        servingByImage.entrySet().stream()
+                .sorted(Map.Entry.comparingByKey())
+                .limit(servingByImage.size() / 2)
+                .forEach(entry -> half.put(entry.getKey(), entry.getValue()));
+        return new LearnedInterference(half);
+    }
+
     /** Tells whether no factor of a pair of images is known. */
     public boolean isEmpty() {
         return servingByImage.values().stream()
--- a/core/src/main/java/org/fulmarreach/core/jobs/TaskState.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/TaskState.java
@@ -39,7 +39,8 @@
         this(phase, run, worker, failures, checkpoint, crashes, soleCrashes, false, false);
     }
 
-    TaskState withCheckpoint(String newCheckpoint) {
+    /** Returns the state with another checkpoint. */
+    public TaskState withCheckpoint(String newCheckpoint) {
         return new TaskState(
                 phase, run, worker, failures, newCheckpoint, crashes, soleCrashes, stopConfirmed, endForgotten);
     }
--- a/core/src/test/java/org/fulmarreach/core/jobs/FormerLeasesTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/FormerLeasesTest.java
@@ -192,7 +192,7 @@
         writer.submit(spec(finite()));
         leader.activate(writer.find("job").orElseThrow(), test.nowMs);
         leader.tick(test.nowMs, test.nowMs, true);
-        return leader.takeBatch().progress().get("job");
+        return leader.takeBatch().progress().get("job").snapshot();
     }
 
     private static JobSpec spec(TestSteps steps) {
--- a/core/src/test/java/org/fulmarreach/core/jobs/GangCheckpointTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/GangCheckpointTest.java
@@ -235,7 +235,7 @@
         scheduler.takeImmediateOrders();
         JobBatch batch = scheduler.takeBatch();
         scheduler.onCommitted(batch);
-        batch.progress().values().forEach(snapshot -> stored = snapshot);
+        batch.progress().values().forEach(change -> stored = change.snapshot());
         for (JobOrder order : batch.orders()) {
             if (order instanceof JobOrder.Start start) {
                 starts.add(start);
--- a/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/JobSchedulerTest.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.fulmarreach.core.model.Resources;
 import org.junit.jupiter.api.BeforeEach;
@@ -244,7 +243,7 @@
                 pool.registry, CONFIG, new JobTimeLimits(6_000, 100, 3_000, 900), OverdueCheck.LOG, pool.nowMs);
         leader.tick(pool.nowMs, pool.nowMs + 10_000, true);
         JobBatch removal = leader.takeBatch();
-        assertEquals(Set.of("job"), removal.removedJobIds());
+        assertEquals(List.of(new StoredProgress("job", List.of())), removal.removed());
         leader.onReport(
                 new WorkerReport(
                         worker,
--- a/core/src/test/java/org/fulmarreach/core/jobs/SchedulerHarness.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/SchedulerHarness.java
@@ -19,6 +19,10 @@
     private static final JobConfig CONFIG = new JobConfig(
             1, List.of(new JobQueue("q", "h", "/q/", FakeWorker.SERVICE, 0, 2, 3_000, 400, 1.5)), 1_000_000);
     private static final int STEP_MS = 50;
+
+    /** Most ends that a worker lists at a time, the oldest first. */
+    private static final int MOST_LISTED_ENDS = 500;
+
     private static final int REPORT_MS = 500;
 
     final JobRegistry registry = new JobRegistry();
@@ -78,6 +82,13 @@
             this.capacity = capacity;
         }
 
+        /** Ends a run by itself. */
+        void endRun(String task, RunEnd how) {
+            WorkerReport.Running run = running.remove(task);
+            ends++;
+            ended.add(new WorkerReport.Ended(ends, run.task(), run.run(), how, ""));
+        }
+
         /** Ends all runs by themselves. */
         void endRuns(RunEnd how) {
             for (WorkerReport.Running run : running.values()) {
@@ -220,7 +231,7 @@
                 true,
                 false,
                 running,
-                worker.ended,
+                worker.ended.stream().limit(MOST_LISTED_ENDS).toList(),
                 pollNumber);
         // The leader holds the report of a guard from which it withholds leases.
         if (scheduler.requestLease(worker.ref.guard()) && scheduler.onReport(report, nowMs)) {
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/CallerRequests.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/CallerRequests.java
@@ -4,9 +4,9 @@
 import java.util.OptionalLong;
 
 import org.fulmarreach.core.jobs.JobRegistry;
-import org.fulmarreach.core.jobs.JobTimeLimits;
 import org.fulmarreach.core.overload.AdmissionDecision;
 import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.StoreLimits;
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.protocol.thrift.ForwardedRequest;
@@ -31,7 +31,8 @@
     private final RecordApplier applier;
     private final PoolLoadView poolLoad;
     private final SubmissionsOnTheWay onTheWay = new SubmissionsOnTheWay();
-    private final JobTimeLimits limits;
+    private final long statusRetentionMs;
+    private final StoreLimits limits;
     private final Runnable decide;
     private final MonotonicClock clock;
 
@@ -40,6 +41,8 @@
      *
      * @param queries reads the log to its end before a job counts as unknown
      * @param poolLoad decides whether there is room for a job
+     * @param statusRetentionMs how long the status of a settled job is kept
+     * @param limits sizes that the store accepts
      * @param decide runs after each request that was stored
      */
     CallerRequests(
@@ -48,7 +51,8 @@
             RequestWriter writer,
             RecordApplier applier,
             PoolLoadView poolLoad,
-            JobTimeLimits limits,
+            long statusRetentionMs,
+            StoreLimits limits,
             Runnable decide,
             MonotonicClock clock) {
         this.registry = registry;
@@ -56,6 +60,7 @@
         this.writer = writer;
         this.applier = applier;
         this.poolLoad = poolLoad;
+        this.statusRetentionMs = statusRetentionMs;
         this.limits = limits;
         this.decide = decide;
         this.clock = clock;
@@ -100,15 +105,22 @@
     /** Memory becomes free when the retention of a settled job ends. */
     private long findMemoryRetryMs() {
         OptionalLong settledAtMs = registry.findFirstSettledAtMs();
-        long retentionMs = limits.statusRetentionMs();
         return settledAtMs.isPresent()
-                ? Math.clamp(settledAtMs.getAsLong() + retentionMs - System.currentTimeMillis(), 0, retentionMs)
-                : retentionMs;
+                ? Math.clamp(
+                        settledAtMs.getAsLong() + statusRetentionMs - System.currentTimeMillis(), 0, statusRetentionMs)
+                : statusRetentionMs;
     }
 
     private void store(JobsCommand.Submit submit) {
         String id = submit.job().id();
         KeyedRecord entry = new KeyedRecord(JobTopics.jobKey(id), JobRecords.encode(submit.job()));
+        if (!limits.admit(entry)) {
+            submit.reply()
+                    .complete(new WriteOutcome.TooLarge("the submission takes " + entry.contentBytes()
+                            + " bytes in the store, at most " + limits.recordBytes()
+                            + " are allowed; submit fewer steps at once"));
+            return;
+        }
         onTheWay.begin(id);
         registry.memory().add(submit.job());
         writer.write(entry, submit.deadlineAtMs(), outcome -> {
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/Election.java
@@ -254,6 +254,7 @@
             }
             case AppendResult.Unknown unknown -> openEpoch(ended.term(), ended.expectedEnd());
             case AppendResult.Refused refused -> fail(ended.term(), refused);
+            case AppendResult.Invalid invalid -> fail(ended.term(), invalid);
             case AppendResult.Superseded superseded -> fail(ended.term(), superseded);
             case AppendResult.OutOfSequence gap -> fail(ended.term(), gap);
         }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -152,7 +152,17 @@
     ORDER_TOO_LARGE(
             4057,
             Level.SEVERE,
-            "An order fits no message to its guard and was dropped; a task that cannot be started so has failed.");
+            "An order fits no message to its guard and was dropped; a task that cannot be started so has failed."),
+    RECORD_NOT_STORED(
+            4058,
+            Level.SEVERE,
+            "The store never accepts a record of the leader, which was dropped so that others are stored; tasks of its"
+                    + " job that were to be started have failed."),
+    CHECKPOINTS_NOT_STORED(
+            4059,
+            Level.WARNING,
+            "Checkpoints of a job are too large for a record; the largest are left out, and if the leader is replaced"
+                    + " these tasks start from the begin when they run again.");
 
     private final int number;
     private final Level level;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -147,7 +147,16 @@
                 applier::applyRequest,
                 clock,
                 log);
-        this.callers = new CallerRequests(registry, queries, writer, applier, poolLoad, limits, this::decide, clock);
+        this.callers = new CallerRequests(
+                registry,
+                queries,
+                writer,
+                applier,
+                poolLoad,
+                limits.statusRetentionMs(),
+                store.limits(),
+                this::decide,
+                clock);
         this.publisher = new ViewPublisher(view, config, requests, queries::reads, clock, log);
         config.load();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
@@ -311,7 +320,7 @@
     }
 
     private void applyProgress(KeyedRecord entry) {
-        if (JobTopics.isProgress(entry.key())) {
+        if (JobTopics.isProgress(entry.key()) || JobTopics.isPart(entry.key())) {
             applier.applyProgress(entry);
         } else if (entry.key().equals(JobTopics.LEADER_KEY) && !entry.isRemoval()) {
             formerLeaders.onLeader(JobRecords.decodeLeader(entry.value()), clock.nowMs());
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsHttp.java
@@ -251,6 +251,7 @@
             case WriteOutcome.Undecided undecided -> JobEvent.JOB_UNDECIDED;
             case WriteOutcome.Refused refused -> JobEvent.JOB_REFUSED;
             case WriteOutcome.Overloaded overloaded -> JobEvent.JOB_OVERLOADED;
+            case WriteOutcome.TooLarge tooLarge -> JobEvent.JOB_REFUSED;
             case WriteOutcome.TooManyJobs tooMany -> JobEvent.JOB_REFUSED;
             case WriteOutcome.Missing missing -> JobEvent.JOB_REFUSED;
         };
@@ -284,6 +285,7 @@
                 refuse(request, id, UNAVAILABLE, refused.reason(), RetryTimes.whileStoreIsAway(id));
             case WriteOutcome.Overloaded overloaded ->
                 refuse(request, id, UNAVAILABLE, overloaded.decision().reason());
+            case WriteOutcome.TooLarge tooLarge -> refuse(request, id, 413, tooLarge.reason());
             case WriteOutcome.TooManyJobs tooMany ->
                 refuse(request, id, TOO_MANY_REQUESTS, tooMany.reason(), RetryTimes.ofMs(tooMany.retryAfterMs()));
             case WriteOutcome.Undecided undecided -> refuse(request, id, 504, undecided.reason());
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsNode.java
@@ -128,7 +128,7 @@
         // The client needs the actor system, and the actor needs the client: the client is created in the setup.
         ActorSystem<JobsCommand> system = ActorSystems.construct(
                 Behaviors.setup(context -> JobsActor.create(
-                        new HttpStoreClient(context.getSystem(), store.host(), store.port()),
+                        new HttpStoreClient(context.getSystem(), store.host(), store.port(), settings.storeLimits()),
                         new NetworkEntryLinks(
                                 new FrameTransport(context.getSystem(), FORWARD_LINKS, log),
                                 usableAddresses(settings.entryAddresses(), log)),
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderRecords.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderRecords.java
@@ -13,9 +13,11 @@
 import org.fulmarreach.core.jobs.WithheldLeases;
 import org.fulmarreach.core.overload.PoolLoad;
 import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.StoreLimits;
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.protocol.io.PoolLoadRecords;
+import org.fulmarreach.runtime.log.EventLog;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
 /** Encodes the records that a leader appends in one term. Confined to one actor. */
@@ -32,7 +34,9 @@
     private final long term;
     private final Supplier<KeyedRecord> leaderRecord;
     private final JobScheduler scheduler;
+    private final StoreLimits limits;
     private final MonotonicClock clock;
+    private final EventLog log;
     private byte[] writtenLeaderRecord = {};
     private long leaderWrittenAtMs = Long.MIN_VALUE / 2;
     private long learnedTakenAtMs;
@@ -45,7 +49,15 @@
      *
      * @param leaderRecord record that names this entry as leader; written when it has changed, and as keep-alive
      */
-    LeaderRecords(long term, Supplier<KeyedRecord> leaderRecord, JobScheduler scheduler, MonotonicClock clock) {
+    LeaderRecords(
+            long term,
+            Supplier<KeyedRecord> leaderRecord,
+            JobScheduler scheduler,
+            StoreLimits limits,
+            MonotonicClock clock,
+            EventLog log) {
+        this.limits = limits;
+        this.log = log;
         this.term = term;
         this.leaderRecord = leaderRecord;
         this.scheduler = scheduler;
@@ -61,10 +73,8 @@
      */
     List<KeyedRecord> encode(JobBatch batch, Optional<Map<String, Long>> withheld, boolean resigning) {
         List<KeyedRecord> records = new ArrayList<>();
-        batch.progress()
-                .forEach((id, snapshot) ->
-                        records.add(new KeyedRecord(JobTopics.progressKey(id), JobRecords.encode(snapshot))));
-        batch.removedJobIds().forEach(id -> records.add(KeyedRecord.removal(JobTopics.progressKey(id))));
+        batch.progress().forEach((id, change) -> records.addAll(ProgressRecords.encode(id, change, limits, log)));
+        batch.removed().forEach(progress -> records.addAll(ProgressRecords.remove(progress)));
         withheld.ifPresent(bounds -> records.add(
                 new KeyedRecord(JobTopics.WITHHELD_KEY, JobRecords.encode(new WithheldLeases(term, bounds)))));
         takeLearnedInterference(resigning).ifPresent(records::add);
@@ -111,8 +121,15 @@
         }
         learnedTakenAtMs = nowMs;
         LearnedInterference learned = scheduler.learnedInterference();
-        return learned.isEmpty()
-                ? Optional.empty()
-                : Optional.of(new KeyedRecord(JobTopics.INTERFERENCE_KEY, JobRecords.encode(learned)));
+        KeyedRecord encoded = encode(learned);
+        while (!limits.admit(encoded) && !learned.isEmpty()) {
+            learned = learned.firstHalf();
+            encoded = encode(learned);
+        }
+        return learned.isEmpty() ? Optional.empty() : Optional.of(encoded);
+    }
+
+    private static KeyedRecord encode(LearnedInterference learned) {
+        return new KeyedRecord(JobTopics.INTERFERENCE_KEY, JobRecords.encode(learned));
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -60,9 +60,7 @@
     private long formerGrantsUntilMs;
     private final Map<String, WorkerReport> heldReports = new LinkedHashMap<>();
     private long sequence;
-    private JobBatch inFlight;
-    private List<KeyedRecord> inFlightRecords = List.of();
-    private boolean withheldInFlight;
+    private BatchInFlight inFlight;
     private long acknowledgedAtMs;
     private long appendedAtMs;
     private long firstSentAtMs;
@@ -70,7 +68,6 @@
     private final PassPacing pacing = new PassPacing();
     private boolean decisionScheduled;
     private boolean resigning;
-    private boolean resignationInFlight;
     private boolean resignationSent;
     private boolean resignationUnanswered;
     private boolean resigned;
@@ -96,7 +93,7 @@
             MonotonicClock clock,
             EventLog log) {
         this.term = term;
-        this.records = new LeaderRecords(term, leaderRecord, scheduler, clock);
+        this.records = new LeaderRecords(term, leaderRecord, scheduler, store.limits(), clock, log);
         this.scheduler = scheduler;
         this.limits = limits;
         this.sessions = sessions;
@@ -308,6 +305,7 @@
                 resignationSent = resignationUnanswered;
                 retryLater();
             }
+            case AppendResult.Invalid invalid -> onInvalid(invalid.reason());
             case AppendResult.Unknown unknown -> {
                 resignationUnanswered = resignationSent;
                 retryLater();
@@ -411,16 +409,14 @@
         }
         JobBatch batch = deferRemovals(scheduler.takeBatch());
         Optional<Map<String, Long>> withheld = takeWithheldLeases();
-        boolean unchanged = batch.progress().isEmpty() && batch.removedJobIds().isEmpty() && withheld.isEmpty();
+        boolean unchanged = batch.progress().isEmpty() && batch.removed().isEmpty() && withheld.isEmpty();
         if (unchanged && !resigning && elapsedMs < LeaderRecords.KEEP_ALIVE_MS) {
             // Nothing to write: the orders depend only on records that are already stored.
             send(batch.orders());
             return;
         }
-        inFlight = batch;
-        withheldInFlight = withheld.isPresent();
-        resignationInFlight = resigning;
-        inFlightRecords = records.encode(batch, withheld, resigning);
+        List<KeyedRecord> encoded = records.encode(batch, withheld, resigning);
+        inFlight = new BatchInFlight(batch, encoded, withheld.isPresent(), resigning, store.limits());
         firstSentAtMs = clock.nowMs();
         append();
     }
@@ -437,7 +433,7 @@
 
     /** Replaces the jobs whose retention has ended by those whose requests have already been removed. */
     private JobBatch deferRemovals(JobBatch batch) {
-        remover.add(batch.removedJobIds());
+        remover.add(batch.removed());
         if (!resigning) {
             remover.flush();
         }
@@ -446,9 +442,9 @@
 
     private void append() {
         appendedAtMs = clock.nowMs();
-        resignationSent = resignationInFlight;
-        List<KeyedRecord> sent = new ArrayList<>(inFlightRecords);
-        if (resignationInFlight) {
+        resignationSent = inFlight.isResignationNext();
+        List<KeyedRecord> sent = new ArrayList<>(inFlight.next());
+        if (resignationSent) {
             sent.addAll(records.encodeResignation());
         }
         var actor = context.getSelf();
@@ -463,22 +459,48 @@
         sequence++;
         // The store may have carried out the first attempt, and answers a repeated one from memory.
         acknowledgedAtMs = firstSentAtMs;
-        JobBatch batch = inFlight;
+        inFlight.onStored();
+        goOn();
+    }
+
+    /** The store will never accept the append, so the records that are to blame are found and dropped. */
+    private void onInvalid(String reason) {
+        inFlight.onInvalid()
+                .ifPresent(dropped -> log.emit(
+                        JobEvent.RECORD_NOT_STORED,
+                        "key",
+                        dropped.key(),
+                        "bytes",
+                        dropped.contentBytes(),
+                        "term",
+                        term,
+                        "reason",
+                        reason));
+        goOn();
+    }
+
+    /** Appends the next records of the batch, or handles its end. */
+    private void goOn() {
+        if (!inFlight.isStored()) {
+            firstSentAtMs = clock.nowMs();
+            append();
+            return;
+        }
+        BatchInFlight stored = inFlight;
         inFlight = null;
-        inFlightRecords = List.of();
-        if (resignationInFlight) {
+        if (stored.isResigning()) {
             resigned = true;
             return;
         }
-        if (withheldInFlight) {
-            withheldInFlight = false;
+        if (stored.storesWithheldLeases()) {
             scheduler.onWithheldLeasesStored().forEach(this::grant);
             if (knowsPlacedJobs()) {
                 applyHeldReports();
             }
         }
-        scheduler.onCommitted(batch);
-        send(batch.orders());
+        scheduler.onCommitted(stored.storedBatch());
+        stored.droppedStarts().forEach(scheduler::onStartUndeliverable);
+        send(stored.storedBatch().orders());
         flush();
     }
 
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RecordApplier.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RecordApplier.java
@@ -109,6 +109,10 @@
      * were removed before, which their partition tells, and without progress it would be taken for a new job.
      */
     void applyProgress(KeyedRecord entry) throws FrameException {
+        if (JobTopics.isPart(entry.key())) {
+            applyPart(entry);
+            return;
+        }
         String id = JobTopics.jobId(entry.key());
         if (entry.isRemoval()) {
             progressRemovedAtMs.put(id, clock.nowMs());
@@ -118,6 +122,16 @@
         }
     }
 
+    /** The removal of a part precedes that of the rest of the progress, with which all of it is dropped. */
+    private void applyPart(KeyedRecord entry) {
+        if (!entry.isRemoval()) {
+            registry.restorePart(
+                    JobTopics.jobIdOfPart(entry.key()),
+                    JobTopics.partNumber(entry.key()),
+                    JobRecords.decodePart(entry.value()));
+        }
+    }
+
     /**
      * Drops removed progress that is kept for jobs which are not known. It is kept until all requests stored before the
      * removal are known, since a request that has been removed may still be read.
@@ -137,7 +151,7 @@
     /** Returns the keys of the progress that the registry holds. */
     Set<String> progressKeys() {
         Set<String> keys = new LinkedHashSet<>();
-        registry.idsWithProgress().forEach(id -> keys.add(JobTopics.progressKey(id)));
+        registry.jobsWithProgress().forEach(progress -> keys.addAll(ProgressRecords.keysOf(progress)));
         return keys;
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestForwarder.java
@@ -155,6 +155,7 @@
                     case WriteOutcome.Overloaded overloaded ->
                         new ForwardOutcome(
                                 ForwardStatus.REFUSED, overloaded.decision().reason());
+                    case WriteOutcome.TooLarge tooLarge -> new ForwardOutcome(ForwardStatus.REFUSED, tooLarge.reason());
                     case WriteOutcome.TooManyJobs tooMany ->
                         new ForwardOutcome(ForwardStatus.REFUSED, tooMany.reason());
                     case WriteOutcome.Missing missing -> new ForwardOutcome(ForwardStatus.REFUSED, "no such job");
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestRemover.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestRemover.java
@@ -1,11 +1,12 @@
 package org.fulmarreach.entry.jobs;
 
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.fulmarreach.core.jobs.StoredProgress;
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.AppendResult;
 import org.fulmarreach.platform.store.KeyedRecord;
@@ -30,9 +31,9 @@
     private final ActorContext<JobsCommand> context;
     private final MonotonicClock clock;
     private final EventLog log;
-    private final Set<String> waiting = new LinkedHashSet<>();
+    private final Map<String, StoredProgress> waiting = new LinkedHashMap<>();
     private List<String> inFlight = List.of();
-    private Set<String> removed = new LinkedHashSet<>();
+    private List<StoredProgress> removed = new ArrayList<>();
     private long retryAtMs = Long.MIN_VALUE;
 
     /**
@@ -49,8 +50,8 @@
         this.log = log;
     }
 
-    void add(Set<String> jobIds) {
-        waiting.addAll(jobIds);
+    void add(List<StoredProgress> jobs) {
+        jobs.forEach(job -> waiting.put(job.id(), job));
     }
 
     /** Appends the removals that wait, unless an append is in flight or has just failed. */
@@ -58,7 +59,7 @@
         if (!inFlight.isEmpty() || waiting.isEmpty() || clock.nowMs() < retryAtMs) {
             return;
         }
-        inFlight = waiting.stream().limit(MAX_JOBS).toList();
+        inFlight = waiting.keySet().stream().limit(MAX_JOBS).toList();
         List<KeyedRecord> records = new ArrayList<>();
         for (String id : inFlight) {
             records.add(KeyedRecord.removal(JobTopics.jobKey(id)));
@@ -71,8 +72,7 @@
 
     void onWritten(AppendResult result) {
         if (result instanceof AppendResult.Appended) {
-            inFlight.forEach(waiting::remove);
-            removed.addAll(inFlight);
+            inFlight.forEach(id -> removed.add(waiting.remove(id)));
         } else {
             retryAtMs = clock.nowMs() + RETRY_MS;
             log.emit(JobEvent.REMOVAL_FAILED, "jobs", inFlight.size(), "term", term, "reason", result);
@@ -80,10 +80,10 @@
         inFlight = List.of();
     }
 
-    /** Returns the jobs whose requests have been removed since the last call. */
-    Set<String> takeRemoved() {
-        Set<String> taken = removed;
-        removed = new LinkedHashSet<>();
+    /** Returns the progress of the jobs whose requests have been removed since the last call. */
+    List<StoredProgress> takeRemoved() {
+        List<StoredProgress> taken = removed;
+        removed = new ArrayList<>();
         return taken;
     }
 }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
@@ -101,7 +101,7 @@
     void onWritten(AppendResult result) {
         List<Write> written = inFlight;
         inFlight = List.of();
-        setFailing(!(result instanceof AppendResult.Appended));
+        setFailing(!(result instanceof AppendResult.Appended || result instanceof AppendResult.Invalid));
         switch (result) {
             case AppendResult.Appended appended -> written.forEach(write -> write.complete(new WriteOutcome.Stored()));
             case AppendResult.Unknown unknown -> {
@@ -109,6 +109,7 @@
                 retryOrGiveUp(written, unknown.reason());
             }
             case AppendResult.Refused refused -> refuse(written, refused.reason());
+            case AppendResult.Invalid invalid -> onInvalid(written, invalid.reason());
             case AppendResult.Superseded superseded -> refuse(written, superseded.reason());
             case AppendResult.OutOfSequence gap ->
                 refuse(written, "unexpected sequence error for an append without a sequence");
@@ -149,11 +150,17 @@
         List<Write> taken = new ArrayList<>();
         List<KeyedRecord> records = new ArrayList<>();
         int bytes = 0;
-        while (!waiting.isEmpty() && records.size() < MAX_RECORDS && bytes < MAX_BYTES) {
-            Write write = waiting.poll();
+        int maxBytes = Math.min(MAX_BYTES, store.limits().requestBytes());
+        while (!waiting.isEmpty() && records.size() < MAX_RECORDS) {
+            Write write = waiting.peek();
+            boolean fits = bytes + write.entry.requestBytes() <= maxBytes && !write.alone;
+            if (!records.isEmpty() && (!fits || taken.get(0).alone)) {
+                break;
+            }
+            waiting.poll();
             taken.add(write);
             records.add(write.entry);
-            bytes += write.entry.value().length;
+            bytes += write.entry.requestBytes();
         }
         inFlight = taken;
         appendedAtMs = clock.nowMs();
@@ -162,6 +169,20 @@
                 .thenAccept(result -> self.tell(new JobsCommand.RequestsWritten(result)));
     }
 
+    /** One record that the store never accepts must not keep others from being stored, so each is tried alone. */
+    private void onInvalid(List<Write> written, String reason) {
+        if (written.size() == 1) {
+            written.get(0).complete(new WriteOutcome.TooLarge("the store does not accept the request: " + reason));
+        }
+        for (int i = written.size() - 1; i >= 0; i--) {
+            Write write = written.get(i);
+            if (!write.completed) {
+                write.alone = true;
+                waiting.addFirst(write);
+            }
+        }
+    }
+
     /** Handles a refused append, which has not been executed; an earlier append of the same record may have been. */
     private void refuse(List<Write> written, String reason) {
         List<Write> unresolved = new ArrayList<>();
@@ -220,6 +241,7 @@
                 resolveUnforwarded(write, undecided.reason());
             }
             case WriteOutcome.Overloaded overloaded -> resolveUnforwarded(write, "unexpected outcome");
+            case WriteOutcome.TooLarge tooLarge -> write.complete(tooLarge);
             case WriteOutcome.TooManyJobs tooMany -> resolveUnforwarded(write, "unexpected outcome");
             case WriteOutcome.Missing missing -> resolveUnforwarded(write, "unexpected outcome");
         }
@@ -247,6 +269,7 @@
         private boolean forwarded;
         private boolean forwarding;
         private boolean completed;
+        private boolean alone;
 
         Write(KeyedRecord entry, long deadlineAtMs, boolean forwardable, Consumer<WriteOutcome> done) {
             this.entry = entry;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/WriteOutcome.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/WriteOutcome.java
@@ -41,6 +41,13 @@
         }
     }
 
+    /**
+     * The request is not stored and never will be: the store does not accept a record of its size.
+     *
+     * @param reason size and limit, or the status of the store
+     */
+    record TooLarge(String reason) implements WriteOutcome {}
+
     /** The job to change does not exist. */
     record Missing() implements WriteOutcome {}
 }
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeLink.java
@@ -30,7 +30,7 @@
 
     List<String> starts() {
         List<String> starts = new ArrayList<>();
-        sent.forEach(body -> body.getLeaderOrders().getStarts().forEach(start -> starts.add(start.getTask())));
+        orders().forEach(orders -> orders.getStarts().forEach(start -> starts.add(start.getTask())));
         return starts;
     }
 
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/FakeStore.java
@@ -16,6 +16,7 @@
 import org.fulmarreach.platform.store.ReadLimits;
 import org.fulmarreach.platform.store.ReadResult;
 import org.fulmarreach.platform.store.StoreClient;
+import org.fulmarreach.platform.store.StoreLimits;
 import org.fulmarreach.platform.store.TopicPartition;
 
 /**
@@ -46,6 +47,8 @@
     private TopicPartition failing;
     private TopicPartition heldLoads;
     private TopicPartition heldReads;
+    private String unstorable = "";
+    private StoreLimits limits = StoreLimits.DEFAULT;
     private int heldAnswers;
     private CompletableFuture<Void> released = new CompletableFuture<>();
     private final Map<TopicPartition, Integer> loads = new HashMap<>();
@@ -66,11 +69,31 @@
         firstKept.put(partition, log(partition).size());
     }
 
+    /** Sets the sizes that are accepted. */
+    synchronized void accept(StoreLimits newLimits) {
+        limits = newLimits;
+    }
+
+    @Override
+    public synchronized StoreLimits limits() {
+        return limits;
+    }
+
+    /** Makes appends with a key be refused for ever, as those over a limit that the settings do not tell. */
+    synchronized void neverStore(String key) {
+        unstorable = key;
+    }
+
     /** Makes further appends to a partition be refused, in the time that the store usually needs. */
     synchronized void refuseAppends(TopicPartition partition) {
         refused = partition;
     }
 
+    /** Ends {@link #refuseAppends}. */
+    synchronized void acceptAppends() {
+        refused = null;
+    }
+
     /** Returns how many appends were refused because of {@link #refuseAppends}. */
     synchronized int refusals() {
         return refusals;
@@ -167,6 +190,9 @@
                     () -> new AppendResult.Refused("status 429"),
                     CompletableFuture.delayedExecutor(APPEND_MS, TimeUnit.MILLISECONDS));
         }
+        if (!admits(records)) {
+            return CompletableFuture.completedFuture(new AppendResult.Invalid("status 400"));
+        }
         AppendResult result = execute(partition, records, condition);
         if (appendDelayMs > 0) {
             return CompletableFuture.supplyAsync(
@@ -221,6 +247,17 @@
         return CompletableFuture.completedFuture(page);
     }
 
+    private boolean admits(List<KeyedRecord> records) {
+        int bytes = 0;
+        for (KeyedRecord entry : records) {
+            bytes += entry.requestBytes();
+            if (!limits.admit(entry) || entry.key().equals(unstorable)) {
+                return false;
+            }
+        }
+        return bytes <= limits.requestBytes();
+    }
+
     private List<KeyedRecord> newest(TopicPartition partition) {
         Map<String, KeyedRecord> newest = new LinkedHashMap<>();
         log(partition).forEach(entry -> newest.put(entry.key(), entry));
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/LargeOrdersTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/LargeOrdersTest.java
@@ -21,6 +21,7 @@
 import org.fulmarreach.core.model.Resources;
 import org.fulmarreach.platform.store.AppendCondition;
 import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.StoreLimits;
 import org.fulmarreach.platform.store.TopicPartition;
 import org.fulmarreach.protocol.io.GuardMessages;
 import org.fulmarreach.protocol.io.JobRecords;
@@ -73,6 +74,7 @@
     /** Guards against a start that fits no frame, as another writer's record may cause, which stops all others. */
     @Test
     void startThatFitsNoFrameLeavesTheOthersAlone() throws Exception {
+        store.accept(new StoreLimits(2 * ThriftBytes.MAX_STRUCT_BYTES, 2 * ThriftBytes.MAX_STRUCT_BYTES));
         JobSpec large = job(LONG_ID, 1, ThriftBytes.MAX_STRUCT_BYTES - 100);
         append(JobPartitions.REQUESTS, JobTopics.jobKey(LONG_ID), JobRecords.encode(large));
         startLeader();
--- a/entry/src/test/java/org/fulmarreach/entry/jobs/PoolLoadRecordTest.java
+++ b/entry/src/test/java/org/fulmarreach/entry/jobs/PoolLoadRecordTest.java
@@ -18,8 +18,10 @@
 import org.fulmarreach.core.jobs.WorkerReport;
 import org.fulmarreach.core.model.Resources;
 import org.fulmarreach.platform.store.KeyedRecord;
+import org.fulmarreach.platform.store.StoreLimits;
 import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.protocol.io.PoolLoadRecords;
+import org.fulmarreach.runtime.log.EventLog;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -39,8 +41,13 @@
             new JobScheduler(registry, CONFIG, new JobTimeLimits(6_000, 120_000, 3_000, 900), DecisionLog.NONE, 0);
     private final List<PoolLoadRecords.Stored> written = new ArrayList<>();
     private long nowMs;
-    private final LeaderRecords records =
-            new LeaderRecords(TERM, () -> new KeyedRecord("leader", new byte[] {1}), scheduler, () -> nowMs);
+    private final LeaderRecords records = new LeaderRecords(
+            TERM,
+            () -> new KeyedRecord("leader", new byte[] {1}),
+            scheduler,
+            StoreLimits.DEFAULT,
+            () -> nowMs,
+            new EventLog("test"));
 
     @Test
     void loadIsWrittenOnlyDuringAShortageAndOnceAtItsEnd() {
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobRecords.java
@@ -15,6 +15,7 @@
 import org.fulmarreach.core.jobs.QueuePolicy;
 import org.fulmarreach.core.jobs.TaskPhase;
 import org.fulmarreach.core.jobs.TaskState;
+import org.fulmarreach.core.jobs.TaskStates;
 import org.fulmarreach.core.jobs.WithheldLeases;
 import org.fulmarreach.core.jobs.WorkerRef;
 import org.fulmarreach.core.model.Resources;
@@ -171,11 +172,28 @@
      * Progress and leadership
      */
 
-    /** Encodes the progress of a job. */
+    /** Encodes the progress of a job with the states of its tasks. */
     public static byte[] encode(JobSnapshot snapshot) {
+        return encode(snapshot.tasks(), snapshot);
+    }
+
+    /** Encodes the progress of a job the states of whose tasks are stored apart. */
+    public static byte[] encodeDivided(JobSnapshot snapshot) {
+        JobProgress progress = new JobProgress(List.of(), List.of(), snapshot.settledAtMs());
+        progress.setBegun(snapshot.begun());
+        progress.setParts(snapshot.states().countParts());
+        return ThriftBytes.encode(JobState.progress(progress));
+    }
+
+    /** Encodes the states of a part of the tasks of a job. */
+    public static byte[] encodePart(List<TaskState> states) {
+        return encode(states, new JobSnapshot(List.of(), 0, false));
+    }
+
+    private static byte[] encode(List<TaskState> states, JobSnapshot snapshot) {
         Map<WorkerRef, Integer> workers = new LinkedHashMap<>();
         List<JobTaskState> tasks = new ArrayList<>();
-        for (TaskState task : snapshot.tasks()) {
+        for (TaskState task : states) {
             int worker = NO_WORKER;
             if (task.worker() != null) {
                 worker = workers.computeIfAbsent(task.worker(), ref -> workers.size());
@@ -348,9 +366,25 @@
         return fromThrift(state.getProgress());
     }
 
+    /**
+     * Decodes a record of the states of a part of the tasks of a job.
+     *
+     * @throws FrameException if the record is malformed
+     */
+    public static List<TaskState> decodePart(byte[] bytes) {
+        JobState state = decodeState(bytes);
+        if (!state.isSetProgress() || state.getProgress().isSetParts()) {
+            throw new FrameException("record of a part of the tasks of a job holds " + state.getSetField());
+        }
+        List<TaskState> tasks = fromThrift(state.getProgress()).tasks();
+        requireRange(tasks.size(), 1, TaskStates.PART_TASKS, "number of tasks");
+        return tasks;
+    }
+
     /**
      * Converts the progress of a job from Thrift.
      *
+     * @return without tasks if their states are stored apart
      * @throws FrameException if fields are missing or have impossible values
      */
     public static JobSnapshot fromThrift(JobProgress progress) {
@@ -361,7 +395,8 @@
             tasks.add(fromThrift(state, workers));
         }
         // Every job has a task; without any, all of them would count as done.
-        requireRange(tasks.size(), 1, JobSpec.MAX_TASKS, "number of tasks");
+        boolean divided = progress.isSetParts();
+        requireRange(tasks.size(), divided ? 0 : 1, divided ? 0 : JobSpec.MAX_TASKS, "number of tasks");
         long settledAtMs = requireRange(progress.getSettledAtMs(), 0, TimeBounds.MAX_UNIX_MS, "settledAtMs");
         return new JobSnapshot(tasks, settledAtMs, progress.isBegun() || hasBegun(tasks));
     }
--- a/protocol/src/main/java/org/fulmarreach/protocol/io/JobTopics.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/io/JobTopics.java
@@ -1,5 +1,7 @@
 package org.fulmarreach.protocol.io;
 
+import org.fulmarreach.core.exc.FrameException;
+
 /** Partitions and keys of the topic that holds jobs. Stateless. */
 public final class JobTopics {
     /** Name of the topic; the store keeps the newest record of each key of a topic whose name starts with "keyed.". */
@@ -37,6 +39,9 @@
     private static final String PROGRESS_PREFIX = "s/";
     private static final String ENTRY_PREFIX = "e/";
 
+    /** Before the records of a job's progress in the order of keys, so that a load has them when it reads that. */
+    private static final String PART_PREFIX = "p/";
+
     private JobTopics() {}
 
     /** Returns the key of a submitted job. */
@@ -54,6 +59,11 @@
         return PROGRESS_PREFIX + jobId;
     }
 
+    /** Returns the key of the states of a part of a job's tasks. */
+    public static String partKey(String jobId, int part) {
+        return PART_PREFIX + jobId + '/' + part;
+    }
+
     /** Returns the key of the newest process of an entry that listens at an address. */
     public static String entryKey(String address) {
         return ENTRY_PREFIX + address;
@@ -79,6 +89,29 @@
         return key.startsWith(PROGRESS_PREFIX);
     }
 
+    /** Returns whether a key is that of the states of a part of a job's tasks. */
+    public static boolean isPart(String key) {
+        return key.startsWith(PART_PREFIX);
+    }
+
+    /**
+     * Returns the number of the part in its key.
+     *
+     * @throws FrameException if there is none
+     */
+    public static int partNumber(String key) {
+        try {
+            return Integer.parseUnsignedInt(key.substring(key.lastIndexOf('/') + 1));
+        } catch (NumberFormatException e) {
+            throw new FrameException("the key " + key + " names no part", e);
+        }
+    }
+
+    /** Returns the job id in the key of a part. */
+    public static String jobIdOfPart(String key) {
+        return key.substring(PART_PREFIX.length(), Math.max(PART_PREFIX.length(), key.lastIndexOf('/')));
+    }
+
     /** Returns the job id in a key; the prefixes of all keys with a job id have the same length. */
     public static String jobId(String key) {
         return key.substring(JOB_PREFIX.length());
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/JobProgress.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/JobProgress.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField TASKS_FIELD_DESC = new org.apache.thrift.protocol.TField("tasks", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField SETTLED_AT_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("settledAtMs", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField BEGUN_FIELD_DESC = new org.apache.thrift.protocol.TField("begun", org.apache.thrift.protocol.TType.BOOL, (short)4);
+  private static final org.apache.thrift.protocol.TField PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("parts", org.apache.thrift.protocol.TType.I32, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new JobProgressStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new JobProgressTupleSchemeFactory();
@@ -22,6 +23,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<JobTaskState> tasks; // required
   private long settledAtMs; // required
   private boolean begun; // optional
+  private int parts; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -31,7 +33,11 @@
     /**
      * True once a worker has begun a task; absent before, and in records of versions that did not tell.
      */
-    BEGUN((short)4, "begun");
+    BEGUN((short)4, "begun"),
+    /**
+     * Number of parts of which each has a record of its own, so that this record has no tasks; absent for none.
+     */
+    PARTS((short)5, "parts");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,6 +61,8 @@
           return SETTLED_AT_MS;
         case 4: // BEGUN
           return BEGUN;
+        case 5: // PARTS
+          return PARTS;
         default:
           return null;
       }
@@ -100,8 +108,9 @@
   // isset id assignments
   private static final int __SETTLEDATMS_ISSET_ID = 0;
   private static final int __BEGUN_ISSET_ID = 1;
+  private static final int __PARTS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.BEGUN};
+  private static final _Fields optionals[] = {_Fields.BEGUN,_Fields.PARTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -115,6 +124,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.BEGUN, new org.apache.thrift.meta_data.FieldMetaData("begun", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.PARTS, new org.apache.thrift.meta_data.FieldMetaData("parts", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(JobProgress.class, metaDataMap);
   }
@@ -155,6 +166,7 @@
     }
     this.settledAtMs = other.settledAtMs;
     this.begun = other.begun;
+    this.parts = other.parts;
   }
 
   @Override
@@ -170,6 +182,8 @@
     this.settledAtMs = 0;
     setBegunIsSet(false);
     this.begun = false;
+    setPartsIsSet(false);
+    this.parts = 0;
   }
 
   public int getWorkersSize() {
@@ -306,6 +320,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BEGUN_ISSET_ID, value);
   }
 
+  /**
+   * Number of parts of which each has a record of its own, so that this record has no tasks; absent for none.
+   */
+  public int getParts() {
+    return this.parts;
+  }
+
+  /**
+   * Number of parts of which each has a record of its own, so that this record has no tasks; absent for none.
+   */
+  public JobProgress setParts(int parts) {
+    this.parts = parts;
+    setPartsIsSet(true);
+    return this;
+  }
+
+  public void unsetParts() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PARTS_ISSET_ID);
+  }
+
+  /** Returns true if field parts is set (has been assigned a value) and false otherwise */
+  public boolean isSetParts() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PARTS_ISSET_ID);
+  }
+
+  public void setPartsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PARTS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -341,6 +384,14 @@
       }
       break;
 
+    case PARTS:
+      if (value == null) {
+        unsetParts();
+      } else {
+        setParts((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -360,6 +411,9 @@
     case BEGUN:
       return isBegun();
 
+    case PARTS:
+      return getParts();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -380,6 +434,8 @@
       return isSetSettledAtMs();
     case BEGUN:
       return isSetBegun();
+    case PARTS:
+      return isSetParts();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -433,6 +489,15 @@
         return false;
     }
 
+    boolean this_present_parts = true && this.isSetParts();
+    boolean that_present_parts = true && that.isSetParts();
+    if (this_present_parts || that_present_parts) {
+      if (!(this_present_parts && that_present_parts))
+        return false;
+      if (this.parts != that.parts)
+        return false;
+    }
+
     return true;
   }
 
@@ -454,6 +519,10 @@
     if (isSetBegun())
       hashCode = hashCode * 8191 + ((begun) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetParts()) ? 131071 : 524287);
+    if (isSetParts())
+      hashCode = hashCode * 8191 + parts;
+
     return hashCode;
   }
 
@@ -505,6 +574,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetParts(), other.isSetParts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetParts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.parts, other.parts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -554,6 +633,12 @@
       sb.append(this.begun);
       first = false;
     }
+    if (isSetParts()) {
+      if (!first) sb.append(", ");
+      sb.append("parts:");
+      sb.append(this.parts);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -655,6 +740,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // PARTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.parts = iprot.readI32();
+              struct.setPartsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -703,6 +796,11 @@
         oprot.writeBool(struct.begun);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetParts()) {
+        oprot.writeFieldBegin(PARTS_FIELD_DESC);
+        oprot.writeI32(struct.parts);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -734,7 +832,10 @@
       if (struct.isSetBegun()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetParts()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetWorkers()) {
         {
           oprot.writeI32(struct.workers.size());
@@ -759,12 +860,15 @@
       if (struct.isSetBegun()) {
         oprot.writeBool(struct.begun);
       }
+      if (struct.isSetParts()) {
+        oprot.writeI32(struct.parts);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, JobProgress struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         {
           org.apache.thrift.protocol.TList _list114 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
@@ -801,6 +905,10 @@
         struct.begun = iprot.readBool();
         struct.setBegunIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.parts = iprot.readI32();
+        struct.setPartsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkBatch.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkBatch.java
@@ -513,14 +513,14 @@
           case 3: // DECISIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list288 = iprot.readListBegin();
-                struct.decisions = new java.util.ArrayList<WorkDecision>(_list288.size);
-                @org.apache.thrift.annotation.Nullable WorkDecision _elem289;
-                for (int _i290 = 0; _i290 < _list288.size; ++_i290)
+                org.apache.thrift.protocol.TList _list312 = iprot.readListBegin();
+                struct.decisions = new java.util.ArrayList<WorkDecision>(_list312.size);
+                @org.apache.thrift.annotation.Nullable WorkDecision _elem313;
+                for (int _i314 = 0; _i314 < _list312.size; ++_i314)
                 {
-                  _elem289 = new WorkDecision();
-                  _elem289.read(iprot);
-                  struct.decisions.add(_elem289);
+                  _elem313 = new WorkDecision();
+                  _elem313.read(iprot);
+                  struct.decisions.add(_elem313);
                 }
                 iprot.readListEnd();
               }
@@ -557,9 +557,9 @@
         oprot.writeFieldBegin(DECISIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.decisions.size()));
-          for (WorkDecision _iter291 : struct.decisions)
+          for (WorkDecision _iter315 : struct.decisions)
           {
-            _iter291.write(oprot);
+            _iter315.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -603,9 +603,9 @@
       if (struct.isSetDecisions()) {
         {
           oprot.writeI32(struct.decisions.size());
-          for (WorkDecision _iter292 : struct.decisions)
+          for (WorkDecision _iter316 : struct.decisions)
           {
-            _iter292.write(oprot);
+            _iter316.write(oprot);
           }
         }
       }
@@ -625,14 +625,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list293 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.decisions = new java.util.ArrayList<WorkDecision>(_list293.size);
-          @org.apache.thrift.annotation.Nullable WorkDecision _elem294;
-          for (int _i295 = 0; _i295 < _list293.size; ++_i295)
+          org.apache.thrift.protocol.TList _list317 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.decisions = new java.util.ArrayList<WorkDecision>(_list317.size);
+          @org.apache.thrift.annotation.Nullable WorkDecision _elem318;
+          for (int _i319 = 0; _i319 < _list317.size; ++_i319)
           {
-            _elem294 = new WorkDecision();
-            _elem294.read(iprot);
-            struct.decisions.add(_elem294);
+            _elem318 = new WorkDecision();
+            _elem318.read(iprot);
+            struct.decisions.add(_elem318);
           }
         }
         struct.setDecisionsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkClaim.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkClaim.java
@@ -513,13 +513,13 @@
           case 3: // WITNESSES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list240 = iprot.readListBegin();
-                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list240.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem241;
-                for (int _i242 = 0; _i242 < _list240.size; ++_i242)
+                org.apache.thrift.protocol.TList _list264 = iprot.readListBegin();
+                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list264.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem265;
+                for (int _i266 = 0; _i266 < _list264.size; ++_i266)
                 {
-                  _elem241 = iprot.readString();
-                  struct.witnesses.add(_elem241);
+                  _elem265 = iprot.readString();
+                  struct.witnesses.add(_elem265);
                 }
                 iprot.readListEnd();
               }
@@ -556,9 +556,9 @@
         oprot.writeFieldBegin(WITNESSES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.witnesses.size()));
-          for (java.lang.String _iter243 : struct.witnesses)
+          for (java.lang.String _iter267 : struct.witnesses)
           {
-            oprot.writeString(_iter243);
+            oprot.writeString(_iter267);
           }
           oprot.writeListEnd();
         }
@@ -602,9 +602,9 @@
       if (struct.isSetWitnesses()) {
         {
           oprot.writeI32(struct.witnesses.size());
-          for (java.lang.String _iter244 : struct.witnesses)
+          for (java.lang.String _iter268 : struct.witnesses)
           {
-            oprot.writeString(_iter244);
+            oprot.writeString(_iter268);
           }
         }
       }
@@ -624,13 +624,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list245 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list245.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem246;
-          for (int _i247 = 0; _i247 < _list245.size; ++_i247)
+          org.apache.thrift.protocol.TList _list269 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list269.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem270;
+          for (int _i271 = 0; _i271 < _list269.size; ++_i271)
           {
-            _elem246 = iprot.readString();
-            struct.witnesses.add(_elem246);
+            _elem270 = iprot.readString();
+            struct.witnesses.add(_elem270);
           }
         }
         struct.setWitnessesIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkEntry.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkEntry.java
@@ -879,13 +879,13 @@
           case 6: // FAILED_VMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list248 = iprot.readListBegin();
-                struct.failedVms = new java.util.ArrayList<java.lang.String>(_list248.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem249;
-                for (int _i250 = 0; _i250 < _list248.size; ++_i250)
+                org.apache.thrift.protocol.TList _list272 = iprot.readListBegin();
+                struct.failedVms = new java.util.ArrayList<java.lang.String>(_list272.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem273;
+                for (int _i274 = 0; _i274 < _list272.size; ++_i274)
                 {
-                  _elem249 = iprot.readString();
-                  struct.failedVms.add(_elem249);
+                  _elem273 = iprot.readString();
+                  struct.failedVms.add(_elem273);
                 }
                 iprot.readListEnd();
               }
@@ -949,9 +949,9 @@
         oprot.writeFieldBegin(FAILED_VMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.failedVms.size()));
-          for (java.lang.String _iter251 : struct.failedVms)
+          for (java.lang.String _iter275 : struct.failedVms)
           {
-            oprot.writeString(_iter251);
+            oprot.writeString(_iter275);
           }
           oprot.writeListEnd();
         }
@@ -1023,9 +1023,9 @@
       if (struct.isSetFailedVms()) {
         {
           oprot.writeI32(struct.failedVms.size());
-          for (java.lang.String _iter252 : struct.failedVms)
+          for (java.lang.String _iter276 : struct.failedVms)
           {
-            oprot.writeString(_iter252);
+            oprot.writeString(_iter276);
           }
         }
       }
@@ -1061,13 +1061,13 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list253 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.failedVms = new java.util.ArrayList<java.lang.String>(_list253.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem254;
-          for (int _i255 = 0; _i255 < _list253.size; ++_i255)
+          org.apache.thrift.protocol.TList _list277 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.failedVms = new java.util.ArrayList<java.lang.String>(_list277.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem278;
+          for (int _i279 = 0; _i279 < _list277.size; ++_i279)
           {
-            _elem254 = iprot.readString();
-            struct.failedVms.add(_elem254);
+            _elem278 = iprot.readString();
+            struct.failedVms.add(_elem278);
           }
         }
         struct.setFailedVmsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkPredecessor.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkPredecessor.java
@@ -498,13 +498,13 @@
           case 2: // WITNESSES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list256 = iprot.readListBegin();
-                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list256.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem257;
-                for (int _i258 = 0; _i258 < _list256.size; ++_i258)
+                org.apache.thrift.protocol.TList _list280 = iprot.readListBegin();
+                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list280.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem281;
+                for (int _i282 = 0; _i282 < _list280.size; ++_i282)
                 {
-                  _elem257 = iprot.readString();
-                  struct.witnesses.add(_elem257);
+                  _elem281 = iprot.readString();
+                  struct.witnesses.add(_elem281);
                 }
                 iprot.readListEnd();
               }
@@ -544,9 +544,9 @@
         oprot.writeFieldBegin(WITNESSES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.witnesses.size()));
-          for (java.lang.String _iter259 : struct.witnesses)
+          for (java.lang.String _iter283 : struct.witnesses)
           {
-            oprot.writeString(_iter259);
+            oprot.writeString(_iter283);
           }
           oprot.writeListEnd();
         }
@@ -590,9 +590,9 @@
       if (struct.isSetWitnesses()) {
         {
           oprot.writeI32(struct.witnesses.size());
-          for (java.lang.String _iter260 : struct.witnesses)
+          for (java.lang.String _iter284 : struct.witnesses)
           {
-            oprot.writeString(_iter260);
+            oprot.writeString(_iter284);
           }
         }
       }
@@ -611,13 +611,13 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list261 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list261.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem262;
-          for (int _i263 = 0; _i263 < _list261.size; ++_i263)
+          org.apache.thrift.protocol.TList _list285 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list285.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem286;
+          for (int _i287 = 0; _i287 < _list285.size; ++_i287)
           {
-            _elem262 = iprot.readString();
-            struct.witnesses.add(_elem262);
+            _elem286 = iprot.readString();
+            struct.witnesses.add(_elem286);
           }
         }
         struct.setWitnessesIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkSnapshot.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkSnapshot.java
@@ -866,14 +866,14 @@
           case 3: // ENTRIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list264 = iprot.readListBegin();
-                struct.entries = new java.util.ArrayList<WorkEntry>(_list264.size);
-                @org.apache.thrift.annotation.Nullable WorkEntry _elem265;
-                for (int _i266 = 0; _i266 < _list264.size; ++_i266)
+                org.apache.thrift.protocol.TList _list288 = iprot.readListBegin();
+                struct.entries = new java.util.ArrayList<WorkEntry>(_list288.size);
+                @org.apache.thrift.annotation.Nullable WorkEntry _elem289;
+                for (int _i290 = 0; _i290 < _list288.size; ++_i290)
                 {
-                  _elem265 = new WorkEntry();
-                  _elem265.read(iprot);
-                  struct.entries.add(_elem265);
+                  _elem289 = new WorkEntry();
+                  _elem289.read(iprot);
+                  struct.entries.add(_elem289);
                 }
                 iprot.readListEnd();
               }
@@ -893,13 +893,13 @@
           case 5: // WITNESSES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list267 = iprot.readListBegin();
-                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list267.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem268;
-                for (int _i269 = 0; _i269 < _list267.size; ++_i269)
+                org.apache.thrift.protocol.TList _list291 = iprot.readListBegin();
+                struct.witnesses = new java.util.ArrayList<java.lang.String>(_list291.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem292;
+                for (int _i293 = 0; _i293 < _list291.size; ++_i293)
                 {
-                  _elem268 = iprot.readString();
-                  struct.witnesses.add(_elem268);
+                  _elem292 = iprot.readString();
+                  struct.witnesses.add(_elem292);
                 }
                 iprot.readListEnd();
               }
@@ -919,14 +919,14 @@
           case 7: // PREDECESSORS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list270 = iprot.readListBegin();
-                struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list270.size);
-                @org.apache.thrift.annotation.Nullable WorkPredecessor _elem271;
-                for (int _i272 = 0; _i272 < _list270.size; ++_i272)
+                org.apache.thrift.protocol.TList _list294 = iprot.readListBegin();
+                struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list294.size);
+                @org.apache.thrift.annotation.Nullable WorkPredecessor _elem295;
+                for (int _i296 = 0; _i296 < _list294.size; ++_i296)
                 {
-                  _elem271 = new WorkPredecessor();
-                  _elem271.read(iprot);
-                  struct.predecessors.add(_elem271);
+                  _elem295 = new WorkPredecessor();
+                  _elem295.read(iprot);
+                  struct.predecessors.add(_elem295);
                 }
                 iprot.readListEnd();
               }
@@ -963,9 +963,9 @@
         oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.entries.size()));
-          for (WorkEntry _iter273 : struct.entries)
+          for (WorkEntry _iter297 : struct.entries)
           {
-            _iter273.write(oprot);
+            _iter297.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -978,9 +978,9 @@
         oprot.writeFieldBegin(WITNESSES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.witnesses.size()));
-          for (java.lang.String _iter274 : struct.witnesses)
+          for (java.lang.String _iter298 : struct.witnesses)
           {
-            oprot.writeString(_iter274);
+            oprot.writeString(_iter298);
           }
           oprot.writeListEnd();
         }
@@ -993,9 +993,9 @@
         oprot.writeFieldBegin(PREDECESSORS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.predecessors.size()));
-          for (WorkPredecessor _iter275 : struct.predecessors)
+          for (WorkPredecessor _iter299 : struct.predecessors)
           {
-            _iter275.write(oprot);
+            _iter299.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1051,9 +1051,9 @@
       if (struct.isSetEntries()) {
         {
           oprot.writeI32(struct.entries.size());
-          for (WorkEntry _iter276 : struct.entries)
+          for (WorkEntry _iter300 : struct.entries)
           {
-            _iter276.write(oprot);
+            _iter300.write(oprot);
           }
         }
       }
@@ -1063,9 +1063,9 @@
       if (struct.isSetWitnesses()) {
         {
           oprot.writeI32(struct.witnesses.size());
-          for (java.lang.String _iter277 : struct.witnesses)
+          for (java.lang.String _iter301 : struct.witnesses)
           {
-            oprot.writeString(_iter277);
+            oprot.writeString(_iter301);
           }
         }
       }
@@ -1075,9 +1075,9 @@
       if (struct.isSetPredecessors()) {
         {
           oprot.writeI32(struct.predecessors.size());
-          for (WorkPredecessor _iter278 : struct.predecessors)
+          for (WorkPredecessor _iter302 : struct.predecessors)
           {
-            _iter278.write(oprot);
+            _iter302.write(oprot);
           }
         }
       }
@@ -1097,14 +1097,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list279 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.entries = new java.util.ArrayList<WorkEntry>(_list279.size);
-          @org.apache.thrift.annotation.Nullable WorkEntry _elem280;
-          for (int _i281 = 0; _i281 < _list279.size; ++_i281)
+          org.apache.thrift.protocol.TList _list303 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.entries = new java.util.ArrayList<WorkEntry>(_list303.size);
+          @org.apache.thrift.annotation.Nullable WorkEntry _elem304;
+          for (int _i305 = 0; _i305 < _list303.size; ++_i305)
           {
-            _elem280 = new WorkEntry();
-            _elem280.read(iprot);
-            struct.entries.add(_elem280);
+            _elem304 = new WorkEntry();
+            _elem304.read(iprot);
+            struct.entries.add(_elem304);
           }
         }
         struct.setEntriesIsSet(true);
@@ -1115,13 +1115,13 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list282 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list282.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem283;
-          for (int _i284 = 0; _i284 < _list282.size; ++_i284)
+          org.apache.thrift.protocol.TList _list306 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.witnesses = new java.util.ArrayList<java.lang.String>(_list306.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem307;
+          for (int _i308 = 0; _i308 < _list306.size; ++_i308)
           {
-            _elem283 = iprot.readString();
-            struct.witnesses.add(_elem283);
+            _elem307 = iprot.readString();
+            struct.witnesses.add(_elem307);
           }
         }
         struct.setWitnessesIsSet(true);
@@ -1132,14 +1132,14 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list285 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list285.size);
-          @org.apache.thrift.annotation.Nullable WorkPredecessor _elem286;
-          for (int _i287 = 0; _i287 < _list285.size; ++_i287)
+          org.apache.thrift.protocol.TList _list309 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.predecessors = new java.util.ArrayList<WorkPredecessor>(_list309.size);
+          @org.apache.thrift.annotation.Nullable WorkPredecessor _elem310;
+          for (int _i311 = 0; _i311 < _list309.size; ++_i311)
           {
-            _elem286 = new WorkPredecessor();
-            _elem286.read(iprot);
-            struct.predecessors.add(_elem286);
+            _elem310 = new WorkPredecessor();
+            _elem310.read(iprot);
+            struct.predecessors.add(_elem310);
           }
         }
         struct.setPredecessorsIsSet(true);
--- a/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkerStatus.java
+++ b/protocol/src/main/java/org/fulmarreach/protocol/thrift/WorkerStatus.java
@@ -1409,13 +1409,13 @@
           case 5: // LABELS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list144 = iprot.readListBegin();
-                struct.labels = new java.util.ArrayList<java.lang.String>(_list144.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem145;
-                for (int _i146 = 0; _i146 < _list144.size; ++_i146)
+                org.apache.thrift.protocol.TList _list152 = iprot.readListBegin();
+                struct.labels = new java.util.ArrayList<java.lang.String>(_list152.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem153;
+                for (int _i154 = 0; _i154 < _list152.size; ++_i154)
                 {
-                  _elem145 = iprot.readString();
-                  struct.labels.add(_elem145);
+                  _elem153 = iprot.readString();
+                  struct.labels.add(_elem153);
                 }
                 iprot.readListEnd();
               }
@@ -1451,14 +1451,14 @@
           case 9: // RUNNING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list147 = iprot.readListBegin();
-                struct.running = new java.util.ArrayList<RunStatus>(_list147.size);
-                @org.apache.thrift.annotation.Nullable RunStatus _elem148;
-                for (int _i149 = 0; _i149 < _list147.size; ++_i149)
+                org.apache.thrift.protocol.TList _list155 = iprot.readListBegin();
+                struct.running = new java.util.ArrayList<RunStatus>(_list155.size);
+                @org.apache.thrift.annotation.Nullable RunStatus _elem156;
+                for (int _i157 = 0; _i157 < _list155.size; ++_i157)
                 {
-                  _elem148 = new RunStatus();
-                  _elem148.read(iprot);
-                  struct.running.add(_elem148);
+                  _elem156 = new RunStatus();
+                  _elem156.read(iprot);
+                  struct.running.add(_elem156);
                 }
                 iprot.readListEnd();
               }
@@ -1470,14 +1470,14 @@
           case 10: // ENDED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list150 = iprot.readListBegin();
-                struct.ended = new java.util.ArrayList<EndedRun>(_list150.size);
-                @org.apache.thrift.annotation.Nullable EndedRun _elem151;
-                for (int _i152 = 0; _i152 < _list150.size; ++_i152)
+                org.apache.thrift.protocol.TList _list158 = iprot.readListBegin();
+                struct.ended = new java.util.ArrayList<EndedRun>(_list158.size);
+                @org.apache.thrift.annotation.Nullable EndedRun _elem159;
+                for (int _i160 = 0; _i160 < _list158.size; ++_i160)
                 {
-                  _elem151 = new EndedRun();
-                  _elem151.read(iprot);
-                  struct.ended.add(_elem151);
+                  _elem159 = new EndedRun();
+                  _elem159.read(iprot);
+                  struct.ended.add(_elem159);
                 }
                 iprot.readListEnd();
               }
@@ -1550,9 +1550,9 @@
         oprot.writeFieldBegin(LABELS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.labels.size()));
-          for (java.lang.String _iter153 : struct.labels)
+          for (java.lang.String _iter161 : struct.labels)
           {
-            oprot.writeString(_iter153);
+            oprot.writeString(_iter161);
           }
           oprot.writeListEnd();
         }
@@ -1571,9 +1571,9 @@
         oprot.writeFieldBegin(RUNNING_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.running.size()));
-          for (RunStatus _iter154 : struct.running)
+          for (RunStatus _iter162 : struct.running)
           {
-            _iter154.write(oprot);
+            _iter162.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1583,9 +1583,9 @@
         oprot.writeFieldBegin(ENDED_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.ended.size()));
-          for (EndedRun _iter155 : struct.ended)
+          for (EndedRun _iter163 : struct.ended)
           {
-            _iter155.write(oprot);
+            _iter163.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1678,9 +1678,9 @@
       if (struct.isSetLabels()) {
         {
           oprot.writeI32(struct.labels.size());
-          for (java.lang.String _iter156 : struct.labels)
+          for (java.lang.String _iter164 : struct.labels)
           {
-            oprot.writeString(_iter156);
+            oprot.writeString(_iter164);
           }
         }
       }
@@ -1696,18 +1696,18 @@
       if (struct.isSetRunning()) {
         {
           oprot.writeI32(struct.running.size());
-          for (RunStatus _iter157 : struct.running)
+          for (RunStatus _iter165 : struct.running)
           {
-            _iter157.write(oprot);
+            _iter165.write(oprot);
           }
         }
       }
       if (struct.isSetEnded()) {
         {
           oprot.writeI32(struct.ended.size());
-          for (EndedRun _iter158 : struct.ended)
+          for (EndedRun _iter166 : struct.ended)
           {
-            _iter158.write(oprot);
+            _iter166.write(oprot);
           }
         }
       }
@@ -1746,13 +1746,13 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list159 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.labels = new java.util.ArrayList<java.lang.String>(_list159.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem160;
-          for (int _i161 = 0; _i161 < _list159.size; ++_i161)
+          org.apache.thrift.protocol.TList _list167 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.labels = new java.util.ArrayList<java.lang.String>(_list167.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem168;
+          for (int _i169 = 0; _i169 < _list167.size; ++_i169)
           {
-            _elem160 = iprot.readString();
-            struct.labels.add(_elem160);
+            _elem168 = iprot.readString();
+            struct.labels.add(_elem168);
           }
         }
         struct.setLabelsIsSet(true);
@@ -1771,28 +1771,28 @@
       }
       if (incoming.get(8)) {
         {
-          org.apache.thrift.protocol.TList _list162 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.running = new java.util.ArrayList<RunStatus>(_list162.size);
-          @org.apache.thrift.annotation.Nullable RunStatus _elem163;
-          for (int _i164 = 0; _i164 < _list162.size; ++_i164)
+          org.apache.thrift.protocol.TList _list170 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.running = new java.util.ArrayList<RunStatus>(_list170.size);
+          @org.apache.thrift.annotation.Nullable RunStatus _elem171;
+          for (int _i172 = 0; _i172 < _list170.size; ++_i172)
           {
-            _elem163 = new RunStatus();
-            _elem163.read(iprot);
-            struct.running.add(_elem163);
+            _elem171 = new RunStatus();
+            _elem171.read(iprot);
+            struct.running.add(_elem171);
           }
         }
         struct.setRunningIsSet(true);
       }
       if (incoming.get(9)) {
         {
-          org.apache.thrift.protocol.TList _list165 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.ended = new java.util.ArrayList<EndedRun>(_list165.size);
-          @org.apache.thrift.annotation.Nullable EndedRun _elem166;
-          for (int _i167 = 0; _i167 < _list165.size; ++_i167)
+          org.apache.thrift.protocol.TList _list173 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.ended = new java.util.ArrayList<EndedRun>(_list173.size);
+          @org.apache.thrift.annotation.Nullable EndedRun _elem174;
+          for (int _i175 = 0; _i175 < _list173.size; ++_i175)
           {
-            _elem166 = new EndedRun();
-            _elem166.read(iprot);
-            struct.ended.add(_elem166);
+            _elem174 = new EndedRun();
+            _elem174.read(iprot);
+            struct.ended.add(_elem174);
           }
         }
         struct.setEndedIsSet(true);
--- a/protocol/src/main/thrift/fulmarreach.thrift
+++ b/protocol/src/main/thrift/fulmarreach.thrift
@@ -320,7 +320,9 @@
   2: list<JobTaskState> tasks,
   3: i64 settledAtMs,
   /** True once a worker has begun a task; absent before, and in records of versions that did not tell. */
-  4: optional bool begun
+  4: optional bool begun,
+  /** Number of parts of which each has a record of its own, so that this record has no tasks; absent for none. */
+  5: optional i32 parts
 }
 /** A former leader that may still grant leases. Term 0 stands for all that are not known. */
 struct FormerLeader {
--- a/protocol/src/test/java/org/fulmarreach/protocol/io/JobRecordsTest.java
+++ b/protocol/src/test/java/org/fulmarreach/protocol/io/JobRecordsTest.java
@@ -1,7 +1,9 @@
 package org.fulmarreach.protocol.io;
 
+import java.util.ArrayList;
 import java.util.List;
 
+import org.fulmarreach.core.exc.FrameException;
 import org.fulmarreach.core.jobs.FencingToken;
 import org.fulmarreach.core.jobs.JobSnapshot;
 import org.fulmarreach.core.jobs.JobSpec;
@@ -21,6 +23,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /** Guards against jobs, and progress of them, that is lost between two leaders, or between two versions. */
 class JobRecordsTest {
@@ -43,6 +46,28 @@
             false,
             0);
 
+    @Test
+    void progressIsStoredInParts() {
+        List<TaskState> states = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            states.add(new TaskState(TaskPhase.ASSIGNED, i, WORKER, 0, "save " + i));
+        }
+        JobSnapshot snapshot = new JobSnapshot(states, 5_000, true);
+        List<TaskState> decoded = new ArrayList<>();
+        for (int part = 0; part < snapshot.states().countParts(); part++) {
+            decoded.addAll(JobRecords.decodePart(
+                    JobRecords.encodePart(snapshot.states().part(part))));
+        }
+        assertEquals(states, decoded);
+        byte[] rest = JobRecords.encodeDivided(snapshot);
+        assertEquals(new JobSnapshot(List.of(), 5_000, true), JobRecords.decodeProgress(rest));
+        assertThrows(FrameException.class, () -> JobRecords.decodePart(rest));
+        assertThrows(FrameException.class, () -> JobRecords.decodePart(JobRecords.encode(snapshot)));
+        assertEquals("job", JobTopics.jobIdOfPart(JobTopics.partKey("job", 12)));
+        assertEquals(12, JobTopics.partNumber(JobTopics.partKey("job", 12)));
+        assertThrows(FrameException.class, () -> JobTopics.partNumber("p/job/x"));
+    }
+
     /** A new leader reads the count from the record of its predecessor; without it the task would start anew. */
     @Test
     void crashesOutlastAHandOver() {
