Count a run as absent only if the worker lists all its ends

Cause: a worker lists 500 ends at a time. A new leader took runs for withdrawn after a confirmed stop and two polls without them, though their ends waited behind others; the log has RUN_LOST "withdrawn before it started" and a stale end done for each. Change: polls count for the absence of a run only if no end is still to be listed, also for runs of a former lifetime of the worker.

--- a/core/src/main/java/org/fulmarreach/core/jobs/LifetimeChange.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/LifetimeChange.java
@@ -38,10 +38,14 @@
      * Gives up a run of a former lifetime that the present one does not list, once the present one can carry out no
      * start of it any more. A run that was listed is no proof: its guard may have sent the start twice, and only one of
      * the two was answered. As long as the present lifetime may carry out a start for the former one, the run is
-     * withdrawn there first.
+     * withdrawn there first. Nothing is given up while ends are still to be listed.
      */
     void leaveFormer(JobTask task, WorkerReport report, WorkerView worker, long nowMs) {
         WorkerRef former = task.state().worker();
+        if (isSameId(former, report.ref()) && task.progress().mayHaveStarted() && !report.listsAllEnds()) {
+            // The present lifetime may have carried out a start, and the end of its run wait behind others.
+            return;
+        }
         boolean mayStartYet = task.progress().mayHaveStarted() && !worker.rulesOutFormerOrders();
         if (!isSameId(former, report.ref()) || !mayStartYet) {
             runs.markLost(task, worker, "newer lifetime " + report.ref().startedAtMs(), nowMs);
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -24,9 +24,6 @@
      */
     private static final int POLLS_TO_LOSE = 3;
 
-    /** Most ends that a worker lists at a time; the end of a run may be among those that it lists later. */
-    private static final int MAX_LISTED_ENDS = 500;
-
     /** Refusal of a start whose run number is not above that of a run that was stopped or ended on the worker. */
     private static final String OLD = "old";
 
@@ -419,12 +416,17 @@
         StartWindow repeated = new StartWindow();
         for (JobTask task : List.copyOf(worker.assigned())) {
             RunProgress progress = task.progress();
+            if (!task.state().worker().equals(report.ref())) {
+                // A run of a former lifetime, of which the present one may have an end to list.
+                continue;
+            }
             if (listed.contains(task)) {
                 task.restartCountOfPolls();
             } else if (progress.isListed()) {
                 releaseIfEndIsForgotten(task, report, worker, nowMs);
             } else if (progress.isStopConfirmed()) {
-                if (task.countPollWithoutRun(report.pollNumber()) >= POLLS_AFTER_STOP) {
+                // The run may have ended before the stop, and its end wait behind others.
+                if (report.listsAllEnds() && task.countPollWithoutRun(report.pollNumber()) >= POLLS_AFTER_STOP) {
                     markLost(task, worker, "withdrawn before it started", nowMs);
                 }
             } else if (!progress.isSent() && !task.step().gang()) {
@@ -468,8 +470,7 @@
      * succeeded, so it neither runs again nor counts as failed.
      */
     private void releaseIfEndIsForgotten(JobTask task, WorkerReport report, WorkerView worker, long nowMs) {
-        boolean complete = report.ended().size() < MAX_LISTED_ENDS;
-        if (!complete || task.countPollWithoutRun(report.pollNumber()) < POLLS_TO_LOSE) {
+        if (!report.listsAllEnds() || task.countPollWithoutRun(report.pollNumber()) < POLLS_TO_LOSE) {
             return;
         }
         if (task.step().longRunning() || task.job().status().isFinal()) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerReport.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerReport.java
@@ -35,6 +35,9 @@
         long pollNumber,
         boolean crashed,
         FencingToken token) {
+    /** Most ends that a worker lists at a time; the end of a run may be among those that it lists later. */
+    private static final int MAX_LISTED_ENDS = 500;
+
     /** Copies the lists. */
     public WorkerReport {
         labels = List.copyOf(labels);
@@ -71,6 +74,11 @@
                 null);
     }
 
+    /** Tells whether a run that is neither listed as running nor as ended has no end that is still to be listed. */
+    boolean listsAllEnds() {
+        return ended.size() < MAX_LISTED_ENDS;
+    }
+
     /** Returns a copy with another fencing token. */
     public WorkerReport withToken(FencingToken newToken) {
         return new WorkerReport(
--- a/core/src/test/java/org/fulmarreach/core/jobs/SameWorkerIdTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/SameWorkerIdTest.java
@@ -128,6 +128,25 @@
         assertEquals(2, starts.size());
     }
 
+    /** The next lifetime has carried out the start before it saw the token, and lists its end behind others. */
+    @Test
+    void runIsNotStartedElsewhereWhileTheNextLifetimeHasEndsToList() {
+        submit();
+        token = new FencingToken(1, 1);
+        report(former, 2, List.of(), List.of());
+        report(other, 1, List.of(), List.of());
+        token = new FencingToken(1, 2);
+        List<WorkerReport.Ended> ends = new ArrayList<>();
+        for (int i = 1; i <= 500; i++) {
+            ends.add(new WorkerReport.Ended(i, "removed.0.0." + i, 1, RunEnd.DONE, ""));
+        }
+        report(next, 1, List.of(), ends);
+        assertEquals(1, starts.size());
+        report(next, 2, List.of(), List.of(new WorkerReport.Ended(501, TASK, 1, RunEnd.DONE, "")));
+        assertEquals(1, starts.size());
+        assertEquals(TaskPhase.DONE, task().state().phase());
+    }
+
     /**
      * The guard had repeated an unanswered start with success, so the worker listed the run. Its next lifetime carried
      * out the first attempt while the task ran elsewhere.
--- a/core/src/test/java/org/fulmarreach/core/jobs/SchedulerHarness.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/SchedulerHarness.java
@@ -75,6 +75,10 @@
 
         private final Map<String, WorkerReport.Running> running = new LinkedHashMap<>();
         private final List<WorkerReport.Ended> ended = new ArrayList<>();
+
+        /** Newest run of each task that has ended; the worker refuses starts of it and of earlier ones. */
+        private final Map<String, Integer> endedRuns = new HashMap<>();
+
         private long ends;
 
         private Worker(WorkerRef ref, Resources capacity) {
@@ -84,19 +88,20 @@
 
         /** Ends a run by itself. */
         void endRun(String task, RunEnd how) {
-            WorkerReport.Running run = running.remove(task);
-            ends++;
-            ended.add(new WorkerReport.Ended(ends, run.task(), run.run(), how, ""));
+            addEnd(running.remove(task), how);
         }
 
         /** Ends all runs by themselves. */
         void endRuns(RunEnd how) {
-            for (WorkerReport.Running run : running.values()) {
-                ends++;
-                ended.add(new WorkerReport.Ended(ends, run.task(), run.run(), how, ""));
-            }
+            running.values().forEach(run -> addEnd(run, how));
             running.clear();
         }
+
+        private void addEnd(WorkerReport.Running run, RunEnd how) {
+            ends++;
+            ended.add(new WorkerReport.Ended(ends, run.task(), run.run(), how, ""));
+            endedRuns.put(run.task(), run.run());
+        }
     }
 
     SchedulerHarness() {
@@ -273,6 +278,10 @@
             case JobOrder.Start start -> {
                 String name = start.task().toString();
                 scheduler.onStartSent(start, nowMs);
+                if (start.run() <= worker.endedRuns.getOrDefault(name, 0)) {
+                    scheduler.onOrderOutcome(worker.ref, name, start.run(), true, "old", nowMs);
+                    return;
+                }
                 starts.add(start);
                 if (worker.refusal.isEmpty()) {
                     worker.running.put(name, new WorkerReport.Running(name, start.run(), "", worker.percent, 5));
@@ -282,9 +291,9 @@
             }
             case JobOrder.Stop stop -> {
                 worker.stops++;
-                if (worker.endsRuns && worker.running.remove(stop.task()) != null) {
-                    worker.ends++;
-                    worker.ended.add(new WorkerReport.Ended(worker.ends, stop.task(), stop.run(), RunEnd.STOPPED, ""));
+                WorkerReport.Running stopped = worker.endsRuns ? worker.running.remove(stop.task()) : null;
+                if (stopped != null) {
+                    worker.addEnd(stopped, RunEnd.STOPPED);
                 }
                 if (worker.confirmsStops) {
                     scheduler.onOrderOutcome(worker.ref, stop.task(), stop.run(), false, "done", nowMs);
