--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -24,6 +24,7 @@
  * used only for due times, the age of jobs since their submission, and the retention of settled jobs.
  */
 public final class JobScheduler {
+    private final KnownPolicies policies = new KnownPolicies();
     private final JobRegistry registry;
     private final JobTimeLimits limits;
     private final DecisionLog log;
@@ -36,7 +37,7 @@
     private final ZoneEvacuation evacuation;
     private final BestEffortPacer pacer;
     private final RunTimeModel times = new RunTimeModel();
-    private final Headroom headroom = new Headroom(this::policy);
+    private final Headroom headroom = new Headroom(policies::find);
     private final Placement placement;
     private final TaskPlacer placer;
     private final JobRetention retention;
@@ -49,7 +50,6 @@
     private final JobWaitMonitor jobWaitMonitor;
     private final NextStepMonitor nextSteps;
     private final PoolLoadMeter loadMeter;
-    private final Map<String, QueuePolicy> knownPolicies = new HashMap<>();
     private JobConfig config;
 
     /** Constructs the scheduler of a new term that knows nothing of former leases. */
@@ -84,16 +84,16 @@
         this.mover = new RunMover(decisions, budget, log);
         this.pacer = new BestEffortPacer(model, times, decisions, log);
         this.placement = new Placement(model, headroom, jobWaits);
-        this.evacuation = new ZoneEvacuation(workers.values(), placement, mover, budget, this::policy, log, nowMs);
+        this.evacuation = new ZoneEvacuation(workers.values(), placement, mover, budget, policies::find, log, nowMs);
         this.crashes = new CrashTracker(decisions, log, placement);
         this.placer = new TaskPlacer(workers.values(), placement, crashes, decisions, log);
         this.retention = new JobRetention(registry, limits, decisions, log);
         this.runs = new RunTracker(registry, decisions, log, crashes, times);
         this.lifetimes = new LifetimeChange(registry, runs, decisions, log);
         WaitDiagnosis diagnosis = new WaitDiagnosis(workers.values(), placement, limits);
-        this.waits = new TaskWaitMonitor(active, this::policy, diagnosis, log);
-        this.jobWaitMonitor = new JobWaitMonitor(jobWaits, this::policy, diagnosis, log);
-        this.loadMeter = new PoolLoadMeter(workers.values(), this::policy, times, nowMs);
+        this.waits = new TaskWaitMonitor(active, policies::find, diagnosis, log);
+        this.jobWaitMonitor = new JobWaitMonitor(jobWaits, policies::find, diagnosis, log);
+        this.loadMeter = new PoolLoadMeter(workers.values(), policies::find, times, nowMs);
         this.nextSteps = new NextStepMonitor(registry, active, workers, crashes, waits, limits, log);
         for (Job job : registry.jobs()) {
             adopt(job, nowMs);
@@ -117,7 +117,7 @@
     /** Replaces the queue configuration. */
     public void configure(JobConfig newConfig) {
         config = newConfig;
-        newConfig.queues().forEach(queue -> knownPolicies.put(queue.name(), queue.policy()));
+        policies.learn(newConfig);
     }
 
     /** Replaces the evacuated zones, in which nothing is started from now on. */
@@ -179,7 +179,7 @@
                 lifetimes.leaveFormer(task, report, worker, nowMs);
             }
         }
-        runs.apply(report, worker, this::maxAttempts, nowMs);
+        runs.apply(report, worker, policies::maxAttempts, nowMs);
         mover.review(worker, nowMs);
         pacer.review(worker, nowMs);
         return true;
@@ -302,7 +302,7 @@
         }
         Map<Job, JobUrgency.Rank> ranks = new HashMap<>();
         for (Job job : ordered) {
-            QueuePolicy policy = policy(job);
+            QueuePolicy policy = policies.find(job);
             boolean shortOfRoom = policy != null && headroom.isShortOfRoom(policy.service(), nowMs);
             ranks.put(job, JobUrgency.rank(job, policy, times, shortOfRoom, unixMs));
         }
@@ -481,19 +481,6 @@
         if (!placing) {
             return;
         }
-        placer.placeReadySteps(job, policy(job), config.version(), nowMs, unixMs);
-    }
-
-    /**
-     * Returns the settings of a job's queue: those of the last configuration in this term that has the queue, or else
-     * those stored with the job, since the queue may have been removed before the term; null if neither is known.
-     */
-    private QueuePolicy policy(Job job) {
-        return knownPolicies.getOrDefault(job.spec().queue(), job.spec().queuePolicy());
-    }
-
-    private int maxAttempts(Job job) {
-        QueuePolicy policy = policy(job);
-        return policy == null ? Integer.MAX_VALUE : policy.maxAttempts();
+        placer.placeReadySteps(job, policies.find(job), config.version(), nowMs, unixMs);
     }
 }
--- a/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Placement.java
@@ -214,7 +214,7 @@
             boolean free = worker.bestEffortMilliCores() == 0;
             if (isOpenToWaiting(task, service, worker, workers, nowMs)
                     && hasReservableCapacityForWaiting(task, worker)
-                    && mayOrderStart(task, worker)
+                    && worker.mayOrderStart(task)
                     && (free || hasRoomBesideOthers(task, worker) || isMostlyFree(service, workers, nowMs))
                     && (tailRatio(worker) <= LOW_TAIL_RATIO
                             || tailRatio(worker) <= FAIR_TAIL_RATIO && isMostlyFree(service, workers, nowMs))) {
@@ -267,7 +267,7 @@
         for (WorkerView worker : workers) {
             if (isOpenToWaiting(task, service, worker, workers, nowMs)
                     && hasReservableCapacityForWaiting(task, worker)
-                    && mayOrderStart(task, worker)
+                    && worker.mayOrderStart(task)
                     && (limit == null || limit.admits(worker))) {
                 double score = WorkerScore.of(task, worker, 0) + doubts(task, worker, nowMs);
                 if (score < bestScore) {
@@ -359,7 +359,7 @@
                     || limit != null && !limit.admits(worker)) {
                 continue;
             }
-            if (!mayOrderStart(task, worker)) {
+            if (!worker.mayOrderStart(task)) {
                 startsUnderWay = true;
                 continue;
             }
@@ -493,19 +493,6 @@
                 && (!step.bestEffort() || colocation.predictExcess(step, worker) <= 0 || isWellBelowTargets(worker));
     }
 
-    /** Constraints on the worker of a task, in the order in which {@link #findObstacle} checks them. */
-    enum Obstacle {
-        UNAVAILABLE,
-        LABEL,
-        SUSPECTED,
-        TRIAL,
-        ROOM,
-        STARTS_UNDER_WAY,
-        TASKS_PER_WORKER,
-        HEADROOM,
-        INTERFERENCE
-    }
-
     /** Returns the first constraint by which a worker does not accept a task now, or null if it accepts it. */
     Obstacle findObstacle(JobTask task, String service, WorkerView worker, Collection<WorkerView> workers, long nowMs) {
         JobStep step = task.step();
@@ -525,7 +512,7 @@
                 || !worker.mayFillWith(step, passAtMs)) {
             return Obstacle.ROOM;
         }
-        if (!mayOrderStart(task, worker)) {
+        if (!worker.mayOrderStart(task)) {
             return Obstacle.STARTS_UNDER_WAY;
         }
         if (!fits(task, worker, worker.taken())) {
@@ -575,11 +562,6 @@
         return hasRoom(task, worker, taken) && worker.mayFillWith(task.step(), passAtMs);
     }
 
-    /** The members of a gang start together, so they do not wait for the starts under way. */
-    private static boolean mayOrderStart(JobTask task, WorkerView worker) {
-        return task.step().gang() || worker.starting().admits(task.job());
-    }
-
     private boolean hasRoom(JobTask task, WorkerView worker, Resources taken) {
         JobStep step = task.step();
         if (!taken.plus(step.reserved()).fitsInto(worker.report().capacity())) {
--- a/core/src/main/java/org/fulmarreach/core/jobs/WaitDiagnosis.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WaitDiagnosis.java
@@ -4,7 +4,6 @@
 import java.util.EnumMap;
 import java.util.Map;
 
-import org.fulmarreach.core.jobs.Placement.Obstacle;
 import org.fulmarreach.core.model.Resources;
 
 /** Finds out why a task that may run is not at work. Decides nothing. Not thread-safe. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -261,6 +261,11 @@
         return starting;
     }
 
+    /** The members of a gang start together, so they do not wait for the starts under way. */
+    boolean mayOrderStart(JobTask task) {
+        return task.step().gang() || starting.admits(task.job());
+    }
+
     /** Limits what is started on the worker for a while after its zone was taken back. */
     void setFilling(StartAllowance allowance) {
         filling = allowance;
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/CallerRequests.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/CallerRequests.java
@@ -4,9 +4,9 @@
 import java.util.OptionalLong;
 
 import org.fulmarreach.core.jobs.JobRegistry;
+import org.fulmarreach.core.jobs.JobTimeLimits;
 import org.fulmarreach.core.overload.AdmissionDecision;
 import org.fulmarreach.platform.store.KeyedRecord;
-import org.fulmarreach.platform.store.StoreLimits;
 import org.fulmarreach.protocol.io.JobRecords;
 import org.fulmarreach.protocol.io.JobTopics;
 import org.fulmarreach.protocol.thrift.ForwardedRequest;
@@ -32,7 +32,6 @@
     private final PoolLoadView poolLoad;
     private final SubmissionsOnTheWay onTheWay = new SubmissionsOnTheWay();
     private final long statusRetentionMs;
-    private final StoreLimits limits;
     private final Runnable decide;
     private final MonotonicClock clock;
 
@@ -41,8 +40,7 @@
      *
      * @param queries reads the log to its end before a job counts as unknown
      * @param poolLoad decides whether there is room for a job
-     * @param statusRetentionMs how long the status of a settled job is kept
-     * @param limits sizes that the store accepts
+     * @param limits tell how long the status of a settled job is kept
      * @param decide runs after each request that was stored
      */
     CallerRequests(
@@ -51,8 +49,7 @@
             RequestWriter writer,
             RecordApplier applier,
             PoolLoadView poolLoad,
-            long statusRetentionMs,
-            StoreLimits limits,
+            JobTimeLimits limits,
             Runnable decide,
             MonotonicClock clock) {
         this.registry = registry;
@@ -60,8 +57,7 @@
         this.writer = writer;
         this.applier = applier;
         this.poolLoad = poolLoad;
-        this.statusRetentionMs = statusRetentionMs;
-        this.limits = limits;
+        this.statusRetentionMs = limits.statusRetentionMs();
         this.decide = decide;
         this.clock = clock;
     }
@@ -114,10 +110,10 @@
     private void store(JobsCommand.Submit submit) {
         String id = submit.job().id();
         KeyedRecord entry = new KeyedRecord(JobTopics.jobKey(id), JobRecords.encode(submit.job()));
-        if (!limits.admit(entry)) {
+        if (!writer.limits().admit(entry)) {
             submit.reply()
                     .complete(new WriteOutcome.TooLarge("the submission takes " + entry.contentBytes()
-                            + " bytes in the store, at most " + limits.recordBytes()
+                            + " bytes in the store, at most " + writer.limits().recordBytes()
                             + " are allowed; submit fewer steps at once"));
             return;
         }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobsActor.java
@@ -147,16 +147,7 @@
                 applier::applyRequest,
                 clock,
                 log);
-        this.callers = new CallerRequests(
-                registry,
-                queries,
-                writer,
-                applier,
-                poolLoad,
-                limits.statusRetentionMs(),
-                store.limits(),
-                this::decide,
-                clock);
+        this.callers = new CallerRequests(registry, queries, writer, applier, poolLoad, limits, this::decide, clock);
         this.publisher = new ViewPublisher(view, config, requests, queries::reads, clock, log);
         config.load();
         timers.startTimerWithFixedDelay(new JobsCommand.Tick(), TICK);
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/LeaderTerm.java
@@ -2,12 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Supplier;
 
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
@@ -48,6 +46,7 @@
     private final JobScheduler scheduler;
     private final JobTimeLimits limits;
     private final GuardSessions sessions;
+    private final OrderSender sender;
     private final LogTail requests;
     private final CancellationView cancellations;
     private final RequestRemover remover;
@@ -97,6 +96,7 @@
         this.scheduler = scheduler;
         this.limits = limits;
         this.sessions = sessions;
+        this.sender = new OrderSender(term, scheduler, sessions, cancellations, clock);
         this.requests = requests;
         this.cancellations = cancellations;
         this.cancellationRemover = cancellationRemover;
@@ -361,39 +361,7 @@
     }
 
     private void send(List<JobOrder> orders) {
-        List<JobOrder> applicable = cancellations.admit(dropInapplicable(orders));
-        if (!applicable.isEmpty() && mayGrant()) {
-            long nowMs = clock.nowMs();
-            List<JobOrder> sendable = applicable.stream()
-                    .filter(order -> !scheduler.withholdsLease(order.worker().guard()))
-                    .toList();
-            GuardSessions.Sent sent = sessions.send(term, sendable, writeAgeMs());
-            sent.granted().forEach(guard -> scheduler.onGrantSent(guard, nowMs));
-            Set<JobOrder> oversized = new HashSet<>(sent.oversized());
-            for (JobOrder order : applicable) {
-                if (order instanceof JobOrder.Start start) {
-                    if (oversized.contains(start)) {
-                        scheduler.onStartUndeliverable(start);
-                    } else if (sent.granted().contains(start.worker().guard())) {
-                        scheduler.onStartSent(start, nowMs);
-                    } else {
-                        scheduler.onStartNotSent(start);
-                    }
-                }
-            }
-        }
-    }
-
-    private List<JobOrder> dropInapplicable(List<JobOrder> orders) {
-        List<JobOrder> applicable = new ArrayList<>();
-        for (JobOrder order : orders) {
-            if (scheduler.isApplicable(order)) {
-                applicable.add(order);
-            } else if (order instanceof JobOrder.Start start) {
-                scheduler.onStartDropped(start);
-            }
-        }
-        return applicable;
+        sender.send(orders, mayGrant(), writeAgeMs());
     }
 
     private void flush() {
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/RequestWriter.java
@@ -13,6 +13,7 @@
 import org.fulmarreach.platform.store.AppendResult;
 import org.fulmarreach.platform.store.KeyedRecord;
 import org.fulmarreach.platform.store.StoreClient;
+import org.fulmarreach.platform.store.StoreLimits;
 import org.fulmarreach.platform.store.TopicPartition;
 import org.fulmarreach.runtime.util.MonotonicClock;
 
@@ -69,6 +70,11 @@
         this.clock = clock;
     }
 
+    /** Returns the sizes that the store accepts. */
+    StoreLimits limits() {
+        return store.limits();
+    }
+
     /**
      * Appends a record.
      *
@@ -150,7 +156,7 @@
         List<Write> taken = new ArrayList<>();
         List<KeyedRecord> records = new ArrayList<>();
         int bytes = 0;
-        int maxBytes = Math.min(MAX_BYTES, store.limits().requestBytes());
+        int maxBytes = Math.min(MAX_BYTES, limits().requestBytes());
         while (!waiting.isEmpty() && records.size() < MAX_RECORDS) {
             Write write = waiting.peek();
             boolean fits = bytes + write.entry.requestBytes() <= maxBytes && !write.alone;
