Bound the runs on one worker

A report lists all runs of a worker in one message; tasks that reserve nothing would make it exceed a frame, and the worker would count as silent. Change: at most 10,000 runs are assigned to a worker; further tasks wait.

--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerView.java
@@ -12,6 +12,9 @@
  * thread-safe.
  */
 final class WorkerView {
+    /** A report lists all runs of a worker and has to fit a frame; only tasks that reserve next to nothing meet it. */
+    static final int MAX_RUNS = 10_000;
+
     private static final int FULL_PERCENT = 100;
 
     /** Polls after the guard has learned the term of which one carries it; the first may have been under way. */
@@ -261,9 +264,12 @@
         return starting;
     }
 
-    /** The members of a gang start together, so they do not wait for the starts under way. */
+    /**
+     * Tells whether another start may be ordered, whatever resources are free. The members of a gang start together, so
+     * they do not wait for the starts under way.
+     */
     boolean mayOrderStart(JobTask task) {
-        return task.step().gang() || starting.admits(task.job());
+        return assigned.size() < MAX_RUNS && (task.step().gang() || starting.admits(task.job()));
     }
 
     /** Limits what is started on the worker for a while after its zone was taken back. */
--- a/core/src/test/java/org/fulmarreach/core/jobs/StartWindowTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/StartWindowTest.java
@@ -35,6 +35,19 @@
         assertTrue(window.admits(job("next", 1, 1)));
     }
 
+    /** Tasks that reserve nothing would fill a worker's list of runs without end. */
+    @Test
+    void runsOfAWorkerAreBounded() {
+        SchedulerHarness harness = new SchedulerHarness();
+        harness.addWorker(1_000);
+        Job job = harness.submit("job", TestSteps.of(JobSpec.MAX_TASKS, Resources.NONE, 100, List.of()))
+                .job();
+        harness.elapse(60_000);
+        assertEquals(
+                WorkerView.MAX_RUNS,
+                job.presentTasks().stream().filter(JobTask::isAssigned).count());
+    }
+
     private int fill(Job job) {
         int taken = 0;
         for (JobTask task : job.tasks()) {
--- a/runtime/src/test/java/org/fulmarreach/runtime/cfg/SettingsPageTest.java
+++ b/runtime/src/test/java/org/fulmarreach/runtime/cfg/SettingsPageTest.java
@@ -55,6 +55,7 @@
                 |---|---|---|
                 | starts under way to one worker | 256, or 512 KiB of text \
                 | Further tasks wait; a job may use as much as it leaves to others. Gangs start whole. |
+                | runs on one worker | 10,000 | Further tasks wait. |
                 | specification of a job | 4,000 bytes | The submission is refused with status 400. |
                 | specification of a gang, times its tasks | 4 MiB | The submission is refused with status 400. |
                 | memory of all jobs that an entry keeps | 40% of the heap \
