State which bounds a submission can meet

Cause: docs/SETTINGS.md said that none is met within the platform's limits, and lacked that of the record; the pages limit only specifications. Result: SettingsPageTest passes; no product code changes.

--- a/runtime/src/test/java/org/fulmarreach/runtime/cfg/SettingsPageTest.java
+++ b/runtime/src/test/java/org/fulmarreach/runtime/cfg/SettingsPageTest.java
@@ -48,8 +48,8 @@
 
                 ## Fixed bounds
 
-                They cannot be set. Requests and workers that keep to the platform's own limits do not meet them, apart
-                from the first.
+                They cannot be set. The platform has the same limit on specifications and states none for the others, so
+                very large submissions and checkpoints can meet them.
 
                 | bound | value | effect |
                 |---|---|---|
@@ -58,6 +58,8 @@
                 | runs on one worker | 10,000 | Further tasks wait. |
                 | specification of a job | 4,000 bytes | The submission is refused with status 400. |
                 | specification of a gang, times its tasks | 4 MiB | The submission is refused with status 400. |
+                | record of a submission | `record_bytes` of the platform's settings \
+                | The submission is refused with status 413; fewer steps at once fit. |
                 | memory of all jobs that an entry keeps | 40% of the heap \
                 | A submission that needs more than a quarter of what is left is refused with status 429. |
                 | checkpoint of a task | 4,096 characters | A longer one is not kept (event 4118); the run goes on. |
