Log the use of processors by best-effort tasks and what is learned of interference

No log line told whether best-effort runs lack processors or are kept down because of interference, and by which pairs of images.

--- a/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
@@ -39,6 +39,7 @@
 
     private final InterferenceModel model;
     private final RunTimeModel times;
+    private final ColocationMonitor monitor;
     private final DecisionBuffer decisions;
     private final DecisionLog log;
     private final Map<String, Long> changedAtMs = new HashMap<>();
@@ -46,9 +47,15 @@
     /** Guards of the workers on which the last review has throttled tasks. */
     private final Set<String> throttledLast = new HashSet<>();
 
-    BestEffortPacer(InterferenceModel model, RunTimeModel times, DecisionBuffer decisions, DecisionLog log) {
+    BestEffortPacer(
+            InterferenceModel model,
+            RunTimeModel times,
+            ColocationMonitor monitor,
+            DecisionBuffer decisions,
+            DecisionLog log) {
         this.model = model;
         this.times = times;
+        this.monitor = monitor;
         this.decisions = decisions;
         this.log = log;
     }
@@ -80,6 +87,7 @@
         });
         model.learn(worker.guard(), new InterferenceModel.Sample(nowMs, shares, means));
         worker.setPressures(highest);
+        monitor.review(worker, nowMs);
         for (JobTask task : bestEffort) {
             if (task.takeShareThatIsDue()) {
                 setCpuShare(worker, task, task.cpuSharePercent(), worst == null ? 0 : worst.tailRatio());
--- a/core/src/main/java/org/fulmarreach/core/jobs/Colocation.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/Colocation.java
@@ -88,6 +88,24 @@
         return worst;
     }
 
+    /**
+     * Predicts by how much the pressure on the serving tasks of a worker exceeds the limit while the best-effort tasks
+     * that it has run at full CPU share; negative while there is headroom.
+     */
+    double predictPresentExcess(WorkerView worker) {
+        double worst = -1;
+        for (Map.Entry<String, Set<JobTask>> entry : worker.servingByImage().entrySet()) {
+            String image = entry.getKey();
+            int targetMs = entry.getValue().iterator().next().step().targetLatencyMs();
+            double pressure = model.ownPressure(image) + LOAD_MARGIN;
+            for (Map.Entry<String, Integer> other : worker.bestEffortByImage().entrySet()) {
+                pressure += predictedPressure(other.getKey(), other.getValue(), image, worker);
+            }
+            worst = Math.max(worst, pressure - model.pressureAt(image, MAX_TAIL_RATIO, targetMs));
+        }
+        return worst;
+    }
+
     /** Returns the predicted pressure of best-effort tasks of one image at full CPU share on a serving image. */
     private double predictedPressure(String bestEffort, int milliCores, String serving, WorkerView worker) {
         return model.factor(bestEffort, serving) * worker.share(milliCores);
--- a/core/src/main/java/org/fulmarreach/core/jobs/DecisionLog.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/DecisionLog.java
@@ -53,6 +53,10 @@
         TASK_GIVEN_UP,
         /** The CPU share of a best-effort task was lowered or raised. */
         PACE_CHANGED,
+        /** What the best-effort tasks of a worker request, are allowed and use, at intervals. */
+        BEST_EFFORT_LOAD,
+        /** What has been learned of the interference with a serving image, at intervals. */
+        INTERFERENCE_LEARNED,
         /** A long-running task that may run has not been at work for a while. */
         TASK_WAITING,
         /** A job has had no run at work for a while, though the turn of one of its tasks has come. */
--- a/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/JobScheduler.java
@@ -82,7 +82,7 @@
         this.log = log;
         UnavailabilityBudget budget = new UnavailabilityBudget();
         this.mover = new RunMover(decisions, budget, log);
-        this.pacer = new BestEffortPacer(model, times, decisions, log);
+        this.pacer = new BestEffortPacer(model, times, new ColocationMonitor(model, log, nowMs), decisions, log);
         this.placement = new Placement(model, headroom, jobWaits);
         this.evacuation = new ZoneEvacuation(workers.values(), placement, mover, budget, policies::find, log, nowMs);
         this.crashes = new CrashTracker(decisions, log, placement);
--- a/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/RunTracker.java
@@ -253,7 +253,13 @@
                 "number",
                 end.number(),
                 "checkpoint",
-                end.checkpoint());
+                end.checkpoint(),
+                "afterMs",
+                current && task.progress().isListed() ? nowMs - task.progress().startedAtMs() : "none",
+                "estimatedMs",
+                task == null ? "none" : task.step().estimatedMs(),
+                "throttled",
+                current && task.hasBeenThrottled());
         if (task == null) {
             return;
         }
--- a/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
+++ b/entry/src/main/java/org/fulmarreach/entry/jobs/JobEvent.java
@@ -39,6 +39,14 @@
             4018,
             Level.INFO,
             "The CPU share of a best-effort task was changed because of serving tasks on its worker."),
+    BEST_EFFORT_LOAD(
+            4095,
+            Level.INFO,
+            "The processors that the best-effort tasks of a worker request, are allowed by their CPU shares, and use."),
+    INTERFERENCE_LEARNED(
+            4096,
+            Level.INFO,
+            "What is known of the interference of best-effort images with a serving image: factor/standard deviation."),
     WORKER_SEEN(4020, Level.INFO, "A guard reports a worker, or a newer lifetime of it, for the first time."),
     WORKER_CHANGED(4021, Level.INFO, "A worker became reachable, unreachable or began to drain."),
     WORKER_SUSPECTED(4022, Level.WARNING, "Several runs in a row failed on a worker; it gets no new runs for a while."),
@@ -218,6 +226,8 @@
             case TASK_SUSPECTED -> TASK_SUSPECTED;
             case TASK_GIVEN_UP -> TASK_GIVEN_UP;
             case PACE_CHANGED -> PACE_CHANGED;
+            case BEST_EFFORT_LOAD -> BEST_EFFORT_LOAD;
+            case INTERFERENCE_LEARNED -> INTERFERENCE_LEARNED;
             case TASK_WAITING -> TASK_WAITING;
             case JOB_WAITING -> JOB_WAITING;
             case TASK_OVERDUE -> TASK_OVERDUE;
