Reproduce that swings of the load are taken for interference

PoolEmulator can let the loads of a job's tasks swing together, as on the deployments, and tell the leader the factors; FakeWorker can report means over half a second, as real workers do. Both are off in all other tests.

--- a/core/src/test/java/org/fulmarreach/core/jobs/ColocationLoadTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/ColocationLoadTest.java
@@ -50,6 +50,7 @@
     final Map<String, List<String>> submitted = new HashMap<>();
     private final Map<Integer, Consumer<PoolEmulator>> events = new HashMap<>();
     private BiConsumer<PoolEmulator, String> beforeSubmission = (pool, id) -> {};
+    private Consumer<PoolEmulator> preparation = pool -> {};
     double batchPerSecond = 0.84;
     private int jobs;
 
@@ -98,6 +99,11 @@
         beforeSubmission = action;
     }
 
+    /** Sets an action for the pool before its leader decides anything. */
+    void prepare(Consumer<PoolEmulator> action) {
+        preparation = action;
+    }
+
     /** Schedules an event at a second of the load. */
     void at(int second, Consumer<PoolEmulator> event) {
         events.put(second, event);
@@ -114,6 +120,7 @@
             worker.beginMs = BEGIN_MS;
             worker.checkpointMs = CHECKPOINT_MS;
         });
+        preparation.accept(pool);
         pool.run(1_000);
         for (int i = 0; i < 10; i++) {
             submit(pool, random, "standing");
@@ -189,6 +196,11 @@
         return (double) onTime / submitted.get(queue).size();
     }
 
+    /** Returns the target of a batch job by its true work, in milliseconds after its submission. */
+    static long batchTargetMs(PoolEmulator pool, String id) {
+        return trueTargetMs(pool, id, CONFIG.findByName("batch").orElseThrow());
+    }
+
     private static long trueTargetMs(PoolEmulator pool, String id, JobQueue queue) {
         Job job = pool.registry.find(id).orElseThrow();
         long chain = 0;
--- a/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/FakeWorker.java
@@ -30,6 +30,9 @@
 
     private static final double MAX_PRESSURE = 0.97;
 
+    /** Weight of the newest step of 50 ms in the mean usage. */
+    private static final double MEAN_WEIGHT = 0.2;
+
     /** Maximum relative error of reported usage values. */
     private static final double READING_ERROR = 0.08;
 
@@ -48,6 +51,9 @@
     /** Delay between a start order and the first progress: transit of the order and restoring a checkpoint. */
     int beginMs;
 
+    /** Whether reported usage is the mean over the time since about half a second ago, and not the present value. */
+    boolean reportsMeans;
+
     /** Amount of work between two checkpoints. */
     int checkpointMs = 1;
 
@@ -100,6 +106,7 @@
         int cpuSharePercent = 100;
         double usedMilliCores;
         double tailMs;
+        double meanUsage;
 
         Run(TaskName task, int number, JobStep step, long workMs, double doneMs, int waitMs) {
             this.waitMs = waitMs;
@@ -110,6 +117,10 @@
             this.doneMs = doneMs;
         }
 
+        double usage() {
+            return step.isServing() ? tailMs : usedMilliCores;
+        }
+
         int percent() {
             return step.longRunning() ? 100 : (int) Math.min(99, 100 * doneMs / workMs);
         }
@@ -288,6 +299,7 @@
             if (run.step.isServing()) {
                 run.tailMs = tail(run, nowMs);
             }
+            run.meanUsage += (run.meanUsage == 0 ? 1 : MEAN_WEIGHT) * (run.usage() - run.meanUsage);
             boolean faulty = interference.fails(run.task) && 2 * run.doneMs >= run.workMs;
             if (!run.step.isServing() && (failing || faulty)) {
                 end(run, RunEnd.FAILED);
@@ -352,7 +364,7 @@
         pollNumber++;
         List<WorkerReport.Running> running = new ArrayList<>();
         for (Run run : runs.values()) {
-            double figure = run.step.isServing() ? run.tailMs : run.usedMilliCores;
+            double figure = reportsMeans ? run.meanUsage : run.usage();
             long usage = Math.round(figure * (1 + READING_ERROR * (2 * readings.nextDouble() - 1)));
             running.add(
                     new WorkerReport.Running(run.task.toString(), run.number, checkpoint(run), run.percent(), usage));
--- a/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/PoolEmulator.java
@@ -70,6 +70,12 @@
     /** Hash of the sequence of orders, for checking that two versions of the leader give the same orders. */
     int ordersHash;
 
+    /** Whether the load of all tasks of a standing job rises and falls together, instead of that of each by itself. */
+    boolean loadsByJob;
+
+    /** Whether the leader is told the factors of all pairs of images. */
+    boolean tellsFactors;
+
     double servingScore;
     double maxServingScore;
 
@@ -231,6 +237,9 @@
     }
 
     private void decide() {
+        if (tellsFactors) {
+            scheduler.restoreInterference(trueFactors());
+        }
         long beganNs = cpuNs();
         if (evacuates) {
             scheduler.evacuate(EvacuatedZones.NONE.withEvacuated("elsewhere"), nowMs);
@@ -248,6 +257,27 @@
         apply(batch.orders());
     }
 
+    private LearnedInterference trueFactors() {
+        Set<String> bestEffort = new HashSet<>();
+        Set<String> serving = new HashSet<>();
+        for (Job job : registry.jobs()) {
+            for (JobStep step : job.spec().steps()) {
+                if (step.bestEffort()) {
+                    bestEffort.add(step.image());
+                } else if (step.isServing()) {
+                    serving.add(step.image());
+                }
+            }
+        }
+        Map<String, LearnedInterference.Serving> byImage = new HashMap<>();
+        for (String image : serving) {
+            Map<String, LearnedInterference.Factor> known = new HashMap<>();
+            bestEffort.forEach(other -> known.put(other, new LearnedInterference.Factor(factor(other, image), 0)));
+            byImage.put(image, new LearnedInterference.Serving(0, USUAL_LOAD, known));
+        }
+        return new LearnedInterference(byImage);
+    }
+
     private static long cpuNs() {
         return THREADS.getCurrentThreadCpuTime();
     }
@@ -327,7 +357,8 @@
 
     @Override
     public double load(String servingTask, long atMs) {
-        double phase = 2 * Math.PI * ((double) atMs / LOAD_PERIOD_MS + servingTask.hashCode() % 10 / 10.0);
+        String source = loadsByJob ? servingTask.substring(0, servingTask.indexOf('.')) : servingTask;
+        double phase = 2 * Math.PI * ((double) atMs / LOAD_PERIOD_MS + source.hashCode() % 10 / 10.0);
         return USUAL_LOAD * (1 + LOAD_AMPLITUDE * Math.sin(phase));
     }
 
