Tell swings of a standing job's load from interference

Cause: the leader learned the interference of a pair of images from the change of the pressure on a worker, and took the serving tasks' own load as constant between two samples. That load swings by half within 10 s, alike for all tasks of a job, which is more than most pairs interfere. So strong pairs were taken for weak ones and the reverse; best-effort tasks were placed beside serving tasks that they disturb, used up what those tolerate, and were paused with all others of the worker. A pair that nothing was known of was taken for a weak one besides (0.3), and several tasks of it were placed at once.

Change: the filter estimates the present load of each standing job together with the factors of the pairs; the workers that run a job show its load at the same time, so what differs between them is interference. What is left on a worker beyond both lasts from sample to sample (0.7), so it also holds where the tasks of a job swing by themselves. An unknown pair counts as the mean of all pairs.

--- a/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/BestEffortPacer.java
@@ -66,7 +66,7 @@
         }
         List<JobTask> bestEffort = new ArrayList<>();
         JobTask worst = null;
-        Map<String, DoubleSummaryStatistics> pressures = new HashMap<>();
+        Map<String, Map<String, DoubleSummaryStatistics>> pressures = new HashMap<>();
         Map<String, Double> shares = new HashMap<>();
         for (JobTask task : worker.assigned()) {
             if (task.step().bestEffort() && task.progress().isListed()) {
@@ -75,18 +75,12 @@
             } else if (task.tailRatio() > 0) {
                 worst = worst == null || task.tailRatio() > worst.tailRatio() ? task : worst;
                 pressures
-                        .computeIfAbsent(task.step().image(), image -> new DoubleSummaryStatistics())
+                        .computeIfAbsent(task.step().image(), image -> new HashMap<>())
+                        .computeIfAbsent(task.name().jobId(), job -> new DoubleSummaryStatistics())
                         .accept(pressure(task));
             }
         }
-        Map<String, Double> means = new HashMap<>();
-        Map<String, Double> highest = new HashMap<>();
-        pressures.forEach((image, statistics) -> {
-            means.put(image, statistics.getAverage());
-            highest.put(image, statistics.getMax());
-        });
-        model.learn(worker.guard(), new InterferenceModel.Sample(nowMs, shares, means));
-        worker.setPressures(highest);
+        learn(worker, shares, pressures, nowMs);
         monitor.review(worker, nowMs);
         for (JobTask task : bestEffort) {
             if (task.takeShareThatIsDue()) {
@@ -114,6 +108,22 @@
      * Helpers
      */
 
+    /** Updates the model and the pressures of a worker from measured pressures by image and job. */
+    private void learn(
+            WorkerView worker,
+            Map<String, Double> shares,
+            Map<String, Map<String, DoubleSummaryStatistics>> pressures,
+            long nowMs) {
+        Map<String, Map<String, Double>> means = new HashMap<>();
+        Map<String, Double> highest = new HashMap<>();
+        pressures.forEach((image, byJob) -> byJob.forEach((job, statistics) -> {
+            means.computeIfAbsent(image, unused -> new HashMap<>()).put(job, statistics.getAverage());
+            highest.merge(image, statistics.getMax(), Math::max);
+        }));
+        model.learn(worker.guard(), new InterferenceModel.Sample(nowMs, shares, means));
+        worker.setPressures(highest);
+    }
+
     private double pressure(JobTask serving) {
         return model.pressure(
                 serving.step().image(),
--- a/core/src/main/java/org/fulmarreach/core/jobs/InterferenceModel.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/InterferenceModel.java
@@ -6,9 +6,9 @@
 
 /**
  * Learns how much best-effort tasks interfere with serving tasks, by pair of images. Tail latency is modelled as that
- * of a queue: with pressure p from 0 to 1 it is base / (1 - p). Pressure is additive: the load of the serving task
- * itself, plus for each best-effort image a factor times its share of the worker's processors. Each serving image has
- * its own {@link PairFactors}. Not thread-safe.
+ * of a queue: with pressure p from 0 to 1 it is base / (1 - p). Pressure is additive: the load of the serving task's
+ * job, plus for each best-effort image a factor times its share of the worker's processors. Each serving image has its
+ * own {@link PairFactors}. Not thread-safe.
  */
 final class InterferenceModel {
     /** Base latency without any pressure, as a share of the target latency, assumed until a lower tail was measured. */
@@ -17,7 +17,7 @@
     /** Samples closer together than this overlap, since each measurement covers the last half second. */
     private static final long MIN_SAMPLE_GAP_MS = 450;
 
-    /** Between samples further apart, the serving task's own load may change more than interference does. */
+    /** Samples further apart are taken as independent. */
     private static final long MAX_SAMPLE_GAP_MS = 1_500;
 
     /** Bounds memory where image names keep changing; the least recently used image is evicted first. */
@@ -32,16 +32,21 @@
         }
     };
     private final Map<String, Double> baseMs = new HashMap<>();
-    private final Map<String, Sample> lastSamples = new HashMap<>();
+    private final Map<String, LastSample> lastSamples = new HashMap<>();
+
+    private record ServingJob(String image, String id) {}
+
+    /** What the last sample of a worker leaves for the next one. */
+    private record LastSample(long atMs, Map<ServingJob, PairFactors.Deviation> deviations) {}
 
     /**
      * Measurements of one worker at one time.
      *
      * @param atMs when the sample was taken
      * @param bestEffortShares share of the worker's processors in use, by best-effort image
-     * @param pressures mean pressure, by serving image
+     * @param pressures mean pressure, by serving image and id of the standing job
      */
-    record Sample(long atMs, Map<String, Double> bestEffortShares, Map<String, Double> pressures) {}
+    record Sample(long atMs, Map<String, Double> bestEffortShares, Map<String, Map<String, Double>> pressures) {}
 
     /** Returns what has been learned so far. */
     LearnedInterference learned() {
@@ -91,23 +96,23 @@
         return Math.max(0, 1 - base / (shareOfTarget * targetMs));
     }
 
-    /** Updates the model from a sample of a worker and the one before it; ignores samples that overlap. */
+    /** Updates the model from a sample of a worker; ignores samples that overlap. */
     void learn(String worker, Sample sample) {
-        Sample previous = lastSamples.get(worker);
-        if (previous != null && sample.atMs() - previous.atMs() < MIN_SAMPLE_GAP_MS) {
+        LastSample last = lastSamples.get(worker);
+        if (last != null && sample.atMs() - last.atMs() < MIN_SAMPLE_GAP_MS) {
             return;
         }
-        lastSamples.put(worker, sample);
-        boolean comparable = previous != null && sample.atMs() - previous.atMs() <= MAX_SAMPLE_GAP_MS;
-        sample.pressures().forEach((serving, pressure) -> {
-            PairFactors pairFactors = factors.computeIfAbsent(serving, unused -> new PairFactors());
-            if (comparable && previous.pressures().containsKey(serving)) {
-                Map<String, Double> changes = new HashMap<>(sample.bestEffortShares());
-                previous.bestEffortShares()
-                        .forEach((bestEffort, share) -> changes.merge(bestEffort, -share, Double::sum));
-                pairFactors.learnChange(changes, pressure - previous.pressures().get(serving));
-            }
-            pairFactors.learnLevel(sample.bestEffortShares(), pressure);
+        boolean comparable = last != null && sample.atMs() - last.atMs() <= MAX_SAMPLE_GAP_MS;
+        Map<ServingJob, PairFactors.Deviation> before = comparable ? last.deviations() : Map.of();
+        Map<ServingJob, PairFactors.Deviation> after = new HashMap<>();
+        sample.pressures().forEach((image, byJob) -> {
+            PairFactors pairFactors = factors.computeIfAbsent(image, unused -> new PairFactors());
+            byJob.forEach((id, pressure) -> {
+                ServingJob job = new ServingJob(image, id);
+                PairFactors.Deviation deviation = before.getOrDefault(job, PairFactors.Deviation.NONE);
+                after.put(job, pairFactors.learn(id, sample.bestEffortShares(), pressure, deviation, sample.atMs()));
+            });
         });
+        lastSamples.put(worker, new LastSample(sample.atMs(), after));
     }
 }
--- a/core/src/test/java/org/fulmarreach/core/jobs/LeaderChangeLoadTest.java
+++ b/core/src/test/java/org/fulmarreach/core/jobs/LeaderChangeLoadTest.java
@@ -40,7 +40,8 @@
             double share = i % 2 == 0 ? 0.3 : 0;
             former.learn(
                     "guard",
-                    new InterferenceModel.Sample(i * 500L, Map.of("batch", share), Map.of("serve", 0.3 + 1.5 * share)));
+                    new InterferenceModel.Sample(
+                            i * 500L, Map.of("batch", share), Map.of("serve", Map.of("job", 0.3 + 1.5 * share))));
         }
         InterferenceModel next = new InterferenceModel();
         next.restore(former.learned());
