Group serving tasks where their image is, and further images on mixed workers

Cause: the placement kept serving tasks of different images apart only while some worker had no other image. Beside four images hardly any best-effort image can run.

Change: no penalty where the image is already; a further image costs less the more images a worker has, since fewer best-effort images suit it anyway.

--- a/core/src/main/java/org/fulmarreach/core/jobs/WorkerScore.java
+++ b/core/src/main/java/org/fulmarreach/core/jobs/WorkerScore.java
@@ -11,6 +11,9 @@
      */
     private static final double MIXED_IMAGES_PENALTY = 2;
 
+    /** Part of the best-effort images that suit a worker's serving images and still do beside a further one. */
+    private static final double SUITABLE_PART = 0.5;
+
     /** Packs serving tasks onto workers that already have some, so that other workers stay free of them. */
     private static final double PACKING_BONUS = 1;
 
@@ -40,7 +43,7 @@
             score = worker.bestEffortMilliCores() / Colocation.idleMilliCores(worker);
             score += PRESSURE_WEIGHT * excess + worker.faultsInRow() * FAULT_PENALTY;
         } else if (step.isServing()) {
-            score += hasOtherServingImages(step, worker) ? MIXED_IMAGES_PENALTY : 0;
+            score += mixingPenalty(step, worker);
             score -= worker.servingTasks() > 0 ? PACKING_BONUS : 0;
         }
         if (worker.report().ref().equals(task.avoided())) {
@@ -55,10 +58,14 @@
         return score;
     }
 
-    /** Tells whether the worker has serving tasks of another image. */
-    private static boolean hasOtherServingImages(JobStep serving, WorkerView worker) {
+    /**
+     * Returns the penalty for a further serving image on a worker. The more images it has, the fewer best-effort images
+     * can run there anyway, so the next one costs less there than on a worker with a single image.
+     */
+    private static double mixingPenalty(JobStep serving, WorkerView worker) {
         int images = worker.servingByImage().size();
-        return images > 1 || images == 1 && !worker.servingByImage().containsKey(serving.image());
+        boolean mixes = images > 0 && !worker.servingByImage().containsKey(serving.image());
+        return mixes ? MIXED_IMAGES_PENALTY * (1 + Math.pow(SUITABLE_PART, images)) : 0;
     }
 
     private static boolean isRemoteFromStep(JobTask task, WorkerView worker) {
